--- /dev/null
+++ b/fleetconfig/document.go
@@ -0,0 +1,177 @@
+package fleetconfig
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+)
+
+// AccountID names a client account.
+type AccountID string
+
+// ServiceName names a service.
+type ServiceName string
+
+// InstanceID names an instance. It is the common name of its certificate.
+type InstanceID string
+
+// FailureDomain names a failure domain.
+type FailureDomain string
+
+// BackendServerID names a backend server. It is unique in its instance.
+type BackendServerID string
+
+// KeyID identifies a key without revealing it: the first bytes of its hash, in
+// hexadecimal digits.
+type KeyID string
+
+// KeyHash is the SHA-256 digest of a key. Keys themselves are never stored.
+type KeyHash [sha256.Size]byte
+
+// keyIDBytes is how many bytes of the hash form the key id.
+const keyIDBytes = 8
+
+// HashKey returns the digest of a key.
+func HashKey(key string) KeyHash {
+	return sha256.Sum256([]byte(key))
+}
+
+// ID returns the key id that belongs to the digest.
+func (h KeyHash) ID() KeyID {
+	return KeyID(hex.EncodeToString(h[:keyIDBytes]))
+}
+
+// Document is one version of the whole configuration.
+type Document struct {
+	// Version grows by one with each accepted change. Version 0 is the empty
+	// document of a new fleet.
+	Version uint64 `cbor:"1,keyasint"`
+	// PresetInForce names the one preset that is in force.
+	PresetInForce string `cbor:"2,keyasint"`
+	// Accounts are the client accounts, ordered by ID.
+	Accounts []Account `cbor:"3,keyasint"`
+	// Keys are the keys that are given out and not withdrawn, ordered by hash.
+	Keys []Key `cbor:"4,keyasint"`
+	// Routes are the routes, ordered by ID.
+	Routes []Route `cbor:"5,keyasint"`
+	// Services are the services, ordered by name.
+	Services []Service `cbor:"6,keyasint"`
+	// Presets are the presets, ordered by name.
+	Presets []Preset `cbor:"7,keyasint"`
+	// Shards places the shards on instances.
+	Shards ShardMap `cbor:"8,keyasint"`
+	// Holders are the instances, up to seven, that hold the configuration in
+	// memory and vouch that it is current while control is away.
+	Holders []InstanceAddress `cbor:"9,keyasint"`
+}
+
+// InstanceAddress is an instance with the address of its fleet port.
+type InstanceAddress struct {
+	// ID is the instance.
+	ID InstanceID `cbor:"1,keyasint"`
+	// Address is host and UDP port, by IP number.
+	Address string `cbor:"2,keyasint"`
+	// FailureDomain is where the instance runs.
+	FailureDomain FailureDomain `cbor:"3,keyasint"`
+}
+
+// Account is a client account.
+type Account struct {
+	// ID names the account.
+	ID AccountID `cbor:"1,keyasint"`
+	// RatePerSecond is how many requests a second the account may run, counted
+	// over all instances.
+	RatePerSecond float64 `cbor:"2,keyasint"`
+	// Burst is how many requests the account may run at once.
+	Burst uint32 `cbor:"3,keyasint"`
+}
+
+// Key grants the use of an account.
+type Key struct {
+	// Hash is the digest of the key.
+	Hash KeyHash `cbor:"1,keyasint"`
+	// Account is the account that the key belongs to.
+	Account AccountID `cbor:"2,keyasint"`
+	// Label is the operator's note on who has the key.
+	Label string `cbor:"3,keyasint,omitempty"`
+}
+
+// Idempotency says which requests of a route may be run more than once.
+type Idempotency uint8
+
+const (
+	// IdempotentByMethod follows RFC 9110: GET, HEAD, OPTIONS, TRACE, PUT and
+	// DELETE are idempotent, other methods are not.
+	IdempotentByMethod Idempotency = iota
+	// IdempotentAlways declares every request of the route idempotent.
+	IdempotentAlways
+	// IdempotentNever declares no request of the route idempotent.
+	IdempotentNever
+)
+
+// Route sends requests of a host and path prefix to a service.
+type Route struct {
+	// ID names the route.
+	ID string `cbor:"1,keyasint"`
+	// Host is the host name that the route serves, without a port. Empty serves
+	// every host.
+	Host string `cbor:"2,keyasint"`
+	// PathPrefix is the path prefix that the route serves. It matches whole path
+	// segments.
+	PathPrefix string `cbor:"3,keyasint"`
+	// Service is the service that runs the requests.
+	Service ServiceName `cbor:"4,keyasint"`
+	// OpenToAll lets requests in without a key.
+	OpenToAll bool `cbor:"5,keyasint"`
+	// Idempotency says which requests may be run more than once.
+	Idempotency Idempotency `cbor:"6,keyasint"`
+	// Timeout is the longest time that a request may take. Zero is
+	// DefaultRouteTimeout.
+	Timeout time.Duration `cbor:"7,keyasint"`
+}
+
+// DefaultRouteTimeout is the timeout of a route that states none.
+const DefaultRouteTimeout = 30 * time.Second
+
+// Service is a group of backend servers that run the same requests.
+type Service struct {
+	// Name names the service.
+	Name ServiceName `cbor:"1,keyasint"`
+	// FloorSlots is the healthy capacity, in slots, that ejection never goes
+	// below.
+	FloorSlots uint32 `cbor:"2,keyasint"`
+	// FloorPercent is the healthy share of the announced slots, in percent, that
+	// ejection never goes below. The greater of both floors holds.
+	FloorPercent uint32 `cbor:"3,keyasint"`
+}
+
+// Preset is a set of policies for one kind of day.
+type Preset struct {
+	// Name names the preset.
+	Name string `cbor:"1,keyasint"`
+	// RetryBudgetPercent is how many retries are allowed, in percent of requests.
+	RetryBudgetPercent uint32 `cbor:"2,keyasint"`
+	// HedgeAfter is how long an idempotent request waits before a second attempt
+	// starts. Zero turns hedging off.
+	HedgeAfter time.Duration `cbor:"3,keyasint"`
+	// QueueLength is how many requests may wait per backend server.
+	QueueLength uint32 `cbor:"4,keyasint"`
+	// EjectionEnabled permits the ejection of suspect backend servers.
+	EjectionEnabled bool `cbor:"5,keyasint"`
+	// SlowStart is how long a new backend server takes to reach its full share.
+	SlowStart time.Duration `cbor:"6,keyasint"`
+}
+
+// ShardMap places shards on instances.
+type ShardMap struct {
+	// Epoch grows with each step of a change of the map.
+	Epoch uint64 `cbor:"1,keyasint"`
+	// Shards are the shards in the order of their numbers.
+	Shards []ShardPlacement `cbor:"2,keyasint"`
+}
+
+// ShardPlacement is the replicas of one shard.
+type ShardPlacement struct {
+	// Replicas are the instances that vote for the shard.
+	Replicas []InstanceAddress `cbor:"1,keyasint"`
+}
--- /dev/null
+++ b/pipeline/exchange.go
@@ -0,0 +1,73 @@
+package pipeline
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+// ErrAnswered is returned by a filter that has sent the whole response itself.
+var ErrAnswered = errors.New("the exchange is already answered; stop walking the chain")
+
+// Exchange is one request of a caller and its response on their way through a
+// chain. A chain and its filters use it from one goroutine.
+type Exchange struct {
+	// Request is the caller's request. Filters clean its header in place.
+	Request *http.Request
+	// Writer receives the response. A filter may wrap it.
+	Writer http.ResponseWriter
+	// RequestID identifies the exchange in logs and headers.
+	RequestID string
+	// Received is when the request arrived, with a monotonic reading.
+	Received time.Time
+	// Deadline is when the request is given up.
+	Deadline time.Time
+	// View is the configuration that the whole exchange is judged by.
+	View *fleetconfig.View
+	// Route is the matched route.
+	Route *fleetconfig.Route
+	// Account is the client account of the key, empty on a route open to all.
+	Account fleetconfig.AccountID
+	// KeyID identifies the key that came with the request.
+	KeyID fleetconfig.KeyID
+	// Key is the presented key. It is cleared once authenticated and never leaves
+	// the ingress.
+	Key string
+	// Idempotent says that the request may be run more than once.
+	Idempotent bool
+	// TokenExpires is when the quota token of the request runs out; zero when the
+	// request needs no token.
+	TokenExpires time.Time
+	// Outcome says what is known about whether a backend server ran the request.
+	Outcome Outcome
+	// Status is the status code sent to the caller, 0 while none was sent.
+	Status int
+	// ResponseHeader is the header of the response while the response halves run.
+	ResponseHeader http.Header
+	// Attempts counts the attempts that were sent to a backend proxy.
+	Attempts int
+	// BackendServer is the backend server of the last attempt.
+	BackendServer fleetconfig.BackendServerID
+	// Instance is the instance of the last attempt.
+	Instance fleetconfig.InstanceID
+	// Refusal is the refusal sent to the caller, nil when there was none.
+	Refusal *Refusal
+
+	respond func()
+}
+
+// Respond runs the response halves of the filters entered so far. The forwarding
+// filter calls it once, with ResponseHeader set, before it sends the head.
+func (e *Exchange) Respond() {
+	if e.respond != nil {
+		e.respond()
+	}
+}
+
+// Remaining returns the time left until the deadline.
+func (e *Exchange) Remaining(now time.Time) time.Duration {
+	return e.Deadline.Sub(now)
+}
--- /dev/null
+++ b/pipeline/headers.go
@@ -0,0 +1,32 @@
+package pipeline
+
+// Headers that hemlockring adds. All share one prefix, so that a forged one from
+// a caller can be removed by prefix.
+const (
+	// HeaderPrefix starts every header that only hemlockring may set.
+	HeaderPrefix = "Hemlock-"
+	// HeaderOutcome carries the Outcome of the request to the caller.
+	HeaderOutcome = "Hemlock-Outcome"
+	// HeaderRequestID carries the request id to the backend server and back.
+	HeaderRequestID = "Hemlock-Request-Id"
+	// HeaderRefusal carries the RefusalKind of a refused request.
+	HeaderRefusal = "Hemlock-Refusal"
+	// HeaderReplayed is "true" on a stored answer to a repeated order.
+	HeaderReplayed = "Hemlock-Replayed"
+	// HeaderAccount carries the client account to the backend proxy and the
+	// backend server.
+	HeaderAccount = "Hemlock-Account"
+	// HeaderKeyID carries the id of the key, never the key, to the backend proxy.
+	HeaderKeyID = "Hemlock-Key-Id"
+	// HeaderService carries the service to the backend proxy.
+	HeaderService = "Hemlock-Service"
+	// HeaderBackendServer carries the id of the chosen backend server to the
+	// backend proxy.
+	HeaderBackendServer = "Hemlock-Backend-Server"
+	// HeaderDeadline carries the time left for the request, in milliseconds.
+	HeaderDeadline = "Hemlock-Deadline-Ms"
+	// HeaderTokenLife carries the time left of the quota token, in milliseconds.
+	HeaderTokenLife = "Hemlock-Token-Life-Ms"
+	// HeaderIdempotencyKey is the caller's key for an order placement.
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
--- /dev/null
+++ b/transport/call.go
@@ -0,0 +1,77 @@
+package transport
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/internal/codec"
+)
+
+// MaxCallBytes is the largest body of a call or its reply.
+const MaxCallBytes = 64 << 20
+
+// contentTypeCBOR is the media type of calls.
+const contentTypeCBOR = "application/cbor"
+
+// Caller sends a call to another instance and reads the reply. The driver of
+// each shared part depends on this interface, so that tests can put a fake in
+// its place.
+type Caller interface {
+	// Call posts request to path at the instance with the given address and
+	// decodes the reply into reply. An error says nothing about whether the other
+	// instance has handled the call.
+	Call(ctx context.Context, address, path string, request, reply any) error
+}
+
+// CallHandler handles one kind of call from another instance.
+type CallHandler[Request, Reply any] func(ctx context.Context, from fleetconfig.InstanceID, request *Request) (*Reply, error)
+
+// HandleCall registers the handler of calls to path.
+func HandleCall[Request, Reply any](mux *http.ServeMux, path string, handle CallHandler[Request, Reply]) {
+	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+		request := new(Request)
+		if err := readCall(r, request); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		reply, err := handle(r.Context(), PeerID(r), request)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		writeReply(w, reply)
+	})
+}
+
+// PeerID returns the instance that sent the request, from its certificate.
+func PeerID(r *http.Request) fleetconfig.InstanceID {
+	if r.TLS == nil || len(r.TLS.PeerCertificates) == 0 {
+		return ""
+	}
+	return fleetconfig.InstanceID(r.TLS.PeerCertificates[0].Subject.CommonName)
+}
+
+func readCall(r *http.Request, request any) error {
+	data, err := io.ReadAll(io.LimitReader(r.Body, MaxCallBytes+1))
+	if err != nil {
+		return errors.Wrap(err, "read the call")
+	}
+	if len(data) > MaxCallBytes {
+		return errors.Newf("the call is larger than %d bytes; send it in parts", MaxCallBytes)
+	}
+	return codec.Unmarshal(data, request)
+}
+
+func writeReply(w http.ResponseWriter, reply any) {
+	data, err := codec.Marshal(reply)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", contentTypeCBOR)
+	_, _ = w.Write(data)
+}
