Fleet port over QUIC with mutual TLS, certificate authority, membership

transport: HTTP/3 on one UDP port with its own connection pool; the pool of the library sends a request again by itself after a timeout on a reused connection, which could run a non-idempotent request twice, so it is not used. pki: the fleet CA's files. membership: SWIM-like state machine without I/O, gossip: its driver.

--- /dev/null
+++ b/gossip/snapshot.go
@@ -0,0 +1,52 @@
+package gossip
+
+import (
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/membership"
+)
+
+// Placed is a backend server together with the member that it runs beside.
+type Placed struct {
+	// Server is the backend server.
+	Server membership.Server
+	// Member is the instance beside it.
+	Member *membership.Member
+}
+
+// Snapshot is an immutable view of the members. It is safe for concurrent use.
+type Snapshot struct {
+	// Self is this instance.
+	Self fleetconfig.InstanceID
+	// Members are all known instances, ordered by ID.
+	Members []membership.Member
+
+	services map[fleetconfig.ServiceName][]Placed
+	byID     map[fleetconfig.InstanceID]*membership.Member
+}
+
+func newSnapshot(self fleetconfig.InstanceID, members []membership.Member) *Snapshot {
+	snapshot := &Snapshot{
+		Self:     self,
+		Members:  members,
+		services: make(map[fleetconfig.ServiceName][]Placed),
+		byID:     make(map[fleetconfig.InstanceID]*membership.Member, len(members)),
+	}
+	for i := range members {
+		member := &members[i]
+		snapshot.byID[member.Record.ID] = member
+		if member.Liveness == membership.Dead || member.Record.Left {
+			continue
+		}
+		for _, server := range member.Record.Servers {
+			snapshot.services[server.Service] = append(snapshot.services[server.Service], Placed{Server: server, Member: member})
+		}
+	}
+	return snapshot
+}
+
+// Servers returns the backend servers of a service on all members that are not
+// dead and have not left. The slice must not be changed.
+func (s *Snapshot) Servers(service fleetconfig.ServiceName) []Placed { return s.services[service] }
+
+// Member returns the member with the given id, or nil when it is not known.
+func (s *Snapshot) Member(id fleetconfig.InstanceID) *membership.Member { return s.byID[id] }
--- /dev/null
+++ b/membership/message.go
@@ -0,0 +1,87 @@
+package membership
+
+import (
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+// MessageKind says what a Message asks or answers.
+type MessageKind uint8
+
+const (
+	// Ping asks for an Ack.
+	Ping MessageKind = iota + 1
+	// Ack answers a Ping.
+	Ack
+	// PingRequest asks the receiver to ping Target and to pass the answer on.
+	PingRequest
+	// IndirectAck answers a PingRequest.
+	IndirectAck
+)
+
+// Message is one datagram. Updates ride on every message.
+type Message struct {
+	// Kind says what the message is.
+	Kind MessageKind `cbor:"1,keyasint"`
+	// From is the sender.
+	From fleetconfig.InstanceID `cbor:"2,keyasint"`
+	// Number pairs an answer with its question.
+	Number uint64 `cbor:"3,keyasint"`
+	// Target is the instance that a PingRequest or IndirectAck is about.
+	Target fleetconfig.InstanceID `cbor:"4,keyasint,omitempty"`
+	// TargetAddress is the address of Target, for a receiver that does not know
+	// it yet.
+	TargetAddress string `cbor:"5,keyasint,omitempty"`
+	// ReplyAddress is the fleet address of the sender.
+	ReplyAddress string `cbor:"6,keyasint,omitempty"`
+	// Updates are records and suspicions that spread.
+	Updates []Update `cbor:"7,keyasint,omitempty"`
+}
+
+// Update spreads one instance's record or a doubt about it.
+type Update struct {
+	// Record is the newest record that the sender knows.
+	Record Record `cbor:"1,keyasint"`
+	// Liveness is the sender's view of that record.
+	Liveness Liveness `cbor:"2,keyasint"`
+}
+
+// Envelope is a message with its destination.
+type Envelope struct {
+	// Address is the fleet address of the receiver.
+	Address string
+	// Message is what to send.
+	Message Message
+}
+
+// DigestEntry names the newest record that an instance knows of another one.
+type DigestEntry struct {
+	// ID is the instance that the entry is about.
+	ID fleetconfig.InstanceID `cbor:"1,keyasint"`
+	// Incarnation and Sequence identify the record.
+	Incarnation uint64 `cbor:"2,keyasint"`
+	// Sequence orders the records of one incarnation.
+	Sequence uint64 `cbor:"3,keyasint"`
+	// Liveness is the view of that record.
+	Liveness Liveness `cbor:"4,keyasint"`
+}
+
+// DigestRequest starts a digest exchange. Entries stay empty while the sender
+// only asks whether the fingerprints agree.
+type DigestRequest struct {
+	// Fingerprint is a hash over all entries.
+	Fingerprint uint64 `cbor:"1,keyasint"`
+	// Entries are the sender's records in short.
+	Entries []DigestEntry `cbor:"2,keyasint,omitempty"`
+	// Updates are records that the receiver asked for before.
+	Updates []Update `cbor:"3,keyasint,omitempty"`
+}
+
+// DigestReply answers a DigestRequest.
+type DigestReply struct {
+	// Same says that the fingerprints agree and there is nothing to exchange.
+	Same bool `cbor:"1,keyasint"`
+	// Updates are records that the sender of the request lacks.
+	Updates []Update `cbor:"2,keyasint,omitempty"`
+	// Wanted are the instances whose records the replier lacks.
+	Wanted []fleetconfig.InstanceID `cbor:"3,keyasint,omitempty"`
+}
--- /dev/null
+++ b/transport/client.go
@@ -0,0 +1,64 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hemlockring/hemlockring/internal/codec"
+)
+
+// maxErrorText bounds how much of a failed call's text is kept, in bytes.
+const maxErrorText = 512
+
+var _ Caller = (*Endpoint)(nil)
+
+// RoundTrip sends a caller's request to the instance at address. It never sends
+// it a second time. An error that is ErrNotSent (errors.Is) proves that no byte
+// left; after any other error the request may have been handled.
+func (e *Endpoint) RoundTrip(address string, request *http.Request) (*http.Response, error) {
+	request.URL.Scheme = "https"
+	request.URL.Host = address
+	return e.pool.roundTrip(address, request)
+}
+
+// Call implements Caller.
+func (e *Endpoint) Call(ctx context.Context, address, path string, request, reply any) error {
+	data, err := codec.Marshal(request)
+	if err != nil {
+		return err
+	}
+	httpRequest := &http.Request{
+		Method:        http.MethodPost,
+		URL:           &url.URL{Scheme: "https", Host: address, Path: path},
+		Host:          address,
+		Header:        http.Header{"Content-Type": {contentTypeCBOR}},
+		Body:          io.NopCloser(bytes.NewReader(data)),
+		ContentLength: int64(len(data)),
+	}
+	response, err := e.pool.roundTrip(address, httpRequest.WithContext(ctx))
+	if err != nil {
+		return errors.Wrapf(err, "call %s at %s", path, address)
+	}
+	defer func() { _ = response.Body.Close() }()
+	return readCallReply(response, path, reply)
+}
+
+func readCallReply(response *http.Response, path string, reply any) error {
+	if response.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorText))
+		return errors.Newf("call %s: status %d: %s", path, response.StatusCode, text)
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, MaxCallBytes+1))
+	if err != nil {
+		return errors.Wrapf(err, "read the reply of %s", path)
+	}
+	if len(data) > MaxCallBytes {
+		return errors.Newf("the reply of %s is larger than %d bytes", path, MaxCallBytes)
+	}
+	return codec.Unmarshal(data, reply)
+}
