Ingress, backend proxy, routing and metrics

The request path as two filter chains. The backend proxy marks each connection to a backend server before a byte is handed over, so that 'not run' is proved and not guessed; request bodies are never rewindable by net/http.

--- /dev/null
+++ b/backendproxy/announce.go
@@ -0,0 +1,60 @@
+package backendproxy
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+const (
+	// maxAnnouncementBytes bounds the body of an announcement.
+	maxAnnouncementBytes = 4 << 10
+	// expireInterval is how often silent backend servers are looked for.
+	expireInterval = 100 * time.Millisecond
+)
+
+// RegisterAnnouncements adds the announcement resources to the mux of the
+// instance's local address.
+func (r *Registry) RegisterAnnouncements(mux *http.ServeMux) {
+	mux.HandleFunc("PUT /v1/servers/{id}", r.handleAnnounce)
+	mux.HandleFunc("DELETE /v1/servers/{id}", r.handleLeave)
+}
+
+func (r *Registry) handleAnnounce(w http.ResponseWriter, request *http.Request) {
+	var announcement Announcement
+	decoder := json.NewDecoder(http.MaxBytesReader(w, request.Body, maxAnnouncementBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&announcement); err != nil {
+		http.Error(w, "the announcement is no valid JSON object: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	id := fleetconfig.BackendServerID(request.PathValue("id"))
+	if err := r.Announce(id, announcement, time.Now()); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (r *Registry) handleLeave(w http.ResponseWriter, request *http.Request) {
+	r.Leave(fleetconfig.BackendServerID(request.PathValue("id")))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Serve removes silent backend servers until ctx ends. It makes the registry a
+// suture service.
+func (r *Registry) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticker.C:
+			r.Expire(now)
+		}
+	}
+}
--- /dev/null
+++ b/backendproxy/proxy.go
@@ -0,0 +1,110 @@
+package backendproxy
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/internal/freeze"
+	"github.com/hemlockring/hemlockring/pipeline"
+)
+
+// Config configures a Proxy.
+type Config struct {
+	// Registry holds the backend servers beside the instance.
+	Registry *Registry
+	// View returns the configuration in force.
+	View func() *fleetconfig.View
+	// Freeze tells when the process has stood still.
+	Freeze *freeze.Detector
+}
+
+// Proxy serves the requests that ingresses forward to the backend servers beside
+// this instance. It is an http.Handler and safe for concurrent use.
+type Proxy struct {
+	chain    *pipeline.Chain
+	draining atomic.Bool
+	running  sync.WaitGroup
+}
+
+// exchangeState is what the filters keep for one exchange.
+type exchangeState struct {
+	slot Slot
+}
+
+// slotOf returns the state of the exchange.
+func slotOf(exchange *pipeline.Exchange) *exchangeState {
+	state, _ := exchange.State.(*exchangeState)
+	return state
+}
+
+// New returns a proxy.
+func New(config Config) *Proxy {
+	proxy := &Proxy{}
+	proxy.chain = pipeline.NewChain(
+		&verifyFilter{view: config.View, freeze: config.Freeze},
+		&drainFilter{draining: &proxy.draining},
+		&queueFilter{registry: config.Registry},
+		&runFilter{dispatcher: newDispatcher(), freeze: config.Freeze},
+	)
+	return proxy
+}
+
+// ServeHTTP implements http.Handler for a forwarded request.
+func (p *Proxy) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	p.running.Add(1)
+	defer p.running.Done()
+	header := request.Header
+	exchange := &pipeline.Exchange{
+		Request:       request,
+		Writer:        w,
+		RequestID:     header.Get(pipeline.HeaderRequestID),
+		Received:      time.Now(),
+		Account:       fleetconfig.AccountID(header.Get(pipeline.HeaderAccount)),
+		KeyID:         fleetconfig.KeyID(header.Get(pipeline.HeaderKeyID)),
+		BackendServer: fleetconfig.BackendServerID(header.Get(pipeline.HeaderBackendServer)),
+		State:         &exchangeState{},
+	}
+	err := p.chain.Serve(exchange)
+	if err != nil {
+		writeRefusal(exchange, err)
+	}
+	if exchange.Truncated {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func writeRefusal(exchange *pipeline.Exchange, err error) {
+	var refusal *pipeline.Refusal
+	if !errors.As(err, &refusal) {
+		refusal = &pipeline.Refusal{
+			Kind:       pipeline.KindOutcomeUnknown,
+			Status:     http.StatusBadGateway,
+			Detail:     "the proxy beside the backend server failed",
+			Remedy:     "look whether the request took effect before sending it again",
+			RetryAfter: retryElsewhere,
+		}
+	}
+	refusal.Write(exchange.Writer, exchange.RequestID)
+}
+
+// Drain refuses new requests and waits for the running ones, or for ctx to end.
+func (p *Proxy) Drain(ctx context.Context) error {
+	p.draining.Store(true)
+	done := make(chan struct{})
+	go func() {
+		p.running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "requests still run on the backend servers; raise stop_timeout")
+	}
+}
--- /dev/null
+++ b/ingress/forwarded.go
@@ -0,0 +1,114 @@
+package ingress
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hemlockring/hemlockring/backendproxy"
+	"github.com/hemlockring/hemlockring/internal/httpheader"
+	"github.com/hemlockring/hemlockring/pipeline"
+)
+
+const headerLoad = backendproxy.HeaderLoad
+
+// forwardedRequest builds the request to the backend proxy of a candidate.
+func forwardedRequest(ctx context.Context, exchange *pipeline.Exchange, candidate Candidate, body *replayBody, now time.Time) *http.Request {
+	incoming := exchange.Request
+	header := maps.Clone(incoming.Header)
+	header.Set(pipeline.HeaderRequestID, exchange.RequestID)
+	header.Set(pipeline.HeaderService, string(exchange.Route.Service))
+	header.Set(pipeline.HeaderBackendServer, string(candidate.Server))
+	header.Set(pipeline.HeaderDeadline, strconv.FormatInt(exchange.Remaining(now).Milliseconds(), 10))
+	if exchange.Account != "" {
+		header.Set(pipeline.HeaderAccount, string(exchange.Account))
+		header.Set(pipeline.HeaderKeyID, string(exchange.KeyID))
+	}
+	if !exchange.TokenExpires.IsZero() {
+		header.Set(pipeline.HeaderTokenLife, strconv.FormatInt(exchange.TokenExpires.Sub(now).Milliseconds(), 10))
+	}
+	if _, present := header["User-Agent"]; !present {
+		// An empty value keeps the HTTP client from adding its own.
+		header.Set("User-Agent", "")
+	}
+	request := &http.Request{
+		Method: incoming.Method,
+		URL: &url.URL{
+			Path:       incoming.URL.Path,
+			RawPath:    incoming.URL.RawPath,
+			RawQuery:   incoming.URL.RawQuery,
+			ForceQuery: incoming.URL.ForceQuery,
+		},
+		Host:          incoming.Host,
+		Header:        header,
+		ContentLength: incoming.ContentLength,
+	}
+	if len(incoming.Trailer) > 0 {
+		request.Trailer = maps.Clone(incoming.Trailer)
+	}
+	request.Body = http.NoBody
+	if incoming.ContentLength != 0 {
+		request.Body = body.open(request.Trailer)
+	}
+	return request.WithContext(ctx)
+}
+
+// readRefusal returns the refusal of a backend proxy, or nil when the response is
+// a backend server's answer. Backend proxies remove these headers from answers.
+func readRefusal(status int, header http.Header) *pipeline.Refusal {
+	kind := header.Get(pipeline.HeaderRefusal)
+	if kind == "" {
+		return nil
+	}
+	seconds, _ := strconv.Atoi(header.Get("Retry-After"))
+	refusal := &pipeline.Refusal{
+		Kind:       pipeline.RefusalKind(kind),
+		Status:     status,
+		Detail:     "the proxy beside the backend server refused the request: " + strings.ReplaceAll(kind, "-", " "),
+		Remedy:     "send the request again",
+		RetryAfter: time.Duration(seconds) * time.Second,
+		Outcome:    pipeline.ParseOutcome(header.Get(pipeline.HeaderOutcome)),
+	}
+	if refusal.Outcome != pipeline.OutcomeNotRun {
+		refusal.Detail = "the backend server did not answer, and may or may not have run the request"
+		refusal.Remedy = "look whether the request took effect before sending it again, or send it with an Idempotency-Key"
+	}
+	return refusal
+}
+
+// deliver streams an answer to the caller.
+func deliver(exchange *pipeline.Exchange, response *http.Response) {
+	header := exchange.Writer.Header()
+	sendHead(exchange, response.StatusCode, response.Header)
+	streamed := response.ContentLength < 0
+	if streamed {
+		_ = http.NewResponseController(exchange.Writer).Flush()
+	}
+	if err := httpheader.CopyBody(exchange.Writer, response.Body, streamed); err != nil {
+		exchange.Truncated = true
+		return
+	}
+	httpheader.CopyTrailer(header, response.Trailer)
+}
+
+// sendHead sends the head of a backend server's answer.
+func sendHead(exchange *pipeline.Exchange, status int, source http.Header) {
+	exchange.Outcome = pipeline.OutcomeAnswered
+	exchange.Status = status
+	header := exchange.Writer.Header()
+	httpheader.RemoveHopByHop(source)
+	for name, values := range source {
+		if !httpheader.IsInternal(name) {
+			header[name] = values
+		}
+	}
+	header.Set(pipeline.HeaderOutcome, pipeline.OutcomeAnswered.String())
+	header.Set(pipeline.HeaderRequestID, exchange.RequestID)
+	exchange.ResponseHeader = header
+	exchange.Respond()
+	exchange.Writer.WriteHeader(status)
+}
--- /dev/null
+++ b/ingress/proxy.go
@@ -0,0 +1,103 @@
+package ingress
+
+import (
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/hemlockring/hemlockring/internal/freeze"
+	"github.com/hemlockring/hemlockring/pipeline"
+)
+
+// Config configures a Proxy.
+type Config struct {
+	// KeyHeader is a header besides Authorization that may carry the key. Empty
+	// means none.
+	KeyHeader string
+	// Configuration is the shared configuration.
+	Configuration Configuration
+	// Freeze tells when the process has stood still.
+	Freeze *freeze.Detector
+	// Admission are the filters between authenticate and forward.
+	Admission []pipeline.Filter
+	// Remote reaches the backend proxies of other instances.
+	Remote Remote
+	// Local is this instance's own backend proxy.
+	Local http.Handler
+	// Selector chooses backend servers.
+	Selector Selector
+	// Retry bounds the retries.
+	Retry RetryPolicy
+	// Recorder takes in each exchange.
+	Recorder Recorder
+	// Logger receives the messages of the ingress.
+	Logger *slog.Logger
+}
+
+// Proxy serves callers. It is an http.Handler and safe for concurrent use.
+type Proxy struct {
+	config Config
+	chain  *pipeline.Chain
+}
+
+// New returns the ingress of an instance.
+func New(config Config) *Proxy {
+	filters := []pipeline.Filter{
+		&identifyFilter{keyHeader: config.KeyHeader, freeze: config.Freeze},
+		&routeFilter{configuration: config.Configuration},
+		&currencyFilter{configuration: config.Configuration},
+		&authenticateFilter{},
+	}
+	filters = append(filters, config.Admission...)
+	filters = append(filters, &forwardFilter{
+		remote:   config.Remote,
+		local:    config.Local,
+		selector: config.Selector,
+		retry:    config.Retry,
+	})
+	return &Proxy{config: config, chain: pipeline.NewChain(filters...)}
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Proxy) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	exchange := &pipeline.Exchange{
+		Request:   request,
+		Writer:    w,
+		RequestID: uuid.NewString(),
+		Received:  time.Now(),
+		Outcome:   pipeline.OutcomeNotRun,
+	}
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	defer func() { p.config.Recorder.Record(exchange, time.Since(exchange.Received)) }()
+	if err := p.chain.Serve(exchange); err != nil && !errors.Is(err, pipeline.ErrAnswered) {
+		p.refuse(exchange, err)
+	}
+	if exchange.Truncated {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// refuse sends the final answer for a request that was given up.
+func (p *Proxy) refuse(exchange *pipeline.Exchange, err error) {
+	var refusal *pipeline.Refusal
+	if !errors.As(err, &refusal) {
+		p.config.Logger.Error("a filter failed", "request", exchange.RequestID, "error", err)
+		refusal = &pipeline.Refusal{
+			Kind:       pipeline.KindOutcomeUnknown,
+			Status:     http.StatusInternalServerError,
+			Detail:     "the instance failed while it handled the request",
+			Remedy:     "look whether the request took effect before sending it again",
+			RetryAfter: retrySoon,
+		}
+	}
+	exchange.Refusal = refusal
+	exchange.Outcome = refusal.Outcome
+	exchange.Status = refusal.Status
+	if refusal.Status == http.StatusUnauthorized {
+		exchange.Writer.Header().Set("WWW-Authenticate", `Bearer realm="hemlockring"`)
+	}
+	refusal.Write(exchange.Writer, exchange.RequestID)
+}
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -53,6 +53,11 @@
 	BackendServer fleetconfig.BackendServerID
 	// Instance is the instance of the last attempt.
 	Instance fleetconfig.InstanceID
+	// Truncated says that the answer broke off after its head was sent. The server
+	// must end the connection or stream, so that the caller sees the break.
+	Truncated bool
+	// State is for the chain that made the exchange.
+	State any
 	// Refusal is the refusal sent to the caller, nil when there was none.
 	Refusal *Refusal
 
