--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -44,7 +45,7 @@
 	}, time.Millisecond)
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
 		recorder := httptest.NewRecorder()
-		metrics.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+		metrics.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 		body := recorder.Body.String()
 		return strings.Contains(body, `hemlock_request_seconds_bucket{account="class:open"`) && strings.Contains(body, `service="catalogue"`)
 	}), wait.Timeout(10*time.Second), wait.Gap(20*time.Millisecond)))
--- /dev/null
+++ b/node/local.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// readiness is the body of /readyz.
+type readiness struct {
+	Ready         bool   `json:"ready"`
+	Configuration uint64 `json:"configuration_version"`
+	Current       bool   `json:"configuration_current"`
+	Members       int    `json:"members"`
+	Reason        string `json:"reason,omitempty"`
+}
+
+// localMux serves what runs on the same machine: backend servers, metrics and
+// health checks.
+func (n *Node) localMux() http.Handler {
+	mux := http.NewServeMux()
+	n.registry.RegisterAnnouncements(mux)
+	mux.Handle("GET /metrics", n.metrics.Handler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("GET /readyz", n.handleReady)
+	return mux
+}
+
+func (n *Node) handleReady(w http.ResponseWriter, _ *http.Request) {
+	snapshot := n.members.Snapshot()
+	current, _ := n.configuration.Current(time.Now())
+	state := readiness{
+		Configuration: n.configuration.View().Version(),
+		Current:       current,
+		Members:       len(snapshot.Members),
+	}
+	self := snapshot.Member(snapshot.Self)
+	switch {
+	case self.Record.Draining:
+		state.Reason = "the instance is stopping"
+	case state.Configuration == 0:
+		state.Reason = "the instance has no configuration yet"
+	default:
+		state.Ready = true
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if !state.Ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_ = json.NewEncoder(w).Encode(state)
+}
--- /dev/null
+++ b/settings/parse.go
@@ -0,0 +1,157 @@
+package settings
+
+import (
+	"log/slog"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+const (
+	maxNameLength = 64
+	minStop       = time.Second
+	maxStop       = time.Hour
+)
+
+func checkName(text string) error {
+	if text == "" || len(text) > maxNameLength {
+		return errors.Newf("write 1 to %d letters, digits, dots, hyphens or underscores", maxNameLength)
+	}
+	for _, r := range text {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
+		if !letter && (r < '0' || r > '9') && !strings.ContainsRune(".-_", r) {
+			return errors.Newf("write letters, digits, dots, hyphens or underscores, not %q", r)
+		}
+	}
+	return nil
+}
+
+func setText(target *string, text string) error {
+	if text == "" {
+		return errors.New("write a value")
+	}
+	*target = text
+	return nil
+}
+
+func checkAddress(text string) error {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil || address.Port() == 0 {
+		return errors.Newf("write an IP number and a port, as in 127.0.0.1:7400, not %q", text)
+	}
+	if address.Addr().IsUnspecified() {
+		return errors.New("write the IP number that others reach, not the unspecified address")
+	}
+	return nil
+}
+
+func setAddress(target *string, text string) error {
+	if err := checkAddress(text); err != nil {
+		return err
+	}
+	*target = text
+	return nil
+}
+
+func setOptionalAddress(target *string, text string) error {
+	if text == "" {
+		return nil
+	}
+	return setAddress(target, text)
+}
+
+func setAddresses(target *[]string, text string) error {
+	for _, part := range splitList(text) {
+		if err := checkAddress(part); err != nil {
+			return err
+		}
+		*target = append(*target, part)
+	}
+	return nil
+}
+
+func setRoles(target *[]Role, text string) error {
+	for _, part := range splitList(text) {
+		role := Role(part)
+		if role != RoleProxy && role != RoleControl {
+			return errors.Newf("write proxy, control, or both, not %q", part)
+		}
+		*target = append(*target, role)
+	}
+	if len(*target) == 0 {
+		return errors.New("write proxy, control, or both")
+	}
+	return nil
+}
+
+func setHeaderName(target *string, text string) error {
+	if text != "" && !httpguts.ValidHeaderFieldName(text) {
+		return errors.Newf("write the name of an HTTP header, not %q", text)
+	}
+	*target = text
+	return nil
+}
+
+func setInt(target *int, text string, least, most int) error {
+	value, err := strconv.Atoi(text)
+	if err != nil || value < least || value > most {
+		return errors.Newf("write a whole number from %d to %d, not %q", least, most, text)
+	}
+	*target = value
+	return nil
+}
+
+func setStopTimeout(target *time.Duration, text string) error {
+	value, err := time.ParseDuration(text)
+	if err != nil || value < minStop || value > maxStop {
+		return errors.Newf("write a duration from %s to %s, as in 60s, not %q", minStop, maxStop, text)
+	}
+	*target = value
+	return nil
+}
+
+func setLevel(target *slog.Level, text string) error {
+	if err := target.UnmarshalText([]byte(text)); err != nil {
+		return errors.Newf("write debug, info, warn or error, not %q", text)
+	}
+	return nil
+}
+
+func setMembers(target *[]ControlMember, text string) error {
+	for _, part := range splitList(text) {
+		id, address, found := strings.Cut(part, "=")
+		id = strings.TrimSpace(id)
+		address = strings.TrimSpace(address)
+		if !found {
+			return errors.Newf("write ID=ADDRESS, not %q", part)
+		}
+		if err := checkName(id); err != nil {
+			return err
+		}
+		if err := checkAddress(address); err != nil {
+			return err
+		}
+		*target = append(*target, ControlMember{ID: fleetconfig.InstanceID(id), Address: address})
+	}
+	switch len(*target) {
+	case 1, 3, 5, 7:
+		return nil
+	}
+	return errors.Newf("write 1, 3, 5 or 7 members, not %d", len(*target))
+}
+
+func splitList(text string) []string {
+	var parts []string
+	for part := range strings.SplitSeq(text, ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			parts = append(parts, part)
+		}
+	}
+	return parts
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,137 @@
+package settings
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+// Role is a task that an instance takes on.
+type Role string
+
+const (
+	// RoleProxy serves callers and the backend servers beside the instance.
+	RoleProxy Role = "proxy"
+	// RoleControl keeps the configuration on the instance's disk.
+	RoleControl Role = "control"
+)
+
+// Settings are the settings of one process.
+type Settings struct {
+	// Instance says who and where the instance is.
+	Instance Instance
+	// Fleet is the port to other instances.
+	Fleet Fleet
+	// Callers is the port to callers.
+	Callers Callers
+	// Local is the port for backend servers, metrics and health checks.
+	Local Local
+	// Admin is the administration API of a control instance.
+	Admin Admin
+	// Control is the group of control instances.
+	Control Control
+	// Limits bound time and size.
+	Limits Limits
+	// Log sets the log.
+	Log Log
+}
+
+// Instance says who and where an instance is.
+type Instance struct {
+	// ID is the instance's name; its certificate carries the same one.
+	ID fleetconfig.InstanceID
+	// FailureDomain is what fails together with the instance.
+	FailureDomain fleetconfig.FailureDomain
+	// Region is the region of the failure domain.
+	Region string
+	// Roles are what the instance does. Default proxy.
+	Roles []Role
+	// DataFolder holds the files of a control instance.
+	DataFolder string
+}
+
+// HasRole reports whether the instance has the role.
+func (i *Instance) HasRole(role Role) bool {
+	for _, own := range i.Roles {
+		if own == role {
+			return true
+		}
+	}
+	return false
+}
+
+// Fleet is the port to other instances.
+type Fleet struct {
+	// Address is the IP number and UDP port that other instances reach.
+	Address string
+	// Join are fleet addresses of a few other instances.
+	Join []string
+	// Certificate is the file with the instance's certificate.
+	Certificate string
+	// Key is the file with its private key.
+	Key string
+	// Authority is the file with the certificate of the fleet's authority.
+	Authority string
+	// GossipKey is the file with the key that seals membership datagrams.
+	GossipKey string
+}
+
+// Callers is the port to callers.
+type Callers struct {
+	// Address is the IP number and TCP port that callers reach.
+	Address string
+	// Certificate and Key are files that turn TLS on. Default none: plain HTTP.
+	Certificate string
+	// Key is the private key's file.
+	Key string
+	// KeyHeader is a header besides Authorization that may carry a key.
+	KeyHeader string
+	// MaxHeaderBytes bounds the header of a request. Default 64 KiB.
+	MaxHeaderBytes int
+}
+
+// Local is the port for what runs on the same machine.
+type Local struct {
+	// Address is the IP number and TCP port.
+	Address string
+}
+
+// Admin is the administration API.
+type Admin struct {
+	// Address is the IP number and TCP port; empty turns the API off.
+	Address string
+	// Certificate is the API's certificate file; the fleet's one by default.
+	Certificate string
+	// Key is the private key's file.
+	Key string
+	// Operators is the file with the operators' names, roles and token digests.
+	Operators string
+}
+
+// Control is the group of control instances.
+type Control struct {
+	// Members are the control instances with their fleet addresses.
+	Members []ControlMember
+}
+
+// ControlMember is one control instance.
+type ControlMember struct {
+	// ID is the instance.
+	ID fleetconfig.InstanceID
+	// Address is its fleet address.
+	Address string
+}
+
+// Limits bound time and size.
+type Limits struct {
+	// StopTimeout is how long a planned stop waits for requests in flight. Default
+	// 60 s.
+	StopTimeout time.Duration
+}
+
+// Log sets the log.
+type Log struct {
+	// Level is the least level that is written. Default info.
+	Level slog.Level
+}
