--- a/backendproxy/proxy.go
+++ b/backendproxy/proxy.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,7 +28,7 @@
 type Proxy struct {
 	chain    *pipeline.Chain
 	draining atomic.Bool
-	running  sync.WaitGroup
+	running  tracker
 }
 
 // exchangeState is what the filters keep for one exchange.
@@ -57,8 +56,8 @@
 
 // ServeHTTP implements http.Handler for a forwarded request.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, request *http.Request) {
-	p.running.Add(1)
-	defer p.running.Done()
+	p.running.start()
+	defer p.running.end()
 	header := request.Header
 	exchange := &pipeline.Exchange{
 		Request:       request,
@@ -96,15 +95,5 @@
 // Drain refuses new requests and waits for the running ones, or for ctx to end.
 func (p *Proxy) Drain(ctx context.Context) error {
 	p.draining.Store(true)
-	done := make(chan struct{})
-	go func() {
-		p.running.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "requests still run on the backend servers; raise stop_timeout")
-	}
+	return errors.Wrap(p.running.wait(ctx), "requests still run on the backend servers; raise stop_timeout")
 }
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -232,6 +232,8 @@
 		_ = controller.Flush()
 		panic(http.ErrAbortHandler)
 	}
+	w.WriteHeader(http.StatusOK)
+	_ = controller.Flush()
 	echo(w, request, controller)
 	header.Set("X-Checked", request.Trailer.Get("X-Check"))
 }
--- /dev/null
+++ b/node/fleet_test.go
@@ -0,0 +1,149 @@
+package node
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/hemlockring/hemlockring/backendproxy"
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/internal/emulator"
+	"github.com/hemlockring/hemlockring/internal/testbed"
+	"github.com/hemlockring/hemlockring/settings"
+)
+
+const testKey = "test-key-of-acme"
+
+// fixedConfiguration is a configuration that tests set.
+type fixedConfiguration struct{ view *fleetconfig.View }
+
+func (f fixedConfiguration) View() *fleetconfig.View { return f.view }
+
+func (fixedConfiguration) Current(time.Time) (bool, time.Duration) { return true, 0 }
+
+func testDocument() *fleetconfig.Document {
+	return &fleetconfig.Document{
+		Version:  1,
+		Accounts: []fleetconfig.Account{{ID: "acme", RatePerSecond: 1e6, Burst: 1e6}},
+		Keys:     []fleetconfig.Key{{Hash: fleetconfig.HashKey(testKey), Account: "acme"}},
+		Routes: []fleetconfig.Route{
+			{ID: "orders", PathPrefix: "/orders", Service: "catalogue"},
+			{ID: "open", PathPrefix: "/open", Service: "catalogue", OpenToAll: true},
+			{ID: "short", PathPrefix: "/short", Service: "catalogue", Timeout: 300 * time.Millisecond},
+		},
+		Services: []fleetconfig.Service{{Name: "catalogue"}},
+	}
+}
+
+// testFleet is a fleet of nodes in this process with one emulated backend server
+// beside each.
+type testFleet struct {
+	layout   *testbed.Layout
+	nodes    []*Node
+	stops    []context.CancelFunc
+	ended    []chan error
+	backends []*emulator.Server
+	client   *http.Client
+}
+
+func startFleet(t *testing.T, instances int, backend emulator.Config) *testFleet {
+	t.Helper()
+	layout, err := testbed.Create(t.TempDir(), testbed.Specs(instances, 1, 3))
+	must.NoError(t, err)
+	fleet := &testFleet{layout: layout, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
+	for i := range layout.Instances {
+		loaded, err := settings.Load(layout.Instances[i].SettingsFile)
+		must.NoError(t, err)
+		node, err := New(loaded, fixedConfiguration{fleetconfig.NewView(testDocument())}, logger)
+		must.NoError(t, err)
+		fleet.run(t, node)
+		if backend.Slots > 0 {
+			fleet.addBackend(t, &layout.Instances[i], backend)
+		}
+	}
+	t.Cleanup(fleet.client.CloseIdleConnections)
+	fleet.waitForServers(t, len(fleet.backends))
+	return fleet
+}
+
+func (f *testFleet) run(t *testing.T, node *Node) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- node.Run(ctx) }()
+	f.nodes = append(f.nodes, node)
+	f.stops = append(f.stops, cancel)
+	f.ended = append(f.ended, ended)
+	t.Cleanup(cancel)
+}
+
+func (f *testFleet) addBackend(t *testing.T, instance *testbed.Instance, config emulator.Config) {
+	t.Helper()
+	server := emulator.New(config)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	address, err := server.Listen(ctx, "127.0.0.1:0")
+	must.NoError(t, err)
+	announcer := &emulator.Announcer{Local: instance.Local, ID: "b1", Announcement: backendproxy.Announcement{
+		Service: "catalogue", Address: address, Slots: uint32(config.Slots), State: backendproxy.StateReady, LifetimeMillis: 3000,
+	}}
+	go announcer.Run(ctx)
+	f.backends = append(f.backends, server)
+}
+
+func (f *testFleet) waitForServers(t *testing.T, want int) {
+	t.Helper()
+	waitFor(t, func() bool {
+		for _, node := range f.nodes {
+			if len(node.members.Snapshot().Servers("catalogue")) < want {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func waitFor(t *testing.T, condition func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(condition), wait.Timeout(30*time.Second), wait.Gap(5*time.Millisecond)))
+}
+
+// url returns the address of a path at an instance's caller port.
+func (f *testFleet) url(instance int, path string) string {
+	return "http://" + f.layout.Instances[instance].Callers + path
+}
+
+// send sends a request with the test account's key.
+func (f *testFleet) send(t *testing.T, instance int, method, path, body string) (*http.Response, string) {
+	t.Helper()
+	request, err := http.NewRequest(method, f.url(instance, path), strings.NewReader(body))
+	must.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	response, err := f.client.Do(request)
+	must.NoError(t, err)
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	must.NoError(t, err)
+	return response, string(data)
+}
+
+func (f *testFleet) executions() (total int, byOrder map[string]int, keys int) {
+	byOrder = make(map[string]int)
+	for _, backend := range f.backends {
+		executions := backend.Executions()
+		total += executions.Total
+		keys += executions.Keys
+		for order, count := range executions.Orders {
+			byOrder[order] += count
+		}
+	}
+	return total, byOrder, keys
+}
--- /dev/null
+++ b/node/stop_test.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/hemlockring/hemlockring/internal/emulator"
+	"github.com/hemlockring/hemlockring/pipeline"
+	"github.com/hemlockring/hemlockring/pki"
+	"github.com/hemlockring/hemlockring/transport"
+)
+
+// A planned stop of an instance cuts off no request that came through it or runs
+// beside it, and new ones go elsewhere.
+func TestAPlannedStopCutsOffNoRequest(t *testing.T) {
+	fleet := startFleet(t, 3, emulator.Config{Slots: 50, ServiceTime: 400 * time.Millisecond})
+	type result struct {
+		status int
+		err    error
+	}
+	results := make(chan result, 60)
+	for i := range 60 {
+		go func() {
+			request, err := http.NewRequest(http.MethodPost, fleet.url(i%3, "/open"), nil)
+			must.NoError(t, err)
+			response, err := fleet.client.Do(request)
+			if err != nil {
+				results <- result{err: err}
+				return
+			}
+			response.Body.Close()
+			results <- result{status: response.StatusCode}
+		}()
+	}
+	waitFor(t, func() bool { total, _, _ := fleet.executions(); return total == 60 })
+	fleet.stops[0]()
+	for range 60 {
+		got := <-results
+		must.NoError(t, got.err)
+		must.Eq(t, http.StatusOK, got.status)
+	}
+	must.NoError(t, <-fleet.ended[0])
+
+	before := fleet.backends[0].Executions().Total
+	for i := range 6 {
+		response, _ := fleet.send(t, 1+i%2, http.MethodPost, "/open", "")
+		must.Eq(t, http.StatusOK, response.StatusCode)
+	}
+	must.Eq(t, before, fleet.backends[0].Executions().Total)
+}
+
+func TestADrainingBackendServerGetsNoNewWork(t *testing.T) {
+	fleet := startFleet(t, 2, emulator.Config{})
+	backend, address := startRawBackend(t, func(_ int32, w io.Writer) bool {
+		answerOK(w)
+		return true
+	})
+	fleet.announceRaw(t, 0, address)
+	response, _ := fleet.send(t, 1, http.MethodPost, "/open", "")
+	must.Eq(t, http.StatusOK, response.StatusCode)
+
+	// The backend proxy refuses at once, also while the other ingress has not heard
+	// of it yet.
+	fleet.announceDraining(t, 0, address)
+	response, _ = fleet.send(t, 1, http.MethodPost, "/open", "")
+	must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+	must.Eq(t, "not-run", response.Header.Get(pipeline.HeaderOutcome))
+	must.Eq(t, 1, backend.runs.Load())
+}
+
+// A peer with the certificate of another authority is refused.
+func TestAPeerOfAnotherAuthorityIsRefused(t *testing.T) {
+	fleet := startFleet(t, 1, emulator.Config{})
+	folder := t.TempDir()
+	must.NoError(t, pki.InitAuthority(folder, time.Now()))
+	host := net.ParseIP("127.0.0.1")
+	must.NoError(t, pki.Issue(folder, folder, pki.IssueRequest{Name: "i9", Addresses: []net.IP{host}}, time.Now()))
+	// The stranger trusts the fleet's authority but has a certificate of its own.
+	identity, err := pki.LoadIdentity(filepath.Join(folder, "i9.crt"), filepath.Join(folder, "i9.key"), filepath.Join(fleet.layout.TLSFolder, "ca.crt"))
+	must.NoError(t, err)
+	stranger, err := transport.Listen(transport.EndpointConfig{Address: "127.0.0.1:0", Identity: identity, Handler: http.NotFoundHandler()})
+	must.NoError(t, err)
+	defer stranger.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var reply struct{}
+	err = stranger.Call(ctx, fleet.layout.Instances[0].Fleet, "/fleet/membership/digest", struct{}{}, &reply)
+	must.ErrorContains(t, err, "certificate")
+
+	must.ErrorContains(t, pki.InitAuthority(folder, time.Now()), "already holds an authority")
+}
