--- /dev/null
+++ b/internal/bench/load.go
@@ -0,0 +1,142 @@
+package bench
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// Bounds of the latency histograms, in microseconds.
+	leastMicros = 1
+	mostMicros  = 60_000_000
+	// significantDigits is the precision of the histograms.
+	significantDigits = 3
+	// requestTimeout bounds one request of the load.
+	requestTimeout = 10 * time.Second
+)
+
+// target is where a closed loop sends its requests.
+type target struct {
+	url string
+	key string
+}
+
+// loadResult is what a closed loop measured.
+type loadResult struct {
+	latency *hdrhistogram.Histogram
+	failed  int
+	elapsed time.Duration
+}
+
+func newLoadResult() *loadResult {
+	return &loadResult{latency: hdrhistogram.New(leastMicros, mostMicros, significantDigits)}
+}
+
+func (r *loadResult) merge(other *loadResult) {
+	r.latency.Merge(other.latency)
+	r.failed += other.failed
+	r.elapsed += other.elapsed
+}
+
+// rate returns the requests per second.
+func (r *loadResult) rate() float64 {
+	return float64(r.latency.TotalCount()) / r.elapsed.Seconds()
+}
+
+// closedLoop has each of the workers send one request after the other for the
+// given time. With a pace, a worker starts a request each pace at the most.
+type closedLoop struct {
+	client  *http.Client
+	workers int
+	pace    time.Duration
+	length  time.Duration
+}
+
+// run sends the load to the target.
+func (l *closedLoop) run(ctx context.Context, to target) *loadResult {
+	ctx, cancel := context.WithTimeout(ctx, l.length)
+	defer cancel()
+	started := time.Now()
+	results := make([]*loadResult, l.workers)
+	var group sync.WaitGroup
+	for i := range l.workers {
+		results[i] = newLoadResult()
+		offset := l.pace * time.Duration(i) / time.Duration(l.workers)
+		group.Go(func() { l.worker(ctx, to, started.Add(offset), results[i]) })
+	}
+	group.Wait()
+	total := newLoadResult()
+	for _, result := range results {
+		total.merge(result)
+	}
+	total.elapsed = time.Since(started)
+	return total
+}
+
+func (l *closedLoop) worker(ctx context.Context, to target, next time.Time, result *loadResult) {
+	for ctx.Err() == nil {
+		if l.pace > 0 {
+			if !sleepUntil(ctx, next) {
+				return
+			}
+			next = next.Add(l.pace)
+			if now := time.Now(); next.Before(now) {
+				next = now
+			}
+		}
+		started := time.Now()
+		if err := sendOne(ctx, l.client, to); err != nil {
+			if ctx.Err() == nil {
+				result.failed++
+			}
+			continue
+		}
+		_ = result.latency.RecordValue(max(leastMicros, time.Since(started).Microseconds()))
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func sendOne(ctx context.Context, client *http.Client, to target) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, to.url, nil)
+	if err != nil {
+		return errors.Wrap(err, "build the request")
+	}
+	if to.key != "" {
+		request.Header.Set("Authorization", "Bearer "+to.key)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "send the request")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return errors.Wrap(err, "read the answer")
+	}
+	if response.StatusCode != http.StatusOK {
+		return errors.Newf("status %d", response.StatusCode)
+	}
+	return nil
+}
+
+func newLoadClient(connections int) *http.Client {
+	return &http.Client{
+		Timeout:   requestTimeout,
+		Transport: &http.Transport{MaxIdleConnsPerHost: connections, DisableCompression: true},
+	}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,97 @@
+// Package daemon is the body of the hemlockd command. It is a package of its own
+// so that the test bench can run the same daemon from its own executable.
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/node"
+	"github.com/hemlockring/hemlockring/settings"
+)
+
+// Exit codes of the daemon.
+const (
+	// ExitStopped follows a planned stop.
+	ExitStopped = 0
+	// ExitFailure follows a failure.
+	ExitFailure = 1
+	// ExitSettings says that the settings are not right.
+	ExitSettings = 2
+)
+
+// Arguments is the daemon's command line.
+type Arguments struct {
+	// Settings is the settings file.
+	Settings string `arg:"-c,--settings,required" help:"settings file (INI)" placeholder:"FILE"`
+	// Check only checks the settings.
+	Check bool `arg:"--check" help:"check the settings file and exit"`
+	// Static is a fixed configuration.
+	Static string `arg:"--static-configuration" help:"serve a fixed configuration document (JSON)" placeholder:"FILE"`
+}
+
+// Description implements the go-arg interface.
+func (Arguments) Description() string {
+	return "hemlockd is the daemon of one hemlockring instance."
+}
+
+// Main runs the daemon until a signal stops it and returns the exit code.
+func Main(arguments Arguments) int {
+	loaded, err := settings.Load(arguments.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitSettings
+	}
+	if arguments.Check {
+		fmt.Println("the settings are right")
+		return ExitStopped
+	}
+	logger := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: loaded.Log.Level}))
+	if err := run(loaded, arguments.Static, logger); err != nil {
+		logger.Error("hemlockd ends", "error", err)
+		return ExitFailure
+	}
+	return ExitStopped
+}
+
+// run serves until SIGTERM or SIGINT. A second signal ends the process at once.
+func run(loaded *settings.Settings, static string, logger *slog.Logger) error {
+	configuration, err := readStatic(static)
+	if err != nil {
+		return err
+	}
+	instance, err := node.New(loaded, configuration, logger)
+	if err != nil {
+		return err
+	}
+	ctx, restoreSignals := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	context.AfterFunc(ctx, restoreSignals)
+	return instance.Run(ctx)
+}
+
+// staticConfiguration is a configuration that never changes.
+type staticConfiguration struct{ view *fleetconfig.View }
+
+// View implements ingress.Configuration.
+func (s staticConfiguration) View() *fleetconfig.View { return s.view }
+
+// Current implements ingress.Configuration.
+func (staticConfiguration) Current(time.Time) (bool, time.Duration) { return true, 0 }
+
+func readStatic(file string) (staticConfiguration, error) {
+	var document fleetconfig.Document
+	data, err := os.ReadFile(file)
+	if err == nil {
+		err = json.Unmarshal(data, &document)
+	}
+	return staticConfiguration{view: fleetconfig.NewView(&document)}, errors.Wrap(err, "read the static configuration")
+}
