fleetconfig: replicated state machine, deltas, history, compact view

- Delta, DeltaLog: structural differences in place of the change list.
- Versions share unchanged tables (copy on write), so a refused change or delta leaves no trace.
- View: keys by bucketed binary search over the ordered table, accounts by an open-addressing index of positions.
Weighed: Go maps; they hold every hash and id again.

Tests seen red on a scratch copy: no base check, answers lost in Restore, no content digest, conflict answers not kept (all TestRacingOperatorsHaveOneWinnerAndStableAnswers); preset in force removable, shard step edited in place (TestReplicasAgreeAlsoAfterRestore); joined deltas forgetting overrides, delta base unchecked (TestEveryDeltaPathLeadsToTheSameDocument); key index off by one (TestViewFindsWhatTheDocumentHolds). The override fault was first not caught: the rows of versions were too short and are longer now.

--- /dev/null
+++ b/fleetconfig/delta.go
@@ -0,0 +1,152 @@
+package fleetconfig
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+)
+
+// Delta is the difference between two versions of the document.
+type Delta struct {
+	// From is the version that the delta applies to.
+	From uint64 `cbor:"1,keyasint"`
+	// To is the version that it makes.
+	To uint64 `cbor:"2,keyasint"`
+	// PresetInForce is the preset that To has in force.
+	PresetInForce string `cbor:"3,keyasint"`
+	// Accounts, Keys, Routes, Services and Presets are the differences of the
+	// tables.
+	Accounts TableDelta[Account] `cbor:"4,keyasint"`
+	Keys     TableDelta[Key]     `cbor:"5,keyasint"`
+	Routes   TableDelta[Route]   `cbor:"6,keyasint"`
+	Services TableDelta[Service] `cbor:"7,keyasint"`
+	Presets  TableDelta[Preset]  `cbor:"8,keyasint"`
+	// Shards is the difference of the shard maps, nil when they are equal.
+	Shards *ShardDelta `cbor:"9,keyasint,omitempty"`
+	// Holders are the holders of To, nil when they did not change.
+	Holders *HolderDelta `cbor:"10,keyasint,omitempty"`
+}
+
+// TableDelta is the difference of one table.
+type TableDelta[V any] struct {
+	// Put are the items that are new or differ, in order.
+	Put []V `cbor:"1,keyasint,omitempty"`
+	// Removed are the items that are gone, in order. Only what identifies them is
+	// set.
+	Removed []V `cbor:"2,keyasint,omitempty"`
+}
+
+// ShardDelta is the difference of two shard maps.
+type ShardDelta struct {
+	// Epoch is the epoch of the new map.
+	Epoch uint64 `cbor:"1,keyasint"`
+	// Count is how many shards the new map has.
+	Count uint32 `cbor:"2,keyasint"`
+	// Placements are the shards that differ.
+	Placements []NumberedPlacement `cbor:"3,keyasint"`
+}
+
+// NumberedPlacement is the placement of the shard with a number.
+type NumberedPlacement struct {
+	// Shard is the number of the shard.
+	Shard uint32 `cbor:"1,keyasint"`
+	// Placement is where the shard is placed.
+	Placement ShardPlacement `cbor:"2,keyasint"`
+}
+
+// HolderDelta is a new list of holders.
+type HolderDelta struct {
+	// Holders are the new holders. It may be empty.
+	Holders []InstanceAddress `cbor:"1,keyasint"`
+}
+
+// WrongBaseError says that a delta does not apply to a document.
+type WrongBaseError struct {
+	// Have is the version of the document.
+	Have uint64
+	// From is the version that the delta applies to.
+	From uint64
+}
+
+// Error names both versions and the remedy.
+func (e *WrongBaseError) Error() string {
+	return fmt.Sprintf("a delta from version %d does not apply to version %d; ask for a delta from version %d or a snapshot",
+		e.From, e.Have, e.Have)
+}
+
+// Compare returns the delta between two versions. It skips tables that both
+// share.
+func Compare(from, to *Document) *Delta {
+	delta := &Delta{
+		From:          from.Version,
+		To:            to.Version,
+		PresetInForce: to.PresetInForce,
+		Accounts: compareTables(from.Accounts, to.Accounts, compareAccounts,
+			func(a *Account) Account { return Account{ID: a.ID} }),
+		Keys: compareTables(from.Keys, to.Keys, compareKeys,
+			func(k *Key) Key { return Key{Hash: k.Hash} }),
+		Routes: compareTables(from.Routes, to.Routes, compareRoutes,
+			func(r *Route) Route { return Route{ID: r.ID} }),
+		Services: compareTables(from.Services, to.Services, compareServices,
+			func(s *Service) Service { return Service{Name: s.Name} }),
+		Presets: compareTables(from.Presets, to.Presets, comparePresets,
+			func(p *Preset) Preset { return Preset{Name: p.Name} }),
+		Shards: compareShards(&from.Shards, &to.Shards),
+	}
+	if !slices.Equal(from.Holders, to.Holders) {
+		delta.Holders = &HolderDelta{Holders: to.Holders}
+	}
+	return delta
+}
+
+// compareTables walks two ordered slices side by side.
+func compareTables[V comparable](from, to []V, compare func(a, b *V) int, identity func(*V) V) TableDelta[V] {
+	var delta TableDelta[V]
+	if sameSlice(from, to) {
+		return delta
+	}
+	for len(from) > 0 || len(to) > 0 {
+		order := 0
+		switch {
+		case len(from) == 0:
+			order = 1
+		case len(to) == 0:
+			order = -1
+		default:
+			order = compare(&from[0], &to[0])
+		}
+		switch {
+		case order < 0:
+			delta.Removed = append(delta.Removed, identity(&from[0]))
+			from = from[1:]
+		case order > 0:
+			delta.Put = append(delta.Put, to[0])
+			to = to[1:]
+		default:
+			if from[0] != to[0] {
+				delta.Put = append(delta.Put, to[0])
+			}
+			from, to = from[1:], to[1:]
+		}
+	}
+	return delta
+}
+
+// sameSlice reports whether two slices share all their memory.
+func sameSlice[V any](a, b []V) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+func compareShards(from, to *ShardMap) *ShardDelta {
+	if from.Epoch == to.Epoch {
+		return nil
+	}
+	delta := &ShardDelta{Epoch: to.Epoch, Count: uint32(len(to.Shards))}
+	for i := range to.Shards {
+		if i < len(from.Shards) && reflect.DeepEqual(from.Shards[i], to.Shards[i]) {
+			continue
+		}
+		delta.Placements = append(delta.Placements, NumberedPlacement{Shard: uint32(i), Placement: to.Shards[i]})
+	}
+	return delta
+}
--- /dev/null
+++ b/fleetconfig/delta_test.go
@@ -0,0 +1,122 @@
+package fleetconfig
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/hemlockring/hemlockring/internal/codec"
+)
+
+// drawVersions returns the versions that a row of accepted commands makes.
+func drawVersions(t *rapid.T, machine *Machine) []*Document {
+	versions := []*Document{machine.Document()}
+	for number := range rapid.IntRange(10, 40).Draw(t, "commands") {
+		command := drawCommand(t, machine.Document(), number)
+		if propose(t, machine, command).Verdict == VerdictAccepted {
+			versions = append(versions, machine.Document())
+		}
+	}
+	return versions
+}
+
+// Every path of deltas from one version to a later one leads to the same
+// document as its snapshot, whether the deltas are kept ones, joined ones or made
+// by comparison. A delta with another base is refused whole.
+func TestEveryDeltaPathLeadsToTheSameDocument(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		machine := newSmallMachine(t)
+		versions := drawVersions(t, machine)
+		at := rapid.IntRange(0, len(versions)-1).Draw(t, "from")
+		document := versions[at]
+		for at < len(versions)-1 {
+			next := rapid.IntRange(at+1, len(versions)-1).Draw(t, "to")
+			delta, found := machine.deltas.Since(versions[at].Version, versions[next].Version)
+			must.True(t, found)
+			if rapid.Bool().Draw(t, "compare") {
+				delta = Compare(document, versions[next])
+			}
+			delta = overTheWire(t, delta)
+			refuseWrongBases(t, delta, versions)
+			applied, err := delta.Apply(document)
+			must.NoError(t, err)
+			must.Eq(t, encoding(t, versions[next]), encoding(t, applied))
+			document, at = applied, next
+		}
+		snapshot, err := EncodeDocument(machine.Document())
+		must.NoError(t, err)
+		decoded, err := DecodeDocument(snapshot)
+		must.NoError(t, err)
+		must.Eq(t, encoding(t, decoded), encoding(t, document))
+		_, found := machine.DeltaSince(machine.Document().Version + 1)
+		must.False(t, found)
+	})
+}
+
+func overTheWire(t must.T, delta *Delta) *Delta {
+	data, err := codec.Marshal(delta)
+	must.NoError(t, err)
+	received := new(Delta)
+	must.NoError(t, codec.Unmarshal(data, received))
+	return received
+}
+
+func refuseWrongBases(t *rapid.T, delta *Delta, versions []*Document) {
+	for _, version := range versions {
+		if version.Version == delta.From {
+			continue
+		}
+		before := encoding(t, version)
+		_, err := delta.Apply(version)
+		var wrongBase *WrongBaseError
+		must.True(t, errors.As(err, &wrongBase))
+		must.Eq(t, before, encoding(t, version))
+	}
+}
+
+// The tables of a view find exactly what a search of the document finds.
+func TestViewFindsWhatTheDocumentHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		versions := drawVersions(t, newSmallMachine(t))
+		document := versions[len(versions)-1]
+		view := NewView(document)
+		for _, text := range append(keyTexts, "unknown") {
+			hash := HashKey(text)
+			var want *Key
+			for i := range document.Keys {
+				if document.Keys[i].Hash == hash {
+					want = &document.Keys[i]
+				}
+			}
+			must.True(t, want == view.KeyByHash(hash))
+			must.True(t, want == view.KeyByID(hash.ID()))
+		}
+		for _, id := range append(accountIDs, "unknown") {
+			var want *Account
+			for i := range document.Accounts {
+				if document.Accounts[i].ID == id {
+					want = &document.Accounts[i]
+				}
+			}
+			must.True(t, want == view.Account(id))
+		}
+		for i := range document.Services {
+			must.True(t, &document.Services[i] == view.Service(document.Services[i].Name))
+		}
+		must.Nil(t, view.Service("unknown"))
+		must.Eq(t, document.PresetInForce, view.Preset().Name)
+	})
+}
+
+func TestViewFindsEverythingInALargeDocument(t *testing.T) {
+	document := largeDocument(t, 5000, 10)
+	view := NewView(document)
+	for i := range document.Keys {
+		must.True(t, view.KeyByHash(document.Keys[i].Hash) == &document.Keys[i])
+	}
+	for i := range document.Accounts {
+		must.True(t, view.Account(document.Accounts[i].ID) == &document.Accounts[i])
+	}
+}
--- a/fleetconfig/document.go
+++ b/fleetconfig/document.go
@@ -43,57 +43,57 @@
 
 // Document is one version of the whole configuration.
 type Document struct {
-	// Version grows by one with each accepted change. Version 0 is the empty
-	// document of a new fleet.
-	Version uint64 `cbor:"1,keyasint"`
+	// Version grows by one with each accepted change. Version 0 is the initial
+	// document of a new fleet, see NewDocument.
+	Version uint64 `cbor:"1,keyasint" json:"version"`
 	// PresetInForce names the one preset that is in force.
-	PresetInForce string `cbor:"2,keyasint"`
+	PresetInForce string `cbor:"2,keyasint" json:"preset_in_force"`
 	// Accounts are the client accounts, ordered by ID.
-	Accounts []Account `cbor:"3,keyasint"`
+	Accounts []Account `cbor:"3,keyasint" json:"accounts"`
 	// Keys are the keys that are given out and not withdrawn, ordered by hash.
-	Keys []Key `cbor:"4,keyasint"`
+	Keys []Key `cbor:"4,keyasint" json:"keys"`
 	// Routes are the routes, ordered by ID.
-	Routes []Route `cbor:"5,keyasint"`
+	Routes []Route `cbor:"5,keyasint" json:"routes"`
 	// Services are the services, ordered by name.
-	Services []Service `cbor:"6,keyasint"`
+	Services []Service `cbor:"6,keyasint" json:"services"`
 	// Presets are the presets, ordered by name.
-	Presets []Preset `cbor:"7,keyasint"`
+	Presets []Preset `cbor:"7,keyasint" json:"presets"`
 	// Shards places the shards on instances.
-	Shards ShardMap `cbor:"8,keyasint"`
+	Shards ShardMap `cbor:"8,keyasint" json:"shards"`
 	// Holders are the instances, up to seven, that hold the configuration in
 	// memory and vouch that it is current while control is away.
-	Holders []InstanceAddress `cbor:"9,keyasint"`
+	Holders []InstanceAddress `cbor:"9,keyasint" json:"holders"`
 }
 
 // InstanceAddress is an instance with the address of its fleet port.
 type InstanceAddress struct {
 	// ID is the instance.
-	ID InstanceID `cbor:"1,keyasint"`
+	ID InstanceID `cbor:"1,keyasint" json:"id"`
 	// Address is host and UDP port, by IP number.
-	Address string `cbor:"2,keyasint"`
+	Address string `cbor:"2,keyasint" json:"address"`
 	// FailureDomain is where the instance runs.
-	FailureDomain FailureDomain `cbor:"3,keyasint"`
+	FailureDomain FailureDomain `cbor:"3,keyasint" json:"failure_domain"`
 }
 
 // Account is a client account.
 type Account struct {
 	// ID names the account.
-	ID AccountID `cbor:"1,keyasint"`
+	ID AccountID `cbor:"1,keyasint" json:"id"`
 	// RatePerSecond is how many requests a second the account may run, counted
 	// over all instances.
-	RatePerSecond float64 `cbor:"2,keyasint"`
+	RatePerSecond float64 `cbor:"2,keyasint" json:"rate_per_second"`
 	// Burst is how many requests the account may run at once.
-	Burst uint32 `cbor:"3,keyasint"`
+	Burst uint32 `cbor:"3,keyasint" json:"burst"`
 }
 
 // Key grants the use of an account.
 type Key struct {
 	// Hash is the digest of the key.
-	Hash KeyHash `cbor:"1,keyasint"`
+	Hash KeyHash `cbor:"1,keyasint" json:"hash"`
 	// Account is the account that the key belongs to.
-	Account AccountID `cbor:"2,keyasint"`
+	Account AccountID `cbor:"2,keyasint" json:"account"`
 	// Label is the operator's note on who has the key.
-	Label string `cbor:"3,keyasint,omitempty"`
+	Label string `cbor:"3,keyasint,omitempty" json:"label,omitempty"`
 }
 
 // Idempotency says which requests of a route may be run more than once.
@@ -112,22 +112,22 @@
 // Route sends requests of a host and path prefix to a service.
 type Route struct {
 	// ID names the route.
-	ID string `cbor:"1,keyasint"`
+	ID string `cbor:"1,keyasint" json:"id"`
 	// Host is the host name that the route serves, without a port. Empty serves
 	// every host.
-	Host string `cbor:"2,keyasint"`
+	Host string `cbor:"2,keyasint" json:"host"`
 	// PathPrefix is the path prefix that the route serves. It matches whole path
 	// segments.
-	PathPrefix string `cbor:"3,keyasint"`
+	PathPrefix string `cbor:"3,keyasint" json:"path_prefix"`
 	// Service is the service that runs the requests.
-	Service ServiceName `cbor:"4,keyasint"`
+	Service ServiceName `cbor:"4,keyasint" json:"service"`
 	// OpenToAll lets requests in without a key.
-	OpenToAll bool `cbor:"5,keyasint"`
+	OpenToAll bool `cbor:"5,keyasint" json:"open_to_all"`
 	// Idempotency says which requests may be run more than once.
-	Idempotency Idempotency `cbor:"6,keyasint"`
+	Idempotency Idempotency `cbor:"6,keyasint" json:"idempotency"`
 	// Timeout is the longest time that a request may take. Zero is
 	// DefaultRouteTimeout.
-	Timeout time.Duration `cbor:"7,keyasint"`
+	Timeout time.Duration `cbor:"7,keyasint" json:"timeout"`
 }
 
 // DefaultRouteTimeout is the timeout of a route that states none.
@@ -136,42 +136,42 @@
 // Service is a group of backend servers that run the same requests.
 type Service struct {
 	// Name names the service.
-	Name ServiceName `cbor:"1,keyasint"`
+	Name ServiceName `cbor:"1,keyasint" json:"name"`
 	// FloorSlots is the healthy capacity, in slots, that ejection never goes
 	// below.
-	FloorSlots uint32 `cbor:"2,keyasint"`
+	FloorSlots uint32 `cbor:"2,keyasint" json:"floor_slots"`
 	// FloorPercent is the healthy share of the announced slots, in percent, that
 	// ejection never goes below. The greater of both floors holds.
-	FloorPercent uint32 `cbor:"3,keyasint"`
+	FloorPercent uint32 `cbor:"3,keyasint" json:"floor_percent"`
 }
 
 // Preset is a set of policies for one kind of day.
 type Preset struct {
 	// Name names the preset.
-	Name string `cbor:"1,keyasint"`
+	Name string `cbor:"1,keyasint" json:"name"`
 	// RetryBudgetPercent is how many retries are allowed, in percent of requests.
-	RetryBudgetPercent uint32 `cbor:"2,keyasint"`
+	RetryBudgetPercent uint32 `cbor:"2,keyasint" json:"retry_budget_percent"`
 	// HedgeAfter is how long an idempotent request waits before a second attempt
 	// starts. Zero turns hedging off.
-	HedgeAfter time.Duration `cbor:"3,keyasint"`
+	HedgeAfter time.Duration `cbor:"3,keyasint" json:"hedge_after"`
 	// QueueLength is how many requests may wait per backend server.
-	QueueLength uint32 `cbor:"4,keyasint"`
+	QueueLength uint32 `cbor:"4,keyasint" json:"queue_length"`
 	// EjectionEnabled permits the ejection of suspect backend servers.
-	EjectionEnabled bool `cbor:"5,keyasint"`
+	EjectionEnabled bool `cbor:"5,keyasint" json:"ejection_enabled"`
 	// SlowStart is how long a new backend server takes to reach its full share.
-	SlowStart time.Duration `cbor:"6,keyasint"`
+	SlowStart time.Duration `cbor:"6,keyasint" json:"slow_start"`
 }
 
 // ShardMap places shards on instances.
 type ShardMap struct {
 	// Epoch grows with each step of a change of the map.
-	Epoch uint64 `cbor:"1,keyasint"`
+	Epoch uint64 `cbor:"1,keyasint" json:"epoch"`
 	// Shards are the shards in the order of their numbers.
-	Shards []ShardPlacement `cbor:"2,keyasint"`
+	Shards []ShardPlacement `cbor:"2,keyasint" json:"shards"`
 }
 
 // ShardPlacement is the replicas of one shard.
 type ShardPlacement struct {
 	// Replicas are the instances that vote for the shard.
-	Replicas []InstanceAddress `cbor:"1,keyasint"`
+	Replicas []InstanceAddress `cbor:"1,keyasint" json:"replicas"`
 }
--- /dev/null
+++ b/fleetconfig/edit_shards.go
@@ -0,0 +1,66 @@
+package fleetconfig
+
+import (
+	"fmt"
+	"slices"
+)
+
+func (e *editor) placeShards(change *Change) {
+	if len(e.shards.Shards) > 0 {
+		e.add("shards", "", "are placed already", "change one replica at a time with step-shard")
+		return
+	}
+	e.shards = ShardMap{Epoch: e.shards.Epoch + 1, Shards: slices.Clone(change.Shards)}
+}
+
+// stepShard changes one replica of one shard. Any majority of the old replicas
+// and any majority of the new ones then have an instance in common.
+func (e *editor) stepShard(change *Change) {
+	step := change.Step
+	if step == nil {
+		e.add("change", string(change.Kind), "the step is missing", "send the step with the change")
+		return
+	}
+	if uint64(step.Shard) >= uint64(len(e.shards.Shards)) {
+		e.add(change.Subject(), "", "does not exist", fmt.Sprintf("name one of the %d shards", len(e.shards.Shards)))
+		return
+	}
+	if step.Epoch != e.shards.Epoch+1 {
+		e.add(change.Subject(), "epoch", fmt.Sprintf("is %d, but the map has epoch %d", step.Epoch, e.shards.Epoch),
+			"read the map, let a majority of the shard confirm its epoch, and make the next step from it")
+		return
+	}
+	if !isSingleStep(e.shards.Shards[step.Shard].Replicas, step.Replicas) {
+		e.add(change.Subject(), "replicas", "the step changes more than one replica",
+			"add one replica, or remove one, in a step of its own")
+		return
+	}
+	shards := slices.Clone(e.shards.Shards)
+	shards[step.Shard] = ShardPlacement{Replicas: slices.Clone(step.Replicas)}
+	e.shards = ShardMap{Epoch: step.Epoch, Shards: shards}
+}
+
+// isSingleStep reports whether one replica was added, removed or given another
+// address.
+func isSingleStep(before, after []InstanceAddress) bool {
+	added := countMissing(after, before, sameInstance)
+	removed := countMissing(before, after, sameInstance)
+	if added+removed > 0 {
+		return added+removed == 1
+	}
+	return countMissing(after, before, sameAddress) == 1
+}
+
+func sameInstance(a, b InstanceAddress) bool { return a.ID == b.ID }
+func sameAddress(a, b InstanceAddress) bool  { return a == b }
+
+// countMissing returns how many of the instances have no equal among others.
+func countMissing(instances, others []InstanceAddress, equal func(a, b InstanceAddress) bool) int {
+	missing := 0
+	for _, instance := range instances {
+		if !slices.ContainsFunc(others, func(other InstanceAddress) bool { return equal(instance, other) }) {
+			missing++
+		}
+	}
+	return missing
+}
--- /dev/null
+++ b/fleetconfig/json.go
@@ -0,0 +1,107 @@
+package fleetconfig
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// durationText is a duration that JSON shows as text, such as "1.5s".
+type durationText time.Duration
+
+// MarshalText returns the text of the duration.
+func (d durationText) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText reads the text of a duration.
+func (d *durationText) UnmarshalText(text []byte) error {
+	duration, err := time.ParseDuration(string(text))
+	if err != nil {
+		return errors.Newf("%q is not a duration; write one such as 250ms or 30s", text)
+	}
+	*d = durationText(duration)
+	return nil
+}
+
+// plainRoute and plainPreset have the fields without the methods.
+type (
+	plainRoute  Route
+	plainPreset Preset
+)
+
+// routeJSON and presetJSON show durations as text. An outer field hides the
+// embedded one with the same JSON name.
+type routeJSON struct {
+	*plainRoute
+	Timeout durationText `json:"timeout"`
+}
+
+type presetJSON struct {
+	*plainPreset
+	HedgeAfter durationText `json:"hedge_after"`
+	SlowStart  durationText `json:"slow_start"`
+}
+
+// MarshalJSON writes the timeout as text.
+func (r Route) MarshalJSON() ([]byte, error) {
+	return json.Marshal(routeJSON{plainRoute: (*plainRoute)(&r), Timeout: durationText(r.Timeout)})
+}
+
+// UnmarshalJSON reads the timeout as text.
+func (r *Route) UnmarshalJSON(data []byte) error {
+	shown := routeJSON{plainRoute: (*plainRoute)(r)}
+	if err := json.Unmarshal(data, &shown); err != nil {
+		return err
+	}
+	r.Timeout = time.Duration(shown.Timeout)
+	return nil
+}
+
+// MarshalJSON writes durations as text.
+func (p Preset) MarshalJSON() ([]byte, error) {
+	return json.Marshal(presetJSON{
+		plainPreset: (*plainPreset)(&p),
+		HedgeAfter:  durationText(p.HedgeAfter),
+		SlowStart:   durationText(p.SlowStart),
+	})
+}
+
+// UnmarshalJSON reads durations as text.
+func (p *Preset) UnmarshalJSON(data []byte) error {
+	shown := presetJSON{plainPreset: (*plainPreset)(p)}
+	if err := json.Unmarshal(data, &shown); err != nil {
+		return err
+	}
+	p.HedgeAfter = time.Duration(shown.HedgeAfter)
+	p.SlowStart = time.Duration(shown.SlowStart)
+	return nil
+}
+
+// idempotencyNames are the names of the values of Idempotency, in order.
+var idempotencyNames = [...]string{"by-method", "always", "never"}
+
+// String returns the name of the value.
+func (i Idempotency) String() string {
+	if int(i) >= len(idempotencyNames) {
+		return "unknown"
+	}
+	return idempotencyNames[i]
+}
+
+// MarshalText returns the name of the value.
+func (i Idempotency) MarshalText() ([]byte, error) {
+	return []byte(i.String()), nil
+}
+
+// UnmarshalText reads the name of a value.
+func (i *Idempotency) UnmarshalText(text []byte) error {
+	for value, name := range idempotencyNames {
+		if name == string(text) {
+			*i = Idempotency(value)
+			return nil
+		}
+	}
+	return errors.Newf("%q is not an idempotency; use by-method, always or never", text)
+}
--- /dev/null
+++ b/fleetconfig/keys.go
@@ -0,0 +1,128 @@
+package fleetconfig
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/hex"
+	"math/bits"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// prefix returns the bytes that form the key id, as a number.
+func (h *KeyHash) prefix() uint64 {
+	return binary.BigEndian.Uint64(h[:keyIDBytes])
+}
+
+func (h KeyHash) sameID(other KeyHash) bool {
+	return h.prefix() == other.prefix()
+}
+
+// parseKeyID returns the number of a key id.
+func parseKeyID(id KeyID) (uint64, bool) {
+	var raw [keyIDBytes]byte
+	if len(id) != hex.EncodedLen(keyIDBytes) {
+		return 0, false
+	}
+	if _, err := hex.Decode(raw[:], []byte(id)); err != nil {
+		return 0, false
+	}
+	return binary.BigEndian.Uint64(raw[:]), true
+}
+
+// findKeyID finds the key with the given id in keys that are ordered by hash.
+func findKeyID(keys []Key, id KeyID) (KeyHash, bool) {
+	prefix, valid := parseKeyID(id)
+	if !valid {
+		return KeyHash{}, false
+	}
+	at, found := slices.BinarySearchFunc(keys, prefix, func(key Key, prefix uint64) int {
+		switch own := key.Hash.prefix(); {
+		case own < prefix:
+			return -1
+		case own > prefix:
+			return 1
+		}
+		return 0
+	})
+	if !found {
+		return KeyHash{}, false
+	}
+	return keys[at].Hash, true
+}
+
+// MarshalText returns the digest in hexadecimal digits, for JSON.
+func (h KeyHash) MarshalText() ([]byte, error) {
+	return hex.AppendEncode(nil, h[:]), nil
+}
+
+// UnmarshalText reads the digest from hexadecimal digits.
+func (h *KeyHash) UnmarshalText(text []byte) error {
+	if len(text) != hex.EncodedLen(len(h)) {
+		return errors.Newf("a key hash has %d hexadecimal digits, not %d; send the SHA-256 digest of the key",
+			hex.EncodedLen(len(h)), len(text))
+	}
+	_, err := hex.Decode(h[:], text)
+	return errors.Wrap(err, "a key hash is the SHA-256 digest in hexadecimal digits")
+}
+
+// keyIndex finds keys by the first bits of their hash. The keys of a document
+// are ordered by hash, and hashes are spread evenly, so one bucket for each key
+// on average narrows a search to a few keys at four bytes a bucket.
+type keyIndex struct {
+	keys   []Key
+	shift  int
+	starts []uint32
+}
+
+// newKeyIndex indexes keys, which are ordered by hash.
+func newKeyIndex(keys []Key) keyIndex {
+	bucketBits := bits.Len(uint(len(keys)))
+	index := keyIndex{
+		keys:   keys,
+		shift:  64 - bucketBits,
+		starts: make([]uint32, 1<<bucketBits+1),
+	}
+	next := 0
+	for bucket := range index.starts {
+		for next < len(keys) && keys[next].Hash.prefix()>>index.shift < uint64(bucket) {
+			next++
+		}
+		index.starts[bucket] = uint32(next)
+	}
+	return index
+}
+
+// bucket returns the keys that share their first bits with the prefix.
+func (x *keyIndex) bucket(prefix uint64) []Key {
+	if len(x.keys) == 0 {
+		return nil
+	}
+	bucket := prefix >> x.shift
+	return x.keys[x.starts[bucket]:x.starts[bucket+1]]
+}
+
+func (x *keyIndex) byHash(hash *KeyHash) *Key {
+	keys := x.bucket(hash.prefix())
+	for i := range keys {
+		if bytes.Equal(keys[i].Hash[:], hash[:]) {
+			return &keys[i]
+		}
+	}
+	return nil
+}
+
+func (x *keyIndex) byID(id KeyID) *Key {
+	prefix, valid := parseKeyID(id)
+	if !valid {
+		return nil
+	}
+	keys := x.bucket(prefix)
+	for i := range keys {
+		if keys[i].Hash.prefix() == prefix {
+			return &keys[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/fleetconfig/table.go
@@ -0,0 +1,126 @@
+package fleetconfig
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+)
+
+// Ordering of the tables of a document. Each is strict: no two items of a table
+// compare equal.
+
+func compareAccounts(a, b *Account) int { return cmp.Compare(a.ID, b.ID) }
+func compareKeys(a, b *Key) int         { return bytes.Compare(a.Hash[:], b.Hash[:]) }
+func compareRoutes(a, b *Route) int     { return cmp.Compare(a.ID, b.ID) }
+func compareServices(a, b *Service) int { return cmp.Compare(a.Name, b.Name) }
+func comparePresets(a, b *Preset) int   { return cmp.Compare(a.Name, b.Name) }
+
+// table edits one ordered slice of a document without changing it. A list of
+// n edits costs n map operations and one merge, however long the slice is.
+type table[K comparable, V any] struct {
+	base    []V
+	id      func(*V) K
+	compare func(a, b *V) int
+	probe   func(K) V
+	edits   map[K]itemEdit[V]
+}
+
+// itemEdit is the wanted state of one item.
+type itemEdit[V any] struct {
+	item    V
+	removed bool
+}
+
+func newTable[K comparable, V any](base []V, id func(*V) K, compare func(a, b *V) int, probe func(K) V) *table[K, V] {
+	return &table[K, V]{base: base, id: id, compare: compare, probe: probe}
+}
+
+// has reports whether the item exists after the edits so far.
+func (t *table[K, V]) has(key K) bool {
+	if e, edited := t.edits[key]; edited {
+		return !e.removed
+	}
+	probe := t.probe(key)
+	_, found := t.find(&probe)
+	return found
+}
+
+func (t *table[K, V]) find(probe *V) (int, bool) {
+	return slices.BinarySearchFunc(t.base, probe, func(item V, probe *V) int {
+		return t.compare(&item, probe)
+	})
+}
+
+func (t *table[K, V]) put(item V) {
+	t.edit(t.id(&item), itemEdit[V]{item: item})
+}
+
+func (t *table[K, V]) remove(key K) {
+	t.edit(key, itemEdit[V]{item: t.probe(key), removed: true})
+}
+
+func (t *table[K, V]) edit(key K, e itemEdit[V]) {
+	if t.edits == nil {
+		t.edits = make(map[K]itemEdit[V])
+	}
+	t.edits[key] = e
+}
+
+// result returns the slice after the edits. It is the base itself when there
+// are none, so that versions share what did not change.
+func (t *table[K, V]) result() []V {
+	if len(t.edits) == 0 {
+		return t.base
+	}
+	sorted := make([]itemEdit[V], 0, len(t.edits))
+	for _, e := range t.edits {
+		sorted = append(sorted, e)
+	}
+	slices.SortFunc(sorted, func(a, b itemEdit[V]) int { return t.compare(&a.item, &b.item) })
+	merged := make([]V, 0, len(t.base)+len(sorted))
+	rest := t.base
+	for i := range sorted {
+		at, found := slices.BinarySearchFunc(rest, &sorted[i].item, func(item V, probe *V) int {
+			return t.compare(&item, probe)
+		})
+		merged = append(merged, rest[:at]...)
+		if !sorted[i].removed {
+			merged = append(merged, sorted[i].item)
+		}
+		if found {
+			at++
+		}
+		rest = rest[at:]
+	}
+	merged = append(merged, rest...)
+	if len(merged) == 0 {
+		// An empty table is nil on every replica, so that encodings are equal.
+		return nil
+	}
+	return slices.Clip(merged)
+}
+
+func accountTable(base []Account) *table[AccountID, Account] {
+	return newTable(base, func(a *Account) AccountID { return a.ID }, compareAccounts,
+		func(id AccountID) Account { return Account{ID: id} })
+}
+
+func keyTable(base []Key) *table[KeyHash, Key] {
+	return newTable(base, func(k *Key) KeyHash { return k.Hash }, compareKeys,
+		func(hash KeyHash) Key { return Key{Hash: hash} })
+}
+
+func routeTable(base []Route) *table[string, Route] {
+	return newTable(base, func(r *Route) string { return r.ID }, compareRoutes,
+		func(id string) Route { return Route{ID: id} })
+}
+
+func serviceTable(base []Service) *table[ServiceName, Service] {
+	return newTable(base, func(s *Service) ServiceName { return s.Name }, compareServices,
+		func(name ServiceName) Service { return Service{Name: name} })
+}
+
+func presetTable(base []Preset) *table[string, Preset] {
+	return newTable(base, func(p *Preset) string { return p.Name }, comparePresets,
+		func(name string) Preset { return Preset{Name: name} })
+}
--- /dev/null
+++ b/fleetconfig/validate.go
@@ -0,0 +1,198 @@
+package fleetconfig
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Limits on the document, so that a View has a bounded size.
+const (
+	maxAccounts  = 200_000
+	maxKeys      = 400_000
+	maxRoutes    = 20_000
+	maxServices  = 2_000
+	maxPresets   = 32
+	maxNameBytes = 64
+	maxPathBytes = 1024
+	maxHostBytes = 253
+	maxLabel     = 256
+)
+
+// Limits on single fields.
+const (
+	maxRatePerSecond = 1_000_000
+	maxBurst         = 1_000_000
+	maxQueueLength   = 100_000
+	maxPercent       = 100
+	maxRouteTimeout  = time.Hour
+	maxHedgeAfter    = time.Minute
+	maxSlowStart     = time.Hour
+)
+
+// Validate returns all faults of a document, up to MaxFaults and one that
+// counts the rest. Every document that a Machine makes has none.
+func Validate(document *Document) []Fault {
+	check := &validation{document: document}
+	check.sizes()
+	check.order()
+	check.accounts()
+	check.keys()
+	check.services()
+	check.routes()
+	check.presets()
+	check.shards()
+	check.holders()
+	return check.list()
+}
+
+// validation collects the faults of one document.
+type validation struct {
+	faultList
+	document     *Document
+	accountIDs   accountIndex
+	serviceNames map[ServiceName]struct{}
+}
+
+func (c *validation) sizes() {
+	c.size("accounts", len(c.document.Accounts), maxAccounts)
+	c.size("keys", len(c.document.Keys), maxKeys)
+	c.size("routes", len(c.document.Routes), maxRoutes)
+	c.size("services", len(c.document.Services), maxServices)
+	c.size("presets", len(c.document.Presets), maxPresets)
+}
+
+func (c *validation) size(subject string, count, limit int) {
+	if count > limit {
+		c.add(subject, "", fmt.Sprintf("%d are more than %d", count, limit), "remove those that are no longer used")
+	}
+}
+
+// order checks that the tables are ordered and name no item twice. Lookups rest
+// on it.
+func (c *validation) order() {
+	checkOrder(c, "accounts", c.document.Accounts, compareAccounts)
+	checkOrder(c, "keys", c.document.Keys, compareKeys)
+	checkOrder(c, "routes", c.document.Routes, compareRoutes)
+	checkOrder(c, "services", c.document.Services, compareServices)
+	checkOrder(c, "presets", c.document.Presets, comparePresets)
+}
+
+func checkOrder[V any](c *validation, subject string, items []V, compare func(a, b *V) int) {
+	for i := 1; i < len(items); i++ {
+		if compare(&items[i-1], &items[i]) >= 0 {
+			c.add(subject, "", "are out of order", "fetch the document again from another instance")
+			return
+		}
+	}
+}
+
+func (c *validation) name(subject, field, name string) {
+	if problem := nameProblem(name); problem != "" {
+		c.add(subject, field, problem,
+			fmt.Sprintf("use 1 to %d letters, digits, dots, hyphens and underscores, a letter or digit first", maxNameBytes))
+	}
+}
+
+// nameProblem returns what is wrong with a name, or nothing.
+func nameProblem(name string) string {
+	if name == "" {
+		return "is empty"
+	}
+	if len(name) > maxNameBytes {
+		return fmt.Sprintf("is %d bytes long", len(name))
+	}
+	for i, r := range name {
+		alphanumeric := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
+		if !alphanumeric && (i == 0 || !strings.ContainsRune("._-", r)) {
+			return fmt.Sprintf("%q has the character %q", name, r)
+		}
+	}
+	return ""
+}
+
+func (c *validation) accounts() {
+	c.accountIDs = newAccountIndex(c.document.Accounts)
+	for i := range c.document.Accounts {
+		account := &c.document.Accounts[i]
+		// The subject is made only for a fault: there are 80,000 accounts.
+		if nameProblem(string(account.ID)) != "" {
+			c.name("account "+string(account.ID), "id", string(account.ID))
+		}
+		// The negated form also refuses a rate that is not a number.
+		if !(account.RatePerSecond > 0 && account.RatePerSecond <= maxRatePerSecond) {
+			c.add("account "+string(account.ID), "rate_per_second", fmt.Sprintf("%g is out of range", account.RatePerSecond),
+				fmt.Sprintf("give a rate above 0 and up to %d; to bar the account, withdraw its keys", maxRatePerSecond))
+		}
+		if account.Burst == 0 || account.Burst > maxBurst {
+			c.add("account "+string(account.ID), "burst", fmt.Sprintf("%d is out of range", account.Burst),
+				fmt.Sprintf("give a burst of 1 to %d requests", maxBurst))
+		}
+	}
+}
+
+func (c *validation) keys() {
+	for i := range c.document.Keys {
+		key := &c.document.Keys[i]
+		if c.accountIDs.find(key.Account) == nil {
+			c.add("key "+string(key.Hash.ID()), "account", fmt.Sprintf("there is no account %q", key.Account),
+				"create the account, or withdraw the key together with it")
+		}
+		if len(key.Label) > maxLabel {
+			c.add("key "+string(key.Hash.ID()), "label", fmt.Sprintf("is %d bytes long", len(key.Label)),
+				fmt.Sprintf("use at most %d bytes", maxLabel))
+		}
+		// The key id must name one key: it is all that a withdrawal gives.
+		if i > 0 && c.document.Keys[i-1].Hash.sameID(key.Hash) {
+			c.add("key "+string(key.Hash.ID()), "hash", "another key has this key id", "generate another key")
+		}
+	}
+}
+
+func (c *validation) services() {
+	c.serviceNames = make(map[ServiceName]struct{}, len(c.document.Services))
+	for i := range c.document.Services {
+		service := &c.document.Services[i]
+		subject := "service " + string(service.Name)
+		c.serviceNames[service.Name] = struct{}{}
+		c.name(subject, "name", string(service.Name))
+		c.percent(subject, "floor_percent", service.FloorPercent)
+	}
+}
+
+func (c *validation) percent(subject, field string, value uint32) {
+	if value > maxPercent {
+		c.add(subject, field, fmt.Sprintf("%d is out of range", value), "give 0 to 100 percent")
+	}
+}
+
+func (c *validation) duration(subject, field string, value, limit time.Duration) {
+	if value < 0 || value > limit {
+		c.add(subject, field, fmt.Sprintf("%s is out of range", value), fmt.Sprintf("give 0s to %s", limit))
+	}
+}
+
+func (c *validation) presets() {
+	inForce := 0
+	for i := range c.document.Presets {
+		preset := &c.document.Presets[i]
+		subject := "preset " + preset.Name
+		c.name(subject, "name", preset.Name)
+		c.percent(subject, "retry_budget_percent", preset.RetryBudgetPercent)
+		c.duration(subject, "hedge_after", preset.HedgeAfter, maxHedgeAfter)
+		c.duration(subject, "slow_start", preset.SlowStart, maxSlowStart)
+		if preset.QueueLength > maxQueueLength {
+			c.add(subject, "queue_length", fmt.Sprintf("%d is out of range", preset.QueueLength),
+				fmt.Sprintf("give 0 to %d requests", maxQueueLength))
+		}
+		if preset.Name == c.document.PresetInForce {
+			inForce++
+		}
+	}
+	// Exactly one preset is in force: the table has no name twice, so one match
+	// is all there can be.
+	if inForce != 1 {
+		c.add("preset "+c.document.PresetInForce, "", "is in force but does not exist",
+			"put another preset in force before this one is removed")
+	}
+}
--- a/fleetconfig/view.go
+++ b/fleetconfig/view.go
@@ -1,36 +1,30 @@
 package fleetconfig
 
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+)
+
 // View is an immutable Document with lookup tables. It is safe for concurrent
 // use.
+//
+// The tables are sized for 80,000 accounts and keys: they refer to the items of
+// the document by position and hold no item or name twice.
 type View struct {
 	document *Document
-	keys     map[KeyHash]*Key
-	keyIDs   map[KeyID]*Key
-	accounts map[AccountID]*Account
-	services map[ServiceName]*Service
+	keys     keyIndex
+	accounts accountIndex
 	preset   *Preset
 }
 
-// NewView builds the lookup tables of a document. The document must not change
-// afterwards.
+// NewView builds the lookup tables of a document, whose slices are ordered as
+// Document says. The document must not change afterwards.
 func NewView(document *Document) *View {
 	view := &View{
 		document: document,
-		keys:     make(map[KeyHash]*Key, len(document.Keys)),
-		keyIDs:   make(map[KeyID]*Key, len(document.Keys)),
-		accounts: make(map[AccountID]*Account, len(document.Accounts)),
-		services: make(map[ServiceName]*Service, len(document.Services)),
-	}
-	for i := range document.Keys {
-		key := &document.Keys[i]
-		view.keys[key.Hash] = key
-		view.keyIDs[key.Hash.ID()] = key
-	}
-	for i := range document.Accounts {
-		view.accounts[document.Accounts[i].ID] = &document.Accounts[i]
-	}
-	for i := range document.Services {
-		view.services[document.Services[i].Name] = &document.Services[i]
+		keys:     newKeyIndex(document.Keys),
+		accounts: newAccountIndex(document.Accounts),
 	}
 	for i := range document.Presets {
 		if document.Presets[i].Name == document.PresetInForce {
@@ -50,16 +44,81 @@
 func (v *View) Version() uint64 { return v.document.Version }
 
 // KeyByHash returns the key with the given digest, or nil when there is none.
-func (v *View) KeyByHash(hash KeyHash) *Key { return v.keys[hash] }
+func (v *View) KeyByHash(hash KeyHash) *Key { return v.keys.byHash(&hash) }
 
 // KeyByID returns the key with the given id, or nil when there is none.
-func (v *View) KeyByID(id KeyID) *Key { return v.keyIDs[id] }
+func (v *View) KeyByID(id KeyID) *Key { return v.keys.byID(id) }
 
 // Account returns the account, or nil when there is none.
-func (v *View) Account(id AccountID) *Account { return v.accounts[id] }
+func (v *View) Account(id AccountID) *Account { return v.accounts.find(id) }
 
 // Service returns the service, or nil when there is none.
-func (v *View) Service(name ServiceName) *Service { return v.services[name] }
+func (v *View) Service(name ServiceName) *Service {
+	services := v.document.Services
+	at, found := slices.BinarySearchFunc(services, name, func(service Service, name ServiceName) int {
+		return cmp.Compare(service.Name, name)
+	})
+	if !found {
+		return nil
+	}
+	return &services[at]
+}
 
 // Preset returns the preset in force. It is never nil.
 func (v *View) Preset() *Preset { return v.preset }
+
+// accountIndex is an open-addressing hash table of positions in the accounts of
+// a document. A slot holds the position plus one; zero is an empty slot. At
+// least a third of the slots are empty, so that probing ends.
+type accountIndex struct {
+	accounts []Account
+	slots    []uint32
+}
+
+func newAccountIndex(accounts []Account) accountIndex {
+	index := accountIndex{
+		accounts: accounts,
+		slots:    make([]uint32, 1<<bits.Len(uint(len(accounts)+len(accounts)/2))),
+	}
+	for i := range accounts {
+		slot := index.firstSlot(accounts[i].ID)
+		for index.slots[slot] != 0 {
+			slot = index.next(slot)
+		}
+		index.slots[slot] = uint32(i + 1)
+	}
+	return index
+}
+
+func (x *accountIndex) find(id AccountID) *Account {
+	slot := x.firstSlot(id)
+	for x.slots[slot] != 0 {
+		account := &x.accounts[x.slots[slot]-1]
+		if account.ID == id {
+			return account
+		}
+		slot = x.next(slot)
+	}
+	return nil
+}
+
+// firstSlot hashes an account ID with FNV-1a
+// (http://www.isthe.com/chongo/tech/comp/fnv/). IDs come from operators, so the
+// hash need not withstand chosen input.
+func (x *accountIndex) firstSlot(id AccountID) uint64 {
+	const (
+		offsetBasis = 14695981039346656037
+		prime       = 1099511628211
+	)
+	hash := uint64(offsetBasis)
+	for i := range len(id) {
+		hash = (hash ^ uint64(id[i])) * prime
+	}
+	// The low bits alone are weak: fold the high half in.
+	hash ^= hash >> 32
+	return hash & uint64(len(x.slots)-1)
+}
+
+func (x *accountIndex) next(slot uint64) uint64 {
+	return (slot + 1) & uint64(len(x.slots)-1)
+}
