fleetconfig/inifile: the operators' file, with all faults at once

Purpose: a whole configuration is applied from one INI file as a list of typed changes. Unknown and doubled keys and sections are faults; each fault names file, section, key and remedy. Keys and the shard map are never in the file: leaving an account out whose keys are still given is refused, so that no key is withdrawn by a slip. After a bad line the reader goes on, to list the other faults too.

Weighed: StrictMapTo of ini.v1; ruled out, it stops at the first fault and knows no duplicates.

--- /dev/null
+++ b/fleetconfig/inifile/inifile_test.go
@@ -0,0 +1,188 @@
+package inifile
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	_ "github.com/hemlockring/hemlockring/internal/fixedseed"
+)
+
+const example = `
+[fleet]
+preset = peak
+holders = i1@192.0.2.1:7400@fd1, i2@192.0.2.2:7400@fd2
+
+[account shop]
+rate_per_second = 50  ; a comment
+burst = 20
+
+[service stock]
+floor_percent = 60
+
+[route lookups]
+host = shop.example
+path_prefix = /stock
+service = stock
+idempotency = always
+timeout = 5s
+`
+
+// accept applies changes as one command.
+func accept(t must.T, machine *fleetconfig.Machine, id string, changes []fleetconfig.Change) {
+	entry, err := fleetconfig.EncodeCommand(&fleetconfig.Command{
+		ChangeID:    id,
+		BaseVersion: machine.Document().Version,
+		Changes:     changes,
+	})
+	must.NoError(t, err)
+	result, err := fleetconfig.DecodeResult(machine.Apply(0, entry))
+	must.NoError(t, err)
+	must.NoError(t, result.Err())
+}
+
+func TestFileBecomesTheDocument(t *testing.T) {
+	machine := fleetconfig.NewMachine()
+	file, err := Parse("fleet.ini", []byte(example))
+	must.NoError(t, err)
+	changes, err := file.Changes(machine.Document())
+	must.NoError(t, err)
+	accept(t, machine, "first", changes)
+
+	document := machine.Document()
+	must.Eq(t, "peak", document.PresetInForce)
+	must.Eq(t, []fleetconfig.Account{{ID: "shop", RatePerSecond: 50, Burst: 20}}, document.Accounts)
+	must.Eq(t, []fleetconfig.Service{{Name: "stock", FloorPercent: 60}}, document.Services)
+	must.Eq(t, []fleetconfig.Route{{
+		ID: "lookups", Host: "shop.example", PathPrefix: "/stock", Service: "stock",
+		Idempotency: fleetconfig.IdempotentAlways, Timeout: 5 * time.Second,
+	}}, document.Routes)
+	must.SliceLen(t, 2, document.Holders)
+
+	changes, err = file.Changes(document)
+	must.NoError(t, err)
+	must.SliceEmpty(t, changes)
+}
+
+func TestAllFaultsNameSectionKeyAndRemedy(t *testing.T) {
+	_, err := Parse("fleet.ini", []byte(`
+stray = 1
+[account shop]
+rate_per_second = many
+rate_per_second = 5
+colour = red
+[account shop]
+[route r]
+timeout = 5
+service = stock
+[fleet]
+holders = i1
+[shop]
+`))
+	var faults *FaultsError
+	must.True(t, errors.As(err, &faults))
+	places := make([]string, len(faults.Faults))
+	for i, fault := range faults.Faults {
+		places[i] = fault.Section + "/" + fault.Key + "/" + fault.Problem
+		must.Eq(t, "fleet.ini", fault.File)
+		must.NotEq(t, "", fault.Remedy)
+	}
+	must.SliceContainsAll(t, places, []string{
+		"DEFAULT/stray/stands before the first section",
+		"account shop/rate_per_second/is given twice",
+		`account shop/rate_per_second/"many" is not a number`,
+		"account shop/burst/is missing",
+		"account shop/colour/is unknown here",
+		"account shop//is given twice",
+		`route r/timeout/"5" is not a duration`,
+		"route r/path_prefix/is missing",
+		`fleet/holders/"i1" is not a holder`,
+		"shop//is unknown",
+	})
+
+	_, err = Parse("fleet.ini", []byte("[route r]\nnonsense\npath_prefix = /r\nservice = none\n[x]\n"))
+	must.ErrorContains(t, err, "nonsense")
+	must.ErrorContains(t, err, "[x]")
+	_, err = Parse("fleet.ini", []byte("[route r]\npath_prefix = /r\nservice = none\n"))
+	must.ErrorContains(t, err, "[route r] service")
+}
+
+// A removed account whose keys are still out is refused before it is sent.
+func TestKeysAreNeverWithdrawnByLeavingAnAccountOut(t *testing.T) {
+	machine := fleetconfig.NewMachine()
+	accept(t, machine, "setup", []fleetconfig.Change{
+		{Kind: fleetconfig.CreateAccount, Account: &fleetconfig.Account{ID: "shop", RatePerSecond: 1, Burst: 1}},
+		{Kind: fleetconfig.GiveKey, Key: &fleetconfig.Key{Hash: fleetconfig.HashKey("k"), Account: "shop"}},
+	})
+	file, err := Parse("fleet.ini", []byte("[fleet]\npreset = peak\n"))
+	must.NoError(t, err)
+	_, err = file.Changes(machine.Document())
+	must.ErrorContains(t, err, "withdraw the key")
+}
+
+// Files drawn at random lead to the same document from whatever document is in
+// force, and applying a file twice changes nothing.
+func TestEveryFileIsReachedFromEveryOther(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		machine := fleetconfig.NewMachine()
+		for round := range rapid.IntRange(1, 5).Draw(t, "files") {
+			text := drawFile(t)
+			file, err := Parse("drawn.ini", []byte(text))
+			must.NoError(t, err, must.Sprint(text))
+			changes, err := file.Changes(machine.Document())
+			must.NoError(t, err)
+			if len(changes) > 0 {
+				accept(t, machine, fmt.Sprint(round), changes)
+			}
+			must.Eq(t, file.wanted(machine.Document()), machine.Document())
+			changes, err = file.Changes(machine.Document())
+			must.NoError(t, err)
+			must.SliceEmpty(t, changes)
+		}
+	})
+}
+
+func drawFile(t *rapid.T) string {
+	var text strings.Builder
+	presets := rapid.SampledFrom([]string{"ordinary", "peak", "extra"}).Draw(t, "preset")
+	fmt.Fprintf(&text, "[fleet]\npreset = %s\n[preset %s]\nqueue_length = %d\n", presets, presets, rapid.IntRange(0, 3).Draw(t, "queue"))
+	for _, name := range rapid.SliceOfDistinct(rapid.SampledFrom([]string{"a", "b", "c"}), rapid.ID[string]).Draw(t, "accounts") {
+		fmt.Fprintf(&text, "[account %s]\nrate_per_second = %d\nburst = 1\n", name, rapid.IntRange(1, 3).Draw(t, "rate"))
+	}
+	for _, name := range rapid.SliceOfDistinct(rapid.SampledFrom([]string{"s", "t"}), rapid.ID[string]).Draw(t, "services") {
+		fmt.Fprintf(&text, "[service %s]\n[route %s]\npath_prefix = /%s\nservice = %s\n", name, name, name, name)
+	}
+	return text.String()
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(example))
+	f.Add([]byte("[account a]\nrate_per_second = %(x)s\n\"\"\"\n[a.b]\n=\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		file, err := Parse("fuzz.ini", data)
+		if err != nil {
+			must.NotEq(t, "", err.Error())
+			return
+		}
+		must.SliceEmpty(t, fleetconfig.Validate(file.alone()))
+	})
+}
+
+// BenchmarkParse reads a file with 80,000 accounts.
+func BenchmarkParse(b *testing.B) {
+	var text strings.Builder
+	for i := range 80_000 {
+		fmt.Fprintf(&text, "[account account-%06d]\nrate_per_second = 5\nburst = 10\n", i)
+	}
+	data := []byte(text.String())
+	for b.Loop() {
+		_, err := Parse("large.ini", data)
+		must.NoError(b, err)
+	}
+}
