idempotency: records, claims and recovery of shard replicas

Purpose: orders with an Idempotency-Key run at most once. Claim by majority of first votes inside the claim time; recovery of a replica without memory; map changes in single steps; records bounded in bytes.

Weighed: storing answers under any vote (ruled out: a finish that outlives the retention would overwrite a newer claim), counting retention from the vote (ruled out: a dispatch just before the deadline would shorten it), a founding flag in the settings (ruled out: it would let every restart start empty; the founding epoch grants no vote instead).

Tests: go test ./idempotency/ green.

--- /dev/null
+++ b/idempotency/claim.go
@@ -0,0 +1,323 @@
+package idempotency
+
+import (
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+// VerdictKind is what a claim came to.
+type VerdictKind uint8
+
+const (
+	// VerdictPending means that the claim still waits for votes.
+	VerdictPending VerdictKind = iota
+	// VerdictClaimed means that the order is the claim's to run.
+	VerdictClaimed
+	// VerdictAnswered means that the order ran and its answer is at hand.
+	VerdictAnswered
+	// VerdictAnswerNotKept means that the order ran and its answer is not kept.
+	VerdictAnswerNotKept
+	// VerdictInProgress means that another claim holds the order.
+	VerdictInProgress
+	// VerdictOutcomeUnknown means that another claim held the order and may have
+	// run it.
+	VerdictOutcomeUnknown
+	// VerdictKeyReused means that the key belongs to an order of other content.
+	VerdictKeyReused
+	// VerdictNotRun means that no majority could be had. This request was not run
+	// and never will be.
+	VerdictNotRun
+)
+
+// Cause says why a claim came to VerdictNotRun.
+type Cause uint8
+
+const (
+	// CauseNoMajority means that too few replicas answered in the claim time.
+	CauseNoMajority Cause = iota
+	// CauseNotReady means that replicas that lost their memory are not ready.
+	CauseNotReady
+	// CauseFull means that replicas have no room for another record.
+	CauseFull
+	// CauseEpoch means that the shard map is changing.
+	CauseEpoch
+	// CauseTooLong means that the deadline lies further away than allowed.
+	CauseTooLong
+)
+
+// Verdict is the result of a claim.
+type Verdict struct {
+	// Kind is the result.
+	Kind VerdictKind
+	// Cause explains VerdictNotRun.
+	Cause Cause
+	// Answer is the stored answer of VerdictAnswered, in the driver's encoding.
+	Answer []byte
+	// Remaining is the time left for the claim in progress, zero when unknown.
+	Remaining time.Duration
+}
+
+// stage is how far a claim is.
+type stage uint8
+
+const (
+	stageVoting stage = iota
+	stageClaimed
+	stageLost
+	stageSettled
+)
+
+// Claim is one attempt of an ingress to get the right to run an order. It is not
+// safe for concurrent use.
+//
+// Invariant: MayDispatch is true only while a majority of the group's first
+// votes is counted and the claim time, which began before the first request for
+// a vote, has not run out. After Settle it is false for ever.
+type Claim struct {
+	config      Config
+	group       Group
+	record      RecordID
+	fingerprint Fingerprint
+	id          ClaimID
+	started     time.Time
+	deadline    time.Time
+	stage       stage
+	dispatched  bool
+	answered    []bool
+	granted     int
+	replies     int
+	causes      [CauseTooLong + 1]int
+	held        Verdict
+}
+
+// NewClaim begins a claim. Now must be read before any request is sent.
+func NewClaim(config Config, group Group, record RecordID, fingerprint Fingerprint, id ClaimID, now, deadline time.Time) *Claim {
+	return &Claim{
+		config:      config,
+		group:       group,
+		record:      record,
+		fingerprint: fingerprint,
+		id:          id,
+		started:     now,
+		deadline:    deadline,
+		answered:    make([]bool, len(group.Members)),
+	}
+}
+
+// ID returns the claim id.
+func (c *Claim) ID() ClaimID { return c.id }
+
+// Group returns the replicas that the claim asks.
+func (c *Claim) Group() Group { return c.group }
+
+// VoteDeadline is when the claim time runs out.
+func (c *Claim) VoteDeadline() time.Time {
+	limit := c.started.Add(c.config.ClaimTime)
+	if c.deadline.Before(limit) {
+		return c.deadline
+	}
+	return limit
+}
+
+// VoteRequest returns the request to send to every replica.
+func (c *Claim) VoteRequest(now time.Time) VoteRequest {
+	return VoteRequest{
+		Epoch:       c.group.Epoch,
+		Record:      c.record,
+		Fingerprint: c.fingerprint,
+		Claim:       c.id,
+		Remaining:   c.deadline.Sub(now),
+	}
+}
+
+// HandleVote counts a reply. A reply to another claim, a second reply of the
+// same replica and a reply after the claim time do not count.
+func (c *Claim) HandleVote(from fleetconfig.InstanceID, reply VoteReply, now time.Time) {
+	c.Tick(now)
+	i := c.group.Index(from)
+	if c.stage != stageVoting || reply.Claim != c.id || i < 0 || c.answered[i] {
+		return
+	}
+	c.answered[i] = true
+	c.replies++
+	switch reply.Result {
+	case VoteGranted:
+		c.granted++
+	case VoteHeld:
+		c.weigh(reply)
+	default:
+		c.causes[causeOf(reply.Result)]++
+	}
+	c.decide()
+}
+
+// HandleFailure notes that a replica cannot be reached, which may end the claim
+// before its time.
+func (c *Claim) HandleFailure(from fleetconfig.InstanceID, now time.Time) {
+	c.Tick(now)
+	i := c.group.Index(from)
+	if c.stage != stageVoting || i < 0 || c.answered[i] {
+		return
+	}
+	c.answered[i] = true
+	c.replies++
+	c.causes[CauseNoMajority]++
+	c.decide()
+}
+
+// Tick ends the claim when its time has run out without a majority.
+func (c *Claim) Tick(now time.Time) {
+	if c.stage == stageVoting && !now.Before(c.VoteDeadline()) {
+		c.stage = stageLost
+	}
+}
+
+func (c *Claim) decide() {
+	open := len(c.group.Members) - c.replies
+	switch {
+	case c.granted >= c.group.Majority():
+		c.stage = stageClaimed
+	case c.held.Kind == VerdictAnswered:
+		c.stage = stageLost
+	case open == 0:
+		c.stage = stageLost
+	case c.granted+open < c.group.Majority() && c.held.Kind != VerdictPending && c.replies >= c.group.Majority():
+		// Without a trace of another claim the rest is waited for, because one of
+		// them may know of an answer.
+		c.stage = stageLost
+	}
+}
+
+func causeOf(result VoteResult) Cause {
+	switch result {
+	case VoteNotReady:
+		return CauseNotReady
+	case VoteFull:
+		return CauseFull
+	case VoteStaleEpoch, VoteBehind:
+		return CauseEpoch
+	case VoteTooLong:
+		return CauseTooLong
+	default:
+		return CauseNoMajority
+	}
+}
+
+// weigh keeps the strongest trace of another claim: an answer to the same
+// content, then a known end, then other content that has ended, then a claim in
+// progress. Only a record of the same content yields an answer.
+func (c *Claim) weigh(reply VoteReply) {
+	found := Verdict{Kind: VerdictKeyReused}
+	if reply.Fingerprint == c.fingerprint {
+		found = verdictOf(reply)
+	}
+	if strength(found.Kind) > strength(c.held.Kind) {
+		c.held = found
+	}
+}
+
+func verdictOf(reply VoteReply) Verdict {
+	switch reply.State {
+	case StateAnswered:
+		return Verdict{Kind: VerdictAnswered, Answer: reply.Answer}
+	case StateAnswerNotKept:
+		return Verdict{Kind: VerdictAnswerNotKept}
+	case StateUnknown:
+		return Verdict{Kind: VerdictOutcomeUnknown}
+	default:
+		return Verdict{Kind: VerdictInProgress, Remaining: reply.Remaining}
+	}
+}
+
+func strength(kind VerdictKind) int {
+	switch kind {
+	case VerdictAnswered:
+		return 5
+	case VerdictAnswerNotKept:
+		return 4
+	case VerdictOutcomeUnknown:
+		return 3
+	case VerdictInProgress:
+		return 2
+	case VerdictKeyReused:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// Verdict returns what the claim came to.
+func (c *Claim) Verdict() Verdict {
+	switch c.stage {
+	case stageVoting:
+		return Verdict{}
+	case stageClaimed:
+		return Verdict{Kind: VerdictClaimed}
+	}
+	if c.held.Kind != VerdictPending {
+		return c.held
+	}
+	verdict := Verdict{Kind: VerdictNotRun}
+	for cause, count := range c.causes {
+		if count > c.causes[verdict.Cause] {
+			verdict.Cause = Cause(cause)
+		}
+	}
+	return verdict
+}
+
+// MayDispatch reports whether the order may be sent to a backend server now. It
+// must be asked immediately before each attempt, so that a process that was
+// frozen finds its claim time run out.
+func (c *Claim) MayDispatch(now time.Time) bool {
+	if c.stage != stageClaimed || !now.Before(c.VoteDeadline()) {
+		return false
+	}
+	c.dispatched = true
+	return true
+}
+
+// End says how the order of a claim ended.
+type End uint8
+
+const (
+	// EndUnknown means that the order may or may not have run. It is the zero
+	// value, so that a path that forgets to decide never claims more than it knows.
+	EndUnknown End = iota
+	// EndNotRun means that it is proved that no backend server saw the order.
+	EndNotRun
+	// EndAnswered means that the order ran.
+	EndAnswered
+)
+
+// Settlement is the message to send to every replica when a claim has ended. At
+// most one of its parts is set.
+type Settlement struct {
+	// Release frees the votes.
+	Release *ReleaseRequest
+	// Finish records the outcome.
+	Finish *FinishRequest
+}
+
+// Settle ends the claim. A claim without a majority, or that was never allowed
+// to dispatch, is released whatever the given end. Answer is the answer of
+// EndAnswered; nil or a too large one is not kept. A second call returns nothing.
+func (c *Claim) Settle(end End, answer []byte) Settlement {
+	if c.stage == stageSettled {
+		return Settlement{}
+	}
+	release := !c.dispatched || end == EndNotRun
+	c.stage = stageSettled
+	if release {
+		return Settlement{Release: &ReleaseRequest{Record: c.record, Claim: c.id}}
+	}
+	finish := &FinishRequest{Record: c.record, Claim: c.id, State: StateUnknown}
+	if end == EndAnswered {
+		finish.State = StateAnswerNotKept
+		if answer != nil && len(answer) <= c.config.MaxAnswerBytes {
+			finish.State, finish.Answer = StateAnswered, answer
+		}
+	}
+	return Settlement{Finish: finish}
+}
--- /dev/null
+++ b/idempotency/journal.go
@@ -0,0 +1,122 @@
+package idempotency
+
+import (
+	"time"
+)
+
+// ChangeKind says what a Change does to the records on disk.
+type ChangeKind uint8
+
+const (
+	// ChangePut stores or replaces a record.
+	ChangePut ChangeKind = iota
+	// ChangeRemove removes a record.
+	ChangeRemove
+	// ChangeReady states that the records on disk are complete from here on.
+	ChangeReady
+	// ChangeLeft removes everything.
+	ChangeLeft
+)
+
+// Change is one entry of the records on disk. The driver must have synced the
+// changes of a step before it sends the step's reply: a vote that a claim has
+// counted must not be lost.
+type Change struct {
+	// Kind is what the change does.
+	Kind ChangeKind `cbor:"1,keyasint"`
+	// Record is the record of ChangePut, and the id of ChangeRemove.
+	Record RecordCopy `cbor:"2,keyasint,omitzero"`
+	// Joined is the joining epoch of ChangeReady.
+	Joined uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// journal collects the changes of a replica that keeps its records on disk.
+type journal struct {
+	enabled  bool
+	changes  []Change
+	restored bool
+	joined   uint64
+}
+
+func (j *journal) append(change Change) {
+	if j.enabled {
+		j.changes = append(j.changes, change)
+	}
+}
+
+func (j *journal) put(r *record, now time.Time) {
+	if j.enabled {
+		j.append(Change{Kind: ChangePut, Record: r.copyAt(now)})
+	}
+}
+
+func (j *journal) removed(id RecordID) {
+	j.append(Change{Kind: ChangeRemove, Record: RecordCopy{Record: id}})
+}
+
+func (j *journal) ready(joined uint64) { j.append(Change{Kind: ChangeReady, Joined: joined}) }
+
+func (j *journal) left() { j.append(Change{Kind: ChangeLeft}) }
+
+// restoredFor reports whether the disk held the complete records of the
+// instance's present membership.
+func (j *journal) restoredFor(joined uint64) bool { return j.restored && j.joined == joined }
+
+// TakeChanges returns the changes since the last call, for the disk.
+func (r *Replica) TakeChanges() []Change {
+	changes := r.journal.changes
+	r.journal.changes = nil
+	return changes
+}
+
+// Restore applies a change that was read back from disk. It is called before
+// the first SetGroup, in the order in which the changes were taken. The time
+// that the process was down is unknown, so a record's life counts from now
+// again: it may be kept longer, never shorter. Restore reports false when the
+// budget has no room; the instance must then not use the disk's records.
+func (r *Replica) Restore(change *Change, now time.Time) bool {
+	switch change.Kind {
+	case ChangePut:
+		return r.restore(&change.Record, now)
+	case ChangeRemove:
+		if held := r.table.records[change.Record.Record]; held != nil {
+			r.table.remove(held)
+		}
+	case ChangeReady:
+		r.journal.restored, r.journal.joined = true, change.Joined
+	case ChangeLeft:
+		r.table.clear()
+		r.journal.restored = false
+	}
+	return true
+}
+
+func (r *Replica) restore(from *RecordCopy, now time.Time) bool {
+	if held := r.table.records[from.Record]; held != nil {
+		r.table.remove(held)
+	}
+	held := &record{id: from.Record, fingerprint: from.Fingerprint, adopted: true}
+	if !r.table.add(held) {
+		return false
+	}
+	held.merge(from, from.Claims, now)
+	if from.State == StateAnswered {
+		r.keepAnswer(held, from.Answer)
+	}
+	return true
+}
+
+// Snapshot returns the changes that restore the replica as it is, to replace a
+// journal that has grown long.
+func (r *Replica) Snapshot(now time.Time) []Change {
+	var changes []Change
+	for _, held := range r.table.order {
+		if !held.removed {
+			changes = append(changes, Change{Kind: ChangePut, Record: held.copyAt(now)})
+		}
+	}
+	if i := r.group.Index(r.self); r.phase == PhaseReady && i >= 0 {
+		changes = append(changes, Change{Kind: ChangeReady, Joined: r.group.Members[i].Joined})
+	}
+	return changes
+}
--- /dev/null
+++ b/idempotency/recovery.go
@@ -0,0 +1,208 @@
+package idempotency
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+// Sizes of a page of records, in bytes of its encoding.
+const (
+	maxPageBytes    = 48 << 10
+	pageRecordBytes = 160
+)
+
+// read is the progress of reading one other replica.
+type read struct {
+	from        fleetconfig.InstanceID
+	incarnation uint64
+	after       uint64
+	done        bool
+}
+
+// recovery is the state of a replica that lost its memory or is new.
+type recovery struct {
+	session   uint64
+	waitUntil time.Time
+	emptyAt   time.Time
+	reads     []read
+}
+
+func (v *recovery) begin(config Config, group Group, self fleetconfig.InstanceID, now time.Time) {
+	v.waitUntil = now.Add(config.claimWait())
+	v.emptyAt = now.Add(config.longestLife())
+	v.reset(group, self)
+}
+
+// reset starts all reads again.
+func (v *recovery) reset(group Group, self fleetconfig.InstanceID) {
+	v.session++
+	v.reads = v.reads[:0]
+	for _, member := range group.Members {
+		if member.ID != self {
+			v.reads = append(v.reads, read{from: member.ID})
+		}
+	}
+}
+
+func (v *recovery) find(from fleetconfig.InstanceID) *read {
+	for i := range v.reads {
+		if v.reads[i].from == from {
+			return &v.reads[i]
+		}
+	}
+	return nil
+}
+
+// covered reports whether enough others are read. A group of one has no other,
+// so it is never covered.
+func (v *recovery) covered(group Group) bool {
+	done := 0
+	for i := range v.reads {
+		if v.reads[i].done {
+			done++
+		}
+	}
+	return done >= group.ReadQuorum()
+}
+
+// Read is a ReadRequest with its destination.
+type Read struct {
+	// To is the replica to read from.
+	To fleetconfig.InstanceID
+	// Request is the next page to ask for.
+	Request ReadRequest
+}
+
+// Reads returns the pages to ask for next, at most one per other replica. It is
+// empty unless the replica is reading.
+func (r *Replica) Reads(now time.Time) []Read {
+	r.Tick(now)
+	if r.phase != PhaseReading {
+		return nil
+	}
+	var reads []Read
+	for _, from := range r.recovery.reads {
+		if from.done {
+			continue
+		}
+		request := ReadRequest{Epoch: r.group.Epoch, Session: r.recovery.session, After: from.after}
+		reads = append(reads, Read{To: from.from, Request: request})
+	}
+	return reads
+}
+
+// Read answers another replica's request for a page. Only a ready replica of
+// the same epoch answers: its records are complete, and it grants no vote of an
+// older epoch any more.
+func (r *Replica) Read(request ReadRequest, now time.Time) ReadReply {
+	r.Tick(now)
+	reply := ReadReply{Session: request.Session, After: request.After, Incarnation: r.incarnation, Last: request.After}
+	if r.phase != PhaseReady || request.Epoch != r.group.Epoch {
+		return reply
+	}
+	reply.Ready = true
+	size := 0
+	for _, held := range r.table.after(request.After) {
+		if held.removed {
+			continue
+		}
+		size += pageRecordBytes + len(held.answer)
+		if size > maxPageBytes {
+			reply.More = true
+			break
+		}
+		reply.Records = append(reply.Records, held.copyAt(now))
+		reply.Last = held.sequence
+	}
+	return reply
+}
+
+// HandleRead takes in a page. Pages that were not asked for in this recovery, or
+// that came before, are ignored.
+func (r *Replica) HandleRead(from fleetconfig.InstanceID, reply ReadReply, now time.Time) {
+	r.Tick(now)
+	if r.phase != PhaseReading || reply.Session != r.recovery.session || !reply.Ready {
+		return
+	}
+	source := r.recovery.find(from)
+	if source == nil || source.done || reply.After != source.after {
+		return
+	}
+	if source.after != 0 && source.incarnation != reply.Incarnation {
+		// The replica restarted between two pages; its sequence numbers are new.
+		source.after = 0
+		return
+	}
+	for i := range reply.Records {
+		if !r.adopt(&reply.Records[i], now) {
+			return
+		}
+	}
+	source.incarnation = reply.Incarnation
+	source.after = reply.Last
+	source.done = !reply.More
+	if r.recovery.covered(r.group) {
+		r.becomeReady()
+	}
+}
+
+// adopt merges a record of another replica. It reports false when there is no
+// room, which stops the recovery: nothing is forgotten early.
+func (r *Replica) adopt(from *RecordCopy, now time.Time) bool {
+	claims := slices.DeleteFunc(slices.Clone(from.Claims), r.released.contains)
+	if len(claims) == 0 && from.State == StateVoted && !from.Sealed {
+		return true
+	}
+	held := r.table.records[from.Record]
+	if held == nil {
+		held = &record{id: from.Record, fingerprint: from.Fingerprint, adopted: true}
+		if !r.table.add(held) {
+			return false
+		}
+	}
+	held.merge(from, claims, now)
+	if from.State == StateAnswered && held.answer == nil {
+		r.keepAnswer(held, from.Answer)
+	}
+	r.journal.put(held, now)
+	return true
+}
+
+// merge takes over what the other replica knows beyond this record. Invariant:
+// every claim that may have a majority stays among the claims.
+func (r *record) merge(from *RecordCopy, claims []ClaimID, now time.Time) {
+	if deadline := now.Add(from.Remaining); deadline.After(r.deadline) {
+		r.deadline = deadline
+	}
+	if expires := now.Add(from.Life); expires.After(r.expires) {
+		r.expires = expires
+	}
+	if from.State > StateVoted && len(from.Claims) > 0 {
+		// The other replica knows which claim had the majority.
+		r.claim, r.others, r.sealed = from.Claims[0], nil, false
+		r.fingerprint = from.Fingerprint
+		r.state = max(r.state, from.State)
+		return
+	}
+	if r.state > StateVoted {
+		return
+	}
+	r.sealed = r.sealed || from.Sealed
+	for _, claim := range claims {
+		r.addClaim(claim)
+	}
+}
+
+func (r *record) addClaim(claim ClaimID) {
+	switch {
+	case r.claim == ClaimID{}:
+		r.claim = claim
+	case r.heldBy(claim):
+	case len(r.others)+1 < maxClaims:
+		r.others = append(r.others, claim)
+	default:
+		r.sealed = true
+	}
+}
--- /dev/null
+++ b/idempotency/replica.go
@@ -0,0 +1,260 @@
+package idempotency
+
+import (
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+// Phase is how far a replica is with its recovery.
+type Phase uint8
+
+const (
+	// PhaseAbsent means that the instance is not a replica of the shard.
+	PhaseAbsent Phase = iota
+	// PhaseWaiting means that claims that counted a lost vote may still be open.
+	PhaseWaiting
+	// PhaseReading means that the replica reads the records of others.
+	PhaseReading
+	// PhaseReady means that the replica votes.
+	PhaseReady
+)
+
+// Replica holds the records of one shard on one instance. It is not safe for
+// concurrent use. Its records are bounded by its Budget, its released claims by
+// a fixed number.
+type Replica struct {
+	config      Config
+	self        fleetconfig.InstanceID
+	incarnation uint64
+	group       Group
+	phase       Phase
+	recovery    recovery
+	table       table
+	released    releasedClaims
+	journal     journal
+}
+
+// NewReplica returns a replica without memory. Incarnation is a random number
+// that differs after each start. Durable makes the replica collect Changes.
+func NewReplica(config Config, self fleetconfig.InstanceID, incarnation uint64, budget *Budget, durable bool) *Replica {
+	return &Replica{
+		config:      config,
+		self:        self,
+		incarnation: incarnation,
+		recovery:    recovery{session: incarnation},
+		table:       newTable(budget),
+		released:    newReleasedClaims(),
+		journal:     journal{enabled: durable},
+	}
+}
+
+// SetGroup takes up a newer epoch. Older ones are ignored. The first group must
+// come from a configuration that was read as current after the start, because
+// the founding epoch lets the replica start empty.
+func (r *Replica) SetGroup(group Group, now time.Time) {
+	if group.Epoch <= r.group.Epoch {
+		return
+	}
+	last := r.group
+	r.group = group
+	i := group.Index(r.self)
+	if i < 0 {
+		r.leave()
+		return
+	}
+	wasAway := r.phase == PhaseAbsent
+	if j := last.Index(r.self); j >= 0 && last.Members[j].Joined != group.Members[i].Joined {
+		wasAway = true
+	}
+	if wasAway {
+		r.join(group.Members[i], last.Epoch == 0, now)
+		return
+	}
+	// Reads of an earlier epoch do not cover the majorities of this one.
+	r.recovery.reset(group, r.self)
+}
+
+func (r *Replica) leave() {
+	r.phase = PhaseAbsent
+	r.table.clear()
+	r.journal.left()
+}
+
+// join begins the recovery, unless the records on disk are complete.
+func (r *Replica) join(member Member, first bool, now time.Time) {
+	if first && r.journal.restoredFor(member.Joined) {
+		r.phase = PhaseReady
+		return
+	}
+	r.recovery.begin(r.config, r.group, r.self, now)
+	r.phase = PhaseWaiting
+	if first && r.group.Epoch == FoundingEpoch {
+		r.becomeReady()
+	}
+}
+
+func (r *Replica) becomeReady() {
+	r.phase = PhaseReady
+	r.journal.ready(r.group.Members[r.group.Index(r.self)].Joined)
+}
+
+// Tick drops records whose retention has run out and moves the recovery on.
+func (r *Replica) Tick(now time.Time) {
+	for _, expired := range r.table.expire(now) {
+		r.journal.removed(expired.id)
+	}
+	if r.phase == PhaseWaiting && !now.Before(r.recovery.waitUntil) {
+		r.phase = PhaseReading
+	}
+	// Nothing that could have been lost is still retained: the replica may vote
+	// without having read.
+	if r.phase == PhaseReading && !now.Before(r.recovery.emptyAt) {
+		r.becomeReady()
+	}
+}
+
+// Status returns what a change of the map waits for.
+func (r *Replica) Status() Status {
+	return Status{ID: r.self, Epoch: r.group.Epoch, Ready: r.phase == PhaseReady}
+}
+
+// Phase returns how far the recovery is.
+func (r *Replica) Phase() Phase { return r.phase }
+
+// Len returns the number of records.
+func (r *Replica) Len() int { return len(r.table.records) }
+
+// Vote answers a request for a vote. Invariant: a replica votes for one claim of
+// a record, and forgets the vote only when that claim releases it or the
+// retention has run out.
+func (r *Replica) Vote(request VoteRequest, now time.Time) VoteReply {
+	r.Tick(now)
+	reply := VoteReply{Claim: request.Claim}
+	reply.Result = r.mayVote(request)
+	if reply.Result != VoteGranted {
+		return reply
+	}
+	held := r.table.records[request.Record]
+	if held == nil {
+		reply.Result = r.grant(request, now)
+		return reply
+	}
+	if held.claim == request.Claim && held.state == StateVoted && !held.adopted {
+		return reply
+	}
+	return heldReply(held, request, now)
+}
+
+// mayVote checks everything but the record.
+func (r *Replica) mayVote(request VoteRequest) VoteResult {
+	switch {
+	case request.Epoch < r.group.Epoch:
+		return VoteStaleEpoch
+	case request.Epoch > r.group.Epoch:
+		return VoteBehind
+	case r.phase != PhaseReady || r.group.Epoch == FoundingEpoch:
+		return VoteNotReady
+	case request.Remaining <= 0 || request.Remaining > r.config.MaxRequestTime:
+		return VoteTooLong
+	case r.released.contains(request.Claim):
+		return VoteReleased
+	}
+	return VoteGranted
+}
+
+func (r *Replica) grant(request VoteRequest, now time.Time) VoteResult {
+	deadline := now.Add(request.Remaining)
+	vote := &record{
+		id:          request.Record,
+		fingerprint: request.Fingerprint,
+		claim:       request.Claim,
+		deadline:    deadline,
+		// The order may be dispatched up to its deadline; the retention counts
+		// from there.
+		expires: deadline.Add(r.config.Retention),
+	}
+	if !r.table.add(vote) {
+		return VoteFull
+	}
+	r.journal.put(vote, now)
+	return VoteGranted
+}
+
+func heldReply(held *record, request VoteRequest, now time.Time) VoteReply {
+	reply := VoteReply{
+		Claim:       request.Claim,
+		Result:      VoteHeld,
+		State:       held.stateAt(now),
+		Fingerprint: held.fingerprint,
+		Remaining:   max(0, held.deadline.Sub(now)),
+	}
+	if held.fingerprint == request.Fingerprint {
+		reply.Answer = held.answer
+	}
+	return reply
+}
+
+// Release frees the record of a claim that has not run. It is safe at any time,
+// in any epoch, late and twice: it names the claim, and a claim that was
+// released never dispatches.
+func (r *Replica) Release(request ReleaseRequest) {
+	r.released.add(request.Claim)
+	held := r.table.records[request.Record]
+	if held == nil || held.state != StateVoted || !held.heldBy(request.Claim) {
+		return
+	}
+	if !held.dropClaim(request.Claim) {
+		r.table.remove(held)
+		r.journal.removed(request.Record)
+	}
+}
+
+// dropClaim forgets a claim and reports whether the record must stay.
+func (r *record) dropClaim(claim ClaimID) bool {
+	if r.sealed {
+		return true
+	}
+	if r.claim != claim {
+		for i, other := range r.others {
+			if other == claim {
+				r.others = append(r.others[:i:i], r.others[i+1:]...)
+				break
+			}
+		}
+		return true
+	}
+	if len(r.others) == 0 {
+		return false
+	}
+	r.claim, r.others = r.others[0], r.others[1:]
+	return true
+}
+
+// Finish records how the order of a claim ended and reports whether the replica
+// holds the claim. A replica that does not hold it ignores the message, because
+// the message may be older than the retention.
+func (r *Replica) Finish(request FinishRequest, now time.Time) bool {
+	r.Tick(now)
+	held := r.table.records[request.Record]
+	if held == nil || !held.heldBy(request.Claim) {
+		return false
+	}
+	if request.State <= held.state || request.State > StateAnswered {
+		return true
+	}
+	// Only a claim with a majority has an outcome, so the others lost.
+	held.claim, held.others, held.sealed = request.Claim, nil, false
+	held.state = request.State
+	if request.State == StateAnswered {
+		r.keepAnswer(held, request.Answer)
+	}
+	r.journal.put(held, now)
+	return true
+}
+
+func (r *Replica) keepAnswer(held *record, answer []byte) {
+	if len(answer) > r.config.MaxAnswerBytes || !r.table.storeAnswer(held, answer) {
+		held.state = StateAnswerNotKept
+	}
+}
--- /dev/null
+++ b/idempotency/world_test.go
@@ -0,0 +1,370 @@
+package idempotency
+
+import (
+	"encoding/hex"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+// Virtual times of the world, short so that a run spans several retentions.
+const (
+	testClaimTime   = time.Second
+	testRetention   = 60 * time.Second
+	testRequestTime = 5 * time.Second
+)
+
+var testConfig = Config{
+	ClaimTime:      testClaimTime,
+	Retention:      testRetention,
+	MaxRequestTime: testRequestTime,
+	MaxAnswerBytes: 1 << 10,
+}
+
+// maxSoup is how many messages are under way; the network drops beyond it.
+const maxSoup = 80
+
+// message travels between instances. The world delivers messages in any order,
+// late, twice or not at all.
+type message struct {
+	from, to fleetconfig.InstanceID
+	body     any
+}
+
+// attempt is one request of a caller at one ingress.
+type attempt struct {
+	claim       *Claim
+	ingress     int
+	record      RecordID
+	fingerprint Fingerprint
+	begun       time.Time
+	runs        bool
+	executed    bool
+	settled     bool
+	toldNotRun  bool
+}
+
+// execution is one run of an order by a backend server.
+type execution struct {
+	at          time.Time
+	fingerprint Fingerprint
+	answer      []byte
+}
+
+type node struct {
+	id      fleetconfig.InstanceID
+	replica *Replica
+}
+
+// world is a small soup of messages around replicas and claims.
+type world struct {
+	t          *rapid.T
+	random     *rand.Rand
+	now        time.Time
+	groups     []Group
+	keys       int
+	nodes      []*node
+	soup       []message
+	attempts   []*attempt
+	frozen     [3]bool
+	cuts       map[[2]fleetconfig.InstanceID]bool
+	executions map[RecordID][]execution
+}
+
+func nodeID(i int) fleetconfig.InstanceID { return fleetconfig.InstanceID(fmt.Sprintf("r%d", i)) }
+
+func ingressID(i int) fleetconfig.InstanceID { return fleetconfig.InstanceID(fmt.Sprintf("i%d", i)) }
+
+func testGroup(epoch uint64, size int) Group {
+	group := Group{Epoch: epoch}
+	for i := range size {
+		group.Members = append(group.Members, Member{ID: nodeID(i), Joined: FoundingEpoch})
+	}
+	return group
+}
+
+func newWorld(t *rapid.T, size int, random *rand.Rand) *world {
+	w := &world{
+		t:          t,
+		random:     random,
+		now:        time.Unix(1_000_000, 0),
+		cuts:       make(map[[2]fleetconfig.InstanceID]bool),
+		executions: make(map[RecordID][]execution),
+	}
+	w.groups = []Group{testGroup(FoundingEpoch, size), testGroup(FoundingEpoch+1, size)}
+	for i := range size {
+		n := &node{id: nodeID(i)}
+		w.boot(n)
+		n.replica.SetGroup(w.groups[0], w.now)
+		n.replica.SetGroup(w.groups[1], w.now)
+		w.nodes = append(w.nodes, n)
+	}
+	return w
+}
+
+func (w *world) group() Group { return w.groups[len(w.groups)-1] }
+
+// boot starts a replica without memory.
+func (w *world) boot(n *node) {
+	n.replica = NewReplica(testConfig, n.id, w.random.Uint64(), NewBudget(1<<20), false)
+}
+
+func (w *world) crash(n *node) {
+	w.boot(n)
+	n.replica.SetGroup(w.group(), w.now)
+}
+
+func (w *world) send(from, to fleetconfig.InstanceID, body any) {
+	if w.cuts[[2]fleetconfig.InstanceID{from, to}] {
+		return
+	}
+	w.soup = append(w.soup, message{from: from, to: to, body: body})
+	if len(w.soup) > maxSoup {
+		i := w.random.IntN(len(w.soup))
+		w.soup = slices.Delete(w.soup, i, i+1)
+	}
+}
+
+func (w *world) sendGroup(from fleetconfig.InstanceID, group Group, body any) {
+	for _, member := range group.Members {
+		w.send(from, member.ID, body)
+	}
+}
+
+// begin is a caller's request at an ingress.
+func (w *world) begin(ingress int, key, content string) {
+	if w.frozen[ingress] {
+		return
+	}
+	record := Key{Account: "a", Service: "s", Value: key}.RecordID()
+	fingerprint := NewFingerprint("POST", content, BodyDigest{})
+	claim := NewClaim(testConfig, w.group(), record, fingerprint, NewClaimID(w.random), w.now, w.now.Add(testRequestTime))
+	w.attempts = append(w.attempts, &attempt{
+		claim: claim, ingress: ingress, record: record, fingerprint: fingerprint, begun: w.now,
+		runs: w.random.IntN(4) > 0,
+	})
+	w.sendGroup(ingressID(ingress), claim.Group(), claim.VoteRequest(w.now))
+}
+
+// deliver takes a random message out of the soup.
+func (w *world) deliver() {
+	if len(w.soup) == 0 {
+		return
+	}
+	i := w.random.IntN(len(w.soup))
+	m := w.soup[i]
+	fate := w.random.IntN(20)
+	if fate > 1 {
+		w.soup = slices.Delete(w.soup, i, i+1)
+	}
+	if fate == 19 {
+		return
+	}
+	for _, n := range w.nodes {
+		if n.id == m.to {
+			w.deliverToReplica(n, m)
+		}
+	}
+	for i := range w.frozen {
+		if ingressID(i) == m.to && !w.frozen[i] {
+			w.deliverToIngress(i, m)
+		}
+	}
+}
+
+func (w *world) deliverToReplica(n *node, m message) {
+	switch body := m.body.(type) {
+	case VoteRequest:
+		w.send(n.id, m.from, n.replica.Vote(body, w.now))
+	case ReleaseRequest:
+		n.replica.Release(body)
+	case FinishRequest:
+		n.replica.Finish(body, w.now)
+	case ReadRequest:
+		w.send(n.id, m.from, n.replica.Read(body, w.now))
+	case ReadReply:
+		n.replica.HandleRead(m.from, body, w.now)
+	}
+}
+
+func (w *world) deliverToIngress(ingress int, m message) {
+	reply, ok := m.body.(VoteReply)
+	if !ok {
+		return
+	}
+	for _, a := range w.attempts {
+		// Replies reach every claim of the ingress: only its own may count.
+		if a.ingress == ingress {
+			a.claim.HandleVote(m.from, reply, w.now)
+		}
+	}
+}
+
+// step lets an attempt look at its verdict.
+func (w *world) step(a *attempt) {
+	if w.frozen[a.ingress] || a.settled {
+		return
+	}
+	a.claim.Tick(w.now)
+	verdict := a.claim.Verdict()
+	switch verdict.Kind {
+	case VerdictPending, VerdictClaimed:
+		return
+	case VerdictAnswered:
+		w.checkAnswer(a, verdict.Answer)
+	case VerdictNotRun:
+		a.toldNotRun = true
+	}
+	w.settle(a, EndUnknown, nil)
+}
+
+// dispatch asks any attempt, also one that has ended, whether it may run.
+func (w *world) dispatch(a *attempt) {
+	if w.frozen[a.ingress] || a.executed || !a.claim.MayDispatch(w.now) {
+		return
+	}
+	if a.settled || a.toldNotRun {
+		w.t.Fatalf("an attempt that ended was dispatched")
+	}
+	if w.now.Sub(a.begun) >= testClaimTime {
+		w.t.Fatalf("dispatched %s after the claim began", w.now.Sub(a.begun))
+	}
+	a.executed = true
+	if a.runs {
+		w.execute(a)
+	}
+}
+
+// execute is the execution counter of the backend servers.
+func (w *world) execute(a *attempt) {
+	for _, earlier := range w.executions[a.record] {
+		if w.now.Sub(earlier.at) < testRetention {
+			w.t.Fatalf("an order ran twice, %s apart", w.now.Sub(earlier.at))
+		}
+	}
+	id := a.claim.ID()
+	answer := []byte(hex.EncodeToString(id[:]))
+	w.executions[a.record] = append(w.executions[a.record], execution{at: w.now, fingerprint: a.fingerprint, answer: answer})
+}
+
+// end settles a dispatched attempt, or one that gave up before its dispatch.
+func (w *world) end(a *attempt) {
+	if w.frozen[a.ingress] || a.settled || a.claim.Verdict().Kind != VerdictClaimed {
+		return
+	}
+	id := a.claim.ID()
+	switch {
+	case !a.executed:
+		a.toldNotRun = true
+		w.settle(a, EndUnknown, nil)
+	case a.runs && w.random.IntN(4) > 0:
+		w.settle(a, EndAnswered, []byte(hex.EncodeToString(id[:])))
+	case !a.runs && w.random.IntN(4) > 0:
+		a.toldNotRun = true
+		w.settle(a, EndNotRun, nil)
+	default:
+		w.settle(a, EndUnknown, nil)
+	}
+}
+
+func (w *world) settle(a *attempt, end End, answer []byte) {
+	a.settled = true
+	settlement := a.claim.Settle(end, answer)
+	if settlement.Release != nil {
+		w.sendGroup(ingressID(a.ingress), a.claim.Group(), *settlement.Release)
+	}
+	if settlement.Finish != nil {
+		w.sendGroup(ingressID(a.ingress), a.claim.Group(), *settlement.Finish)
+	}
+}
+
+func (w *world) checkAnswer(a *attempt, answer []byte) {
+	for _, run := range w.executions[a.record] {
+		if slices.Equal(run.answer, answer) && run.fingerprint == a.fingerprint {
+			return
+		}
+	}
+	w.t.Fatalf("a caller heard %q, which is not the answer to its own order", answer)
+}
+
+// reads sends the pages that recovering replicas ask for.
+func (w *world) reads(n *node) {
+	for _, read := range n.replica.Reads(w.now) {
+		w.send(n.id, read.To, read.Request)
+	}
+}
+
+// readAtOnce exchanges all pages of a recovering replica without delay.
+func (w *world) readAtOnce(n *node) {
+	for _, read := range n.replica.Reads(w.now) {
+		for _, other := range w.nodes {
+			if other.id == read.To && w.random.IntN(4) > 0 && !w.cuts[[2]fleetconfig.InstanceID{other.id, n.id}] {
+				n.replica.HandleRead(other.id, other.replica.Read(read.Request, w.now), w.now)
+			}
+		}
+	}
+}
+
+// voteAtOnce exchanges some votes of a recent attempt without delay.
+func (w *world) voteAtOnce() {
+	if len(w.attempts) == 0 {
+		return
+	}
+	a := w.attempts[len(w.attempts)-1-w.random.IntN(min(len(w.attempts), 4))]
+	if w.frozen[a.ingress] || a.settled {
+		return
+	}
+	for _, n := range w.nodes {
+		if a.claim.Group().Index(n.id) >= 0 && w.random.IntN(2) == 0 {
+			a.claim.HandleVote(n.id, n.replica.Vote(a.claim.VoteRequest(w.now), w.now), w.now)
+		}
+	}
+}
+
+func (w *world) statuses() []Status {
+	var statuses []Status
+	for _, n := range w.nodes {
+		statuses = append(statuses, n.replica.Status())
+	}
+	return statuses
+}
+
+// changeMap makes the next step of a replacement if CheckStep permits it.
+func (w *world) changeMap() {
+	last := w.group()
+	next := Group{Epoch: last.Epoch + 1, Members: slices.Clone(last.Members)}
+	if len(next.Members)%2 == 1 {
+		i := len(w.nodes)
+		if away := w.away(); away >= 0 && w.random.IntN(2) == 0 {
+			i = away
+		}
+		next.Members = append(next.Members, Member{ID: nodeID(i), Joined: next.Epoch})
+	} else {
+		i := w.random.IntN(len(next.Members))
+		next.Members = slices.Delete(next.Members, i, i+1)
+	}
+	if CheckStep(last, next, w.statuses()) != nil {
+		return
+	}
+	w.groups = append(w.groups, next)
+	if i := next.Members[len(next.Members)-1].ID; len(next.Members)%2 == 0 && i == nodeID(len(w.nodes)) {
+		n := &node{id: i}
+		w.boot(n)
+		w.nodes = append(w.nodes, n)
+	}
+}
+
+// away returns a replica that was removed, or -1.
+func (w *world) away() int {
+	for i := range w.nodes {
+		if w.group().Index(nodeID(i)) < 0 {
+			return i
+		}
+	}
+	return -1
+}
