Shard groups: placement, owner lease, steps of the map

Pure state machines: Replica, Owner, Group, Planner; the soup in the test drives them through lost, late, doubled and reordered messages, cuts, freezes, restarts without memory and changes of the map, on clocks that start anywhere and drift by up to 0.1 percent.

--- /dev/null
+++ b/shard/soup_test.go
@@ -0,0 +1,317 @@
+package shard
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	_ "github.com/hemlockring/hemlockring/internal/fixedseed"
+)
+
+// epochStart is true time zero of the soup.
+var epochStart = time.Unix(1_000_000, 0)
+
+// soupNode is an instance with a clock of its own.
+type soupNode struct {
+	address fleetconfig.InstanceAddress
+	offset  time.Duration
+	drift   float64
+	frozen  time.Time
+	life    uint64
+	group   *Group
+	epoch   int
+	// newsOdds is one in how many steps the node hears of a newer map.
+	newsOdds int
+}
+
+// clock returns the node's reading of true time.
+func (n *soupNode) clock(now time.Time) time.Time {
+	elapsed := now.Sub(epochStart)
+	return epochStart.Add(n.offset + elapsed + time.Duration(n.drift*float64(elapsed)))
+}
+
+type soupMessage struct {
+	from, to fleetconfig.InstanceID
+	message  Message
+	reply    bool
+	due      time.Time
+}
+
+// soup delivers messages late, twice, out of order or never.
+type soup struct {
+	t       *rapid.T
+	now     time.Time
+	nodes   []*soupNode
+	maps    []fleetconfig.ShardMap
+	planner *Planner
+	flight  []soupMessage
+	cut     map[[2]fleetconfig.InstanceID]bool
+	away    map[fleetconfig.InstanceID]bool
+	tenures int
+	steps   int
+	passed  int
+	last    map[ID]Holder
+}
+
+const soupShards = 2
+
+func newSoup(t *rapid.T, minNodes, maxNodes int, timing PlannerTiming) *soup {
+	s := &soup{
+		t:       t,
+		now:     epochStart,
+		planner: NewPlanner(timing),
+		cut:     make(map[[2]fleetconfig.InstanceID]bool),
+		away:    make(map[fleetconfig.InstanceID]bool),
+		last:    make(map[ID]Holder),
+	}
+	count := rapid.IntRange(minNodes, maxNodes).Draw(t, "nodes")
+	var addresses []fleetconfig.InstanceAddress
+	for i := range count {
+		node := &soupNode{
+			address: fleetconfig.InstanceAddress{
+				ID:            fleetconfig.InstanceID(fmt.Sprintf("i%d", i)),
+				FailureDomain: fleetconfig.FailureDomain(fmt.Sprintf("d%d", i%4)),
+			},
+			offset: time.Duration(rapid.IntRange(0, 1_000_000).Draw(t, "offset")) * time.Second,
+			drift:  rapid.Float64Range(-MaxClockDrift, MaxClockDrift).Draw(t, "drift"),
+
+			newsOdds: rapid.SampledFrom([]int{2, 10, 200}).Draw(t, "news odds"),
+		}
+		s.nodes = append(s.nodes, node)
+		addresses = append(addresses, node.address)
+	}
+	s.maps = []fleetconfig.ShardMap{InitialMap(soupShards, addresses[:min(count, 5)])}
+	for _, node := range s.nodes {
+		s.start(node)
+	}
+	return s
+}
+
+// start gives a node an empty memory and the map that it has been sent.
+func (s *soup) start(node *soupNode) {
+	node.life++
+	node.group = NewGroup(node.address.ID, node.life*1000+uint64(len(node.address.ID)), DefaultTiming())
+	node.group.Export = func(_ ID, ended Holder) []byte { return fmt.Append(nil, ended) }
+	s.send(node, node.group.Adopt(&s.maps[node.epoch], s.draw("map read", 2) == 0, node.clock(s.now)))
+}
+
+func (s *soup) draw(label string, sides int) int {
+	return rapid.IntRange(0, sides-1).Draw(s.t, label)
+}
+
+func (s *soup) send(from *soupNode, envelopes []Envelope) {
+	for _, envelope := range envelopes {
+		s.post(soupMessage{from: from.address.ID, to: envelope.To.ID, message: envelope.Message})
+	}
+}
+
+func (s *soup) post(message soupMessage) {
+	if s.cut[[2]fleetconfig.InstanceID{message.from, message.to}] {
+		return
+	}
+	fate := s.draw("fate", 20)
+	message.due = s.now.Add(time.Duration(1+fate) * time.Millisecond)
+	switch fate {
+	case 0:
+		return
+	case 1:
+		message.due = s.now.Add(time.Duration(s.draw("delay", 8000)) * time.Millisecond)
+	case 2:
+		s.flight = append(s.flight, message)
+		message.due = s.now.Add(time.Duration(s.draw("again", 8000)) * time.Millisecond)
+	}
+	s.flight = append(s.flight, message)
+}
+
+func (s *soup) node(id fleetconfig.InstanceID) *soupNode {
+	return s.nodes[slices.IndexFunc(s.nodes, func(n *soupNode) bool { return n.address.ID == id })]
+}
+
+func (s *soup) deliver() {
+	due := s.flight
+	s.flight = nil
+	for _, message := range due {
+		node := s.node(message.to)
+		if s.now.Before(message.due) || s.now.Before(node.frozen) {
+			s.flight = append(s.flight, message)
+			continue
+		}
+		s.handle(node, message)
+		s.check()
+	}
+}
+
+func (s *soup) handle(node *soupNode, message soupMessage) {
+	now := node.clock(s.now)
+	if message.reply {
+		s.send(node, node.group.HandleReply(message.from, &message.message, now))
+		return
+	}
+	if reply := node.group.Handle(message.from, &message.message, now); reply != nil {
+		s.post(soupMessage{from: message.to, to: message.from, message: *reply, reply: true})
+	}
+}
+
+// check finds two owners of one shard at the same instant of true time. A frozen
+// node counts: it may act the moment it goes on.
+func (s *soup) check() {
+	for shard := range ID(soupShards) {
+		var owners []Lease
+		for _, node := range s.nodes {
+			if lease, held := node.group.Held(shard, node.clock(s.now)); held {
+				owners = append(owners, lease)
+			}
+		}
+		if len(owners) > 1 {
+			s.t.Fatalf("shard %d has two owners at %v: %+v", shard, s.now.Sub(epochStart), owners)
+		}
+		if len(owners) == 1 && owners[0].Holder != s.last[shard] {
+			s.observeTenure(shard, owners[0])
+		}
+	}
+}
+
+func (s *soup) observeTenure(shard ID, lease Lease) {
+	s.tenures++
+	if lease.Inherited != nil {
+		s.passed++
+		if string(lease.Inherited) != fmt.Sprint(s.last[shard]) {
+			s.t.Fatalf("shard %d: %+v took the state of %s over, but %+v owned it last",
+				shard, lease.Holder, lease.Inherited, s.last[shard])
+		}
+	}
+	s.last[shard] = lease.Holder
+}
+
+// fault injects one fault or change.
+func (s *soup) fault() {
+	node := s.nodes[s.draw("victim", len(s.nodes))]
+	other := s.nodes[s.draw("other", len(s.nodes))]
+	link := [2]fleetconfig.InstanceID{node.address.ID, other.address.ID}
+	switch s.draw("fault", 9) {
+	case 0:
+		node.frozen = s.now.Add(time.Duration(s.draw("freeze", 10_000)) * time.Millisecond)
+	case 1:
+		s.start(node)
+	case 2:
+		s.cut[link] = true
+	case 3, 4:
+		clear(s.cut)
+	case 5:
+		s.away[node.address.ID] = !s.away[node.address.ID]
+	case 6:
+		s.send(node, node.group.Stop(node.clock(s.now)))
+	default:
+		s.plan()
+	}
+}
+
+// plan makes the next step of the map, if the replicas that can be asked allow it.
+func (s *soup) plan() {
+	var alive []fleetconfig.InstanceAddress
+	confirmed := make(Confirmed)
+	for _, node := range s.nodes {
+		if !s.away[node.address.ID] {
+			alive = append(alive, node.address)
+		}
+		for _, c := range node.group.Confirmations(node.clock(s.now)) {
+			if confirmed[c.Shard] == nil {
+				confirmed[c.Shard] = make(map[fleetconfig.InstanceID]uint64)
+			}
+			confirmed[c.Shard][node.address.ID] = c.Epoch
+		}
+	}
+	s.planner.Observe(alive, s.now)
+	if next, ok := s.planner.Next(&s.maps[len(s.maps)-1], confirmed, s.now); ok {
+		s.maps = append(s.maps, next)
+		s.steps++
+	}
+}
+
+// step lets 100 ms pass. Each node that is not frozen hears of a newer map now
+// and then, and ticks.
+func (s *soup) step() {
+	for range 5 {
+		s.now = s.now.Add(20 * time.Millisecond)
+		s.check()
+		s.deliver()
+	}
+	for _, node := range s.nodes {
+		if s.now.Before(node.frozen) {
+			continue
+		}
+		if node.epoch+1 < len(s.maps) && s.draw("news", node.newsOdds) == 0 {
+			node.epoch++
+			s.send(node, node.group.Adopt(&s.maps[node.epoch], false, node.clock(s.now)))
+		}
+		s.send(node, node.group.Tick(node.clock(s.now)))
+		s.check()
+	}
+}
+
+func TestAtMostOneOwnerPerShard(t *testing.T) {
+	tenures, steps, passed := 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSoup(t, 1, 8, PlannerTiming{GoneAfter: 4 * time.Second, StableAfter: time.Second})
+		calm := rapid.SampledFrom([]int{3, 10, 30}).Draw(t, "calm")
+		for range rapid.IntRange(100, 900).Draw(t, "steps") {
+			if s.draw("fault now", calm) == 0 {
+				s.fault()
+			}
+			s.step()
+		}
+		tenures += s.tenures
+		steps += s.steps
+		passed += s.passed
+	})
+	must.Positive(t, tenures)
+	must.Positive(t, steps)
+	must.Positive(t, passed)
+	t.Logf("%d tenures, %d of them handed over with state, %d steps of the map", tenures, passed, steps)
+}
+
+// TestAtMostOneOwnerWhileTheMapChanges moves replicas as fast as the planner
+// allows, while some instances hear of new maps late, so that old and new
+// placements are in use side by side.
+func TestAtMostOneOwnerWhileTheMapChanges(t *testing.T) {
+	tenures, steps := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSoup(t, 9, 11, PlannerTiming{})
+		for range 250 {
+			if s.draw("toggle", 3) == 0 {
+				node := s.nodes[s.draw("victim", len(s.nodes))]
+				s.away[node.address.ID] = !s.away[node.address.ID]
+			}
+			if s.draw("restart", 100) == 0 {
+				s.start(s.nodes[s.draw("victim", len(s.nodes))])
+			}
+			s.plan()
+			s.step()
+		}
+		tenures += s.tenures
+		steps += s.steps
+	})
+	must.Positive(t, tenures)
+	must.Positive(t, steps)
+	t.Logf("%d tenures, %d steps of the map", tenures, steps)
+}
+
+// TestLeaseEndsBeforeItsVotes holds a lease and the vote behind it against true
+// time, for every pair of clocks within the assumed drift.
+func TestLeaseEndsBeforeItsVotes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		drift := rapid.OneOf(rapid.Just(-MaxClockDrift), rapid.Just(MaxClockDrift),
+			rapid.Float64Range(-MaxClockDrift, MaxClockDrift))
+		lease := time.Duration(rapid.Int64Range(int64(time.Millisecond), int64(time.Hour)).Draw(t, "lease"))
+		holderRate := 1 + drift.Draw(t, "holder")
+		granterRate := 1 + drift.Draw(t, "granter")
+		holderEnds := float64(HolderTime(lease)) / holderRate
+		granterEnds := float64(lease) / granterRate
+		must.LessEq(t, granterEnds, holderEnds)
+	})
+}
--- /dev/null
+++ b/shard/timing.go
@@ -0,0 +1,36 @@
+package shard
+
+import "time"
+
+// MaxClockDrift is the assumed bound on how far the rate of a monotonic clock is
+// from true time, as a share of elapsed time.
+const MaxClockDrift = 0.001
+
+// HolderTime returns how long a holder may count on something that another
+// instance has given it for d. Both clocks may drift, in opposite directions.
+func HolderTime(d time.Duration) time.Duration {
+	return d - time.Duration(2*MaxClockDrift*float64(d))
+}
+
+// Timing holds the durations of the lease protocol. All instances of a fleet
+// must use the same values.
+type Timing struct {
+	// Lease is how long a vote counts, by the clock of the replica.
+	Lease time.Duration
+	// Renew is how often a holder renews its lease.
+	Renew time.Duration
+	// Stagger is how much longer each rank waits before it asks for a free lease.
+	Stagger time.Duration
+	// RoundTimeout is how long a candidate waits for votes.
+	RoundTimeout time.Duration
+}
+
+// DefaultTiming returns the timing of production fleets.
+func DefaultTiming() Timing {
+	return Timing{
+		Lease:        3 * time.Second,
+		Renew:        time.Second,
+		Stagger:      200 * time.Millisecond,
+		RoundTimeout: 500 * time.Millisecond,
+	}
+}
