--- /dev/null
+++ b/quota/borrower.go
@@ -0,0 +1,369 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/shard"
+)
+
+// Settlement ends the wait of a request.
+type Settlement struct {
+	// Waiter identifies the request.
+	Waiter uint64
+	// Token is the token, valid if Refusal is nil.
+	Token Token
+	// Refusal is set if there is no token.
+	Refusal *Refusal
+}
+
+// Outgoing is a message to the owner of a shard.
+type Outgoing struct {
+	// Request is the message.
+	Request BorrowRequest
+	// Since is when the earliest ask in it was first made.
+	Since time.Time
+}
+
+// outage is a shard whose owner does not answer.
+type outage struct {
+	until      time.Time
+	cause      Cause
+	retryAfter time.Duration
+}
+
+// Borrower holds the tokens that one ingress has borrowed. It keeps at most
+// maxAccounts accounts, each with at most maxBatches grants and maxWaiters waiting
+// requests. It is not safe for concurrent use.
+type Borrower struct {
+	maxAccounts int
+	nextGrant   GrantID
+	pools       map[fleetconfig.AccountID]*pool
+	queue       []*pool
+	outages     map[shard.ID]outage
+}
+
+// NewBorrower returns a Borrower without tokens. Grants are numbered from
+// firstGrant on, which must be random, so that no two lives of the ingress share
+// a number.
+func NewBorrower(maxAccounts int, firstGrant GrantID) *Borrower {
+	return &Borrower{
+		maxAccounts: maxAccounts,
+		nextGrant:   firstGrant,
+		pools:       make(map[fleetconfig.AccountID]*pool),
+		outages:     make(map[shard.ID]outage),
+	}
+}
+
+// Take returns a token that is already here. It does not allocate.
+func (b *Borrower) Take(account fleetconfig.AccountID, now time.Time) (Token, bool) {
+	p := b.pools[account]
+	if p == nil {
+		return Token{}, false
+	}
+	token, ok := p.take(now)
+	if !ok {
+		return Token{}, false
+	}
+	p.countUse(now)
+	if p.wantsAhead(now) {
+		b.enqueue(p)
+	}
+	return token, true
+}
+
+// Wait is called when Take has found nothing. Either it refuses at once, or the
+// waiter is settled by a later call of Handle, Failed or Return.
+func (b *Borrower) Wait(account fleetconfig.AccountID, id shard.ID, waiter uint64, now time.Time) *Refusal {
+	p := b.pool(account, id, now)
+	if p == nil {
+		return &Refusal{Account: account, Cause: CauseIngressFull, RetryAfter: time.Second}
+	}
+	p.countUse(now)
+	if now.Before(p.refusedUntil) {
+		refusal := p.refusal
+		refusal.RetryAfter = max(refusal.RetryAfter-now.Sub(p.refusedAt), 0)
+		return &refusal
+	}
+	if out, ok := b.outages[id]; ok && now.Before(out.until) {
+		return &Refusal{Account: account, Cause: out.cause, RetryAfter: out.retryAfter}
+	}
+	if len(p.waiters) >= maxWaiters || len(p.batches) >= maxBatches {
+		return &Refusal{Account: account, Cause: CauseIngressFull, RetryAfter: time.Second}
+	}
+	p.waiters = append(p.waiters, waiter)
+	b.enqueue(p)
+	return nil
+}
+
+// Leave takes a waiter out whose request has gone. It reports whether it was
+// still waiting.
+func (b *Borrower) Leave(account fleetconfig.AccountID, waiter uint64) bool {
+	p := b.pools[account]
+	if p == nil {
+		return false
+	}
+	for i, w := range p.waiters {
+		if w == waiter {
+			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// pool returns the account's pool, nil when the bound is reached.
+func (b *Borrower) pool(account fleetconfig.AccountID, id shard.ID, now time.Time) *pool {
+	if p := b.pools[account]; p != nil {
+		return p
+	}
+	if len(b.pools) >= b.maxAccounts && !b.evict(now) {
+		return nil
+	}
+	p := &pool{account: account, shard: id, useAt: now, lastUse: now}
+	b.pools[account] = p
+	return p
+}
+
+// evictTries is how many accounts are looked at to make room for one.
+const evictTries = 32
+
+// evict makes room for one account.
+func (b *Borrower) evict(now time.Time) bool {
+	tries := 0
+	for account, p := range b.pools {
+		if tries++; tries > evictTries {
+			return false
+		}
+		if len(p.batches) == 0 && len(p.waiters) == 0 && !p.pending.waiting && !p.queued && now.After(p.refusedUntil) {
+			delete(b.pools, account)
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Borrower) enqueue(p *pool) {
+	if !p.queued {
+		p.queued = true
+		b.queue = append(b.queue, p)
+	}
+}
+
+// Pending reports whether Flush has anything to send.
+func (b *Borrower) Pending() bool { return len(b.queue) > 0 }
+
+// Flush adds everything that is to be sent to the messages, one for each shard.
+func (b *Borrower) Flush(to map[shard.ID]*Outgoing, now time.Time) {
+	for _, p := range b.queue {
+		p.queued = false
+		ask, wanted := b.ask(p, now)
+		if !wanted && !p.hasReports() {
+			continue
+		}
+		out := to[p.shard]
+		if out == nil {
+			out = &Outgoing{Request: BorrowRequest{Shard: p.shard}}
+			to[p.shard] = out
+		}
+		out.Request.Reports = p.reports(out.Request.Reports, now)
+		if !wanted {
+			continue
+		}
+		out.Request.Asks = append(out.Request.Asks, ask)
+		if out.Since.IsZero() {
+			out.Since = now
+		}
+	}
+	clear(b.queue)
+	b.queue = b.queue[:0]
+}
+
+// ask makes the next ask of an account, of which one at a time is open.
+func (b *Borrower) ask(p *pool, now time.Time) (Ask, bool) {
+	if p.pending.waiting {
+		return Ask{}, false
+	}
+	want := uint32(len(p.waiters))
+	ahead := uint32(0)
+	if target, free := p.target(now), p.free(now); target > free {
+		ahead = target - free
+	}
+	if want+ahead == 0 {
+		return Ask{}, false
+	}
+	p.pending = pendingAsk{grant: b.nextGrant, asked: now, want: want, waiting: true}
+	b.nextGrant++
+	return Ask{Account: p.account, Grant: p.pending.grant, Want: want, Ahead: ahead}, true
+}
+
+// Handle takes the owner's answer. Tokens count from when they were asked for. An
+// answer to an ask that is not open is ignored: its tokens are never used.
+func (b *Borrower) Handle(reply *BorrowReply, now time.Time) []Settlement {
+	var settled []Settlement
+	delete(b.outages, reply.Shard)
+	for i := range reply.Loans {
+		loan := &reply.Loans[i]
+		p := b.pools[loan.Account]
+		if p == nil || !p.pending.waiting || p.pending.grant != loan.Grant {
+			continue
+		}
+		settled = append(settled, b.receive(p, loan, now)...)
+	}
+	return settled
+}
+
+func (b *Borrower) receive(p *pool, loan *Loan, now time.Time) []Settlement {
+	pending := p.pending
+	p.pending = pendingAsk{}
+	p.aheadLimit = loan.AheadLimit
+	if loan.Count > 0 {
+		p.batches = append(p.batches, batch{
+			grant:   loan.Grant,
+			expires: pending.asked.Add(shard.HolderTime(loan.Life)),
+			total:   loan.Count,
+			free:    loan.Count,
+			lastUse: now,
+		})
+	}
+	settled := p.settle(now)
+	if loan.Count == 0 {
+		p.aheadAfter = now.Add(aheadPause)
+	}
+	if loan.Count >= pending.want {
+		if len(p.waiters) > 0 {
+			b.enqueue(p)
+		}
+		return settled
+	}
+	p.refusal = Refusal{Account: p.account, Cause: CauseOverRate, RetryAfter: loan.Wait}
+	p.refusedAt = pending.asked
+	p.refusedUntil = pending.asked.Add(min(loan.Wait, maxRefusalMemory))
+	return append(settled, p.refuse(p.refusal)...)
+}
+
+// settle gives free tokens to waiting requests, first come first served.
+func (p *pool) settle(now time.Time) []Settlement {
+	var settled []Settlement
+	for len(p.waiters) > 0 {
+		token, ok := p.take(now)
+		if !ok {
+			break
+		}
+		settled = append(settled, Settlement{Waiter: p.waiters[0], Token: token})
+		p.waiters = p.waiters[1:]
+	}
+	return settled
+}
+
+func (p *pool) refuse(refusal Refusal) []Settlement {
+	var settled []Settlement
+	for _, waiter := range p.waiters {
+		settled = append(settled, Settlement{Waiter: waiter, Refusal: &refusal})
+	}
+	p.waiters = nil
+	return settled
+}
+
+// Failed ends the asks of a message that got no answer. Whatever the owner may
+// have lent for them is given up. The shard's requests are refused without asking
+// for a short while.
+func (b *Borrower) Failed(request *BorrowRequest, cause Cause, retryAfter time.Duration, now time.Time) []Settlement {
+	var settled []Settlement
+	b.outages[request.Shard] = outage{until: now.Add(outageMemory), cause: cause, retryAfter: retryAfter}
+	for i := range request.Reports {
+		b.resend(&request.Reports[i])
+	}
+	for i := range request.Asks {
+		ask := &request.Asks[i]
+		p := b.pools[ask.Account]
+		if p == nil || !p.pending.waiting || p.pending.grant != ask.Grant {
+			continue
+		}
+		p.pending = pendingAsk{}
+		if len(p.canceled) < maxCanceled {
+			p.canceled = append(p.canceled, ask.Grant)
+		}
+		p.reportAt = now
+		settled = append(settled, p.refuse(Refusal{Account: p.account, Cause: cause, RetryAfter: retryAfter})...)
+	}
+	return settled
+}
+
+// outageMemory is how long a shard whose owner has not answered is left alone.
+const outageMemory = 100 * time.Millisecond
+
+// resend marks what a lost report has told as not told.
+func (b *Borrower) resend(report *Report) {
+	p := b.pools[report.Account]
+	if p == nil {
+		return
+	}
+	if report.Returned == ReturnedAll && len(p.canceled) < maxCanceled {
+		p.canceled = append(p.canceled, report.Grant)
+	}
+	if batch := p.batch(report.Grant); batch != nil {
+		batch.dirty = true
+	}
+}
+
+// Return takes a token back whose request was not run.
+func (b *Borrower) Return(token Token, now time.Time) []Settlement {
+	p, batch := b.find(token)
+	if batch == nil || batch.taken() == 0 || !now.Before(token.Expires) {
+		return nil
+	}
+	batch.free++
+	batch.lastUse = now
+	return p.settle(now)
+}
+
+// Spent records that the request of a token was dispatched to a backend server,
+// at least ago before now. The owner hears of it soon if the account's burst is
+// small.
+func (b *Borrower) Spent(token Token, ago time.Duration, now time.Time) {
+	p, batch := b.find(token)
+	if batch == nil || batch.taken() == 0 {
+		return
+	}
+	batch.spent++
+	if at := now.Add(-shard.HolderTime(ago)); batch.lastSpent.Before(at) {
+		batch.lastSpent = at
+	}
+	if !batch.dirty {
+		batch.dirty = true
+		p.reportAt = now.Add(lazyReport)
+	}
+	if p.aheadLimit == 0 {
+		b.enqueue(p)
+	}
+}
+
+func (b *Borrower) find(token Token) (*pool, *batch) {
+	p := b.pools[token.Account]
+	if p == nil {
+		return nil, nil
+	}
+	return p, p.batch(token.Grant)
+}
+
+// Tick gives unused tokens back, forgets what has expired and queues reports that
+// are due. Call it every 50 ms or so.
+func (b *Borrower) Tick(now time.Time) {
+	for account, p := range b.pools {
+		if p.tick(now) || p.wantsAhead(now) && !p.pending.waiting {
+			b.enqueue(p)
+		}
+		if p.idle(now) && !p.queued {
+			delete(b.pools, account)
+		}
+	}
+	for id, out := range b.outages {
+		if !now.Before(out.until) {
+			delete(b.outages, id)
+		}
+	}
+}
+
+// Accounts returns the number of accounts that are held.
+func (b *Borrower) Accounts() int { return len(b.pools) }
--- /dev/null
+++ b/quota/bucket.go
@@ -0,0 +1,246 @@
+package quota
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/shard"
+)
+
+// grant is a number of tokens lent to one borrower.
+type grant struct {
+	borrower fleetconfig.InstanceID
+	id       GrantID
+	count    uint32
+	spent    uint32
+	returned uint32
+	life     time.Duration
+	expires  time.Time
+}
+
+// open returns how many tokens may still be dispatched.
+func (g *grant) open() uint32 { return g.count - g.spent - g.returned }
+
+// borrowerUse is when an ingress asked last.
+type borrowerUse struct {
+	borrower fleetconfig.InstanceID
+	asked    time.Time
+}
+
+// bucket is the token bucket of one client account.
+//
+// Invariant: level + lent ≤ burst, unless the burst was lowered, and then level
+// is 0 until the lent tokens are back under it. lent is the sum of open() over
+// all grants.
+type bucket struct {
+	limits Limits
+	level  float64
+	lent   uint32
+	// at is the time that the level is right for. While the bucket is full it is
+	// when it became full, so that the news of a token spent since then can start
+	// the filling at the moment of spending.
+	at     time.Time
+	grants []grant
+	users  []borrowerUse
+}
+
+// fillRate is slower than the rate by the assumed drift, so that a fast clock
+// does not fill the bucket faster than the rate.
+func (b *bucket) fillRate() float64 {
+	return b.limits.RatePerSecond * (1 - shard.MaxClockDrift)
+}
+
+func (b *bucket) room() float64 {
+	return float64(b.limits.Burst) - float64(b.lent) - b.level
+}
+
+// fill lets the bucket gain tokens up to now.
+func (b *bucket) fill(now time.Time) {
+	room := b.room()
+	if room <= 0 || !now.After(b.at) {
+		return
+	}
+	gain := now.Sub(b.at).Seconds() * b.fillRate()
+	if gain < room {
+		b.level += gain
+		b.at = now
+		return
+	}
+	b.level += room
+	filled := b.at.Add(time.Duration(room / b.fillRate() * float64(time.Second)))
+	if filled.Before(now) {
+		b.at = filled
+	} else {
+		b.at = now
+	}
+}
+
+// advance expires grants and fills the bucket up to now.
+func (b *bucket) advance(now time.Time) {
+	for i := range b.grants {
+		g := &b.grants[i]
+		if !now.Before(g.expires) {
+			b.leave(g.open(), g.expires)
+			g.spent = g.count - g.returned
+		}
+	}
+	b.dropClosed()
+	b.fill(now)
+}
+
+// leave takes n tokens out of lent because they were dispatched, or can no longer
+// be, at the time when. The place they leave fills from then on.
+func (b *bucket) leave(n uint32, when time.Time) {
+	if n == 0 {
+		return
+	}
+	b.fill(when)
+	if b.room() <= 0 && b.at.Before(when) {
+		b.at = when
+	}
+	b.lent -= n
+}
+
+func (b *bucket) dropClosed() {
+	b.grants = slices.DeleteFunc(b.grants, func(g grant) bool { return g.open() == 0 })
+}
+
+// setLimits changes rate and burst from now on.
+func (b *bucket) setLimits(limits Limits, now time.Time) {
+	if limits == b.limits {
+		return
+	}
+	b.advance(now)
+	b.limits = limits
+	if b.at.Before(now) {
+		b.at = now
+	}
+	b.level = max(0, min(b.level, float64(limits.Burst)-float64(b.lent)))
+}
+
+// find returns the grant, or nil.
+func (b *bucket) find(borrower fleetconfig.InstanceID, id GrantID) *grant {
+	for i := range b.grants {
+		if b.grants[i].id == id && b.grants[i].borrower == borrower {
+			return &b.grants[i]
+		}
+	}
+	return nil
+}
+
+// report takes what a borrower says about a grant.
+func (b *bucket) report(borrower fleetconfig.InstanceID, report *Report, now time.Time) {
+	b.advance(now)
+	g := b.find(borrower, report.Grant)
+	if g == nil {
+		return
+	}
+	if report.Spent > g.spent {
+		n := min(report.Spent-g.spent, g.open())
+		g.spent += n
+		b.leave(n, now.Add(-shard.HolderTime(max(report.SpentAgo, 0))))
+	}
+	if report.Returned > g.returned {
+		n := min(report.Returned-g.returned, g.open())
+		g.returned += n
+		b.lent -= n
+		b.level = min(b.level+float64(n), max(0, float64(b.limits.Burst)-float64(b.lent)))
+	}
+	b.dropClosed()
+	b.fill(now)
+}
+
+// lend answers an ask. The tokens live for life.
+func (b *bucket) lend(borrower fleetconfig.InstanceID, ask *Ask, life time.Duration, now time.Time) Loan {
+	b.advance(now)
+	loan := Loan{Account: ask.Account, Grant: ask.Grant}
+	others := b.noteUser(borrower, now)
+	loan.AheadLimit = b.limits.Burst / uint32(aheadDivisor*(others+1))
+	if g := b.find(borrower, ask.Grant); g != nil {
+		loan.Count = g.count
+		loan.Life = g.life
+		return loan
+	}
+	available := uint32(max(0, math.Floor(b.level+levelEpsilon)))
+	if len(b.grants) >= maxGrantsPerAccount {
+		available = 0
+	}
+	loan.Count = min(ask.Want, available)
+	if spare := available - loan.Count; spare > uint32(others) {
+		loan.Count += min(ask.Ahead, loan.AheadLimit, spare-uint32(others))
+	}
+	if loan.Count < ask.Want {
+		loan.Wait = b.wait(now)
+	}
+	if loan.Count > 0 {
+		loan.Life = life
+		b.open(grant{borrower: borrower, id: ask.Grant, count: loan.Count, life: life, expires: now.Add(life)})
+	}
+	return loan
+}
+
+// levelEpsilon forgives the rounding of sums. It is far below one token, and the
+// level never goes under zero by it.
+const levelEpsilon = 1e-9
+
+func (b *bucket) open(g grant) {
+	b.level = max(0, b.level-float64(g.count))
+	b.lent += g.count
+	b.grants = append(b.grants, g)
+}
+
+// wait returns when the next token can be lent, if nobody else takes it and
+// nothing is given back.
+func (b *bucket) wait(now time.Time) time.Duration {
+	missing := 1 - (b.level - math.Floor(b.level))
+	if b.fillRate() <= 0 || b.limits.Burst == 0 {
+		return maxWait
+	}
+	wait := time.Duration(min(missing/b.fillRate(), maxWait.Seconds()) * float64(time.Second))
+	if b.room() >= missing {
+		return wait
+	}
+	// The burst is all lent. A place starts to fill when its token is spent, which
+	// was after it was lent.
+	oldest := now
+	for i := range b.grants {
+		if lent := b.grants[i].expires.Add(-b.grants[i].life); lent.Before(oldest) {
+			oldest = lent
+		}
+	}
+	return max(wait-now.Sub(oldest), time.Millisecond)
+}
+
+// noteUser records that the borrower uses the account and returns how many others
+// have done so lately.
+func (b *bucket) noteUser(borrower fleetconfig.InstanceID, now time.Time) int {
+	known := false
+	others := 0
+	kept := b.users[:0]
+	for _, user := range b.users {
+		switch {
+		case user.borrower == borrower:
+			user.asked = now
+			known = true
+		case now.Sub(user.asked) > borrowerMemory:
+			continue
+		default:
+			others++
+		}
+		kept = append(kept, user)
+	}
+	if !known && len(kept) < maxBorrowersCounted {
+		kept = append(kept, borrowerUse{borrower: borrower, asked: now})
+	}
+	b.users = kept
+	return others
+}
+
+// idle reports whether the bucket is full and nothing is lent, so that it need
+// not be kept.
+func (b *bucket) idle(now time.Time) bool {
+	b.advance(now)
+	return b.lent == 0 && b.room() <= 0
+}
--- /dev/null
+++ b/quota/lender.go
@@ -0,0 +1,157 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/internal/codec"
+	"github.com/hemlockring/hemlockring/shard"
+)
+
+// tenureLedger is the ledger of one tenure.
+type tenureLedger struct {
+	holder shard.Holder
+	ledger *Ledger
+}
+
+// Lender is one instance's ledgers for all shards that it owns. It is not safe for
+// concurrent use.
+type Lender struct {
+	view    *fleetconfig.View
+	ledgers map[shard.ID]*tenureLedger
+}
+
+// NewLender returns a Lender that owns nothing and knows no configuration.
+func NewLender() *Lender {
+	return &Lender{ledgers: make(map[shard.ID]*tenureLedger)}
+}
+
+// Adopt takes a newer configuration. Accounts whose limits differ change from now
+// on. It must be called before anything is lent by the new configuration.
+func (l *Lender) Adopt(view *fleetconfig.View, now time.Time) {
+	old := l.view
+	if view == old {
+		return
+	}
+	l.view = view
+	if old == nil {
+		clear(l.ledgers) // Nothing can have been lent without a configuration.
+		return
+	}
+	if len(l.ledgers) == 0 {
+		return
+	}
+	for i := range view.Document().Accounts {
+		l.change(view.Document().Accounts[i].ID, old, now)
+	}
+	for i := range old.Document().Accounts {
+		if id := old.Document().Accounts[i].ID; view.Account(id) == nil {
+			l.change(id, old, now)
+		}
+	}
+}
+
+func (l *Lender) change(account fleetconfig.AccountID, old *fleetconfig.View, now time.Time) {
+	from, to := LimitsOf(old, account), LimitsOf(l.view, account)
+	if from == to {
+		return
+	}
+	tenure := l.ledgers[shard.ForAccount(account, l.shards())]
+	if tenure != nil {
+		tenure.ledger.Change(account, from, to, now)
+	}
+}
+
+func (l *Lender) shards() int { return len(l.view.Document().Shards.Shards) }
+
+// Hold tells the Lender which leases the instance holds now. The ledger of a
+// lease that it does not hold any more is dropped; a new tenure gets a new one.
+func (l *Lender) Hold(leases []shard.Lease, now time.Time) {
+	held := make(map[shard.ID]struct{}, len(leases))
+	for _, lease := range leases {
+		held[lease.Shard] = struct{}{}
+		l.tenure(lease, now)
+	}
+	for id := range l.ledgers {
+		if _, ok := held[id]; !ok {
+			delete(l.ledgers, id)
+		}
+	}
+}
+
+func (l *Lender) tenure(lease shard.Lease, now time.Time) *Ledger {
+	tenure := l.ledgers[lease.Shard]
+	if tenure == nil || tenure.holder != lease.Holder {
+		tenure = &tenureLedger{holder: lease.Holder, ledger: l.begin(lease, now)}
+		l.ledgers[lease.Shard] = tenure
+	}
+	return tenure.ledger
+}
+
+// begin returns the first ledger of a tenure. Without the state of the tenure
+// before, it lends nothing until that tenure's lease would have run out.
+func (l *Lender) begin(lease shard.Lease, now time.Time) *Ledger {
+	if lease.Inherited != nil {
+		snapshot := new(Snapshot)
+		if err := codec.Unmarshal(lease.Inherited, snapshot); err == nil {
+			return Restore(snapshot, l.view, now)
+		}
+	}
+	if lease.Clear.After(now) {
+		return NewLedger(lease.Clear)
+	}
+	return NewLedger(now)
+}
+
+// Borrow answers a request to the owner of a shard. The lease must be held now.
+func (l *Lender) Borrow(lease shard.Lease, from fleetconfig.InstanceID, request *BorrowRequest, now time.Time) *BorrowReply {
+	if l.view == nil {
+		return &BorrowReply{Shard: request.Shard}
+	}
+	ledger := l.tenure(lease, now)
+	for i := range request.Reports {
+		ledger.Report(from, &request.Reports[i], now)
+	}
+	reply := &BorrowReply{Shard: request.Shard, IsOwner: true}
+	for i := range request.Asks {
+		ask := &request.Asks[i]
+		limits := LimitsOf(l.view, ask.Account)
+		if limits.Burst == 0 || shard.ForAccount(ask.Account, l.shards()) != request.Shard {
+			reply.Loans = append(reply.Loans, Loan{Account: ask.Account, Grant: ask.Grant, Wait: maxWait})
+			continue
+		}
+		reply.Loans = append(reply.Loans, ledger.Lend(from, ask, limits, lease.Until, now))
+	}
+	return reply
+}
+
+// Export ends the ledger of a tenure that is handed over and returns its encoded
+// snapshot, nil when there is none.
+func (l *Lender) Export(id shard.ID, ended shard.Holder, now time.Time) []byte {
+	tenure := l.ledgers[id]
+	if tenure == nil || tenure.holder != ended || l.view == nil {
+		return nil
+	}
+	delete(l.ledgers, id)
+	state, err := codec.Marshal(tenure.ledger.Snapshot(l.view.Version(), now))
+	if err != nil {
+		return nil
+	}
+	return state
+}
+
+// Sweep drops the buckets that need not be kept. Call it every few seconds.
+func (l *Lender) Sweep(now time.Time) {
+	for _, tenure := range l.ledgers {
+		tenure.ledger.Sweep(now)
+	}
+}
+
+// Accounts returns the number of buckets.
+func (l *Lender) Accounts() int {
+	sum := 0
+	for _, tenure := range l.ledgers {
+		sum += tenure.ledger.Len()
+	}
+	return sum
+}
--- /dev/null
+++ b/quota/limits.go
@@ -0,0 +1,50 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+// Limits bound the requests of one client account.
+type Limits struct {
+	// RatePerSecond is how many tokens a second the bucket gains.
+	RatePerSecond float64
+	// Burst is the most tokens that may be in the bucket or lent.
+	Burst uint32
+}
+
+// LimitsOf returns the limits of an account; an unknown one may run nothing.
+func LimitsOf(view *fleetconfig.View, id fleetconfig.AccountID) Limits {
+	if view == nil {
+		return Limits{}
+	}
+	account := view.Account(id)
+	if account == nil {
+		return Limits{}
+	}
+	return Limits{RatePerSecond: max(account.RatePerSecond, 0), Burst: account.Burst}
+}
+
+// Durations of the protocol between borrowers and owners.
+const (
+	// MaxTokenLife is the longest life of a lent token.
+	MaxTokenLife = 2 * time.Second
+	// minTokenLife is the shortest life that is worth lending.
+	minTokenLife = 100 * time.Millisecond
+	// maxWait is the longest wait that a refusal names.
+	maxWait = time.Hour
+	// borrowerMemory is how long an ingress counts as one that uses an account.
+	borrowerMemory = 2 * time.Second
+)
+
+// Bounds on state.
+const (
+	// maxGrantsPerAccount is how many grants of one account may be open at once.
+	maxGrantsPerAccount = 1024
+	// maxBorrowersCounted is how many ingresses of one account are told apart.
+	maxBorrowersCounted = 32
+	// aheadDivisor is the part of the burst that all ingresses together may hold
+	// without a request that needs it.
+	aheadDivisor = 4
+)
--- /dev/null
+++ b/quota/pool.go
@@ -0,0 +1,218 @@
+package quota
+
+import (
+	"math"
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/shard"
+)
+
+// Durations of a borrower's policy.
+const (
+	// aheadHorizon is how much future use an ingress borrows for.
+	aheadHorizon = 500 * time.Millisecond
+	// useMemory is the time constant of the measured use.
+	useMemory = time.Second
+	// idleReturn is how long an unused token of an account without borrowing ahead
+	// is kept.
+	idleReturn = 50 * time.Millisecond
+	// lazyReport is how long the news of spent tokens may wait for company.
+	lazyReport = 250 * time.Millisecond
+	// poolMemory is how long an account without tokens is remembered.
+	poolMemory = 10 * time.Second
+	// maxRefusalMemory is how long a refusal is repeated without asking again.
+	maxRefusalMemory = 200 * time.Millisecond
+	// aheadPause is how long nothing is borrowed ahead after the owner had nothing.
+	aheadPause = 100 * time.Millisecond
+)
+
+// Bounds on a pool.
+const (
+	// maxBatches is how many grants of an account an ingress keeps open.
+	maxBatches = 64
+	// maxWaiters is how many requests of an account may wait for an answer.
+	maxWaiters = 1024
+	// maxCanceled is how many unanswered asks are remembered until given up.
+	maxCanceled = 4
+)
+
+// batch is a grant at the borrower.
+type batch struct {
+	grant     GrantID
+	expires   time.Time
+	total     uint32
+	free      uint32
+	spent     uint32
+	returned  uint32
+	lastSpent time.Time
+	lastUse   time.Time
+	// dirty is set while the owner has not been told the newest counts.
+	dirty bool
+}
+
+// taken returns how many tokens are out with requests.
+func (b *batch) taken() uint32 { return b.total - b.free - b.spent - b.returned }
+
+// pendingAsk is an ask without an answer.
+type pendingAsk struct {
+	grant   GrantID
+	asked   time.Time
+	want    uint32
+	waiting bool
+}
+
+// pool is what an ingress knows of one account.
+type pool struct {
+	account fleetconfig.AccountID
+	shard   shard.ID
+	batches []batch
+	pending pendingAsk
+	waiters []uint64
+
+	aheadLimit uint32
+	use        float64 // requests a second
+	useAt      time.Time
+	taken      uint32 // since useAt
+	lastUse    time.Time
+
+	aheadAfter   time.Time
+	refusedAt    time.Time
+	refusedUntil time.Time
+	refusal      Refusal
+	canceled     []GrantID
+
+	queued   bool // in the borrower's list of accounts to send for
+	reportAt time.Time
+}
+
+// take returns a token from the batch that expires first.
+func (p *pool) take(now time.Time) (Token, bool) {
+	best := -1
+	for i := range p.batches {
+		b := &p.batches[i]
+		if b.free == 0 || !now.Before(b.expires) {
+			continue
+		}
+		if best < 0 || b.expires.Before(p.batches[best].expires) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Token{}, false
+	}
+	b := &p.batches[best]
+	b.free--
+	b.lastUse = now
+	return Token{Account: p.account, Grant: b.grant, Expires: b.expires}, true
+}
+
+// free returns how many tokens could be taken now.
+func (p *pool) free(now time.Time) uint32 {
+	sum := uint32(0)
+	for i := range p.batches {
+		if now.Before(p.batches[i].expires) {
+			sum += p.batches[i].free
+		}
+	}
+	return sum
+}
+
+func (p *pool) batch(grant GrantID) *batch {
+	for i := range p.batches {
+		if p.batches[i].grant == grant {
+			return &p.batches[i]
+		}
+	}
+	return nil
+}
+
+// countUse updates the measured use, at most ten times a useMemory.
+func (p *pool) countUse(now time.Time) {
+	p.taken++
+	p.lastUse = now
+	elapsed := now.Sub(p.useAt)
+	if elapsed < useMemory/10 {
+		return
+	}
+	weight := 1 - math.Exp(-float64(elapsed)/float64(useMemory))
+	p.use += weight * (float64(p.taken)/elapsed.Seconds() - p.use)
+	p.taken = 0
+	p.useAt = now
+}
+
+// target is how many unused tokens the ingress wants to hold.
+func (p *pool) target(now time.Time) uint32 {
+	if p.aheadLimit == 0 || now.Sub(p.lastUse) > useMemory {
+		return 0
+	}
+	return min(p.aheadLimit, uint32(math.Ceil(p.use*aheadHorizon.Seconds())))
+}
+
+// wantsAhead reports whether the unused tokens have run low.
+func (p *pool) wantsAhead(now time.Time) bool {
+	target := p.target(now)
+	return target > 0 && p.free(now) <= target/2 && !now.Before(p.refusedUntil) && !now.Before(p.aheadAfter)
+}
+
+// tick gives unused tokens back and forgets expired batches. It reports whether
+// the owner must be told something now.
+func (p *pool) tick(now time.Time) bool {
+	target := p.target(now)
+	kept := p.batches[:0]
+	for i := range p.batches {
+		b := p.batches[i]
+		if !now.Before(b.expires) {
+			continue
+		}
+		left := b.expires.Sub(now)
+		stale := target == 0 && now.Sub(b.lastUse) >= idleReturn
+		if b.free > 0 && (stale || left < MaxTokenLife/4) {
+			b.returned += b.free
+			b.free = 0
+			b.dirty = true
+			p.reportAt = now
+		}
+		if b.dirty || b.free > 0 || b.taken() > 0 {
+			kept = append(kept, b)
+		}
+	}
+	p.batches = kept
+	return p.hasReports() && !now.Before(p.reportAt)
+}
+
+func (p *pool) hasReports() bool {
+	for i := range p.batches {
+		if p.batches[i].dirty {
+			return true
+		}
+	}
+	return len(p.canceled) > 0
+}
+
+// reports appends what the owner has not been told.
+func (p *pool) reports(to []Report, now time.Time) []Report {
+	for i := range p.batches {
+		b := &p.batches[i]
+		if !b.dirty {
+			continue
+		}
+		report := Report{Account: p.account, Grant: b.grant, Spent: b.spent, Returned: b.returned}
+		if b.spent > 0 {
+			report.SpentAgo = now.Sub(b.lastSpent)
+		}
+		b.dirty = false
+		to = append(to, report)
+	}
+	for _, grant := range p.canceled {
+		to = append(to, Report{Account: p.account, Grant: grant, Returned: ReturnedAll})
+	}
+	p.canceled = p.canceled[:0]
+	return to
+}
+
+// idle reports whether the pool need not be kept.
+func (p *pool) idle(now time.Time) bool {
+	return len(p.batches) == 0 && len(p.waiters) == 0 && !p.pending.waiting && len(p.canceled) == 0 &&
+		now.Sub(p.lastUse) > poolMemory
+}
--- a/shard/group.go
+++ b/shard/group.go
@@ -25,6 +25,9 @@
 	Holder Holder
 	// Until is when the lease ends, by this instance's clock.
 	Until time.Time
+	// Clear is when nothing is left that an earlier tenure lent out and that
+	// Inherited does not list. The zero time means that nothing is left.
+	Clear time.Time
 	// Inherited is the state of the owner that handed the lease over, nil when
 	// there is none.
 	Inherited []byte
@@ -52,7 +55,7 @@
 
 	// Export returns the state to hand over for a tenure that has just ended. It
 	// may be nil.
-	Export func(shard ID, ended Holder) []byte
+	Export func(shard ID, ended Holder, now time.Time) []byte
 }
 
 // NewGroup returns a Group without shards. The incarnation is a random number
@@ -273,7 +276,7 @@
 		return nil
 	}
 	if g.Export != nil {
-		transfer.State = g.Export(request.Shard, transfer.From)
+		transfer.State = g.Export(request.Shard, transfer.From, now)
 	}
 	return &Message{Transfer: transfer}
 }
@@ -321,7 +324,13 @@
 	if m == nil || !m.owner.Holds(now) {
 		return Lease{}, false
 	}
-	return Lease{Shard: shard, Holder: m.owner.holder, Until: m.owner.until, Inherited: m.owner.inherited}, true
+	return Lease{
+		Shard:     shard,
+		Holder:    m.owner.holder,
+		Until:     m.owner.until,
+		Clear:     m.owner.clear,
+		Inherited: m.owner.inherited,
+	}, true
 }
 
 // Leases returns every lease that this instance holds now, in order of shards.
--- a/shard/handover.go
+++ b/shard/handover.go
@@ -23,6 +23,19 @@
 	succeeds      *Holder
 	inherited     []byte
 	inheritedEnds time.Time
+
+	// clear is when the last tenure that was handed over, to whomever, would have
+	// ended. A tenure without its state must treat it as alive until then.
+	clear time.Time
+}
+
+// noteTail extends clear by what a replica has answered. The replica's clock may
+// run slower than this one.
+func (h *handover) noteTail(tail time.Duration, now time.Time) {
+	tail += tail - HolderTime(tail)
+	if end := now.Add(tail); tail > 0 && h.clear.Before(end) {
+		h.clear = end
+	}
 }
 
 // Offer starts to hand the lease over. It reports whether there is one.
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -195,6 +195,9 @@
 		return nil
 	}
 	o.granted = append(o.granted, from)
+	if o.phase == campaigning {
+		o.noteTail(reply.Tail, now)
+	}
 	if len(o.granted) == o.placement.Majority() {
 		o.win(now)
 	}
--- a/shard/replica.go
+++ b/shard/replica.go
@@ -31,6 +31,8 @@
 
 	holder Holder
 	holds  time.Time
+	// tail is when the vote for a tenure that was handed over would have ended.
+	tail time.Time
 }
 
 // NewReplica returns a replica without memory. It gives no vote for one lease
@@ -88,9 +90,13 @@
 		reply.Remaining = r.holds.Sub(now)
 		return reply
 	}
+	if r.holder != request.Holder && now.Before(r.holds) && r.tail.Before(r.holds) {
+		r.tail = r.holds
+	}
 	r.holder = request.Holder
 	r.holds = now.Add(r.timing.Lease)
 	reply.Verdict = VoteGranted
+	reply.Tail = max(r.tail.Sub(now), 0)
 	return reply
 }
 
--- a/shard/soup_test.go
+++ b/shard/soup_test.go
@@ -11,16 +11,13 @@
 
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	_ "github.com/hemlockring/hemlockring/internal/fixedseed"
+	"github.com/hemlockring/hemlockring/internal/soup"
 )
 
-// epochStart is true time zero of the soup.
-var epochStart = time.Unix(1_000_000, 0)
-
 // soupNode is an instance with a clock of its own.
 type soupNode struct {
 	address fleetconfig.InstanceAddress
-	offset  time.Duration
-	drift   float64
+	clock   soup.Clock
 	frozen  time.Time
 	life    uint64
 	group   *Group
@@ -29,28 +26,20 @@
 	newsOdds int
 }
 
-// clock returns the node's reading of true time.
-func (n *soupNode) clock(now time.Time) time.Time {
-	elapsed := now.Sub(epochStart)
-	return epochStart.Add(n.offset + elapsed + time.Duration(n.drift*float64(elapsed)))
-}
-
+// soupMessage is a message or the reply to one.
 type soupMessage struct {
-	from, to fleetconfig.InstanceID
-	message  Message
-	reply    bool
-	due      time.Time
+	message Message
+	reply   bool
 }
 
-// soup delivers messages late, twice, out of order or never.
-type soup struct {
+// leaseSoup drives the groups of a few instances through faults.
+type leaseSoup struct {
 	t       *rapid.T
 	now     time.Time
+	network soup.Network[soupMessage]
 	nodes   []*soupNode
 	maps    []fleetconfig.ShardMap
 	planner *Planner
-	flight  []soupMessage
-	cut     map[[2]fleetconfig.InstanceID]bool
 	away    map[fleetconfig.InstanceID]bool
 	tenures int
 	steps   int
@@ -60,15 +49,15 @@
 
 const soupShards = 2
 
-func newSoup(t *rapid.T, minNodes, maxNodes int, timing PlannerTiming) *soup {
-	s := &soup{
+func newSoup(t *rapid.T, minNodes, maxNodes int, timing PlannerTiming) *leaseSoup {
+	s := &leaseSoup{
 		t:       t,
-		now:     epochStart,
+		now:     soup.Start,
 		planner: NewPlanner(timing),
-		cut:     make(map[[2]fleetconfig.InstanceID]bool),
 		away:    make(map[fleetconfig.InstanceID]bool),
 		last:    make(map[ID]Holder),
 	}
+	s.network = soup.Network[soupMessage]{Draw: s.draw, Cut: make(map[soup.Link]bool)}
 	count := rapid.IntRange(minNodes, maxNodes).Draw(t, "nodes")
 	var addresses []fleetconfig.InstanceAddress
 	for i := range count {
@@ -77,9 +66,10 @@
 				ID:            fleetconfig.InstanceID(fmt.Sprintf("i%d", i)),
 				FailureDomain: fleetconfig.FailureDomain(fmt.Sprintf("d%d", i%4)),
 			},
-			offset: time.Duration(rapid.IntRange(0, 1_000_000).Draw(t, "offset")) * time.Second,
-			drift:  rapid.Float64Range(-MaxClockDrift, MaxClockDrift).Draw(t, "drift"),
-
+			clock: soup.Clock{
+				Offset: time.Duration(rapid.IntRange(0, 1_000_000).Draw(t, "offset")) * time.Second,
+				Drift:  rapid.Float64Range(-MaxClockDrift, MaxClockDrift).Draw(t, "drift"),
+			},
 			newsOdds: rapid.SampledFrom([]int{2, 10, 200}).Draw(t, "news odds"),
 		}
 		s.nodes = append(s.nodes, node)
@@ -93,82 +83,59 @@
 }
 
 // start gives a node an empty memory and the map that it has been sent.
-func (s *soup) start(node *soupNode) {
+func (s *leaseSoup) start(node *soupNode) {
 	node.life++
 	node.group = NewGroup(node.address.ID, node.life*1000+uint64(len(node.address.ID)), DefaultTiming())
-	node.group.Export = func(_ ID, ended Holder) []byte { return fmt.Append(nil, ended) }
-	s.send(node, node.group.Adopt(&s.maps[node.epoch], s.draw("map read", 2) == 0, node.clock(s.now)))
+	node.group.Export = func(_ ID, ended Holder, _ time.Time) []byte { return fmt.Append(nil, ended) }
+	s.send(node, node.group.Adopt(&s.maps[node.epoch], s.draw("map read", 2) == 0, node.clock.At(s.now)))
 }
 
-func (s *soup) draw(label string, sides int) int {
+func (s *leaseSoup) draw(label string, sides int) int {
 	return rapid.IntRange(0, sides-1).Draw(s.t, label)
 }
 
-func (s *soup) send(from *soupNode, envelopes []Envelope) {
+func (s *leaseSoup) send(from *soupNode, envelopes []Envelope) {
 	for _, envelope := range envelopes {
-		s.post(soupMessage{from: from.address.ID, to: envelope.To.ID, message: envelope.Message})
-	}
-}
-
-func (s *soup) post(message soupMessage) {
-	if s.cut[[2]fleetconfig.InstanceID{message.from, message.to}] {
-		return
-	}
-	fate := s.draw("fate", 20)
-	message.due = s.now.Add(time.Duration(1+fate) * time.Millisecond)
-	switch fate {
-	case 0:
-		return
-	case 1:
-		message.due = s.now.Add(time.Duration(s.draw("delay", 8000)) * time.Millisecond)
-	case 2:
-		s.flight = append(s.flight, message)
-		message.due = s.now.Add(time.Duration(s.draw("again", 8000)) * time.Millisecond)
+		s.network.Post(from.address.ID, envelope.To.ID, soupMessage{message: envelope.Message}, s.now)
 	}
-	s.flight = append(s.flight, message)
 }
 
-func (s *soup) node(id fleetconfig.InstanceID) *soupNode {
+func (s *leaseSoup) node(id fleetconfig.InstanceID) *soupNode {
 	return s.nodes[slices.IndexFunc(s.nodes, func(n *soupNode) bool { return n.address.ID == id })]
 }
 
-func (s *soup) deliver() {
-	due := s.flight
-	s.flight = nil
-	for _, message := range due {
-		node := s.node(message.to)
-		if s.now.Before(message.due) || s.now.Before(node.frozen) {
-			s.flight = append(s.flight, message)
-			continue
-		}
-		s.handle(node, message)
+func (s *leaseSoup) deliver() {
+	awake := func(id fleetconfig.InstanceID) bool { return !s.now.Before(s.node(id).frozen) }
+	for _, parcel := range s.network.Due(s.now, awake) {
+		s.handle(parcel)
 		s.check()
 	}
 }
 
-func (s *soup) handle(node *soupNode, message soupMessage) {
-	now := node.clock(s.now)
-	if message.reply {
-		s.send(node, node.group.HandleReply(message.from, &message.message, now))
+func (s *leaseSoup) handle(parcel soup.Parcel[soupMessage]) {
+	node := s.node(parcel.To)
+	now := node.clock.At(s.now)
+	if parcel.Message.reply {
+		s.send(node, node.group.HandleReply(parcel.From, &parcel.Message.message, now))
 		return
 	}
-	if reply := node.group.Handle(message.from, &message.message, now); reply != nil {
-		s.post(soupMessage{from: message.to, to: message.from, message: *reply, reply: true})
+	if reply := node.group.Handle(parcel.From, &parcel.Message.message, now); reply != nil {
+		s.network.Post(parcel.To, parcel.From, soupMessage{message: *reply, reply: true}, s.now)
 	}
 }
 
 // check finds two owners of one shard at the same instant of true time. A frozen
 // node counts: it may act the moment it goes on.
-func (s *soup) check() {
+func (s *leaseSoup) check() {
 	for shard := range ID(soupShards) {
 		var owners []Lease
 		for _, node := range s.nodes {
-			if lease, held := node.group.Held(shard, node.clock(s.now)); held {
+			if lease, held := node.group.Held(shard, node.clock.At(s.now)); held {
 				owners = append(owners, lease)
 			}
 		}
 		if len(owners) > 1 {
-			s.t.Fatalf("shard %d has two owners at %v: %+v", shard, s.now.Sub(epochStart), owners)
+			s.t.Fatalf("shard %d has two owners at %v: %+v", shard, s.now.Sub(soup.Start), owners)
 		}
 		if len(owners) == 1 && owners[0].Holder != s.last[shard] {
 			s.observeTenure(shard, owners[0])
@@ -176,7 +143,7 @@
 	}
 }
 
-func (s *soup) observeTenure(shard ID, lease Lease) {
+func (s *leaseSoup) observeTenure(shard ID, lease Lease) {
 	s.tenures++
 	if lease.Inherited != nil {
 		s.passed++
@@ -189,37 +156,37 @@
 }
 
 // fault injects one fault or change.
-func (s *soup) fault() {
+func (s *leaseSoup) fault() {
 	node := s.nodes[s.draw("victim", len(s.nodes))]
 	other := s.nodes[s.draw("other", len(s.nodes))]
-	link := [2]fleetconfig.InstanceID{node.address.ID, other.address.ID}
+	link := soup.Link{From: node.address.ID, To: other.address.ID}
 	switch s.draw("fault", 9) {
 	case 0:
 		node.frozen = s.now.Add(time.Duration(s.draw("freeze", 10_000)) * time.Millisecond)
 	case 1:
 		s.start(node)
 	case 2:
-		s.cut[link] = true
+		s.network.Cut[link] = true
 	case 3, 4:
-		clear(s.cut)
+		clear(s.network.Cut)
 	case 5:
 		s.away[node.address.ID] = !s.away[node.address.ID]
 	case 6:
-		s.send(node, node.group.Stop(node.clock(s.now)))
+		s.send(node, node.group.Stop(node.clock.At(s.now)))
 	default:
 		s.plan()
 	}
 }
 
 // plan makes the next step of the map, if the replicas that can be asked allow it.
-func (s *soup) plan() {
+func (s *leaseSoup) plan() {
 	var alive []fleetconfig.InstanceAddress
 	confirmed := make(Confirmed)
 	for _, node := range s.nodes {
 		if !s.away[node.address.ID] {
 			alive = append(alive, node.address)
 		}
-		for _, c := range node.group.Confirmations(node.clock(s.now)) {
+		for _, c := range node.group.Confirmations(node.clock.At(s.now)) {
 			if confirmed[c.Shard] == nil {
 				confirmed[c.Shard] = make(map[fleetconfig.InstanceID]uint64)
 			}
@@ -235,7 +202,7 @@
 
 // step lets 100 ms pass. Each node that is not frozen hears of a newer map now
 // and then, and ticks.
-func (s *soup) step() {
+func (s *leaseSoup) step() {
 	for range 5 {
 		s.now = s.now.Add(20 * time.Millisecond)
 		s.check()
@@ -247,9 +214,9 @@
 		}
 		if node.epoch+1 < len(s.maps) && s.draw("news", node.newsOdds) == 0 {
 			node.epoch++
-			s.send(node, node.group.Adopt(&s.maps[node.epoch], false, node.clock(s.now)))
+			s.send(node, node.group.Adopt(&s.maps[node.epoch], false, node.clock.At(s.now)))
 		}
-		s.send(node, node.group.Tick(node.clock(s.now)))
+		s.send(node, node.group.Tick(node.clock.At(s.now)))
 		s.check()
 	}
 }
