--- /dev/null
+++ b/idempotency/duel_test.go
@@ -0,0 +1,189 @@
+package idempotency
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+// Sizes of the duels of one property case.
+const (
+	duelsPerCase = 150
+	duelSteps    = 150
+)
+
+// duel is a world with one key, no idle time and an adversary that chooses who
+// hears what, so that claims, crashes, recoveries and map steps fall together
+// in every way. Every message that was ever sent may come again.
+type duel struct {
+	*world
+	toReplica []message
+	toClaim   []message
+}
+
+// TestDuel has claims of one order fight for it. It fails for the same reasons as
+// TestOrderRunsAtMostOnce.
+func TestDuel(t *testing.T) {
+	ran, steps := 0, uint64(0)
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 2))
+		for range duelsPerCase {
+			d := &duel{world: newWorld(t, 3+2*random.IntN(2), random)}
+			changes := random.IntN(2) == 0
+			for range duelSteps {
+				d.randomStep(changes)
+			}
+			steps += d.group().Epoch - FoundingEpoch - 1
+			for _, runs := range d.executions {
+				ran += len(runs)
+			}
+		}
+	})
+	t.Logf("%d orders ran, %d map steps", ran, steps)
+	must.Greater(t, 1000, ran)
+	must.Greater(t, 1000, int(steps))
+}
+
+func (d *duel) randomStep(changes bool) {
+	n := d.nodes[d.random.IntN(len(d.nodes))]
+	switch op := d.random.IntN(100); {
+	case op < 4:
+		d.beginDuel()
+	case op < 42:
+		d.exchangeVote(n)
+	case op < 46:
+		d.replay()
+	case op < 62:
+		d.touch()
+	case op < 82:
+		d.exchangePage(n)
+	case op < 85:
+		d.now = d.now.Add(time.Duration(d.random.IntN(600)) * time.Millisecond)
+	case op < 88:
+		if d.random.IntN(2) == 0 {
+			d.crash(n)
+		}
+	case op < 89:
+		d.frozen[d.random.IntN(len(d.frozen))] = d.random.IntN(4) == 0
+	case !changes:
+		d.exchangeVote(n)
+	case op < 91:
+		d.changeMap()
+	default:
+		n.replica.SetGroup(d.group(), d.now)
+	}
+}
+
+// beginDuel starts an attempt under any epoch that has been published.
+func (d *duel) beginDuel() {
+	ingress := d.random.IntN(len(d.frozen))
+	groups := d.groups
+	if d.random.IntN(2) == 0 {
+		d.groups = groups[:1+d.random.IntN(len(groups))]
+	}
+	d.begin(ingress, "k", []string{"/x", "/x", "/y"}[d.random.IntN(3)])
+	d.groups = groups
+	d.soup = nil
+}
+
+func (d *duel) anyAttempt() *attempt {
+	if len(d.attempts) == 0 {
+		return nil
+	}
+	i := len(d.attempts) - 1 - d.random.IntN(min(len(d.attempts), 1+d.random.IntN(3)))
+	return d.attempts[i]
+}
+
+func (d *duel) exchangeVote(n *node) {
+	a := d.anyAttempt()
+	if a == nil || d.frozen[a.ingress] || a.claim.Group().Index(n.id) < 0 {
+		return
+	}
+	request := a.claim.VoteRequest(d.now)
+	reply := n.replica.Vote(request, d.now)
+	d.toReplica = append(d.toReplica, message{to: n.id, body: request})
+	d.toClaim = append(d.toClaim, message{from: n.id, body: reply})
+	if d.random.IntN(4) > 0 {
+		a.claim.HandleVote(n.id, reply, d.now)
+	}
+}
+
+// replay delivers an old message again.
+func (d *duel) replay() {
+	if len(d.toReplica) > 0 {
+		m := d.toReplica[d.random.IntN(len(d.toReplica))]
+		for _, n := range d.nodes {
+			if n.id == m.to {
+				d.deliverToReplica(n, m)
+			}
+		}
+	}
+	if len(d.toClaim) > 0 {
+		m := d.toClaim[d.random.IntN(len(d.toClaim))]
+		for i := range d.frozen {
+			if !d.frozen[i] {
+				d.deliverToIngress(i, m)
+			}
+		}
+	}
+	d.soup = nil
+}
+
+func (d *duel) touch() {
+	a := d.anyAttempt()
+	if a == nil {
+		return
+	}
+	d.world.step(a)
+	if d.random.IntN(3) > 0 {
+		d.dispatch(a)
+	}
+	if d.random.IntN(3) == 0 {
+		d.end(a)
+	}
+	if d.random.IntN(3) == 0 {
+		d.dispatch(a)
+	}
+	// What the attempt sent to the replicas arrives at some now and may arrive
+	// at any later.
+	for _, m := range d.soup {
+		d.toReplica = append(d.toReplica, m)
+		for _, n := range d.nodes {
+			if n.id == m.to && d.random.IntN(2) == 0 {
+				d.deliverToReplica(n, m)
+			}
+		}
+	}
+	d.soup = nil
+}
+
+func (d *duel) exchangePage(n *node) {
+	reads := n.replica.Reads(d.now)
+	if len(reads) == 0 {
+		return
+	}
+	read := reads[d.random.IntN(len(reads))]
+	for _, other := range d.nodes {
+		if other.id == read.To {
+			n.replica.HandleRead(other.id, other.replica.Read(read.Request, d.now), d.now)
+		}
+	}
+}
+
+// exchange has a claim ask the given replicas.
+func exchange(claim *Claim, now time.Time, nodes ...*node) {
+	for _, n := range nodes {
+		claim.HandleVote(n.id, n.replica.Vote(claim.VoteRequest(now), now), now)
+	}
+}
+
+func (w *world) claim(account fleetconfig.AccountID, content string) *Claim {
+	record := Key{Account: account, Service: "s", Value: "k"}.RecordID()
+	fingerprint := NewFingerprint("POST", content, BodyDigest{})
+	return NewClaim(testConfig, w.group(), record, fingerprint, NewClaimID(w.random), w.now, w.now.Add(testRequestTime))
+}
--- /dev/null
+++ b/idempotency/scenario_test.go
@@ -0,0 +1,314 @@
+package idempotency
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+func scenarioWorld() *world { return newWorld(nil, 5, rand.New(rand.NewPCG(1, 1))) }
+
+// pick returns the nodes with the given numbers.
+func (w *world) pick(numbers ...int) []*node {
+	var picked []*node
+	for _, i := range numbers {
+		picked = append(picked, w.nodes[i])
+	}
+	return picked
+}
+
+// loseMemory restarts a replica and lets it read the given others once its
+// claim time has run out.
+func (w *world) loseMemory(number int, others ...int) {
+	w.crash(w.nodes[number])
+	w.now = w.now.Add(testConfig.claimWait())
+	w.readFrom(number, others...)
+}
+
+func (w *world) readFrom(number int, others ...int) {
+	n := w.nodes[number]
+	for _, other := range others {
+		for _, read := range n.replica.Reads(w.now) {
+			if read.To == nodeID(other) {
+				n.replica.HandleRead(read.To, w.nodes[other].replica.Read(read.Request, w.now), w.now)
+			}
+		}
+	}
+}
+
+// nextGroup publishes an epoch with the given replicas, without CheckStep.
+func (w *world) nextGroup(numbers ...int) {
+	last := w.group()
+	next := Group{Epoch: last.Epoch + 1}
+	for _, i := range numbers {
+		member := Member{ID: nodeID(i), Joined: next.Epoch}
+		if j := last.Index(member.ID); j >= 0 {
+			member = last.Members[j]
+		}
+		next.Members = append(next.Members, member)
+		for len(w.nodes) <= i {
+			n := &node{id: nodeID(len(w.nodes))}
+			w.boot(n)
+			w.nodes = append(w.nodes, n)
+		}
+	}
+	w.groups = append(w.groups, next)
+}
+
+// tryAndRelease returns the verdict of a claim that does not dispatch.
+func (w *world) tryAndRelease(account fleetconfig.AccountID, content string) Verdict {
+	claim := w.claim(account, content)
+	exchange(claim, w.now, w.nodes...)
+	verdict := claim.Verdict()
+	release := claim.Settle(EndUnknown, nil).Release
+	for _, n := range w.nodes {
+		n.replica.Release(*release)
+	}
+	return verdict
+}
+
+func (w *world) learn(numbers ...int) {
+	for _, n := range w.pick(numbers...) {
+		n.replica.SetGroup(w.group(), w.now)
+	}
+}
+
+// TestOneClaimOnly holds the schedules that would give two claims a majority if
+// one rule were missing. Each returns the verdict of the first claim, then of
+// the second.
+func TestOneClaimOnly(t *testing.T) {
+	schedules := map[string]func(w *world) (a, b *Claim){
+		"the vote of a replica that lost its memory is still counted": func(w *world) (a, b *Claim) {
+			a = w.claim("a", "/x")
+			exchange(a, w.now, w.pick(0)...)
+			w.crash(w.nodes[0])
+			w.readFrom(0, 2, 3, 4)
+			exchange(a, w.now, w.pick(1, 2)...)
+			b = w.claim("a", "/x")
+			exchange(b, w.now, w.pick(0, 3, 4)...)
+			return a, b
+		},
+		"the replicas that were read never heard of the claim": func(w *world) (a, b *Claim) {
+			a = w.claim("a", "/x")
+			exchange(a, w.now, w.pick(0, 1, 2)...)
+			w.loseMemory(0, 3, 4)
+			b = w.claim("a", "/x")
+			exchange(b, w.now, w.pick(0, 3, 4)...)
+			return a, b
+		},
+		"a second loss follows the first": func(w *world) (a, b *Claim) {
+			a = w.claim("a", "/x")
+			exchange(a, w.now, w.pick(0, 1, 2)...)
+			w.loseMemory(0, 1, 3, 4)
+			w.loseMemory(1, 0, 3, 4)
+			w.loseMemory(2, 0, 3, 4)
+			b = w.claim("a", "/x")
+			exchange(b, w.now, w.nodes...)
+			return a, b
+		},
+		"the release of an older claim comes late and twice": func(w *world) (a, b *Claim) {
+			old := w.claim("a", "/x")
+			exchange(old, w.now, w.pick(0, 1)...)
+			release := *old.Settle(EndNotRun, nil).Release
+			for _, n := range w.nodes {
+				n.replica.Release(release)
+			}
+			a = w.claim("a", "/x")
+			exchange(a, w.now, w.nodes...)
+			for _, n := range w.nodes {
+				n.replica.Release(release)
+			}
+			b = w.claim("a", "/x")
+			exchange(b, w.now, w.nodes...)
+			return a, b
+		},
+		"a vote is counted in an epoch that has passed": func(w *world) (a, b *Claim) {
+			a = w.claim("a", "/x")
+			w.nextGroup(0, 1, 2, 3, 4, 5)
+			w.learn(2, 3, 4, 5)
+			w.now = w.now.Add(testConfig.claimWait())
+			a = NewClaim(testConfig, a.group, a.record, a.fingerprint, a.id, w.now, w.now.Add(testRequestTime))
+			exchange(a, w.now, w.pick(0, 1)...)
+			w.readFrom(5, 2, 3, 4)
+			w.nextGroup(1, 2, 3, 4, 5)
+			w.learn(2, 3, 4, 5)
+			b = w.claim("a", "/x")
+			exchange(b, w.now, w.pick(3, 4, 5)...)
+			exchange(a, w.now, w.pick(2)...)
+			return b, a
+		},
+		"a new replica reads from replicas of the last epoch": func(w *world) (a, b *Claim) {
+			w.nextGroup(0, 1, 2, 3, 4, 5)
+			w.learn(5)
+			w.now = w.now.Add(testConfig.claimWait())
+			w.readFrom(5, 2, 3, 4)
+			last := w.groups[1]
+			a = w.claim("a", "/x")
+			a = NewClaim(testConfig, last, a.record, a.fingerprint, a.id, w.now, w.now.Add(testRequestTime))
+			exchange(a, w.now, w.pick(0, 1, 2)...)
+			w.nextGroup(1, 2, 3, 4, 5)
+			w.learn(1, 2, 3, 4, 5)
+			b = w.claim("a", "/x")
+			exchange(b, w.now, w.pick(3, 4, 5)...)
+			return a, b
+		},
+		"a replica was away without noticing": func(w *world) (a, b *Claim) {
+			w.nextGroup(0, 1, 2, 3, 4, 5)
+			w.learn(1, 2, 3, 4, 5)
+			w.now = w.now.Add(testConfig.claimWait())
+			w.readFrom(5, 2, 3, 4)
+			w.nextGroup(1, 2, 3, 4, 5)
+			w.learn(1, 2, 3, 4, 5)
+			a = w.claim("a", "/x")
+			exchange(a, w.now, w.pick(1, 2, 3)...)
+			w.nextGroup(0, 1, 2, 3, 4, 5)
+			w.learn(0, 1, 2, 3, 4, 5)
+			w.nextGroup(0, 2, 3, 4, 5)
+			w.learn(0, 2, 3, 4, 5)
+			b = w.claim("a", "/x")
+			exchange(b, w.now, w.pick(0, 4, 5)...)
+			return a, b
+		},
+	}
+	for name, schedule := range schedules {
+		t.Run(name, func(t *testing.T) {
+			a, b := schedule(scenarioWorld())
+			must.Eq(t, VerdictClaimed, a.Verdict().Kind)
+			must.NotEq(t, VerdictClaimed, b.Verdict().Kind)
+		})
+	}
+}
+
+// TestCheckStepRefusesSizesThatForget proves that a shard is never removed from
+// twice in a row, and that a step waits for the last one.
+func TestCheckStepRefusesSizesThatForget(t *testing.T) {
+	w := scenarioWorld()
+	five := w.group()
+	w.nextGroup(0, 1, 2, 3)
+	must.ErrorIs(t, CheckStep(five, w.group(), w.statuses()), ErrShardShrinks)
+	w.groups = w.groups[:2]
+	w.nextGroup(0, 1, 2, 3, 4, 5)
+	six := w.group()
+	must.NoError(t, CheckStep(five, six, w.statuses()))
+	must.ErrorIs(t, CheckStep(five, six, w.statuses()[:2]), ErrNotConfirmed)
+	w.nextGroup(1, 2, 3, 4, 5)
+	must.ErrorIs(t, CheckStep(five, w.group(), w.statuses()), ErrEpochSkipped)
+	// All old replicas have taken the epoch up, the new one has not read yet.
+	w.groups = w.groups[:3]
+	w.learn(0, 1, 2, 3, 4, 5)
+	w.nextGroup(1, 2, 3, 4, 5)
+	must.ErrorIs(t, CheckStep(six, w.group(), w.statuses()), ErrNotConfirmed)
+	w.now = w.now.Add(testConfig.claimWait())
+	w.readFrom(5, 2, 3, 4)
+	must.NoError(t, CheckStep(six, w.group(), w.statuses()))
+}
+
+// TestVotesOutsideTheClaimTime proves that late and doubled answers do not count
+// and that a frozen claimant finds its time run out.
+func TestVotesOutsideTheClaimTime(t *testing.T) {
+	w := scenarioWorld()
+	claim := w.claim("a", "/x")
+	request := claim.VoteRequest(w.now)
+	for range 3 {
+		claim.HandleVote(nodeID(0), w.nodes[0].replica.Vote(request, w.now), w.now)
+	}
+	must.Eq(t, VerdictPending, claim.Verdict().Kind)
+	late := w.now.Add(testClaimTime)
+	claim.HandleVote(nodeID(1), w.nodes[1].replica.Vote(request, w.now), late)
+	claim.HandleVote(nodeID(2), w.nodes[2].replica.Vote(request, w.now), late)
+	must.Eq(t, VerdictNotRun, claim.Verdict().Kind)
+
+	frozen := w.claim("b", "/x")
+	exchange(frozen, w.now, w.nodes...)
+	must.Eq(t, VerdictClaimed, frozen.Verdict().Kind)
+	must.False(t, frozen.MayDispatch(late))
+	must.NotNil(t, frozen.Settle(EndUnknown, nil).Release)
+	must.False(t, frozen.MayDispatch(w.now))
+}
+
+// TestUncoveredShardWaitsForTheRetention loses more memories than a majority
+// can cover, and the memory of a group of one.
+func TestUncoveredShardWaitsForTheRetention(t *testing.T) {
+	for _, size := range []int{1, 5} {
+		w := newWorld(nil, size, rand.New(rand.NewPCG(1, 1)))
+		claim := w.claim("a", "/x")
+		exchange(claim, w.now, w.nodes...)
+		must.True(t, claim.MayDispatch(w.now))
+		for i := range (size + 1) / 2 {
+			w.crash(w.nodes[i])
+		}
+		for range 20 {
+			w.now = w.now.Add(testConfig.longestLife() / 21)
+			for i := range w.nodes {
+				w.readFrom(i, 0, 1, 2, 3, 4)
+			}
+			must.Eq(t, Verdict{Kind: VerdictNotRun, Cause: CauseNotReady}, w.tryAndRelease("b", "/x"))
+		}
+		w.now = w.now.Add(testConfig.longestLife() / 10)
+		again := w.claim("a", "/x")
+		exchange(again, w.now, w.nodes...)
+		must.Eq(t, VerdictClaimed, again.Verdict().Kind)
+	}
+}
+
+// TestRepeats proves what a repeat hears, from the claim to the end of the
+// retention, and that another account and other content never share a record.
+func TestRepeats(t *testing.T) {
+	w := scenarioWorld()
+	repeat := func(content string) Verdict { return w.tryAndRelease("a", content) }
+	claim := w.claim("a", "/x")
+	exchange(claim, w.now, w.nodes...)
+	must.True(t, claim.MayDispatch(w.now))
+	must.Eq(t, VerdictInProgress, repeat("/x").Kind)
+	must.Eq(t, VerdictKeyReused, repeat("/y").Kind)
+	w.now = w.now.Add(testRequestTime)
+	// The claimant died: never "not run".
+	must.Eq(t, VerdictOutcomeUnknown, repeat("/x").Kind)
+	finish := claim.Settle(EndAnswered, []byte("whole answer")).Finish
+	for _, n := range w.nodes {
+		must.True(t, n.replica.Finish(*finish, w.now))
+	}
+	must.Eq(t, Verdict{Kind: VerdictAnswered, Answer: []byte("whole answer")}, repeat("/x"))
+	must.Eq(t, VerdictKeyReused, repeat("/y").Kind)
+	other := w.claim("b", "/x")
+	exchange(other, w.now, w.nodes...)
+	must.Eq(t, VerdictClaimed, other.Verdict().Kind)
+	must.True(t, other.MayDispatch(w.now))
+	tooLarge := other.Settle(EndAnswered, make([]byte, testConfig.MaxAnswerBytes+1)).Finish
+	must.Eq(t, StateAnswerNotKept, tooLarge.State)
+	w.now = w.now.Add(testRetention - time.Millisecond)
+	must.Eq(t, VerdictAnswered, repeat("/x").Kind)
+	w.now = w.now.Add(time.Millisecond)
+	must.Eq(t, VerdictClaimed, repeat("/x").Kind)
+}
+
+// TestFullRefuses proves that a full replica refuses new records, forgets none
+// early and keeps room for outcomes.
+func TestFullRefuses(t *testing.T) {
+	w := newWorld(nil, 1, rand.New(rand.NewPCG(1, 1)))
+	w.nodes[0].replica.table.budget.limit = 2 * recordBytes
+	first := w.claim("a", "/x")
+	exchange(first, w.now, w.nodes...)
+	second := w.claim("b", "/x")
+	exchange(second, w.now, w.nodes...)
+	third := w.claim("c", "/x")
+	exchange(third, w.now, w.nodes...)
+	must.Eq(t, Verdict{Kind: VerdictNotRun, Cause: CauseFull}, third.Verdict())
+	must.True(t, first.MayDispatch(w.now))
+	w.nodes[0].replica.Finish(*first.Settle(EndAnswered, []byte("answer")).Finish, w.now)
+	repeat := w.claim("a", "/x")
+	exchange(repeat, w.now, w.nodes...)
+	must.Eq(t, VerdictAnswerNotKept, repeat.Verdict().Kind)
+	// A released record makes room.
+	w.nodes[0].replica.Release(*second.Settle(EndNotRun, nil).Release)
+	again := w.claim("c", "/x")
+	exchange(again, w.now, w.nodes...)
+	must.Eq(t, VerdictClaimed, again.Verdict().Kind)
+	w.now = w.now.Add(testConfig.longestLife())
+	w.nodes[0].replica.Tick(w.now)
+	must.Eq(t, 0, w.nodes[0].replica.table.budget.Used())
+}
