--- a/idempotency/duel_test.go
+++ b/idempotency/duel_test.go
@@ -139,7 +139,7 @@
 	if a == nil {
 		return
 	}
-	d.world.step(a)
+	d.step(a)
 	if d.random.IntN(3) > 0 {
 		d.dispatch(a)
 	}
