Add package health: detection, permits, floor

Weighed for detection: consecutive errors and z-score (to be measured in the experiment), CUSUM of log-likelihood ratios taken, since its bound follows from the false-ejection target.

--- /dev/null
+++ b/health/detector_test.go
@@ -0,0 +1,180 @@
+package health
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+var testBaseline = Baseline{
+	SlowBound:   80 * time.Millisecond,
+	SlowShare:   minSlowShare,
+	ErrorShare:  minErrorShare,
+	RequestRate: 20,
+}
+
+func newTestDetector(now time.Time) *Detector {
+	detector := NewDetector(DefaultServerDays, 0, now)
+	detector.SetBaseline(testBaseline)
+	return detector
+}
+
+func accountName(i int) fleetconfig.AccountID {
+	return fleetconfig.AccountID(fmt.Sprintf("a%d", i))
+}
+
+// TestFalseAlarmsKeepTheTarget feeds independent outcomes at the usual shares and
+// compares the rate of alarms with a bound that is lowered so far that alarms can
+// be counted: exp(bound) is still below the mean time between alarms.
+func TestFalseAlarmsKeepTheTarget(t *testing.T) {
+	const requests = 1_000_000
+	rng := rand.New(rand.NewPCG(1, 2))
+	bound := math.Log(20_000)
+	alarms := 0
+	var sum evidenceSum
+	for i := range requests {
+		if rng.Float64() < minErrorShare {
+			sum.add(accountName(i%5), badNats(minErrorShare), sumLimitFactor*bound)
+		} else {
+			sum.credit(goodNats(minErrorShare))
+		}
+		if sum.crossed(bound) {
+			alarms++
+			sum.reset()
+		}
+	}
+	must.LessEq(t, requests/20_000, alarms)
+}
+
+// TestNoEvidence holds that shedding, cancels, short deadlines, and an account
+// that fails everywhere never make a server suspect.
+func TestNoEvidence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := epoch
+		baseline := testBaseline
+		baseline.FailingAccounts = []fleetconfig.AccountID{"failing"}
+		detector := newTestDetector(now)
+		detector.SetBaseline(baseline)
+		for range rapid.IntRange(1, 200).Draw(t, "requests") {
+			now = now.Add(10 * time.Millisecond)
+			account := accountName(rapid.IntRange(0, 3).Draw(t, "account"))
+			deadline := now.Add(time.Minute)
+			ends := now.Add(time.Duration(rapid.IntRange(1, 80).Draw(t, "ms")) * time.Millisecond)
+			result := ResultShed
+			switch rapid.IntRange(0, 4).Draw(t, "kind") {
+			case 0:
+				result = ResultCanceled
+			case 1:
+				result, deadline = ResultTimedOut, ends
+			case 2:
+				account, result = "failing", ResultFailed
+			case 3:
+				account, result, ends = "failing", ResultOK, now.Add(time.Hour)
+			}
+			token := detector.Begin(account, deadline, now)
+			detector.Tick(ends)
+			detector.End(token, result, ends)
+			must.False(t, detector.Suspect())
+		}
+	})
+}
+
+// TestOpenRequestsConvict holds that a server that accepts and never answers is
+// convicted before any request ends, and that one or two stuck requests do not
+// convict it.
+func TestOpenRequestsConvict(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		detector := newTestDetector(epoch)
+		open := rapid.IntRange(1, 7).Draw(t, "open")
+		for i := range open {
+			detector.Begin(accountName(i), epoch.Add(time.Hour), epoch)
+		}
+		now := epoch
+		for range 200 {
+			now = now.Add(10 * time.Millisecond)
+			detector.Tick(now)
+		}
+		must.Eq(t, open >= 3, detector.Convicted(), must.Sprintf("%d open for 2 s", open))
+	})
+}
+
+// TestOneAccountNeedsTwiceTheEvidence holds that the failures of one account
+// beside good requests of others convict no server before twice the bound.
+func TestOneAccountNeedsTwiceTheEvidence(t *testing.T) {
+	detector := newTestDetector(epoch)
+	run := func(account fleetconfig.AccountID, result Result) {
+		detector.End(detector.Begin(account, epoch.Add(time.Minute), epoch), result, epoch.Add(time.Millisecond))
+	}
+	failures := int(math.Ceil(detector.Bound() / badNats(minErrorShare)))
+	for range failures + 1 {
+		run("one", ResultFailed)
+	}
+	must.False(t, detector.Convicted())
+	run("two", ResultFailed)
+	run("two", ResultFailed)
+	must.True(t, detector.Convicted())
+}
+
+// TestBaselineFollowsASlowDay holds that one bad server does not move the
+// baseline, and that a day that is slow for all does.
+func TestBaselineFollowsASlowDay(t *testing.T) {
+	summary := func(latency time.Duration) SummaryOf {
+		s := SummaryOf{Standing: StandingHealthy, Summary: Summary{Window: 10 * time.Second}}
+		for range 100 {
+			s.Summary.Latencies.Record(latency)
+		}
+		return s
+	}
+	usual := make([]SummaryOf, 8)
+	for i := range usual {
+		usual[i] = summary(20 * time.Millisecond)
+	}
+	before := MergeBaseline(DefaultBaseline(), usual)
+	usual[3] = summary(time.Second)
+	must.Eq(t, before.SlowBound, MergeBaseline(before, usual).SlowBound)
+	for i := range usual {
+		usual[i] = summary(200 * time.Millisecond)
+		usual[i].Standing = StandingSuspect
+	}
+	must.Greater(t, 5*before.SlowBound, MergeBaseline(before, usual).SlowBound)
+}
+
+// TestPathVerdict holds that a path is avoided after a few losses in a row, names
+// the direction, and is used again after a good trial.
+func TestPathVerdict(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var path PathMonitor
+		now := epoch
+		for range rapid.IntRange(0, 100).Draw(t, "answers") {
+			path.Answered(now)
+		}
+		losses := 0
+		for !path.Convicted() {
+			path.Lost(now)
+			losses++
+		}
+		must.Between(t, 3, losses, 4)
+		path.Avoid(now)
+		must.False(t, path.Usable(now))
+		must.Eq(t, PathSilent, path.Verdict(now.Add(heardLife)))
+		path.Heard(now.Add(heardLife))
+		must.Eq(t, PathOutboundCut, path.Verdict(now.Add(heardLife)))
+		now = now.Add(pathFirstHold)
+		must.True(t, path.Usable(now))
+		path.TryOnce(now)
+		must.False(t, path.Usable(now))
+		path.Lost(now)
+		must.False(t, path.Usable(now.Add(pathFirstHold)), must.Sprint("the hold must grow"))
+		now = now.Add(2 * pathFirstHold)
+		must.True(t, path.Usable(now))
+		path.Answered(now)
+		must.Eq(t, PathUsable, path.Verdict(now))
+	})
+}
--- /dev/null
+++ b/health/policy.go
@@ -0,0 +1,94 @@
+package health
+
+import (
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+// Times of ejection and return.
+const (
+	// DefaultPermitLife is how long an ejection permit lasts, counted by the
+	// holder from when it asked and by the owner from when it granted.
+	DefaultPermitLife = 10 * time.Second
+	// DefaultFirstHold is the hold of a server's first ejection.
+	DefaultFirstHold = 5 * time.Second
+	// DefaultMaxHold is the longest hold.
+	DefaultMaxHold = 10 * time.Minute
+	// DefaultForgetAfter is the time in service that takes back one doubling of
+	// the hold.
+	DefaultForgetAfter = 10 * time.Minute
+	// DefaultTrialRequests is how many good requests end a trial.
+	DefaultTrialRequests = 5
+	// DefaultServerDays is the number of healthy server-days for each false
+	// ejection that the bound aims at.
+	DefaultServerDays = 100
+	// DefaultSlowStart is how long a server takes to reach its full weight.
+	DefaultSlowStart = 10 * time.Second
+)
+
+// Policy holds the parameters of detection and ejection.
+type Policy struct {
+	// EjectionEnabled permits new ejections.
+	EjectionEnabled bool
+	// ServerDays is the number of healthy server-days for each false ejection.
+	ServerDays float64
+	// PermitLife is how long a permit lasts.
+	PermitLife time.Duration
+	// FirstHold is the hold of a first ejection; each further one doubles it.
+	FirstHold time.Duration
+	// MaxHold is the longest hold.
+	MaxHold time.Duration
+	// ForgetAfter is the time in service that takes back one doubling.
+	ForgetAfter time.Duration
+	// TrialRequests is how many good requests end a trial.
+	TrialRequests int
+	// SlowStart is how long a server takes to reach its full weight.
+	SlowStart time.Duration
+}
+
+// PolicyOf returns the policy under a preset.
+func PolicyOf(preset *fleetconfig.Preset) Policy {
+	policy := Policy{
+		EjectionEnabled: preset.EjectionEnabled,
+		ServerDays:      DefaultServerDays,
+		PermitLife:      DefaultPermitLife,
+		FirstHold:       DefaultFirstHold,
+		MaxHold:         DefaultMaxHold,
+		ForgetAfter:     DefaultForgetAfter,
+		TrialRequests:   DefaultTrialRequests,
+		SlowStart:       preset.SlowStart,
+	}
+	if policy.SlowStart <= 0 {
+		policy.SlowStart = DefaultSlowStart
+	}
+	return policy
+}
+
+// hold is the time that an ejected server stays out. It doubles with each
+// ejection and is halved again by time in service.
+type hold struct {
+	doublings int
+	changed   time.Time
+}
+
+// next returns the hold of an ejection that begins now.
+func (h *hold) next(policy *Policy, now time.Time) time.Duration {
+	h.forget(policy, now)
+	length := policy.FirstHold
+	for range h.doublings {
+		length = min(2*length, policy.MaxHold)
+	}
+	if length < policy.MaxHold {
+		h.doublings++
+	}
+	h.changed = now
+	return length
+}
+
+func (h *hold) forget(policy *Policy, now time.Time) {
+	for h.doublings > 0 && now.Sub(h.changed) >= policy.ForgetAfter {
+		h.doublings--
+		h.changed = h.changed.Add(policy.ForgetAfter)
+	}
+}
--- /dev/null
+++ b/health/summary.go
@@ -0,0 +1,38 @@
+package health
+
+import "time"
+
+// recordSummary adds an outcome to the summary.
+func (d *Detector) recordSummary(request *openRequest, result Result, now time.Time) {
+	d.rotate(now)
+	half := &d.halves[0]
+	half.latencies.Record(now.Sub(request.began))
+	half.accounts.record(request.account, result == ResultFailed)
+}
+
+// rotate starts a new half when the present one is full.
+func (d *Detector) rotate(now time.Time) {
+	if now.Sub(d.halves[0].began) < summaryWindow {
+		return
+	}
+	d.halves[1] = d.halves[0]
+	d.halves[0] = summaryHalf{began: now}
+}
+
+// Summary returns the outcomes of the last 10 to 20 seconds.
+func (d *Detector) Summary(now time.Time) Summary {
+	d.rotate(now)
+	summary := Summary{Window: max(now.Sub(d.halves[1].began), time.Second)}
+	for i := range d.halves {
+		half := &d.halves[i]
+		summary.Latencies.Merge(&half.latencies)
+		named, failures := half.accounts.failing()
+		summary.Failed += half.accounts.failed - failures
+		for _, account := range named {
+			if len(summary.FailingAccounts) < maxNamedAccounts {
+				summary.FailingAccounts = append(summary.FailingAccounts, account)
+			}
+		}
+	}
+	return summary
+}
