--- a/backendproxy/dispatch.go
+++ b/backendproxy/dispatch.go
@@ -55,7 +55,7 @@
 // dispatch sends the request to the backend server at address. The first byte
 // leaves before limit or not at all. The outcome says what is known when it
 // returns an error.
-func (d *dispatcher) dispatch(exchange *pipeline.Exchange, address string, limit time.Time) (*http.Response, pipeline.Outcome, error) {
+func (d *dispatcher) dispatch(ctx context.Context, exchange *pipeline.Exchange, address string, limit time.Time) (*http.Response, pipeline.Outcome, error) {
 	var conn atomic.Pointer[trackedConn]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if tracked, ok := info.Conn.(*trackedConn); ok {
@@ -63,8 +63,7 @@
 			conn.Store(tracked)
 		}
 	}}
-	ctx := httptrace.WithClientTrace(exchange.Request.Context(), trace)
-	request := outgoingRequest(ctx, exchange, address)
+	request := outgoingRequest(httptrace.WithClientTrace(ctx, trace), exchange, address)
 	response, err := d.transport.RoundTrip(request)
 	if err == nil {
 		return response, pipeline.OutcomeAnswered, nil
--- a/backendproxy/filters.go
+++ b/backendproxy/filters.go
@@ -1,6 +1,7 @@
 package backendproxy
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -9,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/health"
 	"github.com/hemlockring/hemlockring/internal/freeze"
 	"github.com/hemlockring/hemlockring/internal/httpheader"
 	"github.com/hemlockring/hemlockring/pipeline"
@@ -98,6 +100,20 @@
 		"send the request again; other backend servers take it", retryElsewhere)
 }
 
+// Watch judges backend servers by how their requests go. It is safe for
+// concurrent use.
+type Watch interface {
+	// Begin records that a request is about to be sent to a backend server. It
+	// returns false when the server is ejected and takes no request now.
+	Begin(server fleetconfig.BackendServerID, account fleetconfig.AccountID, deadline, now time.Time) (Observation, bool)
+}
+
+// Observation is one request that a Watch has begun.
+type Observation interface {
+	// End records how the request ended. Only the first call counts.
+	End(result health.Result, now time.Time)
+}
+
 // queueFilter holds a slot of the backend server for the length of the exchange.
 type queueFilter struct {
 	registry *Registry
@@ -132,6 +148,7 @@
 type runFilter struct {
 	dispatcher *dispatcher
 	freeze     *freeze.Detector
+	watch      Watch
 }
 
 func (*runFilter) Name() string { return "run" }
@@ -146,16 +163,65 @@
 	if !exchange.TokenExpires.IsZero() && exchange.TokenExpires.Before(limit) {
 		limit = exchange.TokenExpires
 	}
-	response, outcome, err := f.dispatcher.dispatch(exchange, slot.Address, limit)
+	observation, admitted := f.watch.Begin(exchange.BackendServer, exchange.Account, exchange.Deadline, now)
+	if !admitted {
+		return pipeline.NotRun(pipeline.KindNoCapacity, http.StatusServiceUnavailable,
+			"the backend server is out of service for now", "send the request again", retryElsewhere)
+	}
+	ctx, cancel := context.WithDeadline(exchange.Request.Context(), exchange.Deadline)
+	defer cancel()
+	response, outcome, err := f.dispatcher.dispatch(ctx, exchange, slot.Address, limit)
 	exchange.Outcome = outcome
 	if err != nil {
+		observation.End(resultOfError(exchange, err), time.Now())
 		return refuseFailed(exchange, outcome, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	writeAnswer(exchange, slot.Load, response)
+	observation.End(resultOfResponse(response), time.Now())
+	if cause := writeAnswer(exchange, slot.Load, response); cause != nil {
+		f.observeBreak(exchange, cause)
+	}
 	return nil
 }
 
+// observeBreak counts an answer that the backend server broke off as one more
+// failed request. A caller that went away is no evidence.
+func (f *runFilter) observeBreak(exchange *pipeline.Exchange, cause error) {
+	if errors.Is(cause, httpheader.ErrDestination) || exchange.Request.Context().Err() != nil {
+		return
+	}
+	now := time.Now()
+	if observation, admitted := f.watch.Begin(exchange.BackendServer, exchange.Account, exchange.Deadline, now); admitted {
+		observation.End(health.ResultFailed, now)
+	}
+}
+
+// resultOfResponse judges an answer. A busy server that says so has not failed.
+func resultOfResponse(response *http.Response) health.Result {
+	switch {
+	case response.StatusCode < http.StatusInternalServerError:
+		return health.ResultOK
+	case response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != "":
+		return health.ResultShed
+	default:
+		return health.ResultFailed
+	}
+}
+
+// resultOfError judges an attempt that ended without an answer.
+func resultOfError(exchange *pipeline.Exchange, err error) health.Result {
+	switch {
+	case errors.Is(err, errTooLate):
+		return health.ResultCanceled
+	case exchange.Remaining(time.Now()) <= 0:
+		return health.ResultTimedOut
+	case exchange.Request.Context().Err() != nil:
+		return health.ResultCanceled
+	default:
+		return health.ResultFailed
+	}
+}
+
 // checkTime is the last look before the request is handed over: a request whose
 // caller is gone, whose time is up or that was frozen with the process is not
 // dispatched.
@@ -197,8 +263,8 @@
 
 // writeAnswer streams the answer. An answer that breaks off ends the exchange by
 // a panic with http.ErrAbortHandler, which resets the stream, so that the caller
-// never takes a short body for a whole one.
-func writeAnswer(exchange *pipeline.Exchange, load Load, response *http.Response) {
+// never takes a short body for a whole one; the cause is returned.
+func writeAnswer(exchange *pipeline.Exchange, load Load, response *http.Response) error {
 	announced := response.Trailer
 	header := exchange.Writer.Header()
 	httpheader.RemoveHopByHop(response.Header)
@@ -218,7 +284,8 @@
 	}
 	if err := httpheader.CopyBody(exchange.Writer, response.Body, streamed); err != nil {
 		exchange.Truncated = true
-		return
+		return err
 	}
 	httpheader.CopyTrailer(header, announced)
+	return nil
 }
--- a/backendproxy/proxy.go
+++ b/backendproxy/proxy.go
@@ -21,6 +21,8 @@
 	View func() *fleetconfig.View
 	// Freeze tells when the process has stood still.
 	Freeze *freeze.Detector
+	// Watch judges the backend servers.
+	Watch Watch
 }
 
 // Proxy serves the requests that ingresses forward to the backend servers beside
@@ -49,7 +51,7 @@
 		&verifyFilter{view: config.View, freeze: config.Freeze},
 		&drainFilter{draining: &proxy.draining},
 		&queueFilter{registry: config.Registry},
-		&runFilter{dispatcher: newDispatcher(), freeze: config.Freeze},
+		&runFilter{dispatcher: newDispatcher(), freeze: config.Freeze, watch: config.Watch},
 	)
 	return proxy
 }
--- /dev/null
+++ b/ejection/messages.go
@@ -0,0 +1,58 @@
+package ejection
+
+import (
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/health"
+)
+
+// batchPath is the path of the calls between monitors and permit owners.
+const batchPath = "/fleet/ejection"
+
+// Batch is what one instance tells and asks the permit owner of a service.
+type Batch struct {
+	// Service is the service.
+	Service fleetconfig.ServiceName `cbor:"1,keyasint"`
+	// Reports are the newest reports, at most one for each backend server.
+	Reports []health.Report `cbor:"2,keyasint,omitempty"`
+	// Asks are the newest asks, at most one for each backend server.
+	Asks []health.Ask `cbor:"3,keyasint,omitempty"`
+	// Releases are permits that are given back.
+	Releases []Release `cbor:"4,keyasint,omitempty"`
+}
+
+// Release gives a permit back.
+type Release struct {
+	// Server is the backend server.
+	Server fleetconfig.BackendServerID `cbor:"1,keyasint"`
+	// ID is the ask that the permit answered.
+	ID health.AskID `cbor:"2,keyasint"`
+}
+
+// BatchReply answers a Batch.
+type BatchReply struct {
+	// NotOwner says that the instance does not hold the lease of the service's
+	// shard; the rest is empty then.
+	NotOwner bool `cbor:"1,keyasint,omitempty"`
+	// Reports answer the reports.
+	Reports []ReportAnswer `cbor:"2,keyasint,omitempty"`
+	// Asks answer the asks.
+	Asks []AskAnswer `cbor:"3,keyasint,omitempty"`
+}
+
+// ReportAnswer answers the report of one backend server.
+type ReportAnswer struct {
+	// Server is the backend server.
+	Server fleetconfig.BackendServerID `cbor:"1,keyasint"`
+	// Reply is the owner's answer.
+	Reply health.ReportReply `cbor:"2,keyasint"`
+}
+
+// AskAnswer answers the ask of one backend server.
+type AskAnswer struct {
+	// Server is the backend server.
+	Server fleetconfig.BackendServerID `cbor:"1,keyasint"`
+	// ID is the ask.
+	ID health.AskID `cbor:"2,keyasint"`
+	// Reason is ReasonNone for a grant.
+	Reason health.Reason `cbor:"3,keyasint"`
+}
--- /dev/null
+++ b/ejection/watch.go
@@ -0,0 +1,89 @@
+package ejection
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hemlockring/hemlockring/backendproxy"
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/health"
+	"github.com/hemlockring/hemlockring/membership"
+)
+
+// watched is a backend server beside this instance with its monitor.
+type watched struct {
+	service fleetconfig.ServiceName
+
+	mu      sync.Mutex
+	monitor *health.Monitor
+}
+
+// Begin implements backendproxy.Watch.
+func (s *Service) Begin(server fleetconfig.BackendServerID, account fleetconfig.AccountID, deadline, now time.Time) (backendproxy.Observation, bool) {
+	s.mu.Lock()
+	found := s.servers[server]
+	s.mu.Unlock()
+	if found == nil {
+		return noObservation{}, true
+	}
+	found.mu.Lock()
+	defer found.mu.Unlock()
+	if !found.monitor.Admits() {
+		return nil, false
+	}
+	return &observation{watched: found, token: found.monitor.Begin(account, deadline, now)}, true
+}
+
+// observation is one request of a watched backend server.
+type observation struct {
+	watched *watched
+	token   health.Token
+	ended   bool
+}
+
+// End implements backendproxy.Observation.
+func (o *observation) End(result health.Result, now time.Time) {
+	if o.ended {
+		return
+	}
+	o.ended = true
+	o.watched.mu.Lock()
+	defer o.watched.mu.Unlock()
+	o.watched.monitor.End(o.token, result, now)
+}
+
+// noObservation stands for a request of a backend server that nobody watches.
+type noObservation struct{}
+
+// End implements backendproxy.Observation.
+func (noObservation) End(health.Result, time.Time) {}
+
+// SetServers takes in which backend servers are beside this instance.
+func (s *Service) SetServers(servers []membership.Server) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	present := make(map[fleetconfig.BackendServerID]bool, len(servers))
+	for _, server := range servers {
+		present[server.ID] = true
+		found := s.servers[server.ID]
+		if found == nil || found.service != server.Service {
+			policy := health.PolicyOf(s.view().Preset())
+			monitor := health.NewMonitor(s.self, server.ID, server.Slots, policy, rand.Uint64(), now)
+			found = &watched{service: server.Service, monitor: monitor}
+			s.servers[server.ID] = found
+		}
+		found.mu.Lock()
+		found.monitor.SetSlots(server.Slots)
+		if server.State == membership.ServerDraining {
+			found.monitor.SetDraining()
+		}
+		found.mu.Unlock()
+	}
+	for id := range s.servers {
+		if !present[id] {
+			delete(s.servers, id)
+		}
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -11,7 +11,10 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/hemlockring/hemlockring/backendproxy"
+	"github.com/hemlockring/hemlockring/ejection"
+	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/gossip"
+	"github.com/hemlockring/hemlockring/health"
 	"github.com/hemlockring/hemlockring/ingress"
 	"github.com/hemlockring/hemlockring/internal/freeze"
 	"github.com/hemlockring/hemlockring/membership"
@@ -33,6 +36,7 @@
 	fleetMux      *http.ServeMux
 	members       *gossip.Service
 	registry      *backendproxy.Registry
+	ejection      *ejection.Service
 	backendProxy  *backendproxy.Proxy
 	ingress       *ingress.Proxy
 	configuration ingress.Configuration
@@ -115,11 +119,23 @@
 }
 
 func (n *Node) buildChains() {
-	n.registry = backendproxy.NewRegistry(n.members.SetServers)
+	n.ejection = ejection.New(ejection.Config{
+		Self:          n.settings.Instance.ID,
+		Shards:        noShards{},
+		Caller:        n.endpoint,
+		View:          n.configuration.View,
+		OnStateChange: n.serverStateChanged,
+		Logger:        n.logger,
+	}, n.fleetMux)
+	n.registry = backendproxy.NewRegistry(func(servers []membership.Server) {
+		n.ejection.SetServers(servers)
+		n.members.SetServers(servers)
+	})
 	n.backendProxy = backendproxy.New(backendproxy.Config{
 		Registry: n.registry,
 		View:     n.configuration.View,
 		Freeze:   n.freeze,
+		Watch:    n.ejection,
 	})
 	n.ingress = ingress.New(ingress.Config{
 		KeyHeader:     n.settings.Callers.KeyHeader,
@@ -134,6 +150,20 @@
 	})
 }
 
+// noShards stands in until the shard groups are there.
+type noShards struct{}
+
+// ServiceOwner implements ejection.Shards.
+func (noShards) ServiceOwner(fleetconfig.ServiceName) string { return "" }
+
+// HoldsService implements ejection.Shards.
+func (noShards) HoldsService(fleetconfig.ServiceName, time.Time) (uint64, bool) { return 0, false }
+
+// serverStateChanged tells the fleet which backend servers are ejected.
+func (n *Node) serverStateChanged(server fleetconfig.BackendServerID, _, to health.State) {
+	n.registry.SetEjected(server, to == health.StateEjected)
+}
+
 // unlimitedRetries permits every retry that the outcome permits.
 type unlimitedRetries struct{}
 
@@ -160,6 +190,7 @@
 	n.supervisor.Add(n.endpoint)
 	n.supervisor.Add(n.members)
 	n.supervisor.Add(n.registry)
+	n.supervisor.Add(n.ejection)
 	n.supervisor.Add(n.local)
 	if n.callers != nil {
 		n.supervisor.Add(n.callers)
--- a/selection/selector.go
+++ b/selection/selector.go
@@ -72,7 +72,7 @@
 }
 
 func (s *Selector) usable(placed gossip.Placed, tried []ingress.Candidate) bool {
-	if placed.Server.State != membership.ServerReady || !placed.Member.Usable() {
+	if placed.Server.State != membership.ServerReady || placed.Server.Ejected || !placed.Member.Usable() {
 		return false
 	}
 	return !slices.ContainsFunc(tried, func(c ingress.Candidate) bool {
