A planned stop waits until the last answers have arrived

Cause: the fleet port was closed as soon as the handlers had ended; what they had written but the peer had not yet received was lost with the connection. Ruled out: the HTTP server of the callers (its Shutdown waits) and the backend server (each order ran once).

A request that meets the GOAWAY of a peer has not been sent: httptrace tells whether a header field was written, so that such a request is 'not run' and not 'unknown', and the pool opens another connection.

Settings: [fleet] listen, for packets that are passed on to the instance; the test bed's relay cuts one direction with it.

--- a/internal/testbed/layout.go
+++ b/internal/testbed/layout.go
@@ -18,6 +18,7 @@
 // Ports of each instance. Instances differ by their loopback address.
 const (
 	fleetPort  = 7400
+	listenPort = 7500
 	localPort  = 7401
 	adminPort  = 7402
 	callerPort = 8080
@@ -45,8 +46,9 @@
 	SettingsFile string
 	// DataFolder is its data folder.
 	DataFolder string
-	// Fleet, Local, Admin and Callers are its addresses.
-	Fleet, Local, Admin, Callers string
+	// Fleet, Listen, Local, Admin and Callers are its addresses. Listen differs from
+	// Fleet only in a relayed layout.
+	Fleet, Listen, Local, Admin, Callers string
 }
 
 // Layout is a fleet's files in one folder.
@@ -57,6 +59,8 @@
 	TLSFolder string
 	// Instances are the instances in the order of their specs.
 	Instances []Instance
+
+	relayed bool
 }
 
 // Specs returns n instances named i1, i2, … spread over the failure domains, the
@@ -76,7 +80,16 @@
 // Create writes the files of a fleet to folder. The instances get addresses of a
 // random loopback network, so that fleets of several tests do not meet.
 func Create(folder string, specs []InstanceSpec) (*Layout, error) {
-	layout := &Layout{Folder: folder, TLSFolder: filepath.Join(folder, "tls")}
+	return create(&Layout{Folder: folder}, specs)
+}
+
+// CreateRelayed is like Create for a fleet whose datagrams pass a Relay.
+func CreateRelayed(folder string, specs []InstanceSpec) (*Layout, error) {
+	return create(&Layout{Folder: folder, relayed: true}, specs)
+}
+
+func create(layout *Layout, specs []InstanceSpec) (*Layout, error) {
+	layout.TLSFolder = filepath.Join(layout.Folder, "tls")
 	if err := pki.InitAuthority(layout.TLSFolder, time.Now()); err != nil {
 		return nil, err
 	}
@@ -101,11 +114,16 @@
 		return err
 	}
 	folder := filepath.Join(l.Folder, string(spec.ID))
+	listen := fleetPort
+	if l.relayed {
+		listen = listenPort
+	}
 	l.Instances = append(l.Instances, Instance{
 		InstanceSpec: spec,
 		SettingsFile: filepath.Join(l.Folder, string(spec.ID)+".ini"),
 		DataFolder:   folder,
 		Fleet:        fmt.Sprintf("%s:%d", host, fleetPort),
+		Listen:       fmt.Sprintf("%s:%d", host, listen),
 		Local:        fmt.Sprintf("%s:%d", host, localPort),
 		Admin:        fmt.Sprintf("%s:%d", host, adminPort),
 		Callers:      fmt.Sprintf("%s:%d", host, callerPort),
@@ -121,7 +139,7 @@
 	}
 	fmt.Fprintf(&text, "[instance]\nid = %s\nfailure_domain = %s\nroles = %s\ndata_folder = %s\n",
 		instance.ID, instance.FailureDomain, roles, instance.DataFolder)
-	fmt.Fprintf(&text, "[fleet]\naddress = %s\njoin = %s\n", instance.Fleet, l.joinAddresses())
+	fmt.Fprintf(&text, "[fleet]\naddress = %s\nlisten = %s\njoin = %s\n", instance.Fleet, instance.Listen, l.joinAddresses())
 	fmt.Fprintf(&text, "certificate = tls/%s.crt\nkey = tls/%s.key\nauthority = tls/ca.crt\ngossip_key = tls/gossip.key\n",
 		instance.ID, instance.ID)
 	fmt.Fprintf(&text, "[callers]\naddress = %s\n[local]\naddress = %s\n", instance.Callers, instance.Local)
--- a/node/node.go
+++ b/node/node.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -78,7 +79,7 @@
 		return err
 	}
 	n.endpoint, err = transport.Listen(transport.EndpointConfig{
-		Address:  n.settings.Fleet.Address,
+		Address:  cmp.Or(n.settings.Fleet.Listen, n.settings.Fleet.Address),
 		Identity: identity,
 		Handler:  http.HandlerFunc(n.serveFleet),
 		Logger:   n.logger,
--- a/node/stop.go
+++ b/node/stop.go
@@ -2,11 +2,27 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 )
 
+// fleetShutdownTimeout bounds how long the last answers may take to arrive at the
+// other instances.
+const fleetShutdownTimeout = 3 * time.Second
+
+// shutDownFleetPort lets the last answers arrive at the other instances. Closing
+// the port at once would lose what the handlers have written but nobody has
+// received yet.
+func (n *Node) shutDownFleetPort() {
+	ctx, cancel := context.WithTimeout(context.Background(), fleetShutdownTimeout)
+	defer cancel()
+	if err := n.endpoint.Shutdown(ctx); err != nil {
+		n.logger.Warn("fleet port did not shut down in time", "error", err)
+	}
+}
+
 // stop is the planned stop. The order matters: first the fleet hears that this
 // instance takes no new work, then the callers' port closes and waits for its
 // requests, which may need the fleet port; the fleet port closes last.
@@ -22,6 +38,7 @@
 	}
 	err := group.Wait()
 	n.members.Leave()
+	n.shutDownFleetPort()
 	if err != nil {
 		return errors.Wrap(err, "stop")
 	}
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -61,6 +61,11 @@
 		help: "IP number and UDP port that other instances reach.",
 		set:  func(s *Settings, text string) error { return setAddress(&s.Fleet.Address, text) },
 	},
+	{
+		section: sectionFleet, key: "listen", standard: "",
+		help: "IP number and UDP port to listen on, when packets to the address above are passed on to it. Empty listens on the address.",
+		set:  func(s *Settings, text string) error { return setOptionalAddress(&s.Fleet.Listen, text) },
+	},
 	{
 		section: sectionFleet, key: "join", standard: "",
 		help: "Fleet addresses of a few other instances, divided by commas.",
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -65,6 +65,8 @@
 type Fleet struct {
 	// Address is the IP number and UDP port that other instances reach.
 	Address string
+	// Listen is the IP number and UDP port to listen on, when it is not Address.
+	Listen string
 	// Join are fleet addresses of a few other instances.
 	Join []string
 	// Certificate is the file with the instance's certificate.
--- a/transport/endpoint.go
+++ b/transport/endpoint.go
@@ -106,6 +106,13 @@
 	}
 }
 
+// Shutdown takes no new requests of other instances and waits until those in
+// flight have been answered and the answers have arrived: the other instances
+// close their connections then.
+func (e *Endpoint) Shutdown(ctx context.Context) error {
+	return errors.Wrap(e.server.Shutdown(ctx), "other instances keep their connections open")
+}
+
 // Close ends every connection and frees the port.
 func (e *Endpoint) Close() {
 	e.pool.close()
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,20 +63,41 @@
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	peer.inUse.Add(1)
-	response, err := peer.client.RoundTrip(request)
+	var started atomic.Bool
+	trace := &httptrace.ClientTrace{WroteHeaderField: func(string, []string) { started.Store(true) }}
+	ctx := httptrace.WithClientTrace(request.Context(), trace)
+	response, err := peer.client.RoundTrip(request.WithContext(ctx))
 	if err == nil {
 		response.Body = &pooledBody{ReadCloser: response.Body, peer: peer}
 		return response, nil
 	}
 	peer.release()
-	var h3 *http3.Error
-	if errors.As(err, &h3) && h3.Remote && h3.ErrorCode == http3.ErrCodeRequestRejected {
-		// RFC 9114, section 8.1: a rejected request was not processed.
+	if request.Context().Err() == nil && (!started.Load() || isRejection(err)) {
+		// The connection takes no new requests; the next one opens another.
+		p.retire(address, peer)
+	}
+	if !started.Load() || isRejection(err) {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	return nil, err
 }
 
+// isRejection reports whether the peer says that it has not processed the
+// request (RFC 9114, section 8.1).
+func isRejection(err error) bool {
+	var h3 *http3.Error
+	return errors.As(err, &h3) && h3.Remote && h3.ErrorCode == http3.ErrCodeRequestRejected
+}
+
+// retire forgets a connection. Its running requests go on.
+func (p *pool) retire(address string, peer *peerConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.peers[address] == peer {
+		delete(p.peers, address)
+	}
+}
+
 // pooledBody keeps its connection in use until the body is closed.
 type pooledBody struct {
 	io.ReadCloser
