quotadriver: run shard groups and quota over calls between instances

Messages to one instance travel in one batch; at most two borrow calls and four shard calls are under way to one instance.

--- a/quota/borrower.go
+++ b/quota/borrower.go
@@ -272,7 +272,7 @@
 	var settled []Settlement
 	b.outages[request.Shard] = outage{until: now.Add(outageMemory), cause: cause, retryAfter: retryAfter}
 	for i := range request.Reports {
-		b.resend(&request.Reports[i])
+		b.resend(&request.Reports[i], now)
 	}
 	for i := range request.Asks {
 		ask := &request.Asks[i]
@@ -284,7 +284,7 @@
 		if len(p.canceled) < maxCanceled {
 			p.canceled = append(p.canceled, ask.Grant)
 		}
-		p.reportAt = now
+		p.reportAt = now.Add(lazyReport)
 		settled = append(settled, p.refuse(Refusal{Account: p.account, Cause: cause, RetryAfter: retryAfter})...)
 	}
 	return settled
@@ -294,11 +294,12 @@
 const outageMemory = 100 * time.Millisecond
 
 // resend marks what a lost report has told as not told.
-func (b *Borrower) resend(report *Report) {
+func (b *Borrower) resend(report *Report, now time.Time) {
 	p := b.pools[report.Account]
 	if p == nil {
 		return
 	}
+	p.reportAt = now.Add(lazyReport)
 	if report.Returned == ReturnedAll && len(p.canceled) < maxCanceled {
 		p.canceled = append(p.canceled, report.Grant)
 	}
--- /dev/null
+++ b/quotadriver/calls.go
@@ -0,0 +1,121 @@
+package quotadriver
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/quota"
+	"github.com/hemlockring/hemlockring/shard"
+	"github.com/hemlockring/hemlockring/transport"
+)
+
+// Paths of the calls between instances.
+const (
+	pathMessages      = "/fleet/shard/messages"
+	pathConfirmations = "/fleet/shard/confirmations"
+	pathBorrow        = "/fleet/quota/borrow"
+)
+
+// MessageBatch is the messages of all shards to one instance, or their replies.
+type MessageBatch struct {
+	// Messages are the messages.
+	Messages []shard.Message `cbor:"1,keyasint"`
+}
+
+// BorrowBatch is the requests of an ingress to one owner.
+type BorrowBatch struct {
+	// Requests are the requests, one for each shard.
+	Requests []quota.BorrowRequest `cbor:"1,keyasint"`
+}
+
+// BorrowReplies answers a BorrowBatch.
+type BorrowReplies struct {
+	// Replies are the replies, in the order of the requests.
+	Replies []quota.BorrowReply `cbor:"1,keyasint"`
+}
+
+// ConfirmationRequest asks an instance what its replicas have confirmed.
+type ConfirmationRequest struct{}
+
+// Confirmations answers a ConfirmationRequest.
+type Confirmations struct {
+	// Confirmed lists the shards with a confirmed epoch.
+	Confirmed []shard.Confirmation `cbor:"1,keyasint"`
+}
+
+// Register adds the handlers of the calls between instances.
+func (s *Service) Register(mux *http.ServeMux) {
+	transport.HandleCall(mux, pathMessages, s.handleMessages)
+	transport.HandleCall(mux, pathConfirmations, s.handleConfirmations)
+	transport.HandleCall(mux, pathBorrow, s.handleBorrow)
+}
+
+func (s *Service) handleMessages(ctx context.Context, from fleetconfig.InstanceID, batch *MessageBatch) (*MessageBatch, error) {
+	replies := &MessageBatch{}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for i := range batch.Messages {
+		if reply := s.group.Handle(from, &batch.Messages[i], now); reply != nil {
+			replies.Messages = append(replies.Messages, *reply)
+		}
+	}
+	return replies, ctx.Err()
+}
+
+func (s *Service) handleConfirmations(_ context.Context, _ fleetconfig.InstanceID, _ *ConfirmationRequest) (*Confirmations, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Confirmations{Confirmed: s.group.Confirmations(time.Now())}, nil
+}
+
+func (s *Service) handleBorrow(_ context.Context, from fleetconfig.InstanceID, batch *BorrowBatch) (*BorrowReplies, error) {
+	return s.borrow(from, batch), nil
+}
+
+// borrow answers an ingress, which may be this instance itself.
+func (s *Service) borrow(from fleetconfig.InstanceID, batch *BorrowBatch) *BorrowReplies {
+	replies := &BorrowReplies{Replies: make([]quota.BorrowReply, 0, len(batch.Requests))}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for i := range batch.Requests {
+		request := &batch.Requests[i]
+		lease, held := s.group.Held(request.Shard, now)
+		if held {
+			replies.Replies = append(replies.Replies, *s.lender.Borrow(lease, from, request, now))
+			continue
+		}
+		owner, remaining := s.group.KnownHolder(request.Shard, now)
+		replies.Replies = append(replies.Replies, quota.BorrowReply{Shard: request.Shard, Owner: owner, Wait: remaining})
+	}
+	return replies
+}
+
+// CollectConfirmed asks every replica of the map what it has confirmed. Instances
+// that do not answer are left out.
+func CollectConfirmed(ctx context.Context, caller transport.Caller, shardMap *fleetconfig.ShardMap) shard.Confirmed {
+	confirmed := make(shard.Confirmed)
+	asked := make(map[fleetconfig.InstanceID]struct{})
+	for _, placement := range shardMap.Shards {
+		for _, replica := range placement.Replicas {
+			if _, done := asked[replica.ID]; done {
+				continue
+			}
+			asked[replica.ID] = struct{}{}
+			var reply Confirmations
+			if err := caller.Call(ctx, replica.Address, pathConfirmations, &ConfirmationRequest{}, &reply); err != nil {
+				continue
+			}
+			for _, c := range reply.Confirmed {
+				if confirmed[c.Shard] == nil {
+					confirmed[c.Shard] = make(map[fleetconfig.InstanceID]uint64)
+				}
+				confirmed[c.Shard][replica.ID] = c.Epoch
+			}
+		}
+	}
+	return confirmed
+}
--- /dev/null
+++ b/quotadriver/peers.go
@@ -0,0 +1,229 @@
+package quotadriver
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/quota"
+	"github.com/hemlockring/hemlockring/shard"
+)
+
+const (
+	// maxShardCalls is how many batches of shard messages may be under way to one
+	// instance. More are dropped; the state machines send again.
+	maxShardCalls = 4
+	// maxBorrowCalls is how many borrow calls may be under way to one instance.
+	// What comes meanwhile waits and travels together.
+	maxBorrowCalls = 2
+)
+
+// borrowJob is a request on its way to an owner.
+type borrowJob struct {
+	outgoing *quota.Outgoing
+	attempt  int
+}
+
+// peer is the calls to one instance.
+type peer struct {
+	shardCalls  int
+	borrowCalls int
+	backlog     []borrowJob
+}
+
+// peerSet holds the peers with calls under way.
+type peerSet struct {
+	mu    sync.Mutex
+	peers map[fleetconfig.InstanceID]*peer
+}
+
+// with runs change on the peer and drops the peer when nothing is left of it.
+func (p *peerSet) with(id fleetconfig.InstanceID, change func(*peer)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.peers == nil {
+		p.peers = make(map[fleetconfig.InstanceID]*peer)
+	}
+	entry := p.peers[id]
+	if entry == nil {
+		entry = &peer{}
+		p.peers[id] = entry
+	}
+	change(entry)
+	if entry.shardCalls == 0 && entry.borrowCalls == 0 && len(entry.backlog) == 0 {
+		delete(p.peers, id)
+	}
+}
+
+// sendShard sends shard messages, one batch for each instance.
+func (s *Service) sendShard(ctx context.Context, envelopes []shard.Envelope) {
+	batches := make(map[fleetconfig.InstanceAddress]*MessageBatch)
+	for i := range envelopes {
+		batch := batches[envelopes[i].To]
+		if batch == nil {
+			batch = &MessageBatch{}
+			batches[envelopes[i].To] = batch
+		}
+		batch.Messages = append(batch.Messages, envelopes[i].Message)
+	}
+	for to, batch := range batches {
+		free := false
+		s.peers.with(to.ID, func(p *peer) {
+			if free = p.shardCalls < maxShardCalls; free {
+				p.shardCalls++
+			}
+		})
+		if free {
+			go s.callShard(ctx, to, batch)
+		}
+	}
+}
+
+func (s *Service) callShard(ctx context.Context, to fleetconfig.InstanceAddress, batch *MessageBatch) {
+	replies := &MessageBatch{}
+	callCtx, cancel := context.WithTimeout(ctx, s.config.Timing.RoundTimeout)
+	err := s.config.Caller.Call(callCtx, to.Address, pathMessages, batch, replies)
+	cancel()
+	s.peers.with(to.ID, func(p *peer) { p.shardCalls-- })
+	if err != nil {
+		return // Lost messages are part of the protocol.
+	}
+	s.sendShard(ctx, s.handleReplies(to.ID, replies))
+}
+
+func (s *Service) handleReplies(from fleetconfig.InstanceID, replies *MessageBatch) []shard.Envelope {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	var out []shard.Envelope
+	for i := range replies.Messages {
+		out = append(out, s.group.HandleReply(from, &replies.Messages[i], now)...)
+	}
+	if len(replies.Messages) > 0 {
+		s.updateLeases(now)
+	}
+	return out
+}
+
+// flush sends what the borrowers have to say.
+func (s *Service) flush(ctx context.Context) {
+	out := make(map[shard.ID]*quota.Outgoing)
+	for i := range s.stripes {
+		s.stripes[i].flush(out)
+	}
+	for _, outgoing := range out {
+		s.sendBorrow(ctx, borrowJob{outgoing: outgoing})
+	}
+}
+
+// sendBorrow queues a job for the instance that is believed to own its shard.
+func (s *Service) sendBorrow(ctx context.Context, job borrowJob) {
+	id := job.outgoing.Request.Shard
+	view := s.config.View()
+	if view == nil {
+		s.fail(job, quota.CauseOwnerUnknown, s.config.Timing.Lease)
+		return
+	}
+	s.routeMu.Lock()
+	to, ok := s.routes.Target(id, &view.Document().Shards, job.attempt)
+	s.routeMu.Unlock()
+	if !ok {
+		s.fail(job, quota.CauseOwnerUnknown, s.config.Timing.Lease)
+		return
+	}
+	start := false
+	s.peers.with(to.ID, func(p *peer) {
+		p.backlog = append(p.backlog, job)
+		if start = p.borrowCalls < maxBorrowCalls; start {
+			p.borrowCalls++
+		}
+	})
+	if start {
+		go s.drainBacklog(ctx, to)
+	}
+}
+
+// drainBacklog sends the jobs that wait for an instance, together, until none is
+// left.
+func (s *Service) drainBacklog(ctx context.Context, to fleetconfig.InstanceAddress) {
+	for {
+		var jobs []borrowJob
+		s.peers.with(to.ID, func(p *peer) {
+			jobs, p.backlog = p.backlog, nil
+			if len(jobs) == 0 {
+				p.borrowCalls--
+			}
+		})
+		if len(jobs) == 0 {
+			return
+		}
+		s.callBorrow(ctx, to, jobs)
+	}
+}
+
+func (s *Service) callBorrow(ctx context.Context, to fleetconfig.InstanceAddress, jobs []borrowJob) {
+	batch := &BorrowBatch{}
+	for _, job := range jobs {
+		batch.Requests = append(batch.Requests, job.outgoing.Request)
+	}
+	replies, err := s.ask(ctx, to, batch)
+	if err != nil || len(replies.Replies) != len(jobs) {
+		for _, job := range jobs {
+			s.retryUnreachable(ctx, to, job)
+		}
+		return
+	}
+	for i, job := range jobs {
+		s.handleBorrowReply(ctx, to, job, &replies.Replies[i])
+	}
+}
+
+// ask calls the instance, or this one directly.
+func (s *Service) ask(ctx context.Context, to fleetconfig.InstanceAddress, batch *BorrowBatch) (*BorrowReplies, error) {
+	if to.ID == s.config.Self.ID {
+		return s.borrow(to.ID, batch), nil
+	}
+	replies := &BorrowReplies{}
+	callCtx, cancel := context.WithTimeout(ctx, quota.AskTimeout)
+	defer cancel()
+	err := s.config.Caller.Call(callCtx, to.Address, pathBorrow, batch, replies)
+	return replies, err
+}
+
+func (s *Service) handleBorrowReply(ctx context.Context, to fleetconfig.InstanceAddress, job borrowJob, reply *quota.BorrowReply) {
+	s.routeMu.Lock()
+	again := s.routes.Learn(to.ID, reply)
+	s.routeMu.Unlock()
+	job.attempt++
+	switch {
+	case reply.IsOwner:
+		s.settle(reply)
+	case again && job.mayRetry(time.Now()):
+		s.sendBorrow(ctx, job)
+	case job.attempt < maxAttempts && job.mayRetry(time.Now()):
+		s.sendBorrow(ctx, job)
+	default:
+		s.fail(job, quota.CauseOwnerUnknown, reply.Wait+s.config.Timing.RoundTimeout)
+	}
+}
+
+// maxAttempts is how many instances are asked for the owner of a shard.
+const maxAttempts = 4
+
+// mayRetry reports whether there is time to ask another instance.
+func (j *borrowJob) mayRetry(now time.Time) bool {
+	return j.attempt < 2*maxAttempts && (j.outgoing.Since.IsZero() || now.Sub(j.outgoing.Since) < quota.AskTimeout)
+}
+
+func (s *Service) retryUnreachable(ctx context.Context, to fleetconfig.InstanceAddress, job borrowJob) {
+	s.routeMu.Lock()
+	s.routes.Forget(job.outgoing.Request.Shard, to.ID)
+	s.routeMu.Unlock()
+	job.attempt++
+	if ctx.Err() == nil && job.attempt < maxAttempts && job.mayRetry(time.Now()) {
+		s.sendBorrow(ctx, job)
+		return
+	}
+	s.fail(job, quota.CauseOwnerUnreachable, s.config.Timing.Lease)
+}
