--- a/idempotency/claim.go
+++ b/idempotency/claim.go
@@ -300,14 +300,17 @@
 	Finish *FinishRequest
 }
 
-// Settle ends the claim. A claim without a majority, or that was never allowed
-// to dispatch, is released whatever the given end. Answer is the answer of
-// EndAnswered; nil or a too large one is not kept. A second call returns nothing.
+// Dispatched reports whether MayDispatch has ever permitted an attempt.
+func (c *Claim) Dispatched() bool { return c.dispatched }
+
+// Settle ends the claim. A claim without a majority is released whatever the
+// given end. Answer is the answer of EndAnswered; nil or a too large one is not
+// kept. A second call returns nothing.
 func (c *Claim) Settle(end End, answer []byte) Settlement {
 	if c.stage == stageSettled {
 		return Settlement{}
 	}
-	release := !c.dispatched || end == EndNotRun
+	release := c.stage != stageClaimed || end == EndNotRun
 	c.stage = stageSettled
 	if release {
 		return Settlement{Release: &ReleaseRequest{Record: c.record, Claim: c.id}}
--- /dev/null
+++ b/orders/fake_test.go
@@ -0,0 +1,199 @@
+package orders
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/idempotency"
+	"github.com/hemlockring/hemlockring/internal/codec"
+)
+
+// testParameters has a claim time that is short enough for tests and long enough
+// for a busy machine.
+var testParameters = idempotency.Config{
+	ClaimTime:      400 * time.Millisecond,
+	Retention:      time.Hour,
+	MaxRequestTime: time.Minute,
+	MaxAnswerBytes: 1 << 10,
+}
+
+// testFleet connects services by function calls that may get lost or doubled.
+type testFleet struct {
+	t *testing.T
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	lossy    bool
+	shardMap fleetconfig.ShardMap
+	services []*Service
+	muxes    []*http.ServeMux
+	stops    []context.CancelFunc
+}
+
+func address(i int) string { return fmt.Sprintf("10.0.0.%d:1", i) }
+
+func newTestFleet(t *testing.T, size int) *testFleet {
+	fleet := &testFleet{
+		t:        t,
+		random:   rand.New(rand.NewPCG(1, 2)),
+		services: make([]*Service, size),
+		muxes:    make([]*http.ServeMux, size),
+		stops:    make([]context.CancelFunc, size),
+	}
+	var placement fleetconfig.ShardPlacement
+	for i := range size {
+		placement.Replicas = append(placement.Replicas,
+			fleetconfig.InstanceAddress{ID: fleetconfig.InstanceID(address(i)), Address: address(i)})
+	}
+	fleet.shardMap = fleetconfig.ShardMap{Epoch: idempotency.FoundingEpoch, Shards: []fleetconfig.ShardPlacement{placement, placement}}
+	for i := range size {
+		fleet.start(i, nil)
+	}
+	fleet.waitReady()
+	fleet.setEpoch(idempotency.FoundingEpoch + 1)
+	fleet.waitReady()
+	return fleet
+}
+
+func (f *testFleet) current() fleetconfig.ShardMap {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.shardMap
+}
+
+func (f *testFleet) setEpoch(epoch uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.shardMap.Epoch = epoch
+}
+
+// start starts an instance without memory, in place of the one that ran before.
+func (f *testFleet) start(i int, journal Journal) {
+	if f.stops[i] != nil {
+		f.stops[i]()
+	}
+	mux := http.NewServeMux()
+	service, err := New(Config{
+		Self:       fleetconfig.InstanceID(address(i)),
+		Parameters: testParameters,
+		MaxBytes:   1 << 20,
+		ShardMap:   f.current,
+		Journal:    journal,
+		Logger:     slog.New(slog.DiscardHandler),
+	}, f, mux)
+	must.NoError(f.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	f.t.Cleanup(cancel)
+	f.mu.Lock()
+	f.services[i], f.muxes[i], f.stops[i] = service, mux, cancel
+	f.mu.Unlock()
+	go func() { _ = service.Serve(ctx) }()
+}
+
+func (f *testFleet) ready() bool {
+	shardMap := f.current()
+	for number := range shardMap.Shards {
+		ready := 0
+		for _, status := range AskStatuses(context.Background(), f, shardMap, number) {
+			if status.Ready && status.Epoch == shardMap.Epoch {
+				ready++
+			}
+		}
+		if ready < len(f.services) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *testFleet) waitReady() {
+	must.Wait(f.t, wait.InitialSuccess(wait.BoolFunc(f.ready), wait.Timeout(30*time.Second), wait.Gap(20*time.Millisecond)))
+}
+
+var errLost = errors.New("lost")
+
+// Call implements transport.Caller.
+func (f *testFleet) Call(ctx context.Context, to, path string, request, reply any) error {
+	f.mu.Lock()
+	var mux *http.ServeMux
+	for i := range f.muxes {
+		if address(i) == to {
+			mux = f.muxes[i]
+		}
+	}
+	fate := 99
+	if f.lossy {
+		fate = f.random.IntN(100)
+	}
+	f.mu.Unlock()
+	if fate < 10 {
+		return errLost
+	}
+	data, err := codec.Marshal(request)
+	if err != nil {
+		return err
+	}
+	response := serveCall(ctx, mux, path, data)
+	if fate < 20 {
+		response = serveCall(ctx, mux, path, data)
+	}
+	if fate >= 20 && fate < 30 {
+		return errLost
+	}
+	if response.Code != http.StatusOK {
+		return errors.Newf("status %d: %s", response.Code, response.Body.String())
+	}
+	return codec.Unmarshal(response.Body.Bytes(), reply)
+}
+
+func serveCall(ctx context.Context, mux *http.ServeMux, path string, data []byte) *httptest.ResponseRecorder {
+	recorder := httptest.NewRecorder()
+	mux.ServeHTTP(recorder, httptest.NewRequestWithContext(ctx, http.MethodPost, path, bytes.NewReader(data)))
+	return recorder
+}
+
+// memoryJournal is a disk that outlives the service.
+type memoryJournal struct {
+	mu      sync.Mutex
+	entries [][]byte
+	failing bool
+}
+
+func (j *memoryJournal) Load(restore func(entry []byte) error) error {
+	for _, entry := range j.entries {
+		if err := restore(entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (j *memoryJournal) Append(entries [][]byte) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.failing {
+		return errors.New("disk full")
+	}
+	j.entries = append(j.entries, entries...)
+	return nil
+}
+
+func (j *memoryJournal) Replace(entries [][]byte) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.entries = entries
+	return nil
+}
--- /dev/null
+++ b/orders/service.go
@@ -0,0 +1,193 @@
+package orders
+
+import (
+	"context"
+	"encoding/binary"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/idempotency"
+	"github.com/hemlockring/hemlockring/transport"
+)
+
+// Paths of the calls between instances.
+const (
+	votePath    = "/fleet/orders/vote"
+	releasePath = "/fleet/orders/release"
+	finishPath  = "/fleet/orders/finish"
+	readPath    = "/fleet/orders/read"
+	statusPath  = "/fleet/orders/status"
+)
+
+const (
+	// tickInterval is how often replicas drop expired records and go on reading.
+	tickInterval = 200 * time.Millisecond
+	// callTimeout bounds a call that no claim time bounds.
+	callTimeout = 3 * time.Second
+	// maxSettling bounds the calls about ended claims that are under way.
+	maxSettling = 2048
+)
+
+// Config configures a Service.
+type Config struct {
+	// Self is this instance.
+	Self fleetconfig.InstanceID
+	// Parameters are those of the decisions.
+	Parameters idempotency.Config
+	// MaxBytes bounds the records of this instance.
+	MaxBytes int
+	// ShardMap returns the shard map of the configuration in force. It must return
+	// the zero map until the instance has read the configuration as current. The
+	// number of shards never changes in the life of a fleet, because it decides
+	// where an order's record lives.
+	ShardMap func() fleetconfig.ShardMap
+	// Journal keeps the records on disk. Nil keeps them in memory only.
+	Journal Journal
+	// Logger receives the messages of the service.
+	Logger *slog.Logger
+}
+
+// Service keeps the order records of one instance and claims orders for its
+// ingress. It is a suture service and safe for concurrent use.
+type Service struct {
+	config Config
+	caller transport.Caller
+	logger *slog.Logger
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	budget   *idempotency.Budget
+	replicas map[int]*idempotency.Replica
+	placed   fleetconfig.ShardMap
+	journal  *journalWriter
+
+	reading   atomic.Bool
+	settling  chan struct{}
+	unsettled sync.WaitGroup
+}
+
+// New returns the service, restores its journal and registers its calls on mux.
+func New(config Config, caller transport.Caller, mux *http.ServeMux) (*Service, error) {
+	if err := config.Parameters.Validate(); err != nil {
+		return nil, err
+	}
+	service := &Service{
+		config:   config,
+		caller:   caller,
+		logger:   config.Logger,
+		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		budget:   idempotency.NewBudget(config.MaxBytes),
+		replicas: make(map[int]*idempotency.Replica),
+		settling: make(chan struct{}, maxSettling),
+	}
+	if config.Journal != nil {
+		service.journal = newJournalWriter(config.Journal)
+		if err := service.restore(); err != nil {
+			return nil, err
+		}
+	}
+	transport.HandleCall(mux, votePath, service.answerVote)
+	transport.HandleCall(mux, releasePath, service.answerRelease)
+	transport.HandleCall(mux, finishPath, service.answerFinish)
+	transport.HandleCall(mux, readPath, service.answerRead)
+	transport.HandleCall(mux, statusPath, service.answerStatus)
+	return service, nil
+}
+
+// Serve runs the replicas until ctx ends.
+func (s *Service) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		s.tick(ctx)
+		if err := s.compactJournal(); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// Drain waits until the outcomes of all ended claims are sent, or ctx ends. A
+// planned stop calls it after the last request.
+func (s *Service) Drain(ctx context.Context) error {
+	settled := make(chan struct{})
+	go func() {
+		s.unsettled.Wait()
+		close(settled)
+	}()
+	select {
+	case <-settled:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "outcomes of orders were not sent; repeats will hear that they are unknown")
+	}
+}
+
+// Usage returns the bytes of the records and their number.
+func (s *Service) Usage() (bytes, records int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, replica := range s.replicas {
+		records += replica.Len()
+	}
+	return s.budget.Used(), records
+}
+
+// shard is the placement of one shard in one epoch.
+type shard struct {
+	number    int
+	group     idempotency.Group
+	addresses []string
+}
+
+func shardOf(shardMap fleetconfig.ShardMap, number int) shard {
+	placement := shardMap.Shards[number]
+	placed := shard{number: number, group: idempotency.Group{Epoch: shardMap.Epoch}}
+	for _, replica := range placement.Replicas {
+		placed.group.Members = append(placed.group.Members, idempotency.Member{ID: replica.ID})
+		placed.addresses = append(placed.addresses, replica.Address)
+	}
+	return placed
+}
+
+// shardNumber spreads records evenly, those of a large account too.
+func shardNumber(shardMap fleetconfig.ShardMap, record idempotency.RecordID) int {
+	return int(binary.BigEndian.Uint64(record[:8]) % uint64(len(shardMap.Shards)))
+}
+
+// takeUp hands a newer shard map to the replicas. The caller holds the lock.
+func (s *Service) takeUp(shardMap fleetconfig.ShardMap, now time.Time) {
+	if shardMap.Epoch <= s.placed.Epoch {
+		return
+	}
+	s.placed = shardMap
+	for number := range shardMap.Shards {
+		placed := shardOf(shardMap, number)
+		replica := s.replicas[number]
+		if replica == nil {
+			if placed.group.Index(s.config.Self) < 0 {
+				continue
+			}
+			replica = s.addReplica(number)
+		}
+		replica.SetGroup(placed.group, now)
+		s.store(number, replica)
+	}
+}
+
+func (s *Service) addReplica(number int) *idempotency.Replica {
+	replica := idempotency.NewReplica(s.config.Parameters, s.config.Self, s.random.Uint64(), s.budget, s.journal != nil)
+	s.replicas[number] = replica
+	return replica
+}
