currency: who may serve, and since when a configuration is accepted

Purpose: a withdrawn key stops within 5 s on every instance, while the fleet goes on for hours without control. Attestations are answers to polls and count from when they were asked for, less their age, so no two clocks are compared.

Weighed: pushed beats with the leader's sending time; ruled out, a delayed push counts too young unless clocks are compared.

--- /dev/null
+++ b/currency/node.go
@@ -0,0 +1,217 @@
+package currency
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+// dated is an attestation with the time that it holds as of, by the own clock.
+type dated struct {
+	attestation Attestation
+	asOf        time.Time
+}
+
+// Node is the state of one instance. It is not safe for concurrent use. All
+// times come from one monotonic clock, which must go on while the process is
+// frozen. Its state is bounded by the number of holders.
+type Node struct {
+	id          fleetconfig.InstanceID
+	incarnation uint64
+	startedAt   time.Time
+
+	// held is the newest committed revision that the instance has.
+	held Revision
+	// heldSince is since when it has it.
+	heldSince time.Time
+	// served is the version that it serves from, once serving is set.
+	served  uint64
+	serving bool
+
+	// accepted is the highest version that is known to be accepted.
+	accepted uint64
+	// term is the highest term of an attestation.
+	term uint64
+	// floor is the lowest Highest of an attestation from after the start, once
+	// floorKnown is set. It is at least what the former life of the process may
+	// have served from or held for an acceptance.
+	floor      uint64
+	floorKnown bool
+
+	// met is the youngest attestation that served meets, unmet the youngest that
+	// it does not meet yet.
+	met   *dated
+	unmet *dated
+
+	quorum quorum
+}
+
+// NewNode returns the state of an instance that starts. The incarnation differs
+// from that of every other life of the process. The instance holds version 0,
+// which every fleet starts from.
+func NewNode(id fleetconfig.InstanceID, incarnation uint64, startedAt time.Time) *Node {
+	return &Node{id: id, incarnation: incarnation, startedAt: startedAt, heldSince: startedAt}
+}
+
+// Hold takes a committed revision that the instance now has.
+func (n *Node) Hold(revision Revision, now time.Time) {
+	if revision.Version > n.held.Version {
+		n.held, n.heldSince = revision, now
+		n.quorum.keep(&n.held)
+	}
+	n.advance(now)
+}
+
+// HoldServed takes a revision that another instance serves from, and which is
+// therefore accepted.
+func (n *Node) HoldServed(revision Revision, now time.Time) {
+	n.accepted = max(n.accepted, revision.Version)
+	n.Hold(revision, now)
+}
+
+// Hear takes the answer of another instance to a poll that was sent at askedAt.
+func (n *Node) Hear(from fleetconfig.InstanceID, answer *Answer, askedAt, now time.Time) {
+	if n.held.Names(from) && from != n.id {
+		n.quorum.hear(from, answer, askedAt, now)
+	}
+	if answer.Serving {
+		n.accepted = max(n.accepted, answer.Served)
+	}
+	// The answer was made after the poll was sent, so the attestation is younger
+	// than this. A negative age would make it younger than the poll.
+	if answer.Attested && answer.Age >= 0 {
+		n.take(answer.Attestation, askedAt.Add(-answer.Age))
+	}
+	n.advance(now)
+}
+
+// Lead takes the attestation of the leader on this same instance, which a
+// majority of control has confirmed as of the time.
+func (n *Node) Lead(attestation Attestation, asOf, now time.Time) {
+	n.take(attestation, asOf)
+	n.advance(now)
+}
+
+// take notes an attestation.
+func (n *Node) take(attestation Attestation, asOf time.Time) {
+	// A deposed leader's attestation is true as of its time. It is left out all
+	// the same, in case the leader judged its office by a clock that stood still.
+	if attestation.Term != 0 && attestation.Term < n.term {
+		return
+	}
+	n.term = max(n.term, attestation.Term)
+	n.accepted = max(n.accepted, attestation.Accepted)
+	if !asOf.Before(n.startedAt) && (!n.floorKnown || attestation.Highest < n.floor) {
+		n.floor, n.floorKnown = attestation.Highest, true
+	}
+	slot := &n.unmet
+	if n.meets(attestation) {
+		slot = &n.met
+	}
+	if *slot == nil || asOf.After((*slot).asOf) {
+		*slot = &dated{attestation: attestation, asOf: asOf}
+	}
+}
+
+func (n *Node) meets(attestation Attestation) bool {
+	return n.serving && n.served >= attestation.Highest
+}
+
+// advance draws the conclusions of what is known.
+func (n *Node) advance(now time.Time) {
+	if n.ownAccepted(now) {
+		n.accepted = max(n.accepted, n.held.Version)
+	}
+	if attestation, asOf, made := n.ownAttestation(now); made {
+		n.take(attestation, asOf)
+	}
+	// Invariant: served only grows, also over lives of the process. What is
+	// served from is accepted, and held.Version is at least the floor.
+	if n.Ready() && n.accepted >= n.held.Version {
+		n.served, n.serving = n.held.Version, true
+	}
+	if n.unmet != nil && n.meets(n.unmet.attestation) {
+		if n.met == nil || n.unmet.asOf.After(n.met.asOf) {
+			n.met = n.unmet
+		}
+		n.unmet = nil
+	}
+}
+
+// Ready reports whether the instance holds all that was accepted before it
+// started. Only then does it vouch as a holder.
+func (n *Node) Ready() bool { return n.floorKnown && n.held.Version >= n.floor }
+
+// Serving returns the version that the instance may serve from, or false while it
+// has none.
+func (n *Node) Serving() (uint64, bool) { return n.served, n.serving }
+
+// Held returns the newest committed revision that the instance has.
+func (n *Node) Held() Revision { return n.held }
+
+// Accepted returns the highest version that is known to be accepted. When it is
+// above Held, the instance should fetch it.
+func (n *Node) Accepted() uint64 { return n.accepted }
+
+// AsOf returns the time as of which the instance is current, or false when it
+// never was.
+func (n *Node) AsOf() (time.Time, bool) {
+	if n.met == nil {
+		return time.Time{}, false
+	}
+	return n.met.asOf, true
+}
+
+// Current reports whether the instance may admit keyed requests, and else when a
+// caller may come back. It must be asked again after any wait, with the time
+// after it: a process that was frozen finds its time run out.
+func (n *Node) Current(now time.Time) (current bool, retryAfter time.Duration) {
+	if n.met == nil || now.Sub(n.met.asOf) > Limit {
+		return false, RetryAfter
+	}
+	return true, 0
+}
+
+// Answer returns the answer to a poll.
+func (n *Node) Answer(now time.Time) *Answer {
+	answer := &Answer{
+		Incarnation: n.incarnation,
+		Ready:       n.Ready(),
+		Held:        n.held.Version,
+		Serving:     n.serving,
+		Served:      n.served,
+	}
+	if n.met != nil {
+		answer.Attested = true
+		answer.Attestation = n.met.attestation
+		answer.Age = max(0, now.Sub(n.met.asOf))
+	}
+	return answer
+}
+
+// How old an attestation gets before an instance asks the holders themselves.
+// Holders ask sooner, since the others hear of it from them.
+const (
+	holderProbeAfter = time.Second
+	probeAfter       = 2500 * time.Millisecond
+)
+
+// Probes returns the holders to poll besides the usual neighbour, if any: all
+// other ones when the latest attestation has become old.
+func (n *Node) Probes(now time.Time) []fleetconfig.InstanceID {
+	after := probeAfter
+	if n.held.Names(n.id) {
+		after = holderProbeAfter
+	}
+	if n.met != nil && now.Sub(n.met.asOf) <= after {
+		return nil
+	}
+	var holders []fleetconfig.InstanceID
+	for _, id := range slices.Concat(n.held.Holders, n.held.FormerHolders) {
+		if id != n.id && !slices.Contains(holders, id) {
+			holders = append(holders, id)
+		}
+	}
+	return holders
+}
--- a/fleetconfig/changes.go
+++ b/fleetconfig/changes.go
@@ -4,7 +4,7 @@
 
 // Changes returns the changes that make wanted from current. Keys, shards and
 // holders count too. Accepting them gives a document that differs from wanted in
-// its version and the epoch of the shard map only. Shard maps that differ in more
+// its version, the epoch of the shard map and the former holders only. Shard maps that differ in more
 // than one step can't be reached by one command and are left as they are.
 func Changes(current, wanted *Document) []Change {
 	var changes []Change
--- a/fleetconfig/delta.go
+++ b/fleetconfig/delta.go
@@ -23,7 +23,8 @@
 	Presets  TableDelta[Preset]  `cbor:"8,keyasint"`
 	// Shards is the difference of the shard maps, nil when they are equal.
 	Shards *ShardDelta `cbor:"9,keyasint,omitempty"`
-	// Holders are the holders of To, nil when they did not change.
+	// Holders are the holders of To, nil when neither they nor the former ones
+	// changed.
 	Holders *HolderDelta `cbor:"10,keyasint,omitempty"`
 }
 
@@ -58,6 +59,8 @@
 type HolderDelta struct {
 	// Holders are the new holders. It may be empty.
 	Holders []InstanceAddress `cbor:"1,keyasint"`
+	// FormerHolders are the holders that To replaces. They may be empty.
+	FormerHolders []InstanceAddress `cbor:"2,keyasint"`
 }
 
 // WrongBaseError says that a delta does not apply to a document.
@@ -93,8 +96,8 @@
 			func(p *Preset) Preset { return Preset{Name: p.Name} }),
 		Shards: compareShards(&from.Shards, &to.Shards),
 	}
-	if !slices.Equal(from.Holders, to.Holders) {
-		delta.Holders = &HolderDelta{Holders: to.Holders}
+	if !slices.Equal(from.Holders, to.Holders) || !slices.Equal(from.FormerHolders, to.FormerHolders) {
+		delta.Holders = &HolderDelta{Holders: to.Holders, FormerHolders: to.FormerHolders}
 	}
 	return delta
 }
--- a/fleetconfig/delta_apply.go
+++ b/fleetconfig/delta_apply.go
@@ -23,9 +23,11 @@
 		Presets:       applyTable(presetTable(document.Presets), d.Presets),
 		Shards:        shards,
 		Holders:       document.Holders,
+		FormerHolders: document.FormerHolders,
 	}
 	if d.Holders != nil {
 		next.Holders = d.Holders.Holders
+		next.FormerHolders = d.Holders.FormerHolders
 	}
 	return next, nil
 }
--- a/fleetconfig/document.go
+++ b/fleetconfig/document.go
@@ -63,6 +63,10 @@
 	// Holders are the instances, up to seven, that hold the configuration in
 	// memory and vouch that it is current while control is away.
 	Holders []InstanceAddress `cbor:"9,keyasint" json:"holders"`
+	// FormerHolders are the holders that this version replaces, empty when it
+	// replaces none. This version needs a majority of them too before it counts
+	// as accepted, so that no majority of the former holders misses it.
+	FormerHolders []InstanceAddress `cbor:"10,keyasint,omitempty" json:"former_holders,omitempty"`
 }
 
 // InstanceAddress is an instance with the address of its fleet port.
--- a/fleetconfig/edit.go
+++ b/fleetconfig/edit.go
@@ -54,6 +54,9 @@
 		Shards:        e.shards,
 		Holders:       e.holders,
 	}
+	if !slices.Equal(base.Holders, document.Holders) {
+		document.FormerHolders = base.Holders
+	}
 	if faults := Validate(document); len(faults) > 0 {
 		return nil, faults
 	}
