--- a/currency/currency_test.go
+++ b/currency/currency_test.go
@@ -14,12 +14,12 @@
 
 // disturb lets one thing happen.
 func disturb(t *rapid.T, w *world) {
-	p := rapid.SampledFrom(w.processes).Draw(t, "process")
-	other := rapid.SampledFrom(w.processes).Draw(t, "other")
 	last := w.log[len(w.log)-1]
+	p := w.drawProcess(append(slices.Clone(last.Holders), last.FormerHolders...))
+	other := w.drawProcess(proxies)
 	event := rapid.SampledFrom([]string{
 		"change", "change", "change", "change", "holders", "elect", "away", "back", "restart", "restart",
-		"freeze", "thaw", "thaw", "cut", "isolate", "heal", "slow", "quick",
+		"freeze", "thaw", "thaw", "cut", "isolate", "isolate", "heal", "leader only", "slow", "quick",
 	}).Draw(t, "event")
 	switch event {
 	case "change":
@@ -39,10 +39,12 @@
 	case "cut":
 		w.cuts[[2]fleetconfig.InstanceID{p.id, other.id}] = true
 	case "isolate":
-		for _, other := range w.processes {
-			w.cuts[[2]fleetconfig.InstanceID{p.id, other.id}] = true
-			w.cuts[[2]fleetconfig.InstanceID{other.id, p.id}] = rapid.Bool().Draw(t, "both ways")
-		}
+		w.isolate(p, rapid.Bool().Draw(t, "both ways"))
+	case "leader only":
+		// The leader hears one holder, which no one else hears.
+		w.isolate(p, true)
+		w.cuts[[2]fleetconfig.InstanceID{p.id, w.inOffice().at.id}] = false
+		w.cuts[[2]fleetconfig.InstanceID{w.inOffice().at.id, p.id}] = false
 	case "heal":
 		clear(w.cuts)
 	case "slow":
@@ -52,6 +54,21 @@
 	}
 }
 
+// drawProcess draws one of the preferred processes, and now and then any.
+func (w *world) drawProcess(preferred []fleetconfig.InstanceID) *process {
+	if rapid.IntRange(0, 3).Draw(w.t, "any") == 3 {
+		return rapid.SampledFrom(w.processes).Draw(w.t, "process")
+	}
+	return w.process(rapid.SampledFrom(preferred).Draw(w.t, "preferred"))
+}
+
+func (w *world) isolate(p *process, bothWays bool) {
+	for _, other := range w.processes {
+		w.cuts[[2]fleetconfig.InstanceID{p.id, other.id}] = true
+		w.cuts[[2]fleetconfig.InstanceID{other.id, p.id}] = bothWays
+	}
+}
+
 func run(t *rapid.T) *world {
 	w := newWorld(t)
 	loss := rapid.SampledFrom([]int{0, 10, 40}).Draw(t, "loss percent")
