Add package balance: two choices, tiers, subsets

Two random choices by load per slot, near failure domain first with spill-over, slow start by acceptance probability (weighing the load instead starves a server in trial on an idle service: it loses every comparison). Subsets: a first version moved servers only inside the subset that crosses two orders; the property test showed covers of 2 to 5, so the move now belongs to the order itself and the cover is exact.

--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,155 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	_ "github.com/hemlockring/hemlockring/internal/fixedseed"
+)
+
+func idOf(i int) BackendID {
+	return BackendID{
+		Instance: fleetconfig.InstanceID(fmt.Sprintf("instance-%d", i/11)),
+		Server:   fleetconfig.BackendServerID(fmt.Sprintf("server-%d", i)),
+	}
+}
+
+func poolOf(servers int) *Pool {
+	backends := make([]Backend, servers)
+	for i := range backends {
+		backends[i] = Backend{ID: idOf(i), Tier: Tier(i % int(tiers)), Slots: 7, Weight: 1}
+	}
+	pool := NewPool(DefaultPolicy())
+	pool.Set(backends)
+	return pool
+}
+
+// TestPickFindsEveryUsableServer holds that a pick returns a backend server that
+// is neither excluded nor tried, and fails only when there is none.
+func TestPickFindsEveryUsableServer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		pool := poolOf(rapid.IntRange(0, 12).Draw(t, "servers"))
+		var tried Tried
+		usable := 0
+		for i := range pool.Len() {
+			pool.Report(i, rapid.Uint32Range(0, 20).Draw(t, "in flight"), rapid.SampledFrom([]float64{0.01, 1}).Draw(t, "weight"))
+			pool.Exclude(i, Exclusion(rapid.SampledFrom([]uint8{0, 0, 1, 2, 4}).Draw(t, "excluded")))
+			wasTried := tried.count < MaxTried && rapid.IntRange(0, 3).Draw(t, "tried") == 0
+			if wasTried {
+				tried.Add(idOf(i))
+			}
+			if !wasTried && pool.Backend(i).Excluded == 0 {
+				usable++
+			}
+		}
+		index, ok := pool.Pick(rng, &tried)
+		must.Eq(t, usable > 0, ok)
+		if ok {
+			must.Zero(t, pool.Backend(index).Excluded)
+			must.False(t, tried.contains(pool.Backend(index).ID))
+		}
+	})
+}
+
+// TestNearFirstThenSpill holds that the near tier takes the requests until it is
+// loaded, and that the rest spills over.
+func TestNearFirstThenSpill(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	pool := poolOf(9)
+	var taken [tiers]int
+	for sent := range 9 * 7 {
+		index, ok := pool.Pick(rng, nil)
+		must.True(t, ok)
+		pool.Began(index)
+		taken[pool.Backend(index).Tier]++
+		if sent < 10 {
+			must.Eq(t, TierDomain, pool.Backend(index).Tier)
+		}
+	}
+	must.Greater(t, 12, taken[TierDomain])
+	must.Greater(t, 10, taken[TierRegion])
+	must.Greater(t, 10, taken[TierFar])
+}
+
+// TestSlowStartGetsItsShare holds that a backend server of weight 0.1 gets about
+// a tenth of the requests of the others, and not none.
+func TestSlowStartGetsItsShare(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 6))
+	pool := poolOf(30)
+	pool.Report(0, 0, 0.1)
+	var slow, usual int
+	for range 100_000 {
+		index, _ := pool.Pick(rng, nil)
+		switch index {
+		case 0:
+			slow++
+		case 3:
+			usual++
+		}
+	}
+	must.Between(t, usual/20, slow, usual/5)
+}
+
+// TestSubsetsCoverEvenly holds at the large size that subsets have no doubles,
+// do not depend on the order in which the servers are known, and cover every
+// server equally often, but for one.
+func TestSubsetsCoverEvenly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		servers := make([]BackendID, rapid.IntRange(1, 300).Draw(t, "servers"))
+		for i := range servers {
+			servers[i] = idOf(i)
+		}
+		size := rapid.IntRange(1, 40).Draw(t, "size")
+		ingresses := rapid.IntRange(1, 820).Draw(t, "ingresses")
+		cover := make(map[BackendID]int)
+		for ingress := range ingresses {
+			subset := Subset("service", ingress, servers, size)
+			must.Len(t, min(size, len(servers)), subset)
+			seen := make(map[BackendID]bool)
+			for _, id := range subset {
+				must.False(t, seen[id])
+				seen[id] = true
+				cover[id]++
+			}
+		}
+		least, most := ingresses, 0
+		for _, id := range servers {
+			least, most = min(least, cover[id]), max(most, cover[id])
+		}
+		must.LessEq(t, 1, most-least)
+		last := Subset("service", ingresses-1, servers, size)
+		rand.New(rand.NewPCG(1, 1)).Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+		if size < len(servers) {
+			must.Eq(t, last, Subset("service", ingresses-1, servers, size))
+		}
+	})
+}
+
+func benchmarkPick(b *testing.B, servers int) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	pool := poolOf(servers)
+	var tried Tried
+	tried.Add(idOf(1))
+	b.ReportAllocs()
+	for b.Loop() {
+		index, _ := pool.Pick(rng, &tried)
+		pool.Began(index)
+		pool.Ended(index)
+	}
+}
+
+func BenchmarkPick22(b *testing.B)   { benchmarkPick(b, 22) }
+func BenchmarkPick8800(b *testing.B) { benchmarkPick(b, 8800) }
+
+// TestPickAllocatesNothing holds the promise of the package.
+func TestPickAllocatesNothing(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	pool := poolOf(22)
+	must.Zero(t, testing.AllocsPerRun(1000, func() { pool.Pick(rng, nil) }))
+}
