--- a/health/permit_test.go
+++ b/health/permit_test.go
@@ -360,6 +360,8 @@
 	ask := func(name fleetconfig.BackendServerID, number uint64, severity float64) Reason {
 		return owner.Ask(Ask{ID: AskID{1, number}, Instance: "i", Server: name, Severity: severity, Renews: number > 1}, now)
 	}
+	late := NewPermitOwner(Floor{Slots: 1}, DefaultPermitLife, 2, now)
+	must.Eq(t, ReasonStarting, late.Ask(Ask{ID: AskID{1, 1}, Instance: "i", Server: "bad"}, now.Add(DefaultPermitLife-1)))
 	must.Eq(t, ReasonNone, ask("worse", 1, 2))
 	must.Eq(t, ReasonNone, ask("bad", 1, 1))
 	must.Eq(t, ReasonNone, ask("a", 1, 1))
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,104 @@
+package retry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/health"
+	_ "github.com/hemlockring/hemlockring/internal/fixedseed"
+	"github.com/hemlockring/hemlockring/pipeline"
+)
+
+var epoch = time.Date(2026, time.December, 4, 0, 0, 0, 0, time.UTC)
+
+// TestRetriesStayInTheirBudget holds that retries and hedges are never more than
+// the percentage of the requests, the minimum rate and what is saved up, for the
+// service and each account, while presets change; and that nothing that may have
+// run and is not idempotent gets another attempt.
+func TestRetriesStayInTheirBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		preset := fleetconfig.Preset{RetryBudgetPercent: 10}
+		budget := NewBudget(&preset)
+		now := epoch
+		earned, retries := 0.0, 0.0
+		earnedBy, retriesBy := map[fleetconfig.AccountID]float64{}, map[fleetconfig.AccountID]float64{}
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 60).Draw(t, "preset") == 0 {
+				preset.RetryBudgetPercent = rapid.SampledFrom([]uint32{5, 10, 20}).Draw(t, "percent")
+				budget.SetPreset(&preset)
+			}
+			attempt := Attempt{
+				Account:    fleetconfig.AccountID(fmt.Sprintf("a%d", rapid.IntRange(0, 2).Draw(t, "account"))),
+				Idempotent: rapid.Bool().Draw(t, "idempotent"),
+				Outcome:    pipeline.Outcome(rapid.IntRange(0, 2).Draw(t, "outcome")),
+				Failed:     rapid.Bool().Draw(t, "failed"),
+				Attempts:   rapid.IntRange(1, MaxAttempts).Draw(t, "attempts"),
+				Remaining:  time.Duration(rapid.IntRange(-1, 3).Draw(t, "remaining")),
+			}
+			budget.Request(attempt.Account, now)
+			earned += float64(preset.RetryBudgetPercent) / percent
+			earnedBy[attempt.Account] += float64(preset.RetryBudgetPercent) / percent
+			hedge := rapid.Bool().Draw(t, "hedge")
+			decide := budget.Decide
+			if hedge {
+				decide = budget.Hedge
+			}
+			verdict := decide(attempt, now)
+			if verdict != VerdictRetry {
+				continue
+			}
+			must.True(t, attempt.Idempotent || (!hedge && attempt.Outcome == pipeline.OutcomeNotRun))
+			must.Less(t, MaxAttempts, attempt.Attempts)
+			must.Positive(t, attempt.Remaining)
+			retries++
+			retriesBy[attempt.Account]++
+			elapsed := now.Sub(epoch).Seconds()
+			must.LessEq(t, earned+minServiceRate*elapsed+1.001, retries)
+			must.LessEq(t, earnedBy[attempt.Account]+minAccountRate*elapsed+1.001, retriesBy[attempt.Account])
+		}
+	})
+}
+
+// TestAmplification holds that a service that fails everything sees at most 1.1
+// attempts for each request over time.
+func TestAmplification(t *testing.T) {
+	budget := NewBudget(&fleetconfig.Preset{RetryBudgetPercent: 9})
+	const requests = 20_000
+	attempts := 0
+	for i := range requests {
+		now := epoch.Add(time.Duration(i) * 10 * time.Millisecond)
+		account := fleetconfig.AccountID(fmt.Sprintf("a%d", i%8))
+		budget.Request(account, now)
+		attempts++
+		for tried := 1; budget.Decide(Attempt{Account: account, Outcome: pipeline.OutcomeNotRun, Attempts: tried, Remaining: time.Second}, now) == VerdictRetry; tried++ {
+			attempts++
+		}
+	}
+	must.LessEq(t, 1.1, float64(attempts)/requests)
+	must.Greater(t, 1.05, float64(attempts)/requests)
+}
+
+// TestHedgeDelay holds that a hedge waits for the service's own quantile and
+// never starts for a request that is not idempotent.
+func TestHedgeDelay(t *testing.T) {
+	var latencies health.Histogram
+	preset := fleetconfig.Preset{HedgeAfter: time.Millisecond}
+	_, ok := HedgeDelay(&preset, true, &latencies)
+	must.False(t, ok)
+	for i := range 1000 {
+		latencies.Record(time.Duration(i) * time.Millisecond)
+	}
+	delay, ok := HedgeDelay(&preset, true, &latencies)
+	must.True(t, ok)
+	must.Between(t, 900*time.Millisecond, delay, 1200*time.Millisecond)
+	_, ok = HedgeDelay(&preset, false, &latencies)
+	must.False(t, ok)
+	_, ok = HedgeDelay(&fleetconfig.Preset{}, true, &latencies)
+	must.False(t, ok)
+}
