Ingress and backend proxy on the decision packages

Selection by two choices with tiers, subsets and path verdicts; retry budgets; the fair queue at the backend proxy; tokens for each attempt that may run. The time to dispatch is told as a reading of the backend proxy's own clock.

Found by TestNoBackendServerSeesAKeyOrAForgedHeader: with a second attempt the key of a forged trailer reached the backend server. Cause: net/http adds every trailer field that comes to the request's trailer when the body ends, also those that the first filter had taken out, and the second attempt cloned it anew. The clean list is now kept with the body. Ruled out: the backend proxy (it passes what is announced).

--- a/backendproxy/announce.go
+++ b/backendproxy/announce.go
@@ -12,8 +12,9 @@
 const (
 	// maxAnnouncementBytes bounds the body of an announcement.
 	maxAnnouncementBytes = 4 << 10
-	// expireInterval is how often silent backend servers are looked for.
-	expireInterval = 100 * time.Millisecond
+	// registryTick is how often silent backend servers and requests that wait in
+	// vain are looked for.
+	registryTick = 20 * time.Millisecond
 )
 
 // RegisterAnnouncements adds the announcement resources to the mux of the
@@ -44,17 +45,17 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// Serve removes silent backend servers until ctx ends. It makes the registry a
+// Serve lets time pass in the registry until ctx ends. It makes the registry a
 // suture service.
 func (r *Registry) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(expireInterval)
+	ticker := time.NewTicker(registryTick)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-ticker.C:
-			r.Expire(now)
+			r.Tick(now)
 		}
 	}
 }
--- a/backendproxy/filters.go
+++ b/backendproxy/filters.go
@@ -14,6 +14,8 @@
 	"github.com/hemlockring/hemlockring/internal/freeze"
 	"github.com/hemlockring/hemlockring/internal/httpheader"
 	"github.com/hemlockring/hemlockring/pipeline"
+	"github.com/hemlockring/hemlockring/queue"
+	"github.com/hemlockring/hemlockring/quota"
 )
 
 // Waits that refusals tell the caller.
@@ -28,6 +30,7 @@
 type verifyFilter struct {
 	view   func() *fleetconfig.View
 	freeze *freeze.Detector
+	clock  quota.DispatchClock
 }
 
 func (*verifyFilter) Name() string { return "verify" }
@@ -62,21 +65,29 @@
 			"send the request again", retryElsewhere)
 	}
 	exchange.Deadline = exchange.Received.Add(time.Duration(left) * time.Millisecond)
-	text := header.Get(pipeline.HeaderTokenLife)
-	if text == "" {
-		return nil
+	return f.readDispatchBy(exchange)
+}
+
+// readDispatchBy reads until when the request may be dispatched. The ingress says
+// it as a reading of this process's own clock, so that neither a slow network nor
+// a frozen process lengthens the time.
+func (f *verifyFilter) readDispatchBy(exchange *pipeline.Exchange) error {
+	present := f.clock.Reading(exchange.Received)
+	by, ok := ParseReading(exchange.Request.Header.Get(pipeline.HeaderDispatchBy))
+	if !ok || by.Incarnation != present.Incarnation {
+		return pipeline.NotRun(pipeline.KindClockUnknown, http.StatusServiceUnavailable,
+			"the ingress does not know the clock of this instance", "send the request again", retryElsewhere)
 	}
-	life, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || life <= 0 {
+	if by.Elapsed <= present.Elapsed {
 		return tokenExpired()
 	}
-	exchange.TokenExpires = exchange.Received.Add(time.Duration(life) * time.Millisecond)
+	exchange.DispatchBy = exchange.Received.Add(by.Elapsed - present.Elapsed)
 	return nil
 }
 
 func tokenExpired() *pipeline.Refusal {
 	return pipeline.NotRun(pipeline.KindBusy, http.StatusServiceUnavailable,
-		"the request waited longer than its share of the account's rate lasts",
+		"the request waited longer than its share of the account's rate, or its own time, lasts",
 		"send the request again", retryOverloaded)
 }
 
@@ -106,6 +117,9 @@
 	// Begin records that a request is about to be sent to a backend server. It
 	// returns false when the server is ejected and takes no request now.
 	Begin(server fleetconfig.BackendServerID, account fleetconfig.AccountID, deadline, now time.Time) (Observation, bool)
+	// WeightPercent returns the share of its full load that a backend server should
+	// get now.
+	WeightPercent(server fleetconfig.BackendServerID, now time.Time) int
 }
 
 // Observation is one request that a Watch has begun.
@@ -123,25 +137,46 @@
 
 func (f *queueFilter) Request(exchange *pipeline.Exchange) error {
 	service := fleetconfig.ServiceName(exchange.Request.Header.Get(pipeline.HeaderService))
-	slot, result := f.registry.acquire(exchange.BackendServer, service, time.Now())
-	switch result {
-	case acquired:
-		slotOf(exchange).slot = slot
-		return nil
-	case drainingServer:
+	item := queue.Item{Account: exchange.Account, Deadline: exchange.DispatchBy}
+	slot, refuse := f.registry.acquire(exchange.Request.Context(), exchange.BackendServer, service, item)
+	switch {
+	case refuse != nil:
+		return refuseQueued(refuse)
+	case slot == nil:
+		return pipeline.NotRun(pipeline.KindNoCapacity, http.StatusServiceUnavailable,
+			"the backend server is no longer beside this instance", "send the request again", retryElsewhere)
+	}
+	slotOf(exchange).slot = slot
+	return nil
+}
+
+func refuseQueued(refuse *queue.Refuse) *pipeline.Refusal {
+	switch refuse.Reason {
+	case queue.ReasonDraining:
 		return refuseDraining()
-	case busyServer:
+	case queue.ReasonCanceled:
+		return refuseCanceled()
+	case queue.ReasonDeadline:
 		return pipeline.NotRun(pipeline.KindBusy, http.StatusServiceUnavailable,
-			"every slot of the backend server is in use", "send the request again", retryOverloaded)
+			"the request would not get a slot of the backend server in its time",
+			"send the request again", max(refuse.RetryAfter, retryOverloaded))
 	default:
-		return pipeline.NotRun(pipeline.KindNoCapacity, http.StatusServiceUnavailable,
-			"the backend server is no longer beside this instance", "send the request again", retryElsewhere)
+		return pipeline.NotRun(pipeline.KindBusy, http.StatusServiceUnavailable,
+			"every slot of the backend server is in use and its queue is full",
+			"send the request again", max(refuse.RetryAfter, retryOverloaded))
 	}
 }
 
+func refuseCanceled() *pipeline.Refusal {
+	return pipeline.NotRun(pipeline.KindCanceled, http.StatusServiceUnavailable,
+		"the caller gave the request up", "send the request again if it is still wanted", retryElsewhere)
+}
+
 // Finish implements pipeline.Finisher.
 func (f *queueFilter) Finish(exchange *pipeline.Exchange) {
-	slotOf(exchange).slot.Release()
+	if slot := slotOf(exchange).slot; slot != nil {
+		slot.Release()
+	}
 }
 
 // runFilter hands the request to the backend server and streams the answer back.
@@ -149,6 +184,7 @@
 	dispatcher *dispatcher
 	freeze     *freeze.Detector
 	watch      Watch
+	clock      quota.DispatchClock
 }
 
 func (*runFilter) Name() string { return "run" }
@@ -158,11 +194,7 @@
 	if err := f.checkTime(exchange, now); err != nil {
 		return err
 	}
-	slot := &slotOf(exchange).slot
-	limit := exchange.Deadline
-	if !exchange.TokenExpires.IsZero() && exchange.TokenExpires.Before(limit) {
-		limit = exchange.TokenExpires
-	}
+	slot := slotOf(exchange).slot
 	observation, admitted := f.watch.Begin(exchange.BackendServer, exchange.Account, exchange.Deadline, now)
 	if !admitted {
 		return pipeline.NotRun(pipeline.KindNoCapacity, http.StatusServiceUnavailable,
@@ -170,7 +202,7 @@
 	}
 	ctx, cancel := context.WithDeadline(exchange.Request.Context(), exchange.Deadline)
 	defer cancel()
-	response, outcome, err := f.dispatcher.dispatch(ctx, exchange, slot.Address, limit)
+	response, outcome, err := f.dispatcher.dispatch(ctx, exchange, slot.Address, exchange.DispatchBy)
 	exchange.Outcome = outcome
 	if err != nil {
 		observation.End(resultOfError(exchange, err), time.Now())
@@ -178,7 +210,12 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	observation.End(resultOfResponse(response), time.Now())
-	if cause := writeAnswer(exchange, slot.Load, response); cause != nil {
+	load := slot.Load()
+	load.WeightPercent = f.watch.WeightPercent(exchange.BackendServer, time.Now())
+	header := exchange.Writer.Header()
+	header.Set(HeaderLoad, load.String())
+	header.Set(pipeline.HeaderClock, FormatReading(f.clock.Reading(time.Now())))
+	if cause := writeAnswer(exchange, response); cause != nil {
 		f.observeBreak(exchange, cause)
 	}
 	return nil
@@ -228,12 +265,11 @@
 func (f *runFilter) checkTime(exchange *pipeline.Exchange, now time.Time) error {
 	switch {
 	case exchange.Request.Context().Err() != nil:
-		return pipeline.NotRun(pipeline.KindCanceled, http.StatusServiceUnavailable,
-			"the caller gave the request up", "send the request again if it is still wanted", retryElsewhere)
+		return refuseCanceled()
 	case f.freeze.Suspect(now) || !now.Before(exchange.Deadline):
 		return pipeline.NotRun(pipeline.KindDeadline, http.StatusGatewayTimeout,
 			"the request's time had run out before a slot was free", "send the request again", retryOverloaded)
-	case !exchange.TokenExpires.IsZero() && !now.Before(exchange.TokenExpires):
+	case !now.Before(exchange.DispatchBy):
 		return tokenExpired()
 	}
 	return nil
@@ -264,14 +300,13 @@
 // writeAnswer streams the answer. An answer that breaks off ends the exchange by
 // a panic with http.ErrAbortHandler, which resets the stream, so that the caller
 // never takes a short body for a whole one; the cause is returned.
-func writeAnswer(exchange *pipeline.Exchange, load Load, response *http.Response) error {
+func writeAnswer(exchange *pipeline.Exchange, response *http.Response) error {
 	announced := response.Trailer
 	header := exchange.Writer.Header()
 	httpheader.RemoveHopByHop(response.Header)
 	httpheader.RemoveInternal(response.Header)
 	httpheader.Copy(header, response.Header)
 	header.Set(pipeline.HeaderOutcome, pipeline.OutcomeAnswered.String())
-	header.Set(HeaderLoad, load.String())
 	if response.ContentLength >= 0 && header.Get("Content-Length") == "" {
 		header.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
--- a/backendproxy/load.go
+++ b/backendproxy/load.go
@@ -9,11 +9,12 @@
 
 // String returns the load as it is written in HeaderLoad.
 func (l Load) String() string {
-	return fmt.Sprintf("%d/%d/%d", l.Running, l.Queued, l.Slots)
+	return fmt.Sprintf("%d/%d/%d/%d", l.Running, l.Queued, l.Slots, l.WeightPercent)
 }
 
 // ParseLoad reads a value of HeaderLoad.
 func ParseLoad(text string) (load Load, ok bool) {
-	n, err := fmt.Sscanf(text, "%d/%d/%d", &load.Running, &load.Queued, &load.Slots)
-	return load, err == nil && n == 3
+	const fields = 4
+	n, err := fmt.Sscanf(text, "%d/%d/%d/%d", &load.Running, &load.Queued, &load.Slots, &load.WeightPercent)
+	return load, err == nil && n == fields
 }
--- a/backendproxy/proxy.go
+++ b/backendproxy/proxy.go
@@ -11,6 +11,7 @@
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/internal/freeze"
 	"github.com/hemlockring/hemlockring/pipeline"
+	"github.com/hemlockring/hemlockring/quota"
 )
 
 // Config configures a Proxy.
@@ -23,6 +24,8 @@
 	Freeze *freeze.Detector
 	// Watch judges the backend servers.
 	Watch Watch
+	// Clock is the clock that bounds dispatches.
+	Clock quota.DispatchClock
 }
 
 // Proxy serves the requests that ingresses forward to the backend servers beside
@@ -31,11 +34,12 @@
 	chain    *pipeline.Chain
 	draining atomic.Bool
 	running  tracker
+	clock    quota.DispatchClock
 }
 
 // exchangeState is what the filters keep for one exchange.
 type exchangeState struct {
-	slot Slot
+	slot *Slot
 }
 
 // slotOf returns the state of the exchange.
@@ -46,12 +50,12 @@
 
 // New returns a proxy.
 func New(config Config) *Proxy {
-	proxy := &Proxy{}
+	proxy := &Proxy{clock: config.Clock}
 	proxy.chain = pipeline.NewChain(
-		&verifyFilter{view: config.View, freeze: config.Freeze},
+		&verifyFilter{view: config.View, freeze: config.Freeze, clock: config.Clock},
 		&drainFilter{draining: &proxy.draining},
 		&queueFilter{registry: config.Registry},
-		&runFilter{dispatcher: newDispatcher(), freeze: config.Freeze, watch: config.Watch},
+		&runFilter{dispatcher: newDispatcher(), freeze: config.Freeze, watch: config.Watch, clock: config.Clock},
 	)
 	return proxy
 }
@@ -73,6 +77,7 @@
 	}
 	err := p.chain.Serve(exchange)
 	if err != nil {
+		w.Header().Set(pipeline.HeaderClock, FormatReading(p.clock.Reading(time.Now())))
 		writeRefusal(exchange, err)
 	}
 	if exchange.Truncated {
--- a/backendproxy/registry.go
+++ b/backendproxy/registry.go
@@ -53,26 +53,32 @@
 	// Announcement is the newest one.
 	Announcement Announcement
 
-	started  time.Time
-	expires  time.Time
-	draining bool
-	ejected  bool
-	running  int
+	started   time.Time
+	expires   time.Time
+	draining  bool
+	ejected   bool
+	admission *admission
 }
 
 // Registry keeps the backend servers that have announced themselves. It is safe
 // for concurrent use.
 type Registry struct {
-	onChange func([]membership.Server)
+	onChange    func([]membership.Server)
+	queueLength func() int
 
 	mu      sync.Mutex
 	servers map[fleetconfig.BackendServerID]*Server
 }
 
 // NewRegistry returns an empty registry. onChange is called, with the lock held,
-// whenever what the fleet should know has changed.
-func NewRegistry(onChange func([]membership.Server)) *Registry {
-	return &Registry{onChange: onChange, servers: make(map[fleetconfig.BackendServerID]*Server)}
+// whenever what the fleet should know has changed. queueLength returns how many
+// requests may wait for each backend server.
+func NewRegistry(onChange func([]membership.Server), queueLength func() int) *Registry {
+	return &Registry{
+		onChange:    onChange,
+		queueLength: queueLength,
+		servers:     make(map[fleetconfig.BackendServerID]*Server),
+	}
 }
 
 // Announce takes an announcement in.
@@ -88,11 +94,17 @@
 		if len(r.servers) >= MaxServers {
 			return errors.Newf("this instance has %d backend servers already; announce to another instance", MaxServers)
 		}
-		server = &Server{ID: id, started: now}
+		server = &Server{ID: id, started: now, admission: newAdmission(int(announcement.Slots), r.queueLength())}
 		r.servers[id] = server
 		changed = true
 	}
 	draining := announcement.State == StateDraining
+	switch {
+	case draining && !server.draining:
+		server.admission.drain()
+	case !draining && server.draining:
+		server.admission = newAdmission(int(announcement.Slots), r.queueLength())
+	}
 	changed = changed || server.Announcement != announcement || server.draining != draining
 	server.Announcement = announcement
 	server.draining = draining
@@ -107,22 +119,29 @@
 func (r *Registry) Leave(id fleetconfig.BackendServerID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, known := r.servers[id]; known {
+	if server, known := r.servers[id]; known {
+		server.admission.drain()
 		delete(r.servers, id)
 		r.publish()
 	}
 }
 
-// Expire removes the backend servers that have not renewed their announcement.
-func (r *Registry) Expire(now time.Time) {
+// Tick removes the backend servers that have not renewed their announcement, and
+// lets time pass in the queues.
+func (r *Registry) Tick(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changed := false
+	length := r.queueLength()
 	for id, server := range r.servers {
 		if now.After(server.expires) {
+			server.admission.drain()
 			delete(r.servers, id)
 			changed = true
+			continue
 		}
+		server.admission.setLimits(int(server.Announcement.Slots), length)
+		server.admission.tick(now)
 	}
 	if changed {
 		r.publish()
--- a/backendproxy/slots.go
+++ b/backendproxy/slots.go
@@ -1,20 +1,37 @@
 package backendproxy
 
 import (
+	"context"
 	"time"
 
 	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/queue"
 )
 
 // Slot is the right to run one request on a backend server. Release it once.
 type Slot struct {
 	// Address is where the backend server listens.
 	Address string
-	// Load is the load right after the slot was taken.
-	Load Load
 
-	registry *Registry
-	server   *Server
+	admission *admission
+	item      queue.ItemID
+}
+
+// Load returns how busy the backend server is.
+func (s *Slot) Load() Load {
+	if s.admission == nil {
+		return Load{}
+	}
+	return s.admission.load()
+}
+
+// Release gives the slot back.
+func (s *Slot) Release() {
+	if s.admission == nil {
+		return
+	}
+	s.admission.leave(s.item)
+	s.admission = nil
 }
 
 // Load is how busy a backend server is.
@@ -25,53 +42,34 @@
 	Queued int
 	// Slots is how many requests it runs at once.
 	Slots int
+	// WeightPercent is the share of its full load that it should get.
+	WeightPercent int
 }
 
-// acquireResult says how an attempt to take a slot ended.
-type acquireResult uint8
-
-const (
-	acquired acquireResult = iota
-	unknownServer
-	drainingServer
-	busyServer
-)
-
-// acquire takes a slot of a backend server when one is free.
-func (r *Registry) acquire(id fleetconfig.BackendServerID, service fleetconfig.ServiceName, now time.Time) (Slot, acquireResult) {
+// find returns the backend server if it serves the service now.
+func (r *Registry) find(id fleetconfig.BackendServerID, service fleetconfig.ServiceName, now time.Time) (*admission, string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	server := r.servers[id]
-	switch {
-	case server == nil || server.Announcement.Service != service || now.After(server.expires):
-		return Slot{}, unknownServer
-	case server.draining:
-		return Slot{}, drainingServer
-	case server.running >= int(server.Announcement.Slots):
-		return Slot{Load: server.load()}, busyServer
+	if server == nil || server.Announcement.Service != service || now.After(server.expires) {
+		return nil, ""
 	}
-	server.running++
-	return Slot{
-		Address:  server.Announcement.Address,
-		Load:     server.load(),
-		registry: r,
-		server:   server,
-	}, acquired
+	return server.admission, server.Announcement.Address
 }
 
-// Release gives the slot back.
-func (s *Slot) Release() {
-	if s.registry == nil {
-		return
+// acquire waits for a slot of a backend server. It returns nil and no refusal when
+// the backend server is not beside this instance.
+func (r *Registry) acquire(ctx context.Context, id fleetconfig.BackendServerID, service fleetconfig.ServiceName, item queue.Item) (*Slot, *queue.Refuse) {
+	admission, address := r.find(id, service, time.Now())
+	if admission == nil {
+		return nil, nil
 	}
-	s.registry.mu.Lock()
-	defer s.registry.mu.Unlock()
-	s.server.running--
-	s.registry = nil
-}
-
-func (s *Server) load() Load {
-	return Load{Running: s.running, Slots: int(s.Announcement.Slots)}
+	item.ID = 0
+	entered, refuse := admission.enter(ctx, item)
+	if refuse != nil {
+		return nil, refuse
+	}
+	return &Slot{Address: address, admission: admission, item: entered}, nil
 }
 
 // Running returns how many requests run on all backend servers, those that have
@@ -81,7 +79,7 @@
 	defer r.mu.Unlock()
 	total := 0
 	for _, server := range r.servers {
-		total += server.running
+		total += server.admission.load().Running
 	}
 	return total
 }
--- a/ejection/watch.go
+++ b/ejection/watch.go
@@ -35,6 +35,20 @@
 	return &observation{watched: found, token: found.monitor.Begin(account, deadline, now)}, true
 }
 
+// WeightPercent implements backendproxy.Watch.
+func (s *Service) WeightPercent(server fleetconfig.BackendServerID, now time.Time) int {
+	const full = 100
+	s.mu.Lock()
+	found := s.servers[server]
+	s.mu.Unlock()
+	if found == nil {
+		return full
+	}
+	found.mu.Lock()
+	defer found.mu.Unlock()
+	return int(full * found.monitor.Weight(now))
+}
+
 // observation is one request of a watched backend server.
 type observation struct {
 	watched *watched
--- a/ingress/depend.go
+++ b/ingress/depend.go
@@ -62,7 +62,10 @@
 	// Pick chooses a backend server for an attempt, none of those in tried. It
 	// returns false when there is none to choose.
 	Pick(exchange *pipeline.Exchange, tried []Candidate) (Candidate, bool)
-	// Done takes the result of an attempt in. Each Pick is followed by one Done.
+	// Again records that another attempt goes to a candidate of an earlier Pick.
+	Again(candidate Candidate, exchange *pipeline.Exchange)
+	// Done takes the result of an attempt in. Each Pick and Again is followed by one
+	// Done.
 	Done(attempt *Attempt)
 }
 
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -11,14 +11,14 @@
 	"github.com/hemlockring/hemlockring/transport"
 )
 
-// maxAttempts bounds the attempts of one request.
-const maxAttempts = 3
-
 // RetryPolicy says whether an attempt may be followed by another one. It is safe
 // for concurrent use.
 type RetryPolicy interface {
-	// MayRetry reports whether the exchange may have one more attempt now.
-	MayRetry(exchange *pipeline.Exchange) bool
+	// Started records the first attempt of an exchange.
+	Started(exchange *pipeline.Exchange)
+	// MayRetry reports whether the exchange may have one more attempt after one that
+	// ended with the given outcome.
+	MayRetry(exchange *pipeline.Exchange, outcome pipeline.Outcome) bool
 }
 
 // forwardFilter chooses backend servers and sends the request to the proxies
@@ -28,6 +28,8 @@
 	local    http.Handler
 	selector Selector
 	retry    RetryPolicy
+	guards   []AttemptGuard
+	clocks   *peerClocks
 }
 
 // Name implements pipeline.Filter.
@@ -35,26 +37,30 @@
 
 // Request implements pipeline.Filter.
 func (f *forwardFilter) Request(exchange *pipeline.Exchange) error {
-	body := &replayBody{request: exchange.Request}
+	body := newReplayBody(exchange.Request)
 	ctx, cancel := context.WithDeadline(exchange.Request.Context(), exchange.Deadline)
 	defer cancel()
 
+	f.retry.Started(exchange)
 	var tried []Candidate
 	var last *pipeline.Refusal
 	for {
 		candidate, ok := f.selector.Pick(exchange, tried)
 		if !ok {
-			return f.noCandidate(last)
+			return noCandidate(last)
 		}
 		tried = append(tried, candidate)
-		exchange.Attempts++
-		refusal := f.attempt(ctx, exchange, candidate, body)
+		refusal, err := f.tryCandidate(ctx, exchange, candidate, body)
+		if err != nil {
+			return refusedBefore(err, last)
+		}
 		if refusal == nil {
 			return nil
 		}
 		if last != nil && last.Outcome != pipeline.OutcomeNotRun {
 			// An earlier attempt may have run, whatever happened to this one.
 			refusal.Outcome = last.Outcome
+			exchange.Outcome = last.Outcome
 		}
 		last = refusal
 		if !f.mayTryAgain(ctx, exchange, refusal, body) {
@@ -63,6 +69,28 @@
 	}
 }
 
+// tryCandidate sends the request to one candidate. The first request to an
+// instance, and the first after its restart, only fetches the reading of its
+// clock and is sent once more.
+func (f *forwardFilter) tryCandidate(ctx context.Context, exchange *pipeline.Exchange, candidate Candidate, body *replayBody) (*pipeline.Refusal, error) {
+	for asked := false; ; asked = true {
+		for _, guard := range f.guards {
+			if err := guard.BeforeAttempt(exchange); err != nil {
+				f.selector.Done(&Attempt{Candidate: candidate, Service: exchange.Route.Service, Canceled: true})
+				return nil, err
+			}
+		}
+		exchange.Attempts++
+		refusal := f.attempt(ctx, exchange, candidate, body)
+		clockUnknown := refusal != nil && refusal.Kind == pipeline.KindClockUnknown
+		if !clockUnknown || asked || !body.rewindable() || ctx.Err() != nil {
+			return refusal, nil
+		}
+		exchange.Attempts--
+		f.selector.Again(candidate, exchange)
+	}
+}
+
 // mayTryAgain permits another attempt only after a proved NotRun, or for an
 // idempotent request.
 func (f *forwardFilter) mayTryAgain(ctx context.Context, exchange *pipeline.Exchange, refusal *pipeline.Refusal, body *replayBody) bool {
@@ -73,13 +101,13 @@
 		return false
 	case refusal.Kind == pipeline.KindKeyRejected:
 		return false
-	case exchange.Attempts >= maxAttempts || !body.rewindable():
+	case !body.rewindable():
 		return false
 	}
-	return f.retry.MayRetry(exchange)
+	return f.retry.MayRetry(exchange, refusal.Outcome)
 }
 
-func (f *forwardFilter) noCandidate(last *pipeline.Refusal) *pipeline.Refusal {
+func noCandidate(last *pipeline.Refusal) *pipeline.Refusal {
 	if last != nil {
 		return last
 	}
@@ -87,8 +115,17 @@
 		"no backend server of the service takes work now", "send the request again", retrySoon)
 }
 
-// attempt sends the request to one candidate. It returns nil when an answer was
-// delivered to the caller.
+// refusedBefore returns the refusal of a guard, unless an earlier attempt may have
+// run: then nothing may say that the request was not run.
+func refusedBefore(err error, last *pipeline.Refusal) error {
+	if last != nil && last.Outcome != pipeline.OutcomeNotRun {
+		return last
+	}
+	return err
+}
+
+// attempt sends the request to one candidate once. It returns nil when an answer
+// was delivered to the caller.
 func (f *forwardFilter) attempt(ctx context.Context, exchange *pipeline.Exchange, candidate Candidate, body *replayBody) *pipeline.Refusal {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -98,6 +135,9 @@
 	exchange.Outcome = pipeline.OutcomeUnknown
 	result := Attempt{Candidate: candidate, Service: exchange.Route.Service}
 	request := forwardedRequest(ctx, exchange, candidate, body, started)
+	if dispatchBy := f.clocks.dispatchBy(candidate.Instance, exchange); dispatchBy != "" {
+		request.Header.Set(pipeline.HeaderDispatchBy, dispatchBy)
+	}
 
 	var refusal *pipeline.Refusal
 	if candidate.Address == "" {
@@ -126,7 +166,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	result.Latency = time.Since(started)
-	result.Load = response.Header.Get(headerLoad)
+	f.readHead(candidate, response.Header, result)
 	if refusal := readRefusal(response.StatusCode, response.Header); refusal != nil {
 		return refusal
 	}
@@ -135,6 +175,12 @@
 	return nil
 }
 
+// readHead takes in what the backend proxy says beside the answer.
+func (f *forwardFilter) readHead(candidate Candidate, header http.Header, result *Attempt) {
+	result.Load = header.Get(headerLoad)
+	f.clocks.observe(candidate.Instance, header.Get(pipeline.HeaderClock), time.Now())
+}
+
 func refuseUnreached(exchange *pipeline.Exchange, request *http.Request, err error) *pipeline.Refusal {
 	if errors.Is(err, transport.ErrNotSent) {
 		return pipeline.NotRun(pipeline.KindNoCapacity, http.StatusServiceUnavailable,
--- a/ingress/forwarded.go
+++ b/ingress/forwarded.go
@@ -28,9 +28,6 @@
 		header.Set(pipeline.HeaderAccount, string(exchange.Account))
 		header.Set(pipeline.HeaderKeyID, string(exchange.KeyID))
 	}
-	if !exchange.TokenExpires.IsZero() {
-		header.Set(pipeline.HeaderTokenLife, strconv.FormatInt(exchange.TokenExpires.Sub(now).Milliseconds(), 10))
-	}
 	if _, present := header["User-Agent"]; !present {
 		// An empty value keeps the HTTP client from adding its own.
 		header.Set("User-Agent", "")
@@ -47,11 +44,8 @@
 		Header:        header,
 		ContentLength: incoming.ContentLength,
 	}
-	if len(incoming.Trailer) > 0 {
-		request.Trailer = maps.Clone(incoming.Trailer)
-	}
 	if incoming.ContentLength != 0 {
-		request.Body = body.open(request.Trailer)
+		request.Body, request.Trailer = body.open()
 	}
 	return request.WithContext(ctx)
 }
--- a/ingress/local.go
+++ b/ingress/local.go
@@ -10,7 +10,7 @@
 // serveLocal hands the request to this instance's own backend proxy, by a
 // function call in place of a hop.
 func (f *forwardFilter) serveLocal(exchange *pipeline.Exchange, request *http.Request, result *Attempt, started time.Time) (refusal *pipeline.Refusal) {
-	writer := &localWriter{exchange: exchange, header: make(http.Header), result: result, started: started}
+	writer := &localWriter{forward: f, exchange: exchange, header: make(http.Header), result: result, started: started}
 	defer func() {
 		switch recovered := recover(); recovered {
 		case nil:
@@ -30,6 +30,7 @@
 // localWriter receives the response of the local backend proxy. It lets an
 // answer through to the caller and keeps a refusal for itself.
 type localWriter struct {
+	forward  *forwardFilter
 	exchange *pipeline.Exchange
 	header   http.Header
 	result   *Attempt
@@ -47,7 +48,7 @@
 		return
 	}
 	w.result.Latency = time.Since(w.started)
-	w.result.Load = w.header.Get(headerLoad)
+	w.forward.readHead(w.result.Candidate, w.header, w.result)
 	if w.refusal = readRefusal(status, w.header); w.refusal != nil {
 		return
 	}
--- a/ingress/proxy.go
+++ b/ingress/proxy.go
@@ -23,6 +23,8 @@
 	Freeze *freeze.Detector
 	// Admission are the filters between authenticate and forward.
 	Admission []pipeline.Filter
+	// Guards are asked before each attempt.
+	Guards []AttemptGuard
 	// Remote reaches the backend proxies of other instances.
 	Remote Remote
 	// Local is this instance's own backend proxy.
@@ -57,6 +59,8 @@
 		local:    config.Local,
 		selector: config.Selector,
 		retry:    config.Retry,
+		guards:   config.Guards,
+		clocks:   newPeerClocks(),
 	})
 	return &Proxy{config: config, chain: pipeline.NewChain(filters...)}
 }
--- a/ingress/replaybody.go
+++ b/ingress/replaybody.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,9 @@
 // that a request that was proved NotRun can be tried elsewhere.
 type replayBody struct {
 	request *http.Request
+	// trailer holds the announced fields that may pass. net/http adds whatever comes
+	// to the request's own trailer when the body ends.
+	trailer http.Header
 
 	mu      sync.Mutex
 	kept    []byte
@@ -23,6 +27,12 @@
 	err     error
 }
 
+// newReplayBody returns the body of a request whose announced trailer has been
+// cleaned.
+func newReplayBody(request *http.Request) *replayBody {
+	return &replayBody{request: request, trailer: maps.Clone(request.Trailer)}
+}
+
 // rewindable reports whether another attempt can read the body from the start.
 func (b *replayBody) rewindable() bool {
 	b.mu.Lock()
@@ -30,10 +40,11 @@
 	return !b.overrun
 }
 
-// open returns the body for one attempt. trailer is filled in at the end of the
-// body.
-func (b *replayBody) open(trailer http.Header) *attemptBody {
-	return &attemptBody{shared: b, trailer: trailer}
+// open returns the body for one attempt and its trailer, which is filled in at the
+// end of the body.
+func (b *replayBody) open() (body *attemptBody, trailer http.Header) {
+	trailer = maps.Clone(b.trailer)
+	return &attemptBody{shared: b, trailer: trailer}, trailer
 }
 
 // attemptBody is the body of one attempt. The sender of an attempt that has
--- a/node/node.go
+++ b/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/hemlockring/hemlockring/metrics"
 	"github.com/hemlockring/hemlockring/pipeline"
 	"github.com/hemlockring/hemlockring/pki"
+	"github.com/hemlockring/hemlockring/quota"
 	"github.com/hemlockring/hemlockring/selection"
 	"github.com/hemlockring/hemlockring/settings"
 	"github.com/hemlockring/hemlockring/transport"
@@ -131,12 +132,13 @@
 	n.registry = backendproxy.NewRegistry(func(servers []membership.Server) {
 		n.ejection.SetServers(servers)
 		n.members.SetServers(servers)
-	})
+	}, n.queueLength)
 	n.backendProxy = backendproxy.New(backendproxy.Config{
 		Registry: n.registry,
 		View:     n.configuration.View,
 		Freeze:   n.freeze,
 		Watch:    n.ejection,
+		Clock:    quota.NewDispatchClock(rand.Uint64(), time.Now()),
 	})
 	n.ingress = ingress.New(ingress.Config{
 		KeyHeader:     n.settings.Callers.KeyHeader,
@@ -144,8 +146,8 @@
 		Freeze:        n.freeze,
 		Remote:        n.endpoint,
 		Local:         n.backendProxy,
-		Selector:      selection.New(n.members.Snapshot),
-		Retry:         unlimitedRetries{},
+		Selector:      selection.New(selection.Config{Members: n.members.Snapshot, View: n.configuration.View}),
+		Retry:         selection.NewRetries(),
 		Recorder:      n.metrics,
 		Logger:        n.logger,
 	})
@@ -160,17 +162,16 @@
 // HoldsService implements ejection.Shards.
 func (noShards) HoldsService(fleetconfig.ServiceName, time.Time) (uint64, bool) { return 0, false }
 
+// queueLength is how many requests may wait for each backend server.
+func (n *Node) queueLength() int {
+	return int(n.configuration.View().Preset().QueueLength)
+}
+
 // serverStateChanged tells the fleet which backend servers are ejected.
 func (n *Node) serverStateChanged(server fleetconfig.BackendServerID, _, to health.State) {
 	n.registry.SetEjected(server, to == health.StateEjected)
 }
 
-// unlimitedRetries permits every retry that the outcome permits.
-type unlimitedRetries struct{}
-
-// MayRetry implements ingress.RetryPolicy.
-func (unlimitedRetries) MayRetry(*pipeline.Exchange) bool { return true }
-
 func (n *Node) openHTTPPorts() error {
 	var err error
 	if n.settings.Instance.HasRole(settings.RoleProxy) {
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -41,6 +41,9 @@
 	// TokenExpires is when the quota token of the request runs out; zero when the
 	// request needs no token.
 	TokenExpires time.Time
+	// DispatchBy is when a backend proxy must have dispatched the request, by its own
+	// clock.
+	DispatchBy time.Time
 	// Outcome says what is known about whether a backend server ran the request.
 	Outcome Outcome
 	// Status is the status code sent to the caller, 0 while none was sent.
--- a/pipeline/headers.go
+++ b/pipeline/headers.go
@@ -25,8 +25,11 @@
 	HeaderBackendServer = "Hemlock-Backend-Server"
 	// HeaderDeadline carries the time left for the request, in milliseconds.
 	HeaderDeadline = "Hemlock-Deadline-Ms"
-	// HeaderTokenLife carries the time left of the quota token, in milliseconds.
-	HeaderTokenLife = "Hemlock-Token-Life-Ms"
+	// HeaderDispatchBy carries the reading of the backend proxy's clock by which the
+	// request must have been dispatched.
+	HeaderDispatchBy = "Hemlock-Dispatch-By"
+	// HeaderClock carries a reading of the backend proxy's clock to the ingress.
+	HeaderClock = "Hemlock-Clock"
 	// HeaderIdempotencyKey is the caller's key for an order placement.
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
--- a/pipeline/refusal.go
+++ b/pipeline/refusal.go
@@ -32,6 +32,9 @@
 	KindKeyReused         RefusalKind = "idempotency-key-reused"
 	KindOrdersUnavailable RefusalKind = "idempotency-unavailable"
 	KindOutcomeUnknown    RefusalKind = "outcome-unknown"
+	// KindClockUnknown is seen by ingresses only: the backend proxy has restarted, or
+	// the ingress has not yet read its clock.
+	KindClockUnknown RefusalKind = "clock-unknown"
 )
 
 // problemTypePrefix is the URI prefix of the problem document's type field.
--- /dev/null
+++ b/selection/retries.go
@@ -0,0 +1,67 @@
+package selection
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/pipeline"
+	"github.com/hemlockring/hemlockring/retry"
+)
+
+// Retries keeps the retry budgets of this ingress, one for each service. It is
+// safe for concurrent use.
+type Retries struct {
+	mu       sync.Mutex
+	services map[fleetconfig.ServiceName]*serviceBudget
+}
+
+// serviceBudget is the budget of one service with the preset that it follows.
+type serviceBudget struct {
+	budget *retry.Budget
+	preset *fleetconfig.Preset
+}
+
+// NewRetries returns budgets without requests.
+func NewRetries() *Retries {
+	return &Retries{services: make(map[fleetconfig.ServiceName]*serviceBudget)}
+}
+
+// Started implements ingress.RetryPolicy.
+func (r *Retries) Started(exchange *pipeline.Exchange) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget(exchange).Request(exchange.Account, time.Now())
+}
+
+// MayRetry implements ingress.RetryPolicy.
+func (r *Retries) MayRetry(exchange *pipeline.Exchange, outcome pipeline.Outcome) bool {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	verdict := r.budget(exchange).Decide(retry.Attempt{
+		Account:    exchange.Account,
+		Idempotent: exchange.Idempotent,
+		Outcome:    outcome,
+		Attempts:   exchange.Attempts,
+		Remaining:  exchange.Remaining(now),
+	}, now)
+	return verdict == retry.VerdictRetry
+}
+
+// budget returns the budget of the exchange's service under the preset in force.
+// The caller holds the lock.
+func (r *Retries) budget(exchange *pipeline.Exchange) *retry.Budget {
+	name := exchange.Route.Service
+	preset := exchange.View.Preset()
+	found := r.services[name]
+	if found == nil {
+		found = &serviceBudget{budget: retry.NewBudget(preset), preset: preset}
+		r.services[name] = found
+	}
+	if found.preset != preset {
+		found.budget.SetPreset(preset)
+		found.preset = preset
+	}
+	return found.budget
+}
--- a/selection/selector.go
+++ b/selection/selector.go
@@ -1,10 +1,14 @@
 package selection
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 
+	"github.com/hemlockring/hemlockring/backendproxy"
+	"github.com/hemlockring/hemlockring/balance"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/gossip"
 	"github.com/hemlockring/hemlockring/ingress"
@@ -12,79 +16,211 @@
 	"github.com/hemlockring/hemlockring/pipeline"
 )
 
-// Selector chooses by two random choices: of two random backend servers it takes
-// the one with fewer requests in flight from here for its slots. It is safe for
-// concurrent use.
+const (
+	// subsetSize is how many backend servers of a large service one ingress uses.
+	subsetSize = 32
+	// refreshInterval is how often the exclusions of a pool are worked out anew.
+	refreshInterval = 100 * time.Millisecond
+	percent         = 100
+)
+
+// Config configures a Selector.
+type Config struct {
+	// Members returns the newest view of the members.
+	Members func() *gossip.Snapshot
+	// View returns the configuration in force.
+	View func() *fleetconfig.View
+}
+
+// Selector chooses backend servers by package balance, each service from its own
+// pool. It is safe for concurrent use.
 type Selector struct {
-	members func() *gossip.Snapshot
+	config Config
+	paths  *paths
 
 	mu       sync.Mutex
-	inFlight map[serverKey]int
+	services map[fleetconfig.ServiceName]*servicePool
 }
 
-// serverKey identifies a backend server in the fleet.
-type serverKey struct {
-	instance fleetconfig.InstanceID
-	server   fleetconfig.BackendServerID
+// servicePool is the pool of one service with what it was built from.
+type servicePool struct {
+	mu        sync.Mutex
+	pool      *balance.Pool
+	placed    []gossip.Placed
+	snapshot  *gossip.Snapshot
+	refreshed time.Time
+	random    *rand.Rand
 }
 
-// New returns a selector over the members that the function returns.
-func New(members func() *gossip.Snapshot) *Selector {
-	return &Selector{members: members, inFlight: make(map[serverKey]int)}
+// New returns a selector.
+func New(config Config) *Selector {
+	return &Selector{
+		config:   config,
+		paths:    newPaths(),
+		services: make(map[fleetconfig.ServiceName]*servicePool),
+	}
 }
 
 // Pick implements ingress.Selector.
 func (s *Selector) Pick(exchange *pipeline.Exchange, tried []ingress.Candidate) (ingress.Candidate, bool) {
-	snapshot := s.members()
-	var usable []gossip.Placed
-	for _, placed := range snapshot.Servers(exchange.Route.Service) {
-		if s.usable(placed, tried) {
-			usable = append(usable, placed)
-		}
+	service := s.service(exchange.Route.Service)
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	now := time.Now()
+	s.refresh(service, exchange.Route.Service, now)
+	var skip balance.Tried
+	for _, candidate := range tried {
+		skip.Add(backendID(candidate))
 	}
-	if len(usable) == 0 {
+	index, ok := service.pool.Pick(service.random, &skip)
+	if !ok {
 		return ingress.Candidate{}, false
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	first := usable[rand.IntN(len(usable))]
-	second := usable[rand.IntN(len(usable))]
-	if s.share(second) < s.share(first) {
-		first = second
-	}
-	s.inFlight[keyOf(first)]++
-	candidate := ingress.Candidate{Instance: first.Member.Record.ID, Server: first.Server.ID, Address: first.Member.Record.Address}
-	if candidate.Instance == snapshot.Self {
-		candidate.Address = ""
-	}
+	service.pool.Began(index)
+	candidate := candidateOf(service.snapshot, service.placed[index])
+	s.paths.tried(candidate.Instance, now)
 	return candidate, true
 }
 
+// Again implements ingress.Selector.
+func (s *Selector) Again(candidate ingress.Candidate, exchange *pipeline.Exchange) {
+	service := s.service(exchange.Route.Service)
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	if index, found := service.pool.Find(backendID(candidate)); found {
+		service.pool.Began(index)
+	}
+}
+
 // Done implements ingress.Selector.
 func (s *Selector) Done(attempt *ingress.Attempt) {
-	key := serverKey{instance: attempt.Candidate.Instance, server: attempt.Candidate.Server}
+	now := time.Now()
+	service := s.service(attempt.Service)
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	if index, found := service.pool.Find(backendID(attempt.Candidate)); found {
+		service.pool.Ended(index)
+		if load, ok := backendproxy.ParseLoad(attempt.Load); ok {
+			inFlight := uint32(max(load.Running+load.Queued, 0))
+			service.pool.Report(index, inFlight, float64(load.WeightPercent)/percent)
+		}
+	}
+	if attempt.Candidate.Address == "" || attempt.Canceled {
+		return
+	}
+	if attempt.PathFailed {
+		s.paths.lost(attempt.Candidate.Instance, s.config.View().Service(attempt.Service), service, now)
+		service.refreshed = time.Time{}
+		return
+	}
+	s.paths.answered(attempt.Candidate.Instance, now)
+}
+
+func (s *Selector) service(name fleetconfig.ServiceName) *servicePool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.inFlight[key]--
-	if s.inFlight[key] <= 0 {
-		delete(s.inFlight, key)
+	found := s.services[name]
+	if found == nil {
+		random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+		found = &servicePool{pool: balance.NewPool(balance.DefaultPolicy()), random: random}
+		s.services[name] = found
 	}
+	return found
 }
 
-func (s *Selector) usable(placed gossip.Placed, tried []ingress.Candidate) bool {
-	if placed.Server.State != membership.ServerReady || placed.Server.Ejected || !placed.Member.Usable() {
-		return false
+// refresh takes a newer view of the members and the present path verdicts into
+// the pool. The caller holds the pool's lock.
+func (s *Selector) refresh(service *servicePool, name fleetconfig.ServiceName, now time.Time) {
+	snapshot := s.config.Members()
+	if snapshot != service.snapshot {
+		service.snapshot = snapshot
+		service.placed = s.subset(snapshot, name)
+		service.pool.Set(backendsOf(snapshot, service.placed))
+	} else if now.Sub(service.refreshed) < refreshInterval {
+		return
 	}
-	return !slices.ContainsFunc(tried, func(c ingress.Candidate) bool {
-		return c.Instance == placed.Member.Record.ID && c.Server == placed.Server.ID
+	service.refreshed = now
+	for i, placed := range service.placed {
+		service.pool.Exclude(i, s.exclusions(placed, snapshot.Self, now))
+	}
+}
+
+func (s *Selector) exclusions(placed gossip.Placed, self fleetconfig.InstanceID, now time.Time) balance.Exclusion {
+	var reasons balance.Exclusion
+	if placed.Server.State != membership.ServerReady || placed.Member.Record.Draining {
+		reasons |= balance.ExcludedDraining
+	}
+	if placed.Server.Ejected {
+		reasons |= balance.ExcludedEjected
+	}
+	if placed.Member.Record.ID != self && !s.paths.usable(placed.Member, now) {
+		reasons |= balance.ExcludedPath
+	}
+	return reasons
+}
+
+// subset returns the backend servers of a service that this ingress uses.
+func (s *Selector) subset(snapshot *gossip.Snapshot, name fleetconfig.ServiceName) []gossip.Placed {
+	placed := snapshot.Servers(name)
+	if len(placed) <= subsetSize {
+		return placed
+	}
+	ids := make([]balance.BackendID, 0, len(placed))
+	byID := make(map[balance.BackendID]gossip.Placed, len(placed))
+	for _, server := range placed {
+		id := balance.BackendID{Instance: server.Member.Record.ID, Server: server.Server.ID}
+		ids = append(ids, id)
+		byID[id] = server
+	}
+	own := slices.IndexFunc(snapshot.Members, func(m membership.Member) bool { return m.Record.ID == snapshot.Self })
+	chosen := balance.Subset(name, own, ids, subsetSize)
+	result := make([]gossip.Placed, 0, len(chosen))
+	for _, id := range chosen {
+		result = append(result, byID[id])
+	}
+	slices.SortFunc(result, func(a, b gossip.Placed) int {
+		return cmp.Or(cmp.Compare(a.Member.Record.ID, b.Member.Record.ID), cmp.Compare(a.Server.ID, b.Server.ID))
 	})
+	return result
 }
 
-// share returns the requests in flight for each slot. The caller holds the lock.
-func (s *Selector) share(placed gossip.Placed) float64 {
-	return float64(s.inFlight[keyOf(placed)]) / float64(max(placed.Server.Slots, 1))
+func backendsOf(snapshot *gossip.Snapshot, placed []gossip.Placed) []balance.Backend {
+	self := snapshot.Member(snapshot.Self)
+	backends := make([]balance.Backend, 0, len(placed))
+	for _, server := range placed {
+		backends = append(backends, balance.Backend{
+			ID:     balance.BackendID{Instance: server.Member.Record.ID, Server: server.Server.ID},
+			Tier:   tierOf(&self.Record, &server.Member.Record),
+			Slots:  server.Server.Slots,
+			Weight: 1,
+		})
+	}
+	return backends
+}
+
+func tierOf(self, other *membership.Record) balance.Tier {
+	switch {
+	case self.Region != other.Region:
+		return balance.TierFar
+	case self.FailureDomain != other.FailureDomain:
+		return balance.TierRegion
+	default:
+		return balance.TierDomain
+	}
+}
+
+func candidateOf(snapshot *gossip.Snapshot, placed gossip.Placed) ingress.Candidate {
+	candidate := ingress.Candidate{
+		Instance: placed.Member.Record.ID,
+		Server:   placed.Server.ID,
+		Address:  placed.Member.Record.Address,
+	}
+	if candidate.Instance == snapshot.Self {
+		candidate.Address = ""
+	}
+	return candidate
 }
 
-func keyOf(placed gossip.Placed) serverKey {
-	return serverKey{instance: placed.Member.Record.ID, server: placed.Server.ID}
+func backendID(candidate ingress.Candidate) balance.BackendID {
+	return balance.BackendID{Instance: candidate.Instance, Server: candidate.Server}
 }
