consensus: checks of membership steps, votes over restarts and late votes

Each was seen red with its rule broken in a scratch copy (1500 cases): TestLogSurvivesFaults with blank disks voting, with another disk's answers counted, without check-quorum, with answers counted from when they came, with any log counted as new enough, with entries of older terms counted, with a change of several voters in one step, with two changes outstanding; TestNoVoteWhileAnOlderLeaderCountsOnTheMember without the check of the older leader's lease.

--- /dev/null
+++ b/consensus/node_test.go
@@ -0,0 +1,154 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+)
+
+var testStart = time.Unix(1_700_000_000, 0)
+
+// newTestNode returns one of three voters, a, b and c, at the start of a log.
+func newTestNode(t *testing.T, id MemberID) *Node {
+	t.Helper()
+	members := NewMembership(
+		Member{ID: "a", Disk: "da", Voter: true},
+		Member{ID: "b", Disk: "db", Voter: true},
+		Member{ID: "c", Disk: "dc", Voter: true},
+	)
+	node, err := New(Config{
+		ID:                  id,
+		Disk:                "d" + DiskID(id),
+		ElectionTimeout:     testElectionTimeout,
+		HeartbeatInterval:   testHeartbeat,
+		MaxMessageBytes:     1 << 20,
+		MaxUncommittedBytes: 1 << 20,
+		Rand:                rand.New(rand.NewPCG(1, 2)),
+	}, Stored{}, testStart)
+	must.NoError(t, err)
+	node.Bootstrap(testStart, InitialSnapshot(members))
+	drain(node)
+	return node
+}
+
+// drain does the node's work and returns its messages.
+func drain(node *Node) []Message {
+	var messages []Message
+	for node.HasReady() {
+		ready := node.Ready()
+		messages = append(messages, ready.Messages...)
+		messages = append(messages, ready.MessagesAfterSync...)
+		node.Advance()
+	}
+	return messages
+}
+
+// A leader counts on a member for an election timeout after its answer, even if
+// the member has meanwhile learned of a newer term.
+func TestNoVoteWhileAnOlderLeaderCountsOnTheMember(t *testing.T) {
+	node := newTestNode(t, "a")
+	now := testStart.Add(2 * testElectionTimeout)
+	node.Step(now, Message{Type: MessageAppend, From: "b", FromDisk: "db", To: "a", Term: 2, Index: 1, LogTerm: 1})
+	node.Step(now, Message{Type: MessageAppendResponse, From: "c", FromDisk: "dc", To: "a", Term: 3, Reject: true})
+	must.Eq(t, 3, node.Term())
+	drain(node)
+
+	request := Message{Type: MessageVote, From: "c", FromDisk: "dc", To: "a", Term: 3, Index: 1, LogTerm: 1}
+	node.Step(now.Add(testElectionTimeout-1), request)
+	refused := drain(node)
+	must.Len(t, 1, refused)
+	must.True(t, refused[0].Reject)
+
+	node.Step(now.Add(testElectionTimeout), request)
+	granted := drain(node)
+	must.Len(t, 1, granted)
+	must.False(t, granted[0].Reject)
+}
+
+// A planned stop hands the role over without an election timeout.
+func TestTransferElectsTheSuccessorAtOnce(t *testing.T) {
+	nodes := map[MemberID]*Node{}
+	for _, id := range []MemberID{"a", "b", "c"} {
+		nodes[id] = newTestNode(t, id)
+	}
+	now := testStart
+	exchange := func() {
+		for moved := true; moved; {
+			moved = false
+			for _, node := range nodes {
+				for _, message := range drain(node) {
+					moved = true
+					nodes[message.To].Step(now, message)
+				}
+			}
+		}
+	}
+	for nodes["a"].Role() != Leader {
+		now = now.Add(testHeartbeat)
+		nodes["a"].Tick(now)
+		exchange()
+	}
+	must.NoError(t, nodes["a"].TransferLeadership(now))
+	_, _, err := nodes["a"].Propose(now, []byte("late"))
+	must.Error(t, err)
+	exchange()
+	must.NotEq(t, Leader, nodes["a"].Role())
+	must.True(t, nodes["b"].Role() == Leader || nodes["c"].Role() == Leader)
+}
+
+func TestStoredLogWithAGapIsRefused(t *testing.T) {
+	_, err := New(Config{ElectionTimeout: time.Second, Rand: rand.New(rand.NewPCG(1, 2))}, Stored{
+		HardState: HardState{Term: 1},
+		Entries:   []Entry{{Index: 2, Term: 1}},
+	}, testStart)
+	var inconsistent *InconsistentStateError
+	must.True(t, errors.As(err, &inconsistent))
+}
+
+// A vote outlives a restart: the member votes for no one else in its term.
+func TestRestartedMemberKeepsItsVote(t *testing.T) {
+	stored := Stored{
+		HardState: HardState{Term: 5, Vote: "b", VoteDisk: "db"},
+		Snapshot:  InitialSnapshot(NewMembership(Member{ID: "a", Disk: "da", Voter: true})),
+	}
+	config := Config{ID: "a", Disk: "da", ElectionTimeout: testElectionTimeout, Rand: rand.New(rand.NewPCG(1, 2))}
+	node, err := New(config, stored, testStart)
+	must.NoError(t, err)
+	later := testStart.Add(testElectionTimeout)
+	for _, candidate := range []struct {
+		id    MemberID
+		disk  DiskID
+		grant bool
+	}{{"c", "dc", false}, {"b", "swapped", false}, {"b", "db", true}} {
+		node.Step(later, Message{
+			Type: MessageVote, From: candidate.id, FromDisk: candidate.disk, To: "a", Term: 5, Index: 1, LogTerm: 1,
+		})
+		answers := drain(node)
+		must.Len(t, 1, answers)
+		must.Eq(t, candidate.grant, !answers[0].Reject)
+	}
+}
+
+// A leader whose removal reached no one that counts may have the newest log. It
+// campaigns, or the others could never elect anyone.
+func TestMemberWithUncommittedRemovalCampaigns(t *testing.T) {
+	all := NewMembership(
+		Member{ID: "a", Disk: "da", Voter: true},
+		Member{ID: "b", Disk: "db", Voter: true},
+		Member{ID: "c", Disk: "dc", Voter: true},
+	)
+	without := all.Without("a")
+	node, err := New(Config{ID: "a", Disk: "da", ElectionTimeout: testElectionTimeout, Rand: rand.New(rand.NewPCG(1, 2))},
+		Stored{
+			HardState: HardState{Term: 2},
+			Snapshot:  InitialSnapshot(all),
+			Entries:   []Entry{{Index: 2, Term: 2, Kind: EntryMembership, Membership: &without}},
+		}, testStart)
+	must.NoError(t, err)
+	node.Tick(testStart.Add(2 * testElectionTimeout))
+	must.Eq(t, PreCandidate, node.Role())
+	must.Len(t, 2, drain(node))
+}
--- a/consensus/soup_actions_test.go
+++ b/consensus/soup_actions_test.go
@@ -178,7 +178,8 @@
 }
 
 // changeMembers asks each member that leads to change the place of a server:
-// admit its present disk as a receiver, make it a voter, or remove it.
+// admit its present disk as a receiver, make it a voter, or remove it. Now and
+// then it asks for all in one step, which must be refused.
 func (s *soup) changeMembers() {
 	target := s.anyServer()
 	kind := rapid.IntRange(0, 3).Draw(s.t, "change")
@@ -196,6 +197,10 @@
 		if kind == 0 && current.Voters() > 2 {
 			next = current.Without(target.id)
 		}
+		if kind == 1 {
+			receiver.Voter = true
+			next = current.With(receiver).Without(s.anyServer().id)
+		}
 		_, _, _ = server.node.ProposeMembership(s.now, next)
 		s.afterEvent(server)
 	}
--- a/consensus/soup_check_test.go
+++ b/consensus/soup_check_test.go
@@ -17,6 +17,8 @@
 	hashes map[uint64]uint64
 	// committed is the highest index checked on each disk's leader.
 	committed map[DiskID]uint64
+	// voters is the last committed set of voters.
+	voters map[DiskID]bool
 }
 
 func newSoupChecks() soupChecks {
@@ -33,6 +35,7 @@
 func (c *soupChecks) applied(s *soup, server *soupServer, entry Entry) {
 	known, ok := c.log[entry.Index]
 	if !ok {
+		c.membershipStep(s, entry)
 		c.log[entry.Index] = entry
 		c.hashes[entry.Index] = server.hash
 		return
@@ -42,6 +45,27 @@
 	}
 }
 
+// membershipStep checks that committed memberships change by one voter at a time.
+func (c *soupChecks) membershipStep(s *soup, entry Entry) {
+	if entry.Membership == nil {
+		return
+	}
+	voters := map[DiskID]bool{}
+	for _, member := range entry.Membership.Members {
+		voters[member.Disk] = member.Voter
+	}
+	changed := 0
+	for disk := range s.disks {
+		if voters[disk] != c.voters[disk] {
+			changed++
+		}
+	}
+	if c.voters != nil && changed > 1 {
+		s.t.Fatalf("entry %d changes %d voters at once", entry.Index, changed)
+	}
+	c.voters = voters
+}
+
 // sent checks that a member votes once a term, and never with a disk that no log
 // has admitted.
 func (c *soupChecks) sent(s *soup, server *soupServer, message Message) {
@@ -106,6 +130,7 @@
 	}
 	if _, ok := c.leaders[term]; !ok {
 		c.leaders[term] = server.disk.id
+		c.committed[server.disk.id] = server.node.log.committed
 		for index, entry := range c.log {
 			have, ok := server.node.log.term(index)
 			if index > server.node.log.baseIndex && (!ok || have != entry.Term) {
@@ -113,6 +138,15 @@
 			}
 		}
 	}
+	uncommitted := 0
+	for _, at := range server.node.memberships {
+		if at.index > server.node.log.committed {
+			uncommitted++
+		}
+	}
+	if uncommitted > 1 {
+		s.t.Fatalf("%s has %d changes of members outstanding", server.id, uncommitted)
+	}
 	index := server.node.log.committed
 	if index <= c.committed[server.disk.id] {
 		return
@@ -131,7 +165,10 @@
 			have++
 		}
 	}
-	if have < membership.majority() && entryTerm == server.node.Term() {
+	if entryTerm != server.node.Term() {
+		s.t.Fatalf("%s counted disks for entry %d of the older term %d", server.id, index, entryTerm)
+	}
+	if have < membership.majority() {
 		s.t.Fatalf("%s committed entry %d with %d of %d disks", server.id, index, have, membership.Voters())
 	}
 }
