--- /dev/null
+++ b/storage/errors.go
@@ -0,0 +1,27 @@
+package storage
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+)
+
+// DamageError reports stored data that was synced once and cannot be read now.
+type DamageError struct {
+	// File is the damaged file.
+	File string
+	// Offset is where the damage begins, in bytes.
+	Offset int64
+	// Reason says what is wrong there.
+	Reason string
+}
+
+// Error names the remedy.
+func (e *DamageError) Error() string {
+	return fmt.Sprintf("%s is damaged at offset %d: %s; check the disk, move the data folder away, "+
+		"start with a blank one and admit the new disk", e.File, e.Offset, e.Reason)
+}
+
+// ErrFailed reports that an earlier write or sync failed.
+var ErrFailed = errors.New("an earlier write failed, so what is on the disk is unknown; " +
+	"check the disk and its free space, then restart the instance")
