storage: a record without all of its padding is not sound

Cause: a record torn inside its padding was taken; the next record was then not aligned and the open after the next crash cut it as a torn tail, though it was synced. Found by going on after each crash of TestCrashAtEveryByte (red before, green after).

--- a/storage/logstore_test.go
+++ b/storage/logstore_test.go
@@ -92,7 +92,9 @@
 		files := newMemFS(budget)
 		finished, all := runWrites(files)
 		for kind := range crashKinds {
-			got := found(t, files.crash(kind))
+			crashed := files.crash(kind)
+			got := found(t, crashed)
+			mustGoOn(t, crashed)
 			if finished < 0 {
 				must.Eq(t, states[0], got)
 				continue
@@ -109,6 +111,18 @@
 	}
 }
 
+// mustGoOn checks that a log that was opened after a crash takes a write that
+// outlives the next one.
+func mustGoOn(t *testing.T, files *memFS) {
+	t.Helper()
+	log, err := openTestLog(files)
+	must.NoError(t, err)
+	must.NoError(t, log.Save(consensus.Ready{HardState: state(99, 0)}))
+	again, err := openTestLog(files.crash(keepSynced))
+	must.NoError(t, err)
+	must.Eq(t, *state(99, 0), again.Stored().HardState)
+}
+
 // isSnapshotOnly tells whether a crash came between a snapshot and the record
 // that follows it, and left the one without the other. Both orders of the
 // snapshot and its log are sound by themselves.
@@ -180,14 +194,16 @@
 // TestNoWorkAfterAFailedSync checks that a log goes no further once a sync failed:
 // what the disk then holds is unknown.
 func TestNoWorkAfterAFailedSync(t *testing.T) {
-	files := newMemFS(1 << 30)
-	log, err := openTestLog(files)
-	must.NoError(t, err)
-	files.budget = 0
-	must.Error(t, testWrites[0](log))
-	files.budget = 1 << 30
-	must.ErrorIs(t, testWrites[1](log), ErrFailed)
-	must.ErrorIs(t, log.Compact(consensus.Snapshot{Index: 1}, nil), ErrFailed)
+	for _, failing := range []int{0, 1, 3} {
+		files := newMemFS(1 << 30)
+		log, err := openTestLog(files)
+		must.NoError(t, err)
+		files.budget = 0
+		must.Error(t, testWrites[failing](log))
+		files.budget = 1 << 30
+		must.ErrorIs(t, testWrites[1](log), ErrFailed)
+		must.ErrorIs(t, log.Compact(consensus.Snapshot{Index: 1}, nil), ErrFailed)
+	}
 }
 
 func TestLostIdentityIsRefused(t *testing.T) {
--- a/storage/record.go
+++ b/storage/record.go
@@ -63,16 +63,20 @@
 	if length > maxRecordBytes || length > len(data)-recordHeaderBytes {
 		return record{}, false
 	}
+	size := recordHeaderBytes + length
+	size += (recordAlignment - size%recordAlignment) % recordAlignment
+	if size > len(data) {
+		// Without all of its padding, the next record would not be aligned.
+		return record{}, false
+	}
 	payload := data[recordHeaderBytes : recordHeaderBytes+length]
 	if recordChecksum(data[:16], payload) != binary.LittleEndian.Uint64(data[16:]) {
 		return record{}, false
 	}
-	size := recordHeaderBytes + length
-	size += (recordAlignment - size%recordAlignment) % recordAlignment
 	return record{
 		payload:      payload,
 		syncedBefore: binary.LittleEndian.Uint64(data[8:]),
-		size:         min(size, len(data)),
+		size:         size,
 	}, true
 }
 
