--- a/ejection/messages.go
+++ b/ejection/messages.go
@@ -33,6 +33,9 @@
 	// NotOwner says that the instance does not hold the lease of the service's
 	// shard; the rest is empty then.
 	NotOwner bool `cbor:"1,keyasint,omitempty"`
+	// Owner is the instance that the answering replica believes to be the owner,
+	// empty when it knows none.
+	Owner fleetconfig.InstanceID `cbor:"4,keyasint,omitempty"`
 	// Reports answer the reports.
 	Reports []ReportAnswer `cbor:"2,keyasint,omitempty"`
 	// Asks answer the asks.
--- a/ejection/outbox.go
+++ b/ejection/outbox.go
@@ -16,6 +16,11 @@
 	asks     map[fleetconfig.BackendServerID]health.Ask
 	releases []Release
 	underWay bool
+
+	// owner is the instance that answered as owner last, or was named as such.
+	owner fleetconfig.InstanceID
+	// turn chooses the replica to ask while no owner is known.
+	turn int
 }
 
 func newOutbox(service fleetconfig.ServiceName) *outbox {
@@ -75,7 +80,7 @@
 func (s *Service) send(ctx context.Context, box *outbox, batch *Batch) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reply, err := s.callOwner(ctx, batch)
+	reply, from, err := s.callOwner(ctx, box, batch)
 	if err != nil {
 		s.logger.Debug("permit owner not reached", "service", batch.Service, "error", err)
 	} else {
@@ -84,21 +89,49 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	box.underWay = false
+	switch {
+	case err != nil:
+		box.owner = ""
+		box.turn++
+	case reply.NotOwner:
+		box.owner = reply.Owner
+		box.turn++
+	default:
+		box.owner = from
+	}
 }
 
 // callOwner sends the batch to the owner, by a function call when that is this
 // instance.
-func (s *Service) callOwner(ctx context.Context, batch *Batch) (*BatchReply, error) {
+func (s *Service) callOwner(ctx context.Context, box *outbox, batch *Batch) (reply *BatchReply, from fleetconfig.InstanceID, err error) {
 	if _, held := s.shards.HoldsService(batch.Service, time.Now()); held {
-		return s.handleBatch(ctx, s.self, batch)
+		reply, err = s.handleBatch(ctx, s.self, batch)
+		return reply, s.self, err
+	}
+	target, ok := s.target(box)
+	if !ok || target.ID == s.self {
+		return &BatchReply{NotOwner: true}, s.self, nil
 	}
-	address := s.shards.ServiceOwner(batch.Service)
-	if address == "" {
-		return &BatchReply{NotOwner: true}, nil
+	reply = &BatchReply{}
+	err = s.caller.Call(ctx, target.Address, batchPath, batch, reply)
+	return reply, target.ID, err
+}
+
+// target returns the instance to ask: the owner if it is known, else one replica
+// after the other.
+func (s *Service) target(box *outbox) (fleetconfig.InstanceAddress, bool) {
+	replicas := s.shards.ServiceReplicas(box.service)
+	if len(replicas) == 0 {
+		return fleetconfig.InstanceAddress{}, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, replica := range replicas {
+		if replica.ID == box.owner {
+			return replica, true
+		}
 	}
-	reply := &BatchReply{}
-	err := s.caller.Call(ctx, address, batchPath, batch, reply)
-	return reply, err
+	return replicas[box.turn%len(replicas)], true
 }
 
 // deliver passes the owner's answers to the monitors.
--- a/ejection/owner.go
+++ b/ejection/owner.go
@@ -27,17 +27,26 @@
 	defer s.ownersMu.Unlock()
 	owner := s.ownerOf(service, now)
 	if owner == nil {
-		return &BatchReply{NotOwner: true}, nil
+		return s.notOwner(batch.Service), nil
 	}
 	reply := s.answer(owner, from, batch, now)
 	// The lease must still hold after the answer was worked out: a process that
 	// was frozen in between grants nothing.
 	if _, held := s.shards.HoldsService(batch.Service, time.Now()); !held {
-		return &BatchReply{NotOwner: true}, nil
+		return s.notOwner(batch.Service), nil
 	}
 	return reply, nil
 }
 
+// notOwner names the instance to ask instead, as far as it is known here.
+func (s *Service) notOwner(service fleetconfig.ServiceName) *BatchReply {
+	reply := &BatchReply{NotOwner: true}
+	if replicas := s.shards.ServiceReplicas(service); len(replicas) > 0 && replicas[0].ID != s.self {
+		reply.Owner = replicas[0].ID
+	}
+	return reply
+}
+
 func (s *Service) answer(owner *health.PermitOwner, from fleetconfig.InstanceID, batch *Batch, now time.Time) *BatchReply {
 	reply := &BatchReply{}
 	for i := range batch.Reports {
--- a/ejection/service.go
+++ b/ejection/service.go
@@ -21,9 +21,9 @@
 
 // Shards tells who owns the shards of services.
 type Shards interface {
-	// ServiceOwner returns the fleet address of the instance that is believed to
-	// own the service's shard, empty when none is known.
-	ServiceOwner(service fleetconfig.ServiceName) string
+	// ServiceReplicas returns the instances that may own the service's shard, the
+	// one that is believed to own it first.
+	ServiceReplicas(service fleetconfig.ServiceName) []fleetconfig.InstanceAddress
 	// HoldsService reports whether this instance holds the lease of the service's
 	// shard now. The tenure differs between any two holdings of the lease.
 	HoldsService(service fleetconfig.ServiceName, now time.Time) (tenure uint64, held bool)
--- a/fleetconfig/change.go
+++ b/fleetconfig/change.go
@@ -42,6 +42,10 @@
 	// PlaceShards sets the first shard map from Shards. It is refused once there
 	// is one.
 	PlaceShards ChangeKind = "place-shards"
+	// OpenShards raises the epoch of the first shard map without changing it. In the
+	// founding epoch the replicas only make sure that nothing has been lost; from
+	// the next one on they vote.
+	OpenShards ChangeKind = "open-shards"
 	// StepShard changes one shard of the map as Step says.
 	StepShard ChangeKind = "step-shard"
 	// SetHolders replaces the holders with Holders.
--- a/fleetconfig/edit.go
+++ b/fleetconfig/edit.go
@@ -96,6 +96,8 @@
 	switch change.Kind {
 	case PlaceShards:
 		e.placeShards(change)
+	case OpenShards:
+		e.openShards()
 	case StepShard:
 		e.stepShard(change)
 	case SetHolders:
--- a/fleetconfig/edit_shards.go
+++ b/fleetconfig/edit_shards.go
@@ -5,6 +5,9 @@
 	"slices"
 )
 
+// foundingEpoch is the epoch of the first shard map.
+const foundingEpoch = 1
+
 func (e *editor) placeShards(change *Change) {
 	if len(e.shards.Shards) > 0 {
 		e.add("shards", "", "are placed already", "change one replica at a time with step-shard")
@@ -13,6 +16,15 @@
 	e.shards = ShardMap{Epoch: e.shards.Epoch + 1, Shards: slices.Clone(change.Shards)}
 }
 
+// openShards ends the founding epoch.
+func (e *editor) openShards() {
+	if e.shards.Epoch != foundingEpoch {
+		e.add("shards", "epoch", fmt.Sprintf("is %d", e.shards.Epoch), "open the shards only once, right after they were placed")
+		return
+	}
+	e.shards = ShardMap{Epoch: e.shards.Epoch + 1, Shards: e.shards.Shards}
+}
+
 // stepShard changes one replica of one shard. Any majority of the old replicas
 // and any majority of the new ones then have an instance in common.
 func (e *editor) stepShard(change *Change) {
--- a/ingress/quota.go
+++ b/ingress/quota.go
@@ -102,7 +102,7 @@
 		return
 	}
 	held.held = false
-	if exchange.Outcome == pipeline.OutcomeNotRun {
+	if exchange.Outcome == pipeline.OutcomeNotRun || exchange.Attempts == 0 {
 		f.source.Return(held.token)
 		return
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	instance, err := node.New(loaded, configuration, logger)
+	instance, err := node.New(loaded, node.Options{Configuration: configuration}, logger)
 	if err != nil {
 		return err
 	}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,22 +18,57 @@
 	"github.com/hemlockring/hemlockring/internal/emulator"
 	"github.com/hemlockring/hemlockring/internal/testbed"
 	"github.com/hemlockring/hemlockring/settings"
+	"github.com/hemlockring/hemlockring/shard"
 )
 
-const testKey = "test-key-of-acme"
+const (
+	testKey    = "test-key-of-acme"
+	testShards = 4
 
-// fixedConfiguration is a configuration that tests set.
-type fixedConfiguration struct{ view *fleetconfig.View }
+	smallKey   = "test-key-of-small"
+	smallRate  = 20
+	smallBurst = 10
+)
+
+// testTiming makes leases short, so that a fleet starts fast.
+var testTiming = shard.Timing{
+	Lease:        600 * time.Millisecond,
+	Renew:        200 * time.Millisecond,
+	Stagger:      50 * time.Millisecond,
+	RoundTimeout: 150 * time.Millisecond,
+}
+
+// testConfiguration is a configuration that tests set.
+type testConfiguration struct {
+	view atomic.Pointer[fleetconfig.View]
+}
 
-func (f fixedConfiguration) View() *fleetconfig.View { return f.view }
+func (c *testConfiguration) View() *fleetconfig.View { return c.view.Load() }
 
-func (fixedConfiguration) Current(time.Time) (bool, time.Duration) { return true, 0 }
+func (*testConfiguration) Current(time.Time) (bool, time.Duration) { return true, 0 }
+
+// set changes the configuration of every node.
+func (c *testConfiguration) set(change func(document *fleetconfig.Document)) {
+	document := testDocument()
+	if view := c.view.Load(); view != nil {
+		*document = *view.Document()
+		document.Version++
+	}
+	change(document)
+	c.view.Store(fleetconfig.NewView(document))
+}
 
 func testDocument() *fleetconfig.Document {
 	return &fleetconfig.Document{
-		Version:  1,
-		Accounts: []fleetconfig.Account{{ID: "acme", RatePerSecond: 1e6, Burst: 1e6}},
-		Keys:     []fleetconfig.Key{{Hash: fleetconfig.HashKey(testKey), Account: "acme"}},
+		Version: 1,
+		Accounts: []fleetconfig.Account{
+			{ID: "acme", RatePerSecond: 1e6, Burst: 1e6},
+			{ID: "small", RatePerSecond: smallRate, Burst: smallBurst},
+		},
+		Keys: []fleetconfig.Key{
+			{Hash: fleetconfig.HashKey(testKey), Account: "acme"},
+			{Hash: fleetconfig.HashKey(smallKey), Account: "small"},
+		},
 		Routes: []fleetconfig.Route{
 			{ID: "orders", PathPrefix: "/orders", Service: "catalogue"},
 			{ID: "open", PathPrefix: "/open", Service: "catalogue", OpenToAll: true},
@@ -46,6 +82,7 @@
 // beside each.
 type testFleet struct {
 	layout   *testbed.Layout
+	config   *testConfiguration
 	nodes    []*Node
 	stops    []context.CancelFunc
 	ended    []chan error
@@ -66,12 +103,17 @@
 	t.Helper()
 	layout, err := testbed.Create(t.TempDir(), testbed.Specs(instances, 1, 3))
 	must.NoError(t, err)
-	fleet := &testFleet{layout: layout, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+	fleet := &testFleet{layout: layout, config: &testConfiguration{}, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+	var addresses []fleetconfig.InstanceAddress
+	for _, instance := range layout.Instances {
+		addresses = append(addresses, fleetconfig.InstanceAddress{ID: instance.ID, Address: instance.Fleet, FailureDomain: instance.FailureDomain})
+	}
+	fleet.config.set(func(document *fleetconfig.Document) { document.Shards = shard.InitialMap(testShards, addresses) })
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
 	for i := range layout.Instances {
 		loaded, err := settings.Load(layout.Instances[i].SettingsFile)
 		must.NoError(t, err)
-		node, err := New(loaded, fixedConfiguration{fleetconfig.NewView(testDocument())}, logger)
+		node, err := New(loaded, Options{Configuration: fleet.config, LeaseTiming: testTiming}, logger)
 		must.NoError(t, err)
 		fleet.run(t, node)
 		if config := backend(i); config.Slots > 0 {
@@ -80,6 +122,8 @@
 	}
 	t.Cleanup(fleet.client.CloseIdleConnections)
 	fleet.waitForServers(t, len(fleet.backends))
+	fleet.waitForLeases(t)
+	fleet.openShards(t)
 	return fleet
 }
 
@@ -120,6 +164,47 @@
 	})
 }
 
+// waitForLeases waits until every shard has an owner.
+func (f *testFleet) waitForLeases(t testing.TB) {
+	t.Helper()
+	waitFor(t, func() bool {
+		held := 0
+		for _, node := range f.nodes {
+			held += node.quota.HeldShards()
+		}
+		return held == testShards
+	})
+}
+
+// openShards ends the founding epoch as control does, once every replica has
+// confirmed it.
+func (f *testFleet) openShards(t testing.TB) {
+	t.Helper()
+	f.waitForReplicas(t)
+	f.config.set(func(document *fleetconfig.Document) { document.Shards.Epoch++ })
+	f.waitForReplicas(t)
+}
+
+// waitForReplicas waits until all replicas of the order records are ready.
+func (f *testFleet) waitForReplicas(t testing.TB) {
+	t.Helper()
+	shards := f.config.View().Document().Shards
+	waitFor(t, func() bool {
+		for number, placement := range shards.Shards {
+			ready := 0
+			for _, status := range f.nodes[0].orders.Statuses(context.Background(), shards, number) {
+				if status.Ready && status.Epoch == shards.Epoch {
+					ready++
+				}
+			}
+			if ready < len(placement.Replicas) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 func waitFor(t testing.TB, condition func() bool) {
 	t.Helper()
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(condition), wait.Timeout(30*time.Second), wait.Gap(5*time.Millisecond)))
@@ -132,10 +217,16 @@
 
 // send sends a request with the test account's key.
 func (f *testFleet) send(t testing.TB, instance int, method, path, body string) (*http.Response, string) {
+	t.Helper()
+	return f.sendWithKey(t, instance, testKey, method, path, body)
+}
+
+// sendWithKey sends a request with a key.
+func (f *testFleet) sendWithKey(t testing.TB, instance int, key, method, path, body string) (*http.Response, string) {
 	t.Helper()
 	request, err := http.NewRequest(method, f.url(instance, path), strings.NewReader(body))
 	must.NoError(t, err)
-	request.Header.Set("Authorization", "Bearer "+testKey)
+	request.Header.Set("Authorization", "Bearer "+key)
 	response, err := f.client.Do(request)
 	must.NoError(t, err)
 	defer response.Body.Close()
--- a/node/node.go
+++ b/node/node.go
@@ -20,17 +20,21 @@
 	"github.com/hemlockring/hemlockring/internal/freeze"
 	"github.com/hemlockring/hemlockring/membership"
 	"github.com/hemlockring/hemlockring/metrics"
+	"github.com/hemlockring/hemlockring/orders"
 	"github.com/hemlockring/hemlockring/pipeline"
 	"github.com/hemlockring/hemlockring/pki"
 	"github.com/hemlockring/hemlockring/quota"
+	"github.com/hemlockring/hemlockring/quotadriver"
 	"github.com/hemlockring/hemlockring/selection"
 	"github.com/hemlockring/hemlockring/settings"
+	"github.com/hemlockring/hemlockring/shard"
 	"github.com/hemlockring/hemlockring/transport"
 )
 
 // Node is one instance of the fleet.
 type Node struct {
 	settings      *settings.Settings
+	options       Options
 	logger        *slog.Logger
 	metrics       *metrics.Metrics
 	freeze        *freeze.Detector
@@ -39,6 +43,8 @@
 	members       *gossip.Service
 	registry      *backendproxy.Registry
 	ejection      *ejection.Service
+	quota         *quotadriver.Service
+	orders        *orders.Service
 	backendProxy  *backendproxy.Proxy
 	ingress       *ingress.Proxy
 	configuration ingress.Configuration
@@ -47,20 +53,33 @@
 	local         *httpPort
 }
 
+// Options replace parts of a node.
+type Options struct {
+	// Configuration is used in place of the fleet's shared one.
+	Configuration ingress.Configuration
+	// LeaseTiming is used in place of shard.DefaultTiming.
+	LeaseTiming shard.Timing
+}
+
 // New opens the ports of an instance. Nothing is served before Run.
-func New(settings *settings.Settings, configuration ingress.Configuration, logger *slog.Logger) (*Node, error) {
+func New(settings *settings.Settings, options Options, logger *slog.Logger) (*Node, error) {
 	node := &Node{
+		options:       options,
 		settings:      settings,
 		logger:        logger.With("instance", string(settings.Instance.ID)),
 		freeze:        freeze.NewDetector(),
 		fleetMux:      http.NewServeMux(),
-		configuration: configuration,
+		configuration: options.Configuration,
 		metrics:       metrics.New(settings.Instance.ID, settings.Instance.FailureDomain),
 	}
 	node.supervisor = newSupervisor(node.logger)
 	if err := node.openFleetPort(); err != nil {
 		return nil, err
 	}
+	if err := node.buildShared(); err != nil {
+		node.endpoint.Close()
+		return nil, err
+	}
 	node.buildChains()
 	if err := node.openHTTPPorts(); err != nil {
 		node.endpoint.Close()
@@ -123,7 +142,7 @@
 func (n *Node) buildChains() {
 	n.ejection = ejection.New(ejection.Config{
 		Self:          n.settings.Instance.ID,
-		Shards:        noShards{},
+		Shards:        n.quota,
 		Caller:        n.endpoint,
 		View:          n.configuration.View,
 		OnStateChange: n.serverStateChanged,
@@ -140,10 +159,13 @@
 		Watch:    n.ejection,
 		Clock:    quota.NewDispatchClock(rand.Uint64(), time.Now()),
 	})
+	tokens := ingress.NewQuotaFilter(n.quota)
 	n.ingress = ingress.New(ingress.Config{
 		KeyHeader:     n.settings.Callers.KeyHeader,
 		Configuration: n.configuration,
 		Freeze:        n.freeze,
+		Admission:     []pipeline.Filter{tokens, &orders.Filter{Service: n.orders, MaxBodyBytes: orders.DefaultMaxBodyBytes}},
+		Guards:        []ingress.AttemptGuard{tokens, orderGuard{}},
 		Remote:        n.endpoint,
 		Local:         n.backendProxy,
 		Selector:      selection.New(selection.Config{Members: n.members.Snapshot, View: n.configuration.View}),
@@ -153,15 +175,6 @@
 	})
 }
 
-// noShards stands in until the shard groups are there.
-type noShards struct{}
-
-// ServiceOwner implements ejection.Shards.
-func (noShards) ServiceOwner(fleetconfig.ServiceName) string { return "" }
-
-// HoldsService implements ejection.Shards.
-func (noShards) HoldsService(fleetconfig.ServiceName, time.Time) (uint64, bool) { return 0, false }
-
 // queueLength is how many requests may wait for each backend server.
 func (n *Node) queueLength() int {
 	return int(n.configuration.View().Preset().QueueLength)
@@ -193,6 +206,8 @@
 	n.supervisor.Add(n.members)
 	n.supervisor.Add(n.registry)
 	n.supervisor.Add(n.ejection)
+	n.supervisor.Add(n.quota)
+	n.supervisor.Add(n.orders)
 	n.supervisor.Add(n.local)
 	if n.callers != nil {
 		n.supervisor.Add(n.callers)
--- /dev/null
+++ b/node/orders_test.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/hemlockring/hemlockring/internal/emulator"
+	"github.com/hemlockring/hemlockring/pipeline"
+)
+
+// orderAnswer is what a caller heard of an order.
+type orderAnswer struct {
+	status   int
+	outcome  string
+	refusal  string
+	replayed bool
+	body     string
+	err      error
+}
+
+// order places an order under an idempotency key through an instance.
+func (f *testFleet) order(instance int, key, body string) orderAnswer {
+	request, err := http.NewRequest(http.MethodPost, f.url(instance, "/orders"), strings.NewReader(body))
+	if err != nil {
+		return orderAnswer{err: err}
+	}
+	request.Header.Set("X-Api-Key", testKey)
+	request.Header.Set(pipeline.HeaderIdempotencyKey, key)
+	request.Header.Set(emulator.HeaderOrder, key)
+	response, err := f.client.Do(request)
+	if err != nil {
+		return orderAnswer{err: err}
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return orderAnswer{
+		status:   response.StatusCode,
+		outcome:  response.Header.Get(pipeline.HeaderOutcome),
+		refusal:  response.Header.Get(pipeline.HeaderRefusal),
+		replayed: response.Header.Get(pipeline.HeaderReplayed) == "true",
+		body:     string(text),
+		err:      err,
+	}
+}
+
+// Ingresses that race for the same order run it once; a repeat hears the stored
+// answer, and other content under the same key is refused.
+func TestAnOrderSentThroughEveryIngressRunsOnce(t *testing.T) {
+	fleet := startFleet(t, 3, emulator.Config{Slots: 50, ServiceTime: 3 * time.Millisecond})
+	for i := range 20 {
+		key := fmt.Sprintf("order-%d", i)
+		answers := make([]orderAnswer, 9)
+		var group sync.WaitGroup
+		for j := range answers {
+			group.Go(func() { answers[j] = fleet.order(j%3, key, key) })
+		}
+		group.Wait()
+		fresh := 0
+		for _, answer := range answers {
+			must.NoError(t, answer.err)
+			if answer.status == http.StatusOK {
+				must.Eq(t, key, answer.body)
+				if !answer.replayed {
+					fresh++
+				}
+			}
+		}
+		must.LessEq(t, 1, fresh)
+		if fresh == 1 {
+			repeat := fleet.order(i%3, key, key)
+			must.Eq(t, orderAnswer{status: http.StatusOK, outcome: "answered", replayed: true, body: key}, repeat)
+			other := fleet.order(i%3, key, "other content")
+			must.Eq(t, string(pipeline.KindKeyReused), other.refusal)
+		}
+	}
+	_, byOrder, _ := fleet.executions()
+	must.Positive(t, len(byOrder))
+	for order, count := range byOrder {
+		must.Eq(t, 1, count, must.Sprintf("order %s", order))
+	}
+}
+
+// Callers resend their orders through other ingresses after a backend server has
+// reset the connection: the outcome stays unknown and the order never runs twice.
+func TestAnOrderWithUnknownOutcomeIsNotRunAgain(t *testing.T) {
+	fleet := startFleet(t, 3, emulator.Config{Slots: 50})
+	for _, backend := range fleet.backends {
+		backend.SetFault(emulator.Fault{Kind: emulator.FaultReset, Share: 1})
+	}
+	first := fleet.order(0, "order", "content")
+	must.Eq(t, "unknown", first.outcome)
+	for _, backend := range fleet.backends {
+		backend.SetFault(emulator.Fault{})
+	}
+	for i := range 6 {
+		repeat := fleet.order(i%3, "order", "content")
+		must.Eq(t, "unknown", repeat.outcome)
+	}
+	_, byOrder, _ := fleet.executions()
+	must.Eq(t, 1, byOrder["order"])
+}
+
+// An account at several times its rate gets no more than rate and burst over all
+// instances, and is told when to come back.
+func TestAnAccountGetsNoMoreThanItsRateAndBurst(t *testing.T) {
+	fleet := startFleet(t, 3, emulator.Config{Slots: 50})
+	started := time.Now()
+	refused := 0
+	next := 0
+	waitFor(t, func() bool {
+		response, _ := fleet.sendWithKey(t, next%3, smallKey, http.MethodGet, "/orders", "")
+		next++
+		if response.StatusCode == http.StatusTooManyRequests {
+			refused++
+			must.Eq(t, "not-run", response.Header.Get(pipeline.HeaderOutcome))
+		}
+		total, _, _ := fleet.executions()
+		return total >= 3*smallBurst
+	})
+	total, _, _ := fleet.executions()
+	must.LessEq(t, smallRate*time.Since(started).Seconds()+smallBurst, float64(total))
+	must.Positive(t, refused)
+}
--- /dev/null
+++ b/node/shared.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/idempotency"
+	"github.com/hemlockring/hemlockring/orders"
+	"github.com/hemlockring/hemlockring/pipeline"
+	"github.com/hemlockring/hemlockring/quotadriver"
+)
+
+// maxOrderBytes bounds the order records of an instance.
+const maxOrderBytes = 32 << 20
+
+// buildShared builds what the instances hold together in shard groups: quota and
+// order records.
+func (n *Node) buildShared() error {
+	read := &readOnce{configuration: n.configuration}
+	var err error
+	n.quota, err = quotadriver.New(quotadriver.Config{
+		Self:    n.selfAddress(),
+		Caller:  n.endpoint,
+		View:    n.configuration.View,
+		MapRead: read.done,
+		Timing:  n.options.LeaseTiming,
+		Logger:  n.logger,
+	})
+	if err != nil {
+		return err
+	}
+	n.quota.Register(n.fleetMux)
+	n.orders, err = orders.New(orders.Config{
+		Self:       n.settings.Instance.ID,
+		Parameters: idempotency.DefaultConfig(),
+		MaxBytes:   maxOrderBytes,
+		ShardMap:   read.shardMap,
+		Logger:     n.logger,
+	}, n.endpoint, n.fleetMux)
+	return err
+}
+
+func (n *Node) selfAddress() fleetconfig.InstanceAddress {
+	return fleetconfig.InstanceAddress{
+		ID:            n.settings.Instance.ID,
+		Address:       n.settings.Fleet.Address,
+		FailureDomain: n.settings.Instance.FailureDomain,
+	}
+}
+
+// currentConfiguration is what readOnce needs of the configuration.
+type currentConfiguration interface {
+	View() *fleetconfig.View
+	Current(now time.Time) (current bool, retryAfter time.Duration)
+}
+
+// readOnce remembers whether the configuration has been current once since the
+// process started. Before that, an older shard map could be taken for the newest.
+type readOnce struct {
+	configuration currentConfiguration
+	read          atomic.Bool
+}
+
+func (r *readOnce) done() bool {
+	if r.read.Load() {
+		return true
+	}
+	current, _ := r.configuration.Current(time.Now())
+	if current && r.configuration.View().Version() > 0 {
+		r.read.Store(true)
+	}
+	return r.read.Load()
+}
+
+// shardMap returns the shard map, or the zero map while the configuration has not
+// been current.
+func (r *readOnce) shardMap() fleetconfig.ShardMap {
+	if !r.done() {
+		return fleetconfig.ShardMap{}
+	}
+	return r.configuration.View().Document().Shards
+}
+
+// orderGuard keeps an order from being sent after its claim has run out.
+type orderGuard struct{}
+
+// BeforeAttempt implements ingress.AttemptGuard.
+func (orderGuard) BeforeAttempt(exchange *pipeline.Exchange) error {
+	return orders.CheckDispatch(exchange.Request, time.Now())
+}
--- /dev/null
+++ b/quotadriver/services.go
@@ -0,0 +1,53 @@
+package quotadriver
+
+import (
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/shard"
+)
+
+// HoldsService reports whether this instance holds the lease of the service's
+// shard now. The tenure differs between any two holdings.
+func (s *Service) HoldsService(service fleetconfig.ServiceName, _ time.Time) (tenure uint64, held bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id, ok := s.serviceShard(service)
+	if !ok {
+		return 0, false
+	}
+	// The time is read under the lock, so that no wait for it lengthens a lease.
+	lease, held := s.group.Held(id, time.Now())
+	// The incarnation is random and the term is never used twice in it.
+	return lease.Holder.Incarnation + lease.Holder.Term, held
+}
+
+// ServiceReplicas returns the instances that may own the service's shard, the one
+// that is believed to own it first.
+func (s *Service) ServiceReplicas(service fleetconfig.ServiceName) []fleetconfig.InstanceAddress {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id, ok := s.serviceShard(service)
+	if !ok {
+		return nil
+	}
+	placement := shard.PlacementOf(&s.view.Document().Shards, id)
+	owner, _ := s.group.KnownHolder(id, time.Now())
+	replicas := make([]fleetconfig.InstanceAddress, 0, len(placement.Replicas))
+	for _, replica := range placement.Replicas {
+		if replica.ID == owner {
+			replicas = append([]fleetconfig.InstanceAddress{replica}, replicas...)
+		} else {
+			replicas = append(replicas, replica)
+		}
+	}
+	return replicas
+}
+
+// serviceShard returns the shard of a service. The caller holds mu.
+func (s *Service) serviceShard(service fleetconfig.ServiceName) (shard.ID, bool) {
+	if s.view == nil || len(s.view.Document().Shards.Shards) == 0 {
+		return 0, false
+	}
+	return shard.ForService(service, len(s.view.Document().Shards.Shards)), true
+}
--- /dev/null
+++ b/shardkeeper/keeper.go
@@ -0,0 +1,181 @@
+package shardkeeper
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/idempotency"
+	"github.com/hemlockring/hemlockring/shard"
+	"github.com/hemlockring/hemlockring/transport"
+)
+
+const (
+	// interval is how often the keeper looks for something to do.
+	interval = time.Second
+	// settleTime is how long the members of a new fleet must stay the same before
+	// holders and shards are placed on them.
+	settleTime = 4 * time.Second
+	// callTimeout bounds the questions to all replicas.
+	callTimeout = 5 * time.Second
+	// operator is the keeper's name in the history of changes.
+	operator = "hemlockd"
+)
+
+// Proposer reads and changes the configuration.
+type Proposer interface {
+	// View returns the accepted configuration.
+	View() *fleetconfig.View
+	// Propose makes a command on the leader of control.
+	Propose(ctx context.Context, command *fleetconfig.Command) (*fleetconfig.Result, error)
+}
+
+// Config configures a Keeper.
+type Config struct {
+	// Proposer reads and changes the configuration.
+	Proposer Proposer
+	// Leads reports whether this instance leads control.
+	Leads func() bool
+	// Alive returns the instances that live and do not stop, ordered by ID.
+	Alive func() []fleetconfig.InstanceAddress
+	// Caller calls the replicas.
+	Caller transport.Caller
+	// AskStatuses asks the replicas of a shard how far their order records are.
+	AskStatuses func(ctx context.Context, shardMap fleetconfig.ShardMap, number int) []idempotency.Status
+	// AskConfirmed asks the replicas of all shards which epoch they have confirmed.
+	AskConfirmed func(ctx context.Context, shardMap *fleetconfig.ShardMap) shard.Confirmed
+	// Logger receives the keeper's messages.
+	Logger *slog.Logger
+}
+
+// Keeper keeps holders and shards placed. It is a suture service.
+type Keeper struct {
+	config  Config
+	planner *shard.Planner
+	alive   []fleetconfig.InstanceAddress
+	since   time.Time
+}
+
+// New returns a keeper without history.
+func New(config Config) *Keeper {
+	return &Keeper{config: config, planner: shard.NewPlanner(shard.DefaultPlannerTiming())}
+}
+
+// Serve keeps holders and shards placed until ctx ends.
+func (k *Keeper) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticker.C:
+			k.observe(now)
+			if k.config.Leads() {
+				k.keep(ctx, now)
+			}
+		}
+	}
+}
+
+func (k *Keeper) observe(now time.Time) {
+	alive := k.config.Alive()
+	if !slices.Equal(alive, k.alive) {
+		k.alive = alive
+		k.since = now
+	}
+	k.planner.Observe(alive, now)
+}
+
+// keep makes at most one change.
+func (k *Keeper) keep(ctx context.Context, now time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	document := k.config.Proposer.View().Document()
+	settled := now.Sub(k.since) >= settleTime
+	switch {
+	case len(document.Holders) == 0:
+		if settled {
+			k.propose(ctx, document, fleetconfig.Change{Kind: fleetconfig.SetHolders, Holders: chooseHolders(k.alive)})
+		}
+	case document.Shards.Epoch == 0:
+		if settled {
+			placed := shard.InitialMap(shard.DefaultShards, k.alive)
+			k.propose(ctx, document, fleetconfig.Change{Kind: fleetconfig.PlaceShards, Shards: placed.Shards})
+		}
+	case document.Shards.Epoch == idempotency.FoundingEpoch:
+		if k.foundingConfirmed(ctx, document.Shards) {
+			k.propose(ctx, document, fleetconfig.Change{Kind: fleetconfig.OpenShards})
+		}
+	default:
+		k.moveReplica(ctx, document, now)
+	}
+}
+
+func (k *Keeper) propose(ctx context.Context, document *fleetconfig.Document, change fleetconfig.Change) {
+	command := &fleetconfig.Command{
+		ChangeID:    uuid.NewString(),
+		BaseVersion: document.Version,
+		Operator:    operator,
+		At:          time.Now(),
+		Changes:     []fleetconfig.Change{change},
+	}
+	result, err := k.config.Proposer.Propose(ctx, command)
+	if err == nil {
+		err = result.Err()
+	}
+	if err != nil {
+		k.config.Logger.Warn("placement not changed, will be tried again", "change", change.Summary(), "error", err)
+		return
+	}
+	k.config.Logger.Info("placement changed", "change", change.Summary(), "version", result.Version)
+}
+
+// foundingConfirmed reports whether every replica of every shard has taken up the
+// founding epoch with nothing lost.
+func (k *Keeper) foundingConfirmed(ctx context.Context, shardMap fleetconfig.ShardMap) bool {
+	for number, placement := range shardMap.Shards {
+		ready := 0
+		for _, status := range k.config.AskStatuses(ctx, shardMap, number) {
+			if status.Ready && status.Epoch == shardMap.Epoch {
+				ready++
+			}
+		}
+		if ready < len(placement.Replicas) {
+			return false
+		}
+	}
+	return true
+}
+
+// moveReplica makes the planner's next step of one shard.
+func (k *Keeper) moveReplica(ctx context.Context, document *fleetconfig.Document, now time.Time) {
+	// First see whether there is anything to move, before all replicas are asked.
+	if _, wanted := k.planner.Next(&document.Shards, assumeConfirmed(&document.Shards), now); !wanted {
+		return
+	}
+	confirmed := k.config.AskConfirmed(ctx, &document.Shards)
+	next, wanted := k.planner.Next(&document.Shards, confirmed, now)
+	if !wanted {
+		return
+	}
+	for number := range next.Shards {
+		if slices.Equal(next.Shards[number].Replicas, document.Shards.Shards[number].Replicas) {
+			continue
+		}
+		statuses := k.config.AskStatuses(ctx, document.Shards, number)
+		if !stepAllowed(document.Shards, next, number, statuses) {
+			continue
+		}
+		k.propose(ctx, document, fleetconfig.Change{Kind: fleetconfig.StepShard, Step: &fleetconfig.ShardStep{
+			Shard:    uint32(number),
+			Epoch:    document.Shards.Epoch + 1,
+			Replicas: next.Shards[number].Replicas,
+		}})
+		return
+	}
+}
--- /dev/null
+++ b/shardkeeper/steps.go
@@ -0,0 +1,59 @@
+package shardkeeper
+
+import (
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/idempotency"
+	"github.com/hemlockring/hemlockring/shard"
+)
+
+// maxHolders is how many instances hold the configuration at the most.
+const maxHolders = 7
+
+// chooseHolders returns an odd number of instances, at most seven, over as many
+// failure domains as there are.
+func chooseHolders(alive []fleetconfig.InstanceAddress) []fleetconfig.InstanceAddress {
+	count := min(maxHolders, len(alive))
+	if count > 0 && count%2 == 0 {
+		count--
+	}
+	var chosen []fleetconfig.InstanceAddress
+	taken := make(map[fleetconfig.InstanceID]bool)
+	for len(chosen) < count {
+		domains := make(map[fleetconfig.FailureDomain]bool)
+		for _, instance := range alive {
+			if len(chosen) == count || taken[instance.ID] || domains[instance.FailureDomain] {
+				continue
+			}
+			domains[instance.FailureDomain] = true
+			taken[instance.ID] = true
+			chosen = append(chosen, instance)
+		}
+	}
+	return chosen
+}
+
+// assumeConfirmed pretends that every replica has confirmed the present map.
+func assumeConfirmed(shardMap *fleetconfig.ShardMap) shard.Confirmed {
+	confirmed := make(shard.Confirmed, len(shardMap.Shards))
+	for number, placement := range shardMap.Shards {
+		epochs := make(map[fleetconfig.InstanceID]uint64, len(placement.Replicas))
+		for _, replica := range placement.Replicas {
+			epochs[replica.ID] = shardMap.Epoch
+		}
+		confirmed[shard.ID(number)] = epochs
+	}
+	return confirmed
+}
+
+// stepAllowed reports whether the order records permit the step of a shard.
+func stepAllowed(current, next fleetconfig.ShardMap, number int, statuses []idempotency.Status) bool {
+	return idempotency.CheckStep(groupOf(current, number), groupOf(next, number), statuses) == nil
+}
+
+func groupOf(shardMap fleetconfig.ShardMap, number int) idempotency.Group {
+	group := idempotency.Group{Epoch: shardMap.Epoch}
+	for _, replica := range shardMap.Shards[number].Replicas {
+		group.Members = append(group.Members, idempotency.Member{ID: replica.ID})
+	}
+	return group
+}
