Quota: owners say how soon they need the news of spent tokens

Cause: every spent token of an account with a small burst was reported in a call of its own (1.987 calls and 134 B a request in BenchmarkTrafficUnderLoad), also when the bucket had tokens left. The owner now answers each ask with the time that what is left in the bucket covers; news that may wait a second travel together. The soup of the property test queues requests with their tokens and isolates nodes.

--- a/internal/soup/soup.go
+++ b/internal/soup/soup.go
@@ -51,14 +51,22 @@
 	flight []Parcel[M]
 }
 
-// Post sends a message at the given true time. One in 20 is lost, one late, and
-// one comes twice.
+// shortDelay is the longest delay of a message that may still come in time.
+const shortDelay = 600
+
+// Post sends a message at the given true time. One in 40 is lost, two are late,
+// and one comes twice.
 func (n *Network[M]) Post(from, to fleetconfig.InstanceID, message M, now time.Time) {
+	n.PostLate(from, to, message, now, 0)
+}
+
+// PostLate is Post for a message that its sender holds back for a time.
+func (n *Network[M]) PostLate(from, to fleetconfig.InstanceID, message M, now time.Time, held time.Duration) {
 	if n.Cut[Link{From: from, To: to}] {
 		return
 	}
-	fate := n.Draw("fate", 20)
-	parcel := Parcel[M]{From: from, To: to, Message: message, due: now.Add(time.Duration(1+fate) * time.Millisecond)}
+	fate := n.Draw("fate", 40)
+	parcel := Parcel[M]{From: from, To: to, Message: message, due: now.Add(held + time.Duration(1+fate/2)*time.Millisecond)}
 	switch fate {
 	case 0:
 		return
@@ -67,6 +75,8 @@
 	case 2:
 		n.flight = append(n.flight, parcel)
 		parcel.due = now.Add(time.Duration(n.Draw("again", maxDelay)) * time.Millisecond)
+	case 3:
+		parcel.due = now.Add(held + time.Duration(n.Draw("short delay", shortDelay))*time.Millisecond)
 	}
 	n.flight = append(n.flight, parcel)
 }
--- a/quota/borrower.go
+++ b/quota/borrower.go
@@ -217,6 +217,7 @@
 	pending := p.pending
 	p.pending = pendingAsk{}
 	p.aheadLimit = loan.AheadLimit
+	p.reportWithin = loan.ReportWithin
 	if loan.Count > 0 {
 		p.batches = append(p.batches, batch{
 			grant:   loan.Grant,
@@ -284,7 +285,7 @@
 		if len(p.canceled) < maxCanceled {
 			p.canceled = append(p.canceled, ask.Grant)
 		}
-		p.reportAt = now.Add(lazyReport)
+		p.reportAt = now.Add(resendReport)
 		settled = append(settled, p.refuse(Refusal{Account: p.account, Cause: cause, RetryAfter: retryAfter})...)
 	}
 	return settled
@@ -299,7 +300,7 @@
 	if p == nil {
 		return
 	}
-	p.reportAt = now.Add(lazyReport)
+	p.reportAt = now.Add(resendReport)
 	if report.Returned == ReturnedAll && len(p.canceled) < maxCanceled {
 		p.canceled = append(p.canceled, report.Grant)
 	}
@@ -320,8 +321,7 @@
 }
 
 // Spent records that the request of a token was dispatched to a backend server,
-// at least ago before now. The owner hears of it soon if the account's burst is
-// small.
+// at least ago before now. The owner hears of it as soon as it has asked to.
 func (b *Borrower) Spent(token Token, ago time.Duration, now time.Time) {
 	p, batch := b.find(token)
 	if batch == nil || batch.taken() == 0 {
@@ -331,11 +331,9 @@
 	if at := now.Add(-shard.HolderTime(ago)); batch.lastSpent.Before(at) {
 		batch.lastSpent = at
 	}
-	if !batch.dirty {
-		batch.dirty = true
-		p.reportAt = now.Add(lazyReport)
-	}
-	if p.aheadLimit == 0 {
+	p.putReport(now)
+	batch.dirty = true
+	if p.reportWithin < promptReport {
 		b.enqueue(p)
 	}
 }
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -178,9 +178,21 @@
 		loan.Life = life
 		b.open(grant{borrower: borrower, id: ask.Grant, count: loan.Count, life: life, expires: now.Add(life)})
 	}
+	loan.ReportWithin = b.reportWithin()
 	return loan
 }
 
+// reportWithin returns how long news of spent tokens may take. Until it comes, the
+// place of a spent token does not fill; at the account's full rate, what is left
+// in the bucket covers that time twice.
+func (b *bucket) reportWithin() time.Duration {
+	if b.limits.RatePerSecond <= 0 {
+		return maxReportDelay
+	}
+	covered := b.level / (2 * b.limits.RatePerSecond)
+	return time.Duration(min(covered, maxReportDelay.Seconds()) * float64(time.Second))
+}
+
 // levelEpsilon forgives the rounding of sums. It is far below one token, and the
 // level never goes under zero by it.
 const levelEpsilon = 1e-9
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -34,6 +34,8 @@
 	minTokenLife = 100 * time.Millisecond
 	// maxWait is the longest wait that a refusal names.
 	maxWait = time.Hour
+	// maxReportDelay is how long the news of a spent token may wait at most.
+	maxReportDelay = time.Second
 	// borrowerMemory is how long an ingress counts as one that uses an account.
 	borrowerMemory = 2 * time.Second
 )
--- a/quota/messages.go
+++ b/quota/messages.go
@@ -67,6 +67,8 @@
 	Wait time.Duration `cbor:"5,keyasint,omitempty"`
 	// AheadLimit is how many unused tokens the borrower may hold.
 	AheadLimit uint32 `cbor:"6,keyasint,omitempty"`
+	// ReportWithin is how soon the owner should hear what became of the tokens.
+	ReportWithin time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // BorrowReply answers a BorrowRequest.
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -17,8 +17,10 @@
 	// idleReturn is how long an unused token of an account without borrowing ahead
 	// is kept.
 	idleReturn = 50 * time.Millisecond
-	// lazyReport is how long the news of spent tokens may wait for company.
-	lazyReport = 250 * time.Millisecond
+	// promptReport is the shortest wait for which a report is put off.
+	promptReport = 50 * time.Millisecond
+	// resendReport is how long a lost report waits until it is sent again.
+	resendReport = 250 * time.Millisecond
 	// poolMemory is how long an account without tokens is remembered.
 	poolMemory = 10 * time.Second
 	// maxRefusalMemory is how long a refusal is repeated without asking again.
@@ -71,10 +73,13 @@
 	waiters []uint64
 
 	aheadLimit uint32
-	use        float64 // requests a second
-	useAt      time.Time
-	taken      uint32 // since useAt
-	lastUse    time.Time
+	// reportWithin is how soon the owner wants to hear of spent tokens.
+	reportWithin time.Duration
+
+	use     float64 // requests a second
+	useAt   time.Time
+	taken   uint32 // since useAt
+	lastUse time.Time
 
 	aheadAfter   time.Time
 	refusedAt    time.Time
@@ -181,6 +186,18 @@
 	return p.hasReports() && !now.Before(p.reportAt)
 }
 
+// putReport schedules the news of spent tokens. Those that may wait longest go
+// together, once a maxReportDelay, so that one message carries them.
+func (p *pool) putReport(now time.Time) {
+	at := now.Add(p.reportWithin)
+	if p.reportWithin >= maxReportDelay {
+		at = now.Truncate(maxReportDelay).Add(maxReportDelay)
+	}
+	if !p.hasReports() || at.Before(p.reportAt) {
+		p.reportAt = at
+	}
+}
+
 func (p *pool) hasReports() bool {
 	for i := range p.batches {
 		if p.batches[i].dirty {
--- a/quota/soup_test.go
+++ b/quota/soup_test.go
@@ -291,7 +291,7 @@
 // use sends a request on with its token, gives the token back, or loses both.
 func (s *quotaSoup) use(node *quotaNode, token Token) {
 	now := node.clock.At(s.now)
-	switch s.draw("use", 8) {
+	switch s.draw("use", 16) {
 	case 0:
 		return
 	case 1:
@@ -301,7 +301,7 @@
 	target := s.nodes[s.draw("backend", len(s.nodes))]
 	s.nextID++
 	order := &request{token: token, id: s.nextID}
-	if target == node {
+	if target == node && s.draw("at once", 2) == 0 {
 		order.ends, _ = s.localEnds(node, token)
 		s.run(node, order, now, func(m quotaMessage) {
 			if m.spent != nil {
@@ -311,12 +311,19 @@
 		return
 	}
 	ends, known := node.peer(target.address.ID).Ends(token)
+	if target == node {
+		ends, known = s.localEnds(node, token)
+	}
 	if !known {
 		s.settle(node, node.borrower.Return(token, now))
 		return
 	}
 	order.ends = ends
-	s.post(node, target.address.ID, quotaMessage{order: order})
+	held := time.Duration(0)
+	if s.draw("queued", 4) == 0 { // The request waits in a queue, with its token.
+		held = time.Duration(s.draw("held", 2500)) * time.Millisecond
+	}
+	s.network.PostLate(node.address.ID, target.address.ID, quotaMessage{order: order}, s.now, held)
 }
 
 func (s *quotaSoup) localEnds(node *quotaNode, token Token) (ClockReading, bool) {
@@ -384,6 +391,9 @@
 	case 1:
 		s.start(node)
 	case 2:
+		if s.draw("isolate", 2) == 0 {
+			s.isolate(node)
+		}
 		s.network.Cut[soup.Link{From: node.address.ID, To: other.address.ID}] = true
 	case 3, 4:
 		clear(s.network.Cut)
@@ -400,6 +410,18 @@
 	}
 }
 
+// isolate cuts a node off from all others, in one direction or both.
+func (s *quotaSoup) isolate(node *quotaNode) {
+	directions := s.draw("directions", 3)
+	for _, other := range s.nodes {
+		if other == node {
+			continue
+		}
+		s.network.Cut[soup.Link{From: node.address.ID, To: other.address.ID}] = directions != 0
+		s.network.Cut[soup.Link{From: other.address.ID, To: node.address.ID}] = directions != 1
+	}
+}
+
 // step lets 40 ms pass.
 func (s *quotaSoup) step() {
 	for range 4 {
