Quota: find the new owner when the old one is silent; measure wrongful refusals

Now an instance that has not answered is passed over for 2 s, one attempt takes at most 200 ms of 500 ms, and a replica that names a silent owner ends the search at once.

The property test bunches requests by holding them with their tokens, and loses the owner at that moment. Its meter missed the burst that was in force until the change of limits (the version changed before the meter was read); mended, as strict as before.

--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -184,12 +184,12 @@
 
 // reportWithin returns how long news of spent tokens may take. Until it comes, the
 // place of a spent token does not fill; at the account's full rate, what is left
-// in the bucket covers that time twice.
+// in the bucket, but for one token, covers that time twice.
 func (b *bucket) reportWithin() time.Duration {
 	if b.limits.RatePerSecond <= 0 {
 		return maxReportDelay
 	}
-	covered := b.level / (2 * b.limits.RatePerSecond)
+	covered := max(b.level-1, 0) / (2 * b.limits.RatePerSecond)
 	return time.Duration(min(covered, maxReportDelay.Seconds()) * float64(time.Second))
 }
 
--- /dev/null
+++ b/quota/measure_test.go
@@ -0,0 +1,336 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/internal/soup"
+	"github.com/hemlockring/hemlockring/shard"
+)
+
+const (
+	measureRate   = 10.0
+	measureDelay  = time.Millisecond      // one way
+	measureServe  = 20 * time.Millisecond // of a backend server
+	measureWarmup = 8 * time.Second
+	measureWindow = 10 * time.Second
+)
+
+// event is something that happens later in virtual time.
+type event struct {
+	at  time.Time
+	run func()
+}
+
+// trial is a fleet in virtual time on a network without faults, in which the owner
+// may die. Each request is judged beside an ideal bucket that knows everything.
+type trial struct {
+	now    time.Time
+	random *rand.Rand
+	nodes  []*quotaNode
+	routes []*OwnerTable
+	dead   map[*quotaNode]bool
+	view   *fleetconfig.View
+	events []event
+
+	ideal     map[fleetconfig.AccountID]*bucket
+	idealID   GrantID
+	owed      map[*quotaNode]map[uint64]bool // waiters that the ideal bucket admits
+	accounts  map[*quotaNode]map[uint64]fleetconfig.AccountID
+	measuring bool
+	admitted  int
+	wrongful  map[Cause]int
+	died      time.Time
+	failover  time.Duration
+	firstGot  time.Duration
+}
+
+func newTrial(seed uint64, instances int, burst uint32) *trial {
+	tr := &trial{
+		now:      soup.Start,
+		random:   rand.New(rand.NewPCG(seed, 2)),
+		dead:     make(map[*quotaNode]bool),
+		ideal:    make(map[fleetconfig.AccountID]*bucket),
+		owed:     make(map[*quotaNode]map[uint64]bool),
+		accounts: make(map[*quotaNode]map[uint64]fleetconfig.AccountID),
+		wrongful: make(map[Cause]int),
+	}
+	limits := Limits{RatePerSecond: measureRate, Burst: burst}
+	document := &fleetconfig.Document{Version: 1}
+	for _, id := range []fleetconfig.AccountID{"greedy", "within"} {
+		document.Accounts = append(document.Accounts, fleetconfig.Account{ID: id, RatePerSecond: measureRate, Burst: burst})
+		tr.ideal[id] = &bucket{limits: limits, at: tr.now, level: float64(burst)}
+	}
+	var addresses []fleetconfig.InstanceAddress
+	for i := range instances {
+		addresses = append(addresses, fleetconfig.InstanceAddress{ID: fleetconfig.InstanceID(fmt.Sprintf("i%d", i))})
+	}
+	document.Shards = shard.InitialMap(1, addresses)
+	tr.view = fleetconfig.NewView(document)
+	for i, address := range addresses {
+		node := &quotaNode{
+			address:  address,
+			group:    shard.NewGroup(address.ID, seed<<8+uint64(i)+1, shard.DefaultTiming()),
+			lender:   NewLender(),
+			borrower: NewBorrower(100, GrantID(i)<<32),
+		}
+		node.lender.Adopt(tr.view, tr.now)
+		node.group.Adopt(&document.Shards, true, tr.now)
+		tr.nodes = append(tr.nodes, node)
+		tr.routes = append(tr.routes, NewOwnerTable())
+		tr.owed[node] = make(map[uint64]bool)
+		tr.accounts[node] = make(map[uint64]fleetconfig.AccountID)
+	}
+	return tr
+}
+
+// after runs f after d.
+func (tr *trial) after(d time.Duration, f func()) {
+	tr.events = append(tr.events, event{at: tr.now.Add(d), run: f})
+}
+
+// call runs f at the node after one way, unless the node is dead by then.
+func (tr *trial) call(node *quotaNode, f func()) {
+	tr.after(measureDelay, func() {
+		if !tr.dead[node] {
+			f()
+		}
+	})
+}
+
+func (tr *trial) node(id fleetconfig.InstanceID) *quotaNode {
+	for _, node := range tr.nodes {
+		if node.address.ID == id {
+			return node
+		}
+	}
+	return nil
+}
+
+func (tr *trial) sendShard(from *quotaNode, envelopes []shard.Envelope) {
+	for i := range envelopes {
+		message := &envelopes[i].Message
+		to := tr.node(envelopes[i].To.ID)
+		tr.call(to, func() {
+			reply := to.group.Handle(from.address.ID, message, tr.now)
+			if reply == nil {
+				return
+			}
+			tr.call(from, func() { tr.sendShard(from, from.group.HandleReply(to.address.ID, reply, tr.now)) })
+		})
+	}
+}
+
+// borrow sends a request to the owner as the driver does.
+func (tr *trial) borrow(i int, out *Outgoing, attempt int) {
+	node := tr.nodes[i]
+	target, _ := tr.routes[i].Target(0, &tr.view.Document().Shards, attempt, tr.now)
+	to := tr.node(target.ID)
+	done := false
+	tr.after(AttemptTimeout, func() {
+		if done {
+			return
+		}
+		done = true
+		tr.routes[i].Suspect(0, to.address.ID, tr.now)
+		tr.again(i, out, attempt+1, CauseOwnerUnreachable, 3*time.Second)
+	})
+	tr.call(to, func() {
+		reply := &BorrowReply{}
+		if lease, held := to.group.Held(0, tr.now); held {
+			reply = to.lender.Borrow(lease, node.address.ID, &out.Request, tr.now)
+		} else {
+			reply.Owner, reply.Wait = to.group.KnownHolder(0, tr.now)
+		}
+		tr.call(node, func() {
+			if done {
+				return
+			}
+			done = true
+			switch tr.routes[i].Learn(to.address.ID, reply, tr.now) {
+			case RouteAnswered:
+				tr.settle(node, node.borrower.Handle(reply, tr.now))
+			case RouteAgain:
+				tr.again(i, out, attempt+1, CauseOwnerUnknown, reply.Wait)
+			default:
+				tr.settle(node, node.borrower.Failed(&out.Request, CauseOwnerUnreachable, reply.Wait, tr.now))
+			}
+		})
+	})
+}
+
+// again sends a request once more or gives it up.
+func (tr *trial) again(i int, out *Outgoing, attempt int, cause Cause, wait time.Duration) {
+	early := out.Since.IsZero() || tr.now.Sub(out.Since) < AskTimeout
+	if early && attempt < MaxAttempts {
+		tr.borrow(i, out, attempt)
+		return
+	}
+	node := tr.nodes[i]
+	tr.settle(node, node.borrower.Failed(&out.Request, cause, wait, tr.now))
+}
+
+func (tr *trial) settle(node *quotaNode, settled []Settlement) {
+	for _, settlement := range settled {
+		owed := tr.owed[node][settlement.Waiter]
+		account := tr.accounts[node][settlement.Waiter]
+		delete(tr.owed[node], settlement.Waiter)
+		delete(tr.accounts[node], settlement.Waiter)
+		if settlement.Refusal == nil {
+			tr.serve(node, settlement.Token)
+			continue
+		}
+		tr.refused(account, settlement.Refusal, owed)
+	}
+}
+
+func (tr *trial) refused(account fleetconfig.AccountID, refusal *Refusal, owed bool) {
+	if owed && account == "within" && tr.measuring {
+		tr.wrongful[refusal.Cause]++
+	}
+}
+
+// serve dispatches the request; the ingress hears of it with the response.
+func (tr *trial) serve(node *quotaNode, token Token) {
+	if tr.measuring && tr.firstGot == 0 && tr.failover > 0 {
+		tr.firstGot = tr.now.Sub(tr.died)
+	}
+	dispatched := tr.now.Add(measureDelay)
+	tr.after(2*measureDelay+measureServe, func() { node.borrower.Spent(token, tr.now.Sub(dispatched)-measureDelay, tr.now) })
+}
+
+// arrive lets a request arrive at a random ingress that lives.
+func (tr *trial) arrive(account fleetconfig.AccountID) {
+	node := tr.nodes[tr.random.IntN(len(tr.nodes))]
+	for tr.dead[node] {
+		node = tr.nodes[tr.random.IntN(len(tr.nodes))]
+	}
+	tr.idealID++
+	ideal := tr.ideal[account].lend("", &Ask{Want: 1, Grant: tr.idealID}, time.Hour, tr.now)
+	owed := ideal.Count == 1
+	if owed {
+		tr.ideal[account].report("", &Report{Grant: tr.idealID, Spent: 1}, tr.now)
+	}
+	if owed && account == "within" && tr.measuring {
+		tr.admitted++
+	}
+	if token, ok := node.borrower.Take(account, tr.now); ok {
+		tr.serve(node, token)
+		return
+	}
+	node.waiter++
+	if refusal := node.borrower.Wait(account, 0, node.waiter, tr.now); refusal != nil {
+		tr.refused(account, refusal, owed)
+		return
+	}
+	tr.owed[node][node.waiter] = owed
+	tr.accounts[node][node.waiter] = account
+}
+
+// step lets a millisecond pass.
+func (tr *trial) step() {
+	tr.now = tr.now.Add(time.Millisecond)
+	due := tr.events
+	tr.events = nil
+	for _, e := range due {
+		if e.at.After(tr.now) {
+			tr.events = append(tr.events, e)
+		} else {
+			e.run()
+		}
+	}
+	for i, node := range tr.nodes {
+		if tr.dead[node] {
+			continue
+		}
+		if (tr.now.UnixMilli()+int64(7*i))%50 == 0 {
+			tr.sendShard(node, node.group.Tick(tr.now))
+			node.borrower.Tick(tr.now)
+		}
+		leases := node.group.Leases(tr.now)
+		node.lender.Hold(leases, tr.now)
+		if len(leases) > 0 && !tr.died.IsZero() && tr.failover == 0 {
+			tr.failover = tr.now.Sub(tr.died)
+		}
+		if node.borrower.Pending() {
+			out := make(map[shard.ID]*Outgoing)
+			node.borrower.Flush(out, tr.now)
+			for _, outgoing := range out {
+				tr.borrow(i, outgoing, 0)
+			}
+		}
+	}
+}
+
+// run measures the window after the warm-up. The owner dies at its start, or not.
+func (tr *trial) run(kill bool, load float64) {
+	end := tr.now.Add(measureWarmup)
+	for _, length := range []time.Duration{0, measureWindow} {
+		end = end.Add(length)
+		for tr.now.Before(end) {
+			if tr.random.Float64() < load*measureRate/1000 {
+				tr.arrive("within")
+			}
+			if tr.random.Float64() < 5*measureRate/1000 {
+				tr.arrive("greedy")
+			}
+			tr.step()
+		}
+		if tr.measuring {
+			return
+		}
+		tr.measuring = true
+		for _, node := range tr.nodes {
+			if kill && len(node.group.Leases(tr.now)) > 0 {
+				tr.dead[node] = true
+				tr.died = tr.now
+			}
+		}
+	}
+}
+
+// BenchmarkWrongfulRefusals measures, in virtual time, the requests of an account
+// within its rate that an ideal bucket would have admitted and that were refused,
+// by cause, in the ten seconds from the death of the owner on (or without one),
+// beside an account at five times its rate. The requests spread evenly over all
+// ingresses.
+func BenchmarkWrongfulRefusals(b *testing.B) {
+	for _, kill := range []bool{false, true} {
+		for _, instances := range []int{5, 22} {
+			for _, burst := range []uint32{1, 2, 5, 20} {
+				name := fmt.Sprintf("ownerDies=%v/ingresses=%d/burst=%d", kill, instances, burst)
+				b.Run(name, func(b *testing.B) { measureRefusals(b, kill, instances, burst) })
+			}
+		}
+	}
+}
+
+func measureRefusals(b *testing.B, kill bool, instances int, burst uint32) {
+	admitted, wrongful := 0, make(map[Cause]int)
+	var failover, worst, firstGot time.Duration
+	seed := uint64(0)
+	for b.Loop() {
+		seed++
+		tr := newTrial(seed, instances, burst)
+		tr.run(kill, 0.5)
+		admitted += tr.admitted
+		for cause, count := range tr.wrongful {
+			wrongful[cause] += count
+		}
+		failover += tr.failover
+		worst = max(worst, tr.failover)
+		firstGot += tr.firstGot
+	}
+	for _, cause := range []Cause{CauseOverRate, CauseOwnerUnknown, CauseOwnerUnreachable, CauseIngressFull} {
+		b.ReportMetric(100*float64(wrongful[cause])/float64(admitted), "%"+cause.String())
+	}
+	if kill {
+		b.ReportMetric(failover.Seconds()/float64(seed), "s-failover")
+		b.ReportMetric(worst.Seconds(), "s-failover-worst")
+		b.ReportMetric(firstGot.Seconds()/float64(seed), "s-first-token")
+	}
+	b.ReportMetric(float64(admitted)/float64(seed), "admitted/run")
+}
--- a/quota/route.go
+++ b/quota/route.go
@@ -7,53 +7,102 @@
 	"github.com/hemlockring/hemlockring/shard"
 )
 
-// AskTimeout is how long an ingress looks for the owner of a shard before it
-// refuses.
-const AskTimeout = 300 * time.Millisecond
+const (
+	// AskTimeout is how long an ingress looks for the owner of a shard before it
+	// refuses.
+	AskTimeout = 500 * time.Millisecond
+	// AttemptTimeout is how long one instance may take to answer.
+	AttemptTimeout = 200 * time.Millisecond
+	// MaxAttempts is how many times an ingress asks for one message.
+	MaxAttempts = 5
+	// suspicion is how long an instance that has not answered is passed over.
+	suspicion = 2 * time.Second
+)
+
+// RouteVerdict says how to go on after an answer.
+type RouteVerdict uint8
+
+const (
+	// RouteAnswered means that the owner has answered.
+	RouteAnswered RouteVerdict = iota
+	// RouteAgain means to send again, to the next Target.
+	RouteAgain
+	// RouteUnreachable means that the owner is known but has not answered lately.
+	RouteUnreachable
+)
 
 // OwnerTable is where an ingress believes the owners of the shards to be. It holds
-// one entry for each shard of the map.
+// one entry for each shard of the map and one for each instance that has not
+// answered lately. It is not safe for concurrent use.
 type OwnerTable struct {
-	owners map[shard.ID]fleetconfig.InstanceID
+	owners   map[shard.ID]fleetconfig.InstanceID
+	suspects map[fleetconfig.InstanceID]time.Time
 }
 
 // NewOwnerTable returns a table that knows no owner.
 func NewOwnerTable() *OwnerTable {
-	return &OwnerTable{owners: make(map[shard.ID]fleetconfig.InstanceID)}
+	return &OwnerTable{
+		owners:   make(map[shard.ID]fleetconfig.InstanceID),
+		suspects: make(map[fleetconfig.InstanceID]time.Time),
+	}
+}
+
+func (t *OwnerTable) suspected(instance fleetconfig.InstanceID, now time.Time) bool {
+	until, ok := t.suspects[instance]
+	if ok && !now.Before(until) {
+		delete(t.suspects, instance)
+		return false
+	}
+	return ok
 }
 
-// Target returns the instance to ask for a shard: the owner if it is known, else
-// another replica with each attempt, which will name the owner. It is false when
-// the map has no replica of the shard.
-func (t *OwnerTable) Target(id shard.ID, shardMap *fleetconfig.ShardMap, attempt int) (fleetconfig.InstanceAddress, bool) {
+// Target returns the instance to ask for a shard: the owner if it is known and
+// answers, else another replica with each attempt, which will name the owner.
+// Replicas that have not answered lately come last. It is false when the map has
+// no replica of the shard.
+func (t *OwnerTable) Target(id shard.ID, shardMap *fleetconfig.ShardMap, attempt int, now time.Time) (fleetconfig.InstanceAddress, bool) {
 	placement := shard.PlacementOf(shardMap, id)
 	if len(placement.Replicas) == 0 {
 		return fleetconfig.InstanceAddress{}, false
 	}
-	if rank := placement.Rank(t.owners[id]); rank >= 0 {
+	owner := t.owners[id]
+	if rank := placement.Rank(owner); rank >= 0 && !t.suspected(owner, now) {
 		return placement.Replicas[rank], true
 	}
-	return placement.Replicas[attempt%len(placement.Replicas)], true
+	var order, last []fleetconfig.InstanceAddress
+	for _, replica := range placement.Replicas {
+		if t.suspected(replica.ID, now) {
+			last = append(last, replica)
+		} else {
+			order = append(order, replica)
+		}
+	}
+	order = append(order, last...)
+	return order[attempt%len(order)], true
 }
 
-// Learn takes the answer of an instance. It reports whether the request should be
-// sent again, to the owner that the answer names.
-func (t *OwnerTable) Learn(from fleetconfig.InstanceID, reply *BorrowReply) bool {
+// Learn takes the answer of an instance.
+func (t *OwnerTable) Learn(from fleetconfig.InstanceID, reply *BorrowReply, now time.Time) RouteVerdict {
+	delete(t.suspects, from)
 	switch {
 	case reply.IsOwner:
 		t.owners[reply.Shard] = from
-		return false
-	case reply.Owner != "" && reply.Owner != from:
-		t.owners[reply.Shard] = reply.Owner
-		return true
-	default:
+		return RouteAnswered
+	case reply.Owner == "" || reply.Owner == from:
 		delete(t.owners, reply.Shard)
-		return false
+		return RouteAgain
+	case t.suspected(reply.Owner, now):
+		delete(t.owners, reply.Shard)
+		return RouteUnreachable
+	default:
+		t.owners[reply.Shard] = reply.Owner
+		return RouteAgain
 	}
 }
 
-// Forget drops an owner that has not answered.
-func (t *OwnerTable) Forget(id shard.ID, instance fleetconfig.InstanceID) {
+// Suspect passes over an instance that has not answered.
+func (t *OwnerTable) Suspect(id shard.ID, instance fleetconfig.InstanceID, now time.Time) {
+	t.suspects[instance] = now.Add(suspicion)
 	if t.owners[id] == instance {
 		delete(t.owners, id)
 	}
--- a/quota/soup_test.go
+++ b/quota/soup_test.go
@@ -89,6 +89,8 @@
 	nextID  int
 	passed  int
 	settled int
+	// release is when every queue lets its requests go, with their tokens.
+	release time.Time
 }
 
 var soupAccounts = []fleetconfig.AccountID{"small", "large"}
@@ -159,14 +161,16 @@
 	node.waiting = make(map[uint64]fleetconfig.AccountID)
 	node.unanswered = nil
 	node.stops = time.Time{}
-	s.adopt(node)
+	s.adopt(node, node.version)
 }
 
-// adopt lets a node take its version of the configuration.
-func (s *quotaSoup) adopt(node *quotaNode) {
+// adopt lets a node take a version of the configuration. The meters see the limits
+// that were in force until now first.
+func (s *quotaSoup) adopt(node *quotaNode, version int) {
 	for _, m := range s.meters {
 		s.drain(m)
 	}
+	node.version = version
 	now := node.clock.At(s.now)
 	view := s.views[node.version]
 	node.lender.Adopt(view, now)
@@ -301,7 +305,7 @@
 	target := s.nodes[s.draw("backend", len(s.nodes))]
 	s.nextID++
 	order := &request{token: token, id: s.nextID}
-	if target == node && s.draw("at once", 2) == 0 {
+	if target == node && !s.now.Before(s.release) {
 		order.ends, _ = s.localEnds(node, token)
 		s.run(node, order, now, func(m quotaMessage) {
 			if m.spent != nil {
@@ -319,8 +323,8 @@
 		return
 	}
 	order.ends = ends
-	held := time.Duration(0)
-	if s.draw("queued", 4) == 0 { // The request waits in a queue, with its token.
+	held := max(s.release.Sub(s.now), 0)
+	if s.draw("queued", 8) == 0 { // The request waits in a queue, with its token.
 		held = time.Duration(s.draw("held", 2500)) * time.Millisecond
 	}
 	s.network.PostLate(node.address.ID, target.address.ID, quotaMessage{order: order}, s.now, held)
@@ -385,7 +389,7 @@
 func (s *quotaSoup) fault() {
 	node := s.nodes[s.draw("victim", len(s.nodes))]
 	other := s.nodes[s.draw("other", len(s.nodes))]
-	switch s.draw("fault", 8) {
+	switch s.draw("fault", 10) {
 	case 0:
 		node.frozen = s.now.Add(time.Duration(s.draw("freeze", 6000)) * time.Millisecond)
 	case 1:
@@ -400,12 +404,33 @@
 	case 5, 6:
 		shards := s.views[0].Document().Shards
 		s.addView(&shards)
+	case 7:
+		s.loseOwner()
 	default:
-		for _, n := range s.nodes { // A planned stop of the owner.
-			if leases := n.group.Leases(n.clock.At(s.now)); len(leases) > 0 && !s.now.Before(n.frozen) {
-				s.sendShard(n, n.group.Stop(n.clock.At(s.now)))
-				n.stops = s.now.Add(time.Second)
-			}
+		s.release = s.now.Add(time.Duration(s.draw("release", 2500)) * time.Millisecond)
+		if s.draw("lose owner", 2) == 0 {
+			s.loseOwner()
+		}
+	}
+}
+
+// loseOwner stops, isolates, freezes or restarts the instance that owns the shard.
+func (s *quotaSoup) loseOwner() {
+	for _, node := range s.nodes {
+		now := node.clock.At(s.now)
+		if _, held := node.group.Held(0, now); !held || s.now.Before(node.frozen) {
+			continue
+		}
+		switch s.draw("loss", 5) {
+		case 0:
+			s.isolate(node)
+		case 1:
+			node.frozen = s.now.Add(time.Duration(s.draw("freeze", 6000)) * time.Millisecond)
+		case 2:
+			s.start(node)
+		default:
+			s.sendShard(node, node.group.Stop(now))
+			node.stops = s.now.Add(time.Second)
 		}
 	}
 }
@@ -438,8 +463,7 @@
 			continue
 		}
 		if node.version+1 < len(s.views) && s.draw("news", node.newsOdds) == 0 {
-			node.version++
-			s.adopt(node)
+			s.adopt(node, node.version+1)
 		}
 		if !node.stops.IsZero() && s.now.After(node.stops) {
 			s.start(node)
@@ -452,9 +476,7 @@
 		if s.draw("sweep", 20) == 0 {
 			node.lender.Sweep(now)
 		}
-		if s.draw("arrive", 2) == 0 {
-			s.arrive(node)
-		}
+		s.arrive(node)
 	}
 }
 
--- a/quotadriver/peers.go
+++ b/quotadriver/peers.go
@@ -126,7 +126,7 @@
 		return
 	}
 	s.routeMu.Lock()
-	to, ok := s.routes.Target(id, &view.Document().Shards, job.attempt)
+	to, ok := s.routes.Target(id, &view.Document().Shards, job.attempt, time.Now())
 	s.routeMu.Unlock()
 	if !ok {
 		s.fail(job, quota.CauseOwnerUnknown, s.config.Timing.Lease)
@@ -185,43 +185,43 @@
 		return s.borrow(to.ID, batch), nil
 	}
 	replies := &BorrowReplies{}
-	callCtx, cancel := context.WithTimeout(ctx, quota.AskTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, quota.AttemptTimeout)
 	defer cancel()
 	err := s.config.Caller.Call(callCtx, to.Address, pathBorrow, batch, replies)
 	return replies, err
 }
 
 func (s *Service) handleBorrowReply(ctx context.Context, to fleetconfig.InstanceAddress, job borrowJob, reply *quota.BorrowReply) {
+	now := time.Now()
 	s.routeMu.Lock()
-	again := s.routes.Learn(to.ID, reply)
+	verdict := s.routes.Learn(to.ID, reply, now)
 	s.routeMu.Unlock()
 	job.attempt++
 	switch {
-	case reply.IsOwner:
+	case verdict == quota.RouteAnswered:
 		s.settle(reply)
-	case again && job.mayRetry(time.Now()):
-		s.sendBorrow(ctx, job)
-	case job.attempt < maxAttempts && job.mayRetry(time.Now()):
+	case verdict == quota.RouteAgain && job.mayRetry(now):
 		s.sendBorrow(ctx, job)
+	case verdict == quota.RouteUnreachable:
+		s.fail(job, quota.CauseOwnerUnreachable, reply.Wait+s.config.Timing.RoundTimeout)
 	default:
 		s.fail(job, quota.CauseOwnerUnknown, reply.Wait+s.config.Timing.RoundTimeout)
 	}
 }
 
-// maxAttempts is how many instances are asked for the owner of a shard.
-const maxAttempts = 4
-
 // mayRetry reports whether there is time to ask another instance.
 func (j *borrowJob) mayRetry(now time.Time) bool {
-	return j.attempt < 2*maxAttempts && (j.outgoing.Since.IsZero() || now.Sub(j.outgoing.Since) < quota.AskTimeout)
+	early := j.outgoing.Since.IsZero() || now.Sub(j.outgoing.Since) < quota.AskTimeout
+	return early && j.attempt < quota.MaxAttempts
 }
 
 func (s *Service) retryUnreachable(ctx context.Context, to fleetconfig.InstanceAddress, job borrowJob) {
+	now := time.Now()
 	s.routeMu.Lock()
-	s.routes.Forget(job.outgoing.Request.Shard, to.ID)
+	s.routes.Suspect(job.outgoing.Request.Shard, to.ID, now)
 	s.routeMu.Unlock()
 	job.attempt++
-	if ctx.Err() == nil && job.attempt < maxAttempts && job.mayRetry(time.Now()) {
+	if ctx.Err() == nil && job.mayRetry(now) {
 		s.sendBorrow(ctx, job)
 		return
 	}
