--- a/consensus/node.go
+++ b/consensus/node.go
@@ -214,6 +214,11 @@
 // Membership returns the membership in force.
 func (n *Node) Membership() Membership { return n.memberships.current().membership }
 
+// MembershipCommitted tells whether the membership in force is committed.
+func (n *Node) MembershipCommitted() bool {
+	return n.memberships.current().index <= n.log.committed
+}
+
 // MembershipAt returns the membership as of an index that is not compacted.
 func (n *Node) MembershipAt(index uint64) Membership { return n.memberships.at(index) }
 
--- a/consensus/ready.go
+++ b/consensus/ready.go
@@ -116,3 +116,9 @@
 		}
 	}
 }
+
+// StoredEntries returns the entries after an index that are synced, for a log
+// that is written anew.
+func (n *Node) StoredEntries(after uint64) []Entry {
+	return n.log.between(after, n.log.stable)
+}
--- /dev/null
+++ b/control/loop.go
@@ -0,0 +1,287 @@
+package control
+
+import (
+	"context"
+	cryptorand "crypto/rand"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/hemlockring/hemlockring/consensus"
+	"github.com/hemlockring/hemlockring/storage"
+)
+
+// ticksPerHeartbeat is how often the loop looks at the clock.
+const ticksPerHeartbeat = 3
+
+// loop owns the log while the node is served. All of it runs on one goroutine.
+type loop struct {
+	*Node
+	node    *consensus.Node
+	store   *storage.LogStore
+	senders *senders
+	waiters waiters
+	beatAt  time.Time
+	role    consensus.Role
+	// ran is the request that waits for the sync.
+	ran *request
+}
+
+// Serve runs the node until the context ends. It opens the files anew each time,
+// so that a restart after a failed write goes on from what is on the disk. At the
+// end a leader hands its role over.
+func (n *Node) Serve(ctx context.Context) error {
+	l, err := n.open()
+	if err != nil {
+		n.config.Logger.Error("cannot open the replicated log", "error", err)
+		return terminal(err)
+	}
+	background, cancel := context.WithCancel(context.Background())
+	l.senders = newSenders(background, n)
+	formed := make(chan struct{})
+	go func() {
+		defer close(formed)
+		n.form(background)
+	}()
+	err = l.run(ctx)
+	l.senders.flush(n.config.ElectionTimeout)
+	cancel()
+	<-formed
+	l.senders.wait()
+	l.waiters.failAll("this control instance stops")
+	n.view.Store(&view{status: n.view.Load().status})
+	return errors.CombineErrors(err, l.store.Close())
+}
+
+// terminal marks an error that a restart of the service does not mend: the
+// supervisor gives up, and the instance stops with the error.
+func terminal(err error) error {
+	var damage *storage.DamageError
+	var inconsistent *consensus.InconsistentStateError
+	if errors.As(err, &damage) || errors.As(err, &inconsistent) {
+		return errors.Join(err, suture.ErrTerminateSupervisorTree)
+	}
+	return err
+}
+
+// open reads the files and brings the state machine up to the stored snapshot.
+func (n *Node) open() (*loop, error) {
+	store, err := storage.OpenLog(n.config.Files, n.config.Folder, cryptorand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	node, err := consensus.New(consensus.Config{
+		ID:                  consensus.MemberID(n.config.ID),
+		Disk:                store.Disk(),
+		ElectionTimeout:     n.config.ElectionTimeout,
+		HeartbeatInterval:   n.config.HeartbeatInterval,
+		MaxMessageBytes:     maxMessageBytes,
+		MaxUncommittedBytes: maxUncommittedBytes,
+		Rand:                rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}, store.Stored(), time.Now())
+	if err != nil {
+		return nil, errors.CombineErrors(err, store.Close())
+	}
+	l := &loop{Node: n, node: node, store: store, waiters: waiters{}}
+	snapshot, found, err := store.LoadSnapshot()
+	if err == nil && found {
+		err = l.restore(snapshot)
+	}
+	if err != nil {
+		return nil, errors.CombineErrors(err, store.Close())
+	}
+	l.publish(time.Now())
+	return l, nil
+}
+
+// run handles events until the context ends and the leadership is handed over.
+func (l *loop) run(ctx context.Context) error {
+	ticker := time.NewTicker(l.config.HeartbeatInterval / ticksPerHeartbeat)
+	defer ticker.Stop()
+	done := ctx.Done()
+	var stopAt time.Time
+	for {
+		select {
+		case <-done:
+			done = nil
+			stopAt = time.Now().Add(l.config.ElectionTimeout)
+			if l.node.TransferLeadership(time.Now()) != nil {
+				return ctx.Err()
+			}
+		case <-ticker.C:
+		case p := <-l.proposals:
+			l.propose(p)
+		case e := <-l.inbox:
+			l.step(e)
+		case r := <-l.requests:
+			r.run(l)
+			l.ran = r
+		}
+		now := time.Now()
+		l.node.Tick(now)
+		if err := l.work(now); err != nil {
+			return err
+		}
+		if l.ran != nil {
+			close(l.ran.done)
+			l.ran = nil
+		}
+		if !stopAt.IsZero() && (l.node.Role() != consensus.Leader || now.After(stopAt)) {
+			return ctx.Err()
+		}
+	}
+}
+
+// step hands a call's messages to the log, and those that wait behind it.
+func (l *loop) step(e *envelope) {
+	for range maxBatch {
+		l.senders.learn(e.from, e.Address)
+		now := time.Now()
+		for _, message := range e.Messages {
+			l.node.Step(now, message)
+		}
+		select {
+		case e = <-l.inbox:
+		default:
+			return
+		}
+	}
+}
+
+// propose appends a proposal and those that wait behind it: they share a sync.
+func (l *loop) propose(first *proposal) {
+	batch := []*proposal{first}
+	commands := [][]byte{first.command}
+	size := len(first.command)
+	for len(batch) < maxBatch && size < maxMessageBytes && len(l.proposals) > 0 {
+		next := <-l.proposals
+		batch = append(batch, next)
+		commands = append(commands, next.command)
+		size += len(next.command)
+	}
+	index, term, err := l.node.Propose(time.Now(), commands...)
+	for i, p := range batch {
+		if err != nil {
+			p.done <- outcome{err: l.proposalError(err)}
+			continue
+		}
+		l.waiters[index+uint64(i)] = waiter{term: term, done: p.done}
+	}
+}
+
+// proposalError gives an error of the log its public kind. The command is not in
+// the log.
+func (l *loop) proposalError(err error) error {
+	if errors.Is(err, consensus.ErrNotLeader) {
+		l.publish(time.Now())
+		return l.notLeader()
+	}
+	return &BusyError{Reason: err.Error()}
+}
+
+// work does what the log asks for. The order matters: messages that promise
+// something are sent, and entries are applied, only after the sync.
+func (l *loop) work(now time.Time) error {
+	for l.node.HasReady() {
+		ready := l.node.Ready()
+		l.send(ready.Messages)
+		if err := l.store.Save(ready); err != nil {
+			return errors.Wrap(err, "store the log")
+		}
+		if ready.Snapshot != nil {
+			if err := l.restore(*ready.Snapshot); err != nil {
+				return err
+			}
+		}
+		l.send(ready.MessagesAfterSync)
+		for _, entry := range ready.Committed {
+			l.apply(entry)
+		}
+		l.node.Advance()
+	}
+	if l.node.Role() != consensus.Leader {
+		l.waiters.failAll("this control instance lost the leadership")
+	}
+	if err := l.compact(); err != nil {
+		return err
+	}
+	l.publish(now)
+	l.beat(now)
+	return nil
+}
+
+// restore replaces the application's state, unless it is newer already. The
+// initial snapshot of a log has no state.
+func (l *loop) restore(snapshot consensus.Snapshot) error {
+	if snapshot.Index <= l.appliedIndex {
+		return nil
+	}
+	if snapshot.Index > consensus.InitialSnapshot(consensus.Membership{}).Index {
+		if err := l.config.StateMachine.Restore(snapshot.Data); err != nil {
+			return errors.Wrap(err, "restore the snapshot")
+		}
+	}
+	l.appliedIndex = snapshot.Index
+	return nil
+}
+
+// apply executes a committed entry, unless the state machine did so before the
+// node was served again.
+func (l *loop) apply(entry consensus.Entry) {
+	var result []byte
+	if entry.Index > l.appliedIndex {
+		if entry.Kind == consensus.EntryCommand {
+			result = l.config.StateMachine.Apply(entry.Index, entry.Data)
+		}
+		l.appliedIndex = entry.Index
+	}
+	l.waiters.finish(entry, result)
+}
+
+// compact replaces a long log by a snapshot.
+func (l *loop) compact() error {
+	if l.store.Bytes() < l.config.SnapshotLogBytes {
+		return nil
+	}
+	snapshot := l.node.TakeSnapshot()
+	data, err := l.config.StateMachine.Snapshot()
+	if err != nil {
+		return errors.Wrap(err, "take a snapshot")
+	}
+	snapshot.Data = data
+	if err := l.store.Compact(snapshot, l.node.StoredEntries(snapshot.Index)); err != nil {
+		return errors.Wrap(err, "store a snapshot")
+	}
+	l.node.Compact(snapshot, retainedEntries)
+	return nil
+}
+
+// publish shows the state to other goroutines.
+func (l *loop) publish(now time.Time) {
+	status := newStatus(l.config.ID, l.store.Disk(), l.node.Status())
+	if status.LeaderAddress == "" && l.senders != nil {
+		status.LeaderAddress = l.senders.address(consensus.MemberID(status.Leader), consensus.Membership{})
+	}
+	l.view.Store(&view{status: status, leaseEnd: l.node.LeaseEnd(now)})
+	if role := l.node.Role(); role != l.role {
+		l.role = role
+		l.config.Logger.Info("role in the replicated log changed",
+			"role", role.String(), "term", status.Term, "leader", string(status.Leader))
+	}
+}
+
+// beat tells the application that this instance leads.
+func (l *loop) beat(now time.Time) {
+	leaseEnd := l.node.LeaseEnd(now)
+	if l.config.OnLeaderBeat == nil || now.Before(l.beatAt) || !now.Before(leaseEnd) {
+		return
+	}
+	l.beatAt = now.Add(l.config.HeartbeatInterval)
+	l.config.OnLeaderBeat(LeaderBeat{
+		Term:       l.node.Term(),
+		Committed:  l.view.Load().status.Committed,
+		ValidUntil: leaseEnd,
+	})
+}
