--- a/report/html.go
+++ b/report/html.go
@@ -4,6 +4,7 @@
 	_ "embed"
 	"html/template"
 	"io"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -116,10 +117,12 @@
 // x is the place of a time in the picture.
 func (r *Report) x(at time.Time) float64 {
 	part := float64(at.Sub(r.From)) / float64(max(r.To.Sub(r.From), 1))
-	return plotLeft + min(max(part, 0), 1)*(plotRight-plotLeft)
+	return tenth(plotLeft + min(max(part, 0), 1)*(plotRight-plotLeft))
 }
 
 // y is the place of a latency in the picture.
 func y(latency, highest time.Duration) float64 {
-	return plotBottom - float64(latency)/float64(highest)*(plotBottom-plotTop)
+	return tenth(plotBottom - float64(latency)/float64(highest)*(plotBottom-plotTop))
 }
+
+func tenth(units float64) float64 { return math.Round(units*10) / 10 }
--- a/report/text.go
+++ b/report/text.go
@@ -42,11 +42,11 @@
 // verdict answers both questions in one sentence.
 func (r *Report) verdict() string {
 	counted := "every order received is in exactly one count"
-	if !r.Total.Exact {
-		counted = "THE ORDER COUNTS DO NOT ADD UP"
-	}
-	if !r.Complete {
-		counted += "; figures are incomplete or inexact as follows"
+	switch {
+	case !r.Total.Exact:
+		counted = "THE ORDER COUNTS DO NOT ADD UP, see below"
+	case !r.Complete:
+		counted = "every order in the summaries that came is in exactly one count, but figures are incomplete or inexact, see below"
 	}
 	return fmt.Sprintf("Late answers: p99 %s over %d answers. Orders: %d received, %d ran once, %d unknown; %s.",
 		millis(r.Total.Latency.P99), r.Total.Latency.Count, r.Total.Orders.Received, r.Total.Orders.RanOnce,
