health: one stall is one piece of evidence; numbered baselines

Pauses: all requests that a pause holds were taken for independent. A weight of 1/sqrt(k) inside a slow bound did not mend it.

Change: requests that all began before the first of them ended are one stall, whose evidence is bounded by its length; a baseline that rose has a new number and asks judged by an older one are refused.

--- a/health/baseline.go
+++ b/health/baseline.go
@@ -20,7 +20,7 @@
 // Parts of the baseline.
 const (
 	slowQuantile           = 0.99
-	slowBoundFactor        = 1.25
+	slowBoundFactor        = 1.0
 	minSlowShare           = 0.01
 	minErrorShare          = 0.005
 	minBaselineRequests    = 200
@@ -131,6 +131,15 @@
 	// FailingAccounts are accounts whose requests fail on several servers. Their
 	// outcomes are no evidence against a server.
 	FailingAccounts []fleetconfig.AccountID `cbor:"5,keyasint,omitempty"`
+	// Number changes when the baseline has risen so far that evidence against the
+	// former one is void.
+	Number uint64 `cbor:"6,keyasint"`
+}
+
+// risen reports whether evidence gathered against former is void.
+func (b *Baseline) risen(former *Baseline) bool {
+	return float64(b.SlowBound) > rebaseFactor*float64(former.SlowBound) ||
+		b.ErrorShare > rebaseFactor*former.ErrorShare
 }
 
 // DefaultBaseline returns the baseline of a service about which nothing is
--- a/health/detector.go
+++ b/health/detector.go
@@ -98,11 +98,7 @@
 	open       []openRequest
 	free       []Token
 	halves     [2]summaryHalf
-	// The slow requests of one stall of the whole server are not independent.
-	// Those that show within one slow bound form a cluster, and the k-th of a
-	// cluster counts with weight 1/sqrt(k).
-	clusterBegan time.Time
-	clusterSize  int
+	stall      stall
 }
 
 // NewDetector returns a detector of a server that starts now and needs warmUp
@@ -121,11 +117,8 @@
 // SetBaseline replaces the baseline. Evidence against a baseline that has since
 // risen is void: the day became slow for all.
 func (d *Detector) SetBaseline(baseline Baseline) {
-	if float64(baseline.SlowBound) > rebaseFactor*float64(d.baseline.SlowBound) {
-		d.latency.reset()
-	}
-	if baseline.ErrorShare > rebaseFactor*d.baseline.ErrorShare {
-		d.errors.reset()
+	if baseline.Number != d.baseline.Number {
+		d.Clear()
 	}
 	d.baseline = baseline
 }
@@ -177,6 +170,9 @@
 		return false
 	}
 	slow := d.countAge(&request, now)
+	if slow {
+		d.stall.memberEnded(now)
+	}
 	if result == ResultCanceled || (result == ResultTimedOut && !slow) {
 		return false
 	}
@@ -210,11 +206,11 @@
 	return max(d.latency.total, d.errors.total) / d.Bound()
 }
 
-// Clear forgets the evidence, for a server that starts a trial.
+// Clear forgets the evidence.
 func (d *Detector) Clear() {
 	d.latency.reset()
 	d.errors.reset()
-	d.clusterSize = 0
+	d.stall = stall{}
 }
 
 // excused reports whether the request is no evidence whatever comes of it: its
@@ -235,8 +231,9 @@
 		if request.level == 1 {
 			nats = badNats(d.baseline.SlowShare)
 		}
-		limit := sumLimitFactor * d.Bound()
-		d.latency.add(request.account, nats*d.clusterWeight(now), limit)
+		bound := d.Bound()
+		admitted := d.stall.admit(request.began, request.level, nats, bound)
+		d.latency.add(request.account, nats, admitted, sumLimitFactor*bound)
 	}
 	return request.level > 0
 }
@@ -257,20 +254,11 @@
 	return d.baseline.SlowBound
 }
 
-func (d *Detector) clusterWeight(now time.Time) float64 {
-	if now.Sub(d.clusterBegan) > d.baseline.SlowBound {
-		d.clusterBegan = now
-		d.clusterSize = 0
-	}
-	d.clusterSize++
-	return 1 / math.Sqrt(float64(d.clusterSize))
-}
-
 func (d *Detector) countResult(request *openRequest, result Result, slow bool) {
-	limit := sumLimitFactor * d.Bound()
 	switch result {
 	case ResultFailed:
-		d.errors.add(request.account, badNats(d.baseline.ErrorShare), limit)
+		nats := badNats(d.baseline.ErrorShare)
+		d.errors.add(request.account, nats, nats, sumLimitFactor*d.Bound())
 	case ResultOK:
 		d.errors.credit(goodNats(d.baseline.ErrorShare))
 		if !slow {
--- a/health/evidence.go
+++ b/health/evidence.go
@@ -21,14 +21,20 @@
 	used     int
 }
 
-// add counts evidence against the server. The sum does not grow past limit, so
+// add counts evidence against the server. The admitted part of the nats goes into
+// the sum, all of them into the account's share of it: where many requests are
+// one stall, each account has part in it. The sum does not grow past limit, so
 // that the recovery of a server shows after a bounded number of requests.
-func (s *evidenceSum) add(account fleetconfig.AccountID, nats, limit float64) {
-	if s.total+nats > limit {
-		s.scale(max(0, limit-nats))
-	}
-	s.total += nats
+func (s *evidenceSum) add(account fleetconfig.AccountID, nats, admitted, limit float64) {
 	s.entry(account).nats += nats
+	s.total = min(limit, s.total+admitted)
+	var shares float64
+	for i := range s.used {
+		shares += s.accounts[i].nats
+	}
+	for i := range s.used {
+		s.accounts[i].nats *= s.total / shares
+	}
 }
 
 // credit counts evidence for the server. The sum does not fall below zero.
@@ -42,9 +48,6 @@
 		s.reset()
 		return
 	}
-	if s.total <= 0 {
-		return
-	}
 	factor := total / s.total
 	for i := range s.used {
 		s.accounts[i].nats *= factor
--- a/health/monitor.go
+++ b/health/monitor.go
@@ -273,6 +273,7 @@
 		Server:   m.server,
 		Severity: m.detector.Severity(),
 		Renews:   m.state != StateInService,
+		Baseline: m.detector.baseline.Number,
 	}
 	m.askedAt = now
 	m.pending = true
--- a/health/permit.go
+++ b/health/permit.go
@@ -45,6 +45,8 @@
 	// Renews says that the server is out under a permit. Without it the server is
 	// in service and the floor is counted anew, whatever the owner remembers.
 	Renews bool `cbor:"5,keyasint"`
+	// Baseline is the number of the baseline that the evidence was judged by.
+	Baseline uint64 `cbor:"6,keyasint"`
 }
 
 // Challenge is handed out with each answer to a report. The next report echoes
@@ -98,7 +100,8 @@
 	ReasonUnknownServer
 	// ReasonFloor means that the healthy capacity would fall below the floor.
 	ReasonFloor
-	// ReasonCommonCause means that too many servers are suspect at once.
+	// ReasonCommonCause means that too many servers are suspect at once, or that
+	// the baseline has risen since the evidence was gathered.
 	ReasonCommonCause
 	// ReasonStale means that a newer ask was answered before.
 	ReasonStale
@@ -139,6 +142,8 @@
 	servers      []*ownedServer
 	baseline     Baseline
 	baselineMade time.Time
+	// lowest is the lowest baseline since the number last changed.
+	lowest Baseline
 }
 
 // NewPermitOwner returns an owner that starts now and knows nothing. The
@@ -150,6 +155,7 @@
 		floor:       floor,
 		permitLife:  permitLife,
 		baseline:    DefaultBaseline(),
+		lowest:      DefaultBaseline(),
 	}
 }
 
@@ -243,7 +249,7 @@
 	if server.firstAsk.IsZero() || now.Sub(server.firstAsk) > 2*commonCauseWait {
 		server.firstAsk = now
 	}
-	if o.commonCause(server, now) {
+	if ask.Baseline != o.baseline.Number || o.commonCause(server, now) {
 		return ReasonCommonCause
 	}
 	capacities, candidate := o.capacities(server, now)
@@ -322,4 +328,18 @@
 		}
 	}
 	o.baseline = MergeBaseline(o.baseline, summaries)
+	o.numberBaseline()
+}
+
+// numberBaseline gives a baseline that has risen a new number. Monitors that have
+// not heard of it yet ask in vain, so that no evidence from before it ejects a
+// server.
+func (o *PermitOwner) numberBaseline() {
+	if o.baseline.risen(&o.lowest) {
+		o.baseline.Number++
+		o.lowest = o.baseline
+		return
+	}
+	o.lowest.SlowBound = min(o.lowest.SlowBound, o.baseline.SlowBound)
+	o.lowest.ErrorShare = min(o.lowest.ErrorShare, o.baseline.ErrorShare)
 }
