health: count the accounts of a stall evenly

The accounts' evidence is now kept as it came and only its shares are used. go test ./health is green.

--- a/health/evidence.go
+++ b/health/evidence.go
@@ -6,7 +6,8 @@
 // further accounts counts as one.
 const maxEvidenceAccounts = 16
 
-// accountEvidence is the part of a sum that one account has contributed.
+// accountEvidence is what the requests of one account say against the server,
+// before the evidence of a stall is bounded.
 type accountEvidence struct {
 	account fleetconfig.AccountID
 	nats    float64
@@ -28,13 +29,6 @@
 func (s *evidenceSum) add(account fleetconfig.AccountID, nats, admitted, limit float64) {
 	s.entry(account).nats += nats
 	s.total = min(limit, s.total+admitted)
-	var shares float64
-	for i := range s.used {
-		shares += s.accounts[i].nats
-	}
-	for i := range s.used {
-		s.accounts[i].nats *= s.total / shares
-	}
 }
 
 // credit counts evidence for the server. The sum does not fall below zero.
@@ -76,13 +70,18 @@
 	return &s.accounts[s.used-1]
 }
 
-// withoutLargest returns the sum without the account that contributed most.
+// withoutLargest returns the sum without the share of the account that has the
+// most evidence.
 func (s *evidenceSum) withoutLargest() float64 {
-	largest := 0.0
+	var largest, all float64
 	for i := range s.used {
 		largest = max(largest, s.accounts[i].nats)
+		all += s.accounts[i].nats
+	}
+	if all <= 0 {
+		return 0
 	}
-	return s.total - largest
+	return s.total * (1 - largest/all)
 }
 
 // crossed reports whether the sum convicts the server under the given bound: the
