--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -59,7 +61,7 @@
 }
 
 func testDocument() *fleetconfig.Document {
-	return &fleetconfig.Document{
+	document := &fleetconfig.Document{
 		Version: 1,
 		Accounts: []fleetconfig.Account{
 			{ID: "acme", RatePerSecond: 1e6, Burst: 1e6},
@@ -76,6 +78,8 @@
 		},
 		Services: []fleetconfig.Service{{Name: "catalogue"}},
 	}
+	slices.SortFunc(document.Keys, func(a, b fleetconfig.Key) int { return bytes.Compare(a.Hash[:], b.Hash[:]) })
+	return document
 }
 
 // testFleet is a fleet of nodes in this process with one emulated backend server
--- a/node/orders_test.go
+++ b/node/orders_test.go
@@ -74,6 +74,8 @@
 		}
 		must.LessEq(t, 1, fresh)
 		if fresh == 1 {
+			// The end of the order reaches its replicas soon after the answer.
+			waitFor(t, func() bool { return fleet.order(i%3, key, key).refusal != string(pipeline.KindOrderInProgress) })
 			repeat := fleet.order(i%3, key, key)
 			must.Eq(t, orderAnswer{status: http.StatusOK, outcome: "answered", replayed: true, body: key}, repeat)
 			other := fleet.order(i%3, key, "other content")
