--- /dev/null
+++ b/configsync/handlers.go
@@ -0,0 +1,78 @@
+package configsync
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+// handlePoll answers a poll.
+func (s *Service) handlePoll(_ context.Context, _ fleetconfig.InstanceID, request *pollRequest) (*pollReply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reply(request.Have, request.WantHeld), nil
+}
+
+// reply makes the answer to an instance that holds a version. The caller holds
+// mu.
+func (s *Service) reply(have uint64, wantHeld bool) *pollReply {
+	document, accepted := s.source(wantHeld)
+	reply := &pollReply{
+		Answer:   *s.node.Answer(time.Now()),
+		Newest:   document.Version,
+		Accepted: accepted,
+	}
+	if have < document.Version {
+		reply.Delta, _ = s.deltas.Since(have, document.Version)
+	}
+	return reply
+}
+
+// source returns the document to give away, and whether it is accepted. The
+// caller holds mu.
+func (s *Service) source(wantHeld bool) (*fleetconfig.Document, bool) {
+	document := s.View().Document()
+	if wantHeld && s.held.Version > document.Version {
+		return s.held, false
+	}
+	_, serving := s.node.Serving()
+	return document, serving
+}
+
+// handleOffer takes an offered version, and answers like a poll.
+func (s *Service) handleOffer(_ context.Context, from fleetconfig.InstanceID, request *offerRequest) (*pollReply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if request.Leader {
+		s.leaderID = from
+	}
+	if request.Delta != nil && request.Delta.From == s.held.Version {
+		document, err := request.Delta.Apply(s.held)
+		if err != nil {
+			return nil, err
+		}
+		s.hold(document, request.Accepted)
+	}
+	return s.reply(s.held.Version, true), nil
+}
+
+// handleSnapshot sends a whole document.
+func (s *Service) handleSnapshot(_ context.Context, _ fleetconfig.InstanceID, request *snapshotRequest) (*snapshotReply, error) {
+	select {
+	case s.transfers <- struct{}{}:
+		defer func() { <-s.transfers }()
+	default:
+		return nil, errors.New("this instance sends as many snapshots as it can; ask another one")
+	}
+	s.mu.Lock()
+	document, accepted := s.source(request.WantHeld)
+	s.mu.Unlock()
+	data, err := fleetconfig.EncodeDocument(document)
+	if err != nil {
+		return nil, err
+	}
+	return &snapshotReply{Accepted: accepted, Document: data}, nil
+}
--- /dev/null
+++ b/configsync/lead.go
@@ -0,0 +1,117 @@
+package configsync
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/hemlockring/hemlockring/currency"
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+// lead does the work of a control instance: it holds what is committed and, as
+// the leader, offers it to the holders and attests.
+func (s *Service) lead(ctx context.Context) {
+	if s.config.Log == nil {
+		return
+	}
+	term, confirmedAt, leads := s.config.Log.Leadership()
+	// The document is read after Leadership, so that it has all that earlier
+	// leaders committed.
+	document := s.config.Replica.Document()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hold(document, false)
+	if !leads {
+		s.leader = nil
+		return
+	}
+	revision := currency.RevisionOf(document)
+	if s.leader == nil || s.leader.Term() != term {
+		s.leader = currency.NewLeader(term, revision)
+	}
+	s.leader.Commit(revision)
+	s.confirmedAt = confirmedAt
+	s.node.Lead(s.leader.Attest(), confirmedAt, time.Now())
+	s.publish()
+	for _, holder := range holdersOf(document) {
+		if !s.polling[holder.ID] {
+			s.polling[holder.ID] = true
+			go func() {
+				defer s.pollEnded(holder.ID)
+				s.offer(ctx, s.leaderNow(), holder)
+			}()
+		}
+	}
+}
+
+// holdersOf returns the holders and the former holders, each once.
+func holdersOf(document *fleetconfig.Document) []fleetconfig.InstanceAddress {
+	all := slices.Clone(document.Holders)
+	for _, former := range document.FormerHolders {
+		known := slices.ContainsFunc(all, func(a fleetconfig.InstanceAddress) bool { return a.ID == former.ID })
+		if !known {
+			all = append(all, former)
+		}
+	}
+	return all
+}
+
+func (s *Service) leaderNow() *currency.Leader {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leader
+}
+
+// offer offers a holder the committed version and takes in what it answers.
+func (s *Service) offer(ctx context.Context, leader *currency.Leader, holder fleetconfig.InstanceAddress) {
+	if leader == nil {
+		return
+	}
+	s.mu.Lock()
+	have := s.heldBy[holder.ID]
+	request := &offerRequest{Leader: true}
+	request.Delta, _ = s.deltas.Since(have, s.held.Version)
+	s.mu.Unlock()
+	askedAt := time.Now()
+	answer, err := s.offerOne(ctx, holder, request)
+	if err != nil {
+		s.config.Logger.Debug("offer to a holder failed", "instance", holder.ID, "error", err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heldBy[holder.ID] = answer.Held
+	leader.Hear(holder.ID, answer, askedAt, time.Now())
+	accepted, known := leader.Accepted()
+	committed := leader.Committed()
+	if s.leader == leader && known && accepted == committed.Version {
+		// Attest at once, so that the version comes into force here.
+		s.node.Lead(leader.Attest(), s.confirmedAt, time.Now())
+		s.publish()
+		s.announceAccepted()
+		return
+	}
+	// A holder that has just taken the version is asked again with all others, to
+	// find a moment at which a majority held it. That is one round for each holder
+	// and version.
+	if answer.Held >= committed.Version && have < committed.Version {
+		for _, other := range holdersOf(s.held) {
+			go s.offer(ctx, leader, other)
+		}
+	}
+}
+
+// offerOne makes the call, or answers itself when this instance is the holder.
+func (s *Service) offerOne(ctx context.Context, holder fleetconfig.InstanceAddress, request *offerRequest) (*currency.Answer, error) {
+	if holder.ID == s.config.Self.ID {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.node.Answer(time.Now()), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply := new(pollReply)
+	err := s.config.Caller.Call(ctx, holder.Address, pathOffer, request, reply)
+	return &reply.Answer, err
+}
--- /dev/null
+++ b/configsync/poll.go
@@ -0,0 +1,172 @@
+package configsync
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+// staleAnswer is the age of an attestation from which a neighbour is no help.
+const staleAnswer = 2 * time.Second
+
+// poll starts a round of polls: one neighbour, and the holders when package
+// currency asks for them. Polls that still run are not repeated.
+func (s *Service) poll(ctx context.Context) {
+	peers := s.config.Peers.Peers()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	near := findNeighbours(s.config.Self, s.config.Replica != nil, s.held.Holders, peers)
+	s.spread(ctx, near.children)
+	targets := s.probes()
+	if parent, found := s.parent(near.parents); found {
+		targets = append(targets, parent)
+	}
+	for _, target := range targets {
+		if s.polling[target.ID] {
+			continue
+		}
+		s.polling[target.ID] = true
+		go s.pollOne(ctx, target)
+	}
+}
+
+// probes returns the holders to poll, by their addresses. The caller holds mu.
+func (s *Service) probes() []fleetconfig.InstanceAddress {
+	wanted := s.node.Probes(time.Now())
+	var addresses []fleetconfig.InstanceAddress
+	for _, holder := range slices.Concat(s.held.Holders, s.held.FormerHolders) {
+		if slices.Contains(wanted, holder.ID) {
+			addresses = append(addresses, holder)
+			wanted = slices.DeleteFunc(wanted, func(id fleetconfig.InstanceID) bool { return id == holder.ID })
+		}
+	}
+	return addresses
+}
+
+// parent returns whom to poll. A holder takes the leader that it hears offers
+// from; the others keep a parent as long as it helps. The caller holds mu.
+func (s *Service) parent(candidates []fleetconfig.InstanceAddress) (fleetconfig.InstanceAddress, bool) {
+	if len(candidates) == 0 {
+		return fleetconfig.InstanceAddress{}, false
+	}
+	if now := time.Now(); now.Sub(s.resetAt) > parentReset {
+		s.next, s.resetAt = 0, now
+	}
+	if s.next == 0 {
+		for _, candidate := range candidates {
+			if candidate.ID == s.leaderID {
+				return candidate, true
+			}
+		}
+	}
+	return candidates[s.next%len(candidates)], true
+}
+
+// pollOne polls one instance and takes in what it answers.
+func (s *Service) pollOne(ctx context.Context, target fleetconfig.InstanceAddress) {
+	defer s.pollEnded(target.ID)
+	s.mu.Lock()
+	request := pollRequest{Have: s.held.Version, WantHeld: s.wantsHeld()}
+	s.mu.Unlock()
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	// The time is taken before the call: the answer counts from when it was asked.
+	askedAt := time.Now()
+	reply := new(pollReply)
+	if err := s.config.Caller.Call(callCtx, target.Address, pathPoll, &request, reply); err != nil {
+		s.config.Logger.Debug("poll for the configuration failed", "instance", target.ID, "error", err)
+		s.helped(false)
+		return
+	}
+	s.helped(reply.Answer.Attested && reply.Answer.Age < staleAnswer)
+	if s.take(target.ID, reply, askedAt) {
+		s.fetchSnapshot(ctx, target, request.WantHeld)
+	}
+}
+
+// wantsHeld reports whether this instance takes versions that are not yet
+// accepted. The caller holds mu.
+func (s *Service) wantsHeld() bool {
+	revision := s.node.Held()
+	return s.config.Replica != nil || s.leaderID != "" || revision.Names(s.config.Self.ID)
+}
+
+func (s *Service) pollEnded(id fleetconfig.InstanceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.polling, id)
+}
+
+// helped notes whether a neighbour had fresh news; if not, the next poll goes to
+// another one.
+func (s *Service) helped(helped bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !helped {
+		s.next++
+	}
+}
+
+// take takes in a reply and reports whether a snapshot is needed.
+func (s *Service) take(from fleetconfig.InstanceID, reply *pollReply, askedAt time.Time) (needsSnapshot bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// The delta goes first, so that the answer finds the version that it is about.
+	if reply.Delta != nil && reply.Delta.From == s.held.Version {
+		document, err := reply.Delta.Apply(s.held)
+		if err != nil {
+			s.config.Logger.Warn("configuration delta refused", "instance", from, "error", err)
+			return true
+		}
+		s.hold(document, reply.Accepted)
+	}
+	s.node.Hear(from, &reply.Answer, askedAt, time.Now())
+	s.publish()
+	return reply.Newest > s.held.Version
+}
+
+// fetchSnapshot fetches the whole document.
+func (s *Service) fetchSnapshot(ctx context.Context, from fleetconfig.InstanceAddress, wantHeld bool) {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	reply := new(snapshotReply)
+	if err := s.config.Caller.Call(ctx, from.Address, pathSnapshot, &snapshotRequest{WantHeld: wantHeld}, reply); err != nil {
+		s.config.Logger.Warn("configuration snapshot not received", "instance", from.ID, "error", err)
+		s.helped(false)
+		return
+	}
+	document, err := fleetconfig.DecodeDocument(reply.Document)
+	if err != nil {
+		s.config.Logger.Warn("configuration snapshot refused", "instance", from.ID, "error", err)
+		s.helped(false)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hold(document, reply.Accepted)
+}
+
+// spread offers the children what came into force since the last time. The caller
+// holds mu.
+func (s *Service) spread(ctx context.Context, children []fleetconfig.InstanceAddress) {
+	version := s.View().Version()
+	delta, found := s.deltas.Since(s.offered, version)
+	// What an instance finds at its start is no news to its children.
+	isNews := s.offered != 0 || version == 1
+	s.offered = version
+	if !found || !isNews {
+		return
+	}
+	for _, child := range children {
+		go func() {
+			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			request := &offerRequest{Delta: delta, Accepted: true}
+			if err := s.config.Caller.Call(callCtx, child.Address, pathOffer, request, new(pollReply)); err != nil {
+				s.config.Logger.Debug("offer of the configuration failed", "instance", child.ID, "error", err)
+			}
+		}()
+	}
+}
--- /dev/null
+++ b/configsync/replica.go
@@ -0,0 +1,69 @@
+package configsync
+
+import (
+	"sync"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+// Replica is the copy of the configuration on a control instance. It is the state
+// machine of the replicated log (control.StateMachine) and is safe for concurrent
+// use.
+type Replica struct {
+	mu      sync.Mutex
+	machine *fleetconfig.Machine
+	changed chan struct{}
+}
+
+// NewReplica returns the replica of a new fleet. The log restores and replays the
+// rest.
+func NewReplica() *Replica {
+	return &Replica{machine: fleetconfig.NewMachine(), changed: make(chan struct{}, 1)}
+}
+
+// Apply executes a committed command.
+func (r *Replica) Apply(index uint64, command []byte) []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	result := r.machine.Apply(index, command)
+	r.notify()
+	return result
+}
+
+// Snapshot returns the whole state, encoded.
+func (r *Replica) Snapshot() ([]byte, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.Snapshot()
+}
+
+// Restore replaces the whole state.
+func (r *Replica) Restore(snapshot []byte) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	defer r.notify()
+	return r.machine.Restore(snapshot)
+}
+
+// Document returns the committed document. It must not be changed.
+func (r *Replica) Document() *fleetconfig.Document {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.Document()
+}
+
+// History returns the latest accepted commands, oldest first. It must not be
+// changed.
+func (r *Replica) History() []fleetconfig.HistoryEntry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.History()
+}
+
+// notify tells the service that there may be a new document.
+func (r *Replica) notify() {
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/configsync/service.go
@@ -0,0 +1,191 @@
+package configsync
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hemlockring/hemlockring/currency"
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/transport"
+)
+
+// Intervals of the service.
+const (
+	// DefaultPollInterval is how often an instance polls its neighbour.
+	DefaultPollInterval = 500 * time.Millisecond
+	// callTimeout bounds a poll or an offer.
+	callTimeout = 2 * time.Second
+	// snapshotTimeout bounds the transfer of a snapshot.
+	snapshotTimeout = 30 * time.Second
+	// maxSnapshotTransfers is how many snapshots are sent at one time. Another
+	// asker is sent to another neighbour.
+	maxSnapshotTransfers = 4
+	// parentReset is how often an instance goes back to its best parent.
+	parentReset = 30 * time.Second
+)
+
+// Config is what the service needs.
+type Config struct {
+	// Self is the own instance.
+	Self fleetconfig.InstanceAddress
+	// Incarnation differs from that of every other life of the process.
+	Incarnation uint64
+	// Peers tells of the other instances.
+	Peers Peers
+	// Caller calls them.
+	Caller transport.Caller
+	// Replica and Log are set on control instances only.
+	Replica *Replica
+	Log     Log
+	// PollInterval is how often to poll. Zero is DefaultPollInterval.
+	PollInterval time.Duration
+	// Logger logs.
+	Logger *slog.Logger
+}
+
+// Service keeps the configuration of one instance. It is a suture service.
+type Service struct {
+	config Config
+	view   atomic.Pointer[fleetconfig.View]
+	asOf   atomic.Pointer[time.Time]
+	// wake starts a round before the next tick.
+	wake chan struct{}
+	// transfers has an element for each snapshot that is being sent.
+	transfers chan struct{}
+
+	// mu guards what follows. No call is made under it.
+	mu     sync.Mutex
+	node   *currency.Node
+	held   *fleetconfig.Document
+	deltas fleetconfig.DeltaLog
+	// leader is set while this instance leads control; confirmedAt is when a
+	// majority last confirmed it.
+	leader      *currency.Leader
+	confirmedAt time.Time
+	// heldBy is what each holder held when it last answered the leader.
+	heldBy map[fleetconfig.InstanceID]uint64
+	// leaderID is the leader that offers versions to this instance as a holder.
+	leaderID fleetconfig.InstanceID
+	// next counts the neighbours that did not help, to take another one. It goes
+	// back to the best one at resetAt.
+	next    int
+	resetAt time.Time
+	polling map[fleetconfig.InstanceID]bool
+	// offered is the version that was last offered to the children, or 0.
+	offered  uint64
+	changed  chan struct{}
+	accepted chan struct{}
+}
+
+// New returns the service and registers its calls.
+func New(config Config, mux *http.ServeMux) *Service {
+	if config.PollInterval == 0 {
+		config.PollInterval = DefaultPollInterval
+	}
+	s := &Service{
+		config:    config,
+		wake:      make(chan struct{}, 1),
+		transfers: make(chan struct{}, maxSnapshotTransfers),
+		node:      currency.NewNode(config.Self.ID, config.Incarnation, time.Now()),
+		held:      fleetconfig.NewDocument(),
+		heldBy:    make(map[fleetconfig.InstanceID]uint64),
+		polling:   make(map[fleetconfig.InstanceID]bool),
+		changed:   make(chan struct{}),
+		accepted:  make(chan struct{}),
+	}
+	s.view.Store(fleetconfig.NewView(s.held))
+	transport.HandleCall(mux, pathPoll, s.handlePoll)
+	transport.HandleCall(mux, pathOffer, s.handleOffer)
+	transport.HandleCall(mux, pathSnapshot, s.handleSnapshot)
+	return s
+}
+
+// View returns the accepted configuration that this instance serves from. It is
+// version 0 until the instance has learnt of another.
+func (s *Service) View() *fleetconfig.View { return s.view.Load() }
+
+// Current reports whether the view may be acted on for requests that carry a key,
+// and else when a caller may come back.
+func (s *Service) Current(now time.Time) (current bool, retryAfter time.Duration) {
+	asOf := s.asOf.Load()
+	if asOf == nil || !currency.IsCurrent(*asOf, now) {
+		return false, currency.RetryAfter
+	}
+	return true, 0
+}
+
+// Changed returns a channel that is closed when View returns another version.
+func (s *Service) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// Serve implements suture.Service.
+func (s *Service) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(s.config.PollInterval)
+	defer ticker.Stop()
+	var committed <-chan struct{}
+	if s.config.Replica != nil {
+		committed = s.config.Replica.changed
+	}
+	for {
+		s.lead(ctx)
+		s.poll(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		case <-s.wake:
+		case <-committed:
+		}
+	}
+}
+
+func (s *Service) wakeUp() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// hold takes a newer document. The caller holds mu.
+func (s *Service) hold(document *fleetconfig.Document, accepted bool) {
+	if document.Version > s.held.Version {
+		s.deltas.Add(fleetconfig.Compare(s.held, document))
+		s.held = document
+	}
+	revision := currency.RevisionOf(document)
+	if accepted {
+		s.node.HoldServed(revision, time.Now())
+	} else {
+		s.node.Hold(revision, time.Now())
+	}
+	s.publish()
+}
+
+// publish shows what the node has decided. The caller holds mu and calls it after
+// every event of the node.
+func (s *Service) publish() {
+	if asOf, known := s.node.AsOf(); known {
+		s.asOf.Store(&asOf)
+	}
+	version, serving := s.node.Serving()
+	if !serving || version <= s.View().Version() {
+		return
+	}
+	// The node moves on only to what it holds, and this runs after each event.
+	s.view.Store(fleetconfig.NewView(s.held))
+	close(s.changed)
+	s.changed = make(chan struct{})
+	if revision := s.node.Held(); !revision.Names(s.config.Self.ID) {
+		s.leaderID = ""
+	}
+	s.config.Logger.Info("configuration in force", "version", version)
+	s.announceAccepted()
+	s.wakeUp()
+}
--- a/currency/node.go
+++ b/currency/node.go
@@ -167,12 +167,15 @@
 // caller may come back. It must be asked again after any wait, with the time
 // after it: a process that was frozen finds its time run out.
 func (n *Node) Current(now time.Time) (current bool, retryAfter time.Duration) {
-	if n.met == nil || now.Sub(n.met.asOf) > Limit {
+	if n.met == nil || !IsCurrent(n.met.asOf, now) {
 		return false, RetryAfter
 	}
 	return true, 0
 }
 
+// IsCurrent reports whether an instance that is current as of a time still is.
+func IsCurrent(asOf, now time.Time) bool { return now.Sub(asOf) <= Limit }
+
 // Answer returns the answer to a poll.
 func (n *Node) Answer(now time.Time) *Answer {
 	answer := &Answer{
