Control role: replicated log, configuration and keeper wired into the node

The leader of the log tells when it was last confirmed, so that the configuration service can vouch for currency.

--- a/control/loop.go
+++ b/control/loop.go
@@ -25,6 +25,8 @@
 	waiters waiters
 	beatAt  time.Time
 	role    consensus.Role
+	// readyTerm is the newest term in which the state machine has caught up.
+	readyTerm uint64
 	// ran is the request that waits for the sync.
 	ran *request
 }
@@ -264,7 +266,7 @@
 	if status.LeaderAddress == "" && l.senders != nil {
 		status.LeaderAddress = l.senders.address(consensus.MemberID(status.Leader), consensus.Membership{})
 	}
-	l.view.Store(&view{status: status, leaseEnd: l.node.LeaseEnd(now)})
+	l.view.Store(&view{status: status, leaseEnd: l.node.LeaseEnd(now), confirmedAt: l.confirmation(now)})
 	if role := l.node.Role(); role != l.role {
 		l.role = role
 		l.config.Logger.Info("role in the replicated log changed",
--- a/control/node.go
+++ b/control/node.go
@@ -29,6 +29,8 @@
 type view struct {
 	status   Status
 	leaseEnd time.Time
+	// confirmedAt is when the leader was last confirmed, zero elsewhere.
+	confirmedAt time.Time
 }
 
 // proposal is a command on its way.
--- /dev/null
+++ b/node/configuration.go
@@ -0,0 +1,132 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"path/filepath"
+	"time"
+
+	"github.com/hemlockring/hemlockring/configsync"
+	"github.com/hemlockring/hemlockring/control"
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/gossip"
+	"github.com/hemlockring/hemlockring/idempotency"
+	"github.com/hemlockring/hemlockring/membership"
+	"github.com/hemlockring/hemlockring/orders"
+	"github.com/hemlockring/hemlockring/quotadriver"
+	"github.com/hemlockring/hemlockring/settings"
+	"github.com/hemlockring/hemlockring/shard"
+	"github.com/hemlockring/hemlockring/shardkeeper"
+)
+
+// logFolder is the folder of the replicated log in the data folder.
+const logFolder = "log"
+
+// buildConfiguration builds what keeps and spreads the configuration, unless the
+// options bring one.
+func (n *Node) buildConfiguration() error {
+	if n.configuration != nil {
+		return nil
+	}
+	config := configsync.Config{
+		Self:        n.selfAddress(),
+		Incarnation: rand.Uint64(),
+		Peers:       memberPeers{n.members},
+		Caller:      n.endpoint,
+		Logger:      n.logger,
+	}
+	if n.settings.Instance.HasRole(settings.RoleControl) {
+		config.Replica = configsync.NewReplica()
+		if err := n.buildControl(config.Replica); err != nil {
+			return err
+		}
+		config.Log = replicatedLog{n.control}
+	}
+	n.sync = configsync.New(config, n.fleetMux)
+	n.configuration = n.sync
+	return nil
+}
+
+func (n *Node) buildControl(replica *configsync.Replica) error {
+	var initial []control.Peer
+	for _, member := range n.settings.Control.Members {
+		initial = append(initial, control.Peer{ID: member.ID, Address: member.Address})
+	}
+	var err error
+	n.control, err = control.New(control.Config{
+		ID:           n.settings.Instance.ID,
+		Address:      n.settings.Fleet.Address,
+		Folder:       filepath.Join(n.settings.Instance.DataFolder, logFolder),
+		Initial:      initial,
+		Caller:       n.endpoint,
+		StateMachine: replica,
+		Logger:       n.logger,
+	}, n.fleetMux)
+	return err
+}
+
+// buildKeeper builds what places holders and shards, on control instances.
+func (n *Node) buildKeeper() {
+	if n.control == nil {
+		return
+	}
+	n.keeper = shardkeeper.New(shardkeeper.Config{
+		Proposer: n.sync,
+		Leads:    n.control.IsLeader,
+		Alive:    n.aliveInstances,
+		Caller:   n.endpoint,
+		AskStatuses: func(ctx context.Context, shardMap fleetconfig.ShardMap, number int) []idempotency.Status {
+			return orders.AskStatuses(ctx, n.endpoint, shardMap, number)
+		},
+		AskConfirmed: func(ctx context.Context, shardMap *fleetconfig.ShardMap) shard.Confirmed {
+			return quotadriver.CollectConfirmed(ctx, n.endpoint, shardMap)
+		},
+		Logger: n.logger,
+	})
+}
+
+// aliveInstances returns the instances that live and do not stop, ordered by ID.
+func (n *Node) aliveInstances() []fleetconfig.InstanceAddress {
+	var alive []fleetconfig.InstanceAddress
+	for _, member := range n.members.Snapshot().Members {
+		if member.Liveness == membership.Alive && !member.Record.Left && !member.Record.Draining {
+			alive = append(alive, addressOf(&member.Record))
+		}
+	}
+	return alive
+}
+
+func addressOf(record *membership.Record) fleetconfig.InstanceAddress {
+	return fleetconfig.InstanceAddress{ID: record.ID, Address: record.Address, FailureDomain: record.FailureDomain}
+}
+
+// replicatedLog is the log as the configuration service needs it.
+type replicatedLog struct{ node *control.Node }
+
+// Propose implements configsync.Log.
+func (l replicatedLog) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	return l.node.Propose(ctx, command)
+}
+
+// Leadership implements configsync.Log.
+func (l replicatedLog) Leadership() (term uint64, confirmedAt time.Time, leads bool) {
+	leadership := l.node.Leadership()
+	return leadership.Term, leadership.ConfirmedAt, leadership.Leads
+}
+
+// memberPeers are the other members as the configuration service needs them.
+type memberPeers struct{ members *gossip.Service }
+
+// Peers implements configsync.Peers.
+func (m memberPeers) Peers() []configsync.Peer {
+	snapshot := m.members.Snapshot()
+	var peers []configsync.Peer
+	for i := range snapshot.Members {
+		member := &snapshot.Members[i]
+		usable := member.Liveness != membership.Dead && !member.Record.Left
+		if usable && member.Record.ID != snapshot.Self {
+			peers = append(peers, configsync.Peer{InstanceAddress: addressOf(&member.Record), Control: member.Record.Control})
+		}
+	}
+	return peers
+}
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,8 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/hemlockring/hemlockring/backendproxy"
+	"github.com/hemlockring/hemlockring/configsync"
+	"github.com/hemlockring/hemlockring/control"
 	"github.com/hemlockring/hemlockring/ejection"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/gossip"
@@ -28,6 +30,7 @@
 	"github.com/hemlockring/hemlockring/selection"
 	"github.com/hemlockring/hemlockring/settings"
 	"github.com/hemlockring/hemlockring/shard"
+	"github.com/hemlockring/hemlockring/shardkeeper"
 	"github.com/hemlockring/hemlockring/transport"
 )
 
@@ -43,6 +46,9 @@
 	members       *gossip.Service
 	registry      *backendproxy.Registry
 	ejection      *ejection.Service
+	control       *control.Node
+	sync          *configsync.Service
+	keeper        *shardkeeper.Keeper
 	quota         *quotadriver.Service
 	orders        *orders.Service
 	backendProxy  *backendproxy.Proxy
@@ -76,11 +82,16 @@
 	if err := node.openFleetPort(); err != nil {
 		return nil, err
 	}
+	if err := node.buildConfiguration(); err != nil {
+		node.endpoint.Close()
+		return nil, err
+	}
 	if err := node.buildShared(); err != nil {
 		node.endpoint.Close()
 		return nil, err
 	}
 	node.buildChains()
+	node.buildKeeper()
 	if err := node.openHTTPPorts(); err != nil {
 		node.endpoint.Close()
 		return nil, err
@@ -206,6 +217,15 @@
 	n.supervisor.Add(n.members)
 	n.supervisor.Add(n.registry)
 	n.supervisor.Add(n.ejection)
+	if n.control != nil {
+		n.supervisor.Add(n.control)
+	}
+	if n.sync != nil {
+		n.supervisor.Add(n.sync)
+	}
+	if n.keeper != nil {
+		n.supervisor.Add(n.keeper)
+	}
 	n.supervisor.Add(n.quota)
 	n.supervisor.Add(n.orders)
 	n.supervisor.Add(n.local)
