--- a/ejection/service.go
+++ b/ejection/service.go
@@ -40,7 +40,7 @@
 	// View returns the configuration in force.
 	View func() *fleetconfig.View
 	// OnStateChange is told when a backend server is ejected or returns.
-	OnStateChange func(server fleetconfig.BackendServerID, from, to health.State)
+	OnStateChange func(service fleetconfig.ServiceName, server fleetconfig.BackendServerID, from, to health.State)
 	// Logger receives the messages of the service.
 	Logger *slog.Logger
 }
@@ -52,7 +52,7 @@
 	shards  Shards
 	caller  transport.Caller
 	view    func() *fleetconfig.View
-	changed func(server fleetconfig.BackendServerID, from, to health.State)
+	changed func(service fleetconfig.ServiceName, server fleetconfig.BackendServerID, from, to health.State)
 	logger  *slog.Logger
 
 	mu      sync.Mutex
@@ -144,7 +144,7 @@
 	if change, ok := action.(health.StateChanged); ok {
 		s.logger.Info("backend server changes state", "server", from.server, "service", from.service,
 			"from", stateName(change.From), "to", stateName(change.To))
-		s.changed(from.server, change.From, change.To)
+		s.changed(from.service, from.server, change.From, change.To)
 		return
 	}
 	s.mu.Lock()
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -89,6 +89,12 @@
 // Close reports what is left and stops reporting.
 func (m *Metrics) Close() error { return m.closer.Close() }
 
+// AccountLabel returns the name that the metrics of an account are kept under: its
+// own for the largest accounts, a class for the rest.
+func (m *Metrics) AccountLabel(view *fleetconfig.View, account fleetconfig.AccountID) string {
+	return m.labels.label(view, account)
+}
+
 // Record counts and times one exchange of the ingress.
 func (m *Metrics) Record(exchange *pipeline.Exchange, elapsed time.Duration) {
 	key := seriesKey{
--- a/node/node.go
+++ b/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/hemlockring/hemlockring/pki"
 	"github.com/hemlockring/hemlockring/quota"
 	"github.com/hemlockring/hemlockring/quotadriver"
+	"github.com/hemlockring/hemlockring/report"
 	"github.com/hemlockring/hemlockring/selection"
 	"github.com/hemlockring/hemlockring/settings"
 	"github.com/hemlockring/hemlockring/shard"
@@ -49,6 +50,11 @@
 	control       *control.Node
 	sync          *configsync.Service
 	keeper        *shardkeeper.Keeper
+	collector     *report.Collector
+	sender        *report.Sender
+	report        *report.Service
+	controlToken  suture.ServiceToken
+	senderToken   suture.ServiceToken
 	quota         *quotadriver.Service
 	orders        *orders.Service
 	backendProxy  *backendproxy.Proxy
@@ -65,6 +71,8 @@
 	Configuration ingress.Configuration
 	// LeaseTiming is used in place of shard.DefaultTiming.
 	LeaseTiming shard.Timing
+	// ReportInterval is used in place of report.DefaultInterval.
+	ReportInterval time.Duration
 }
 
 // New opens the ports of an instance. Nothing is served before Run.
@@ -86,6 +94,10 @@
 		node.endpoint.Close()
 		return nil, err
 	}
+	if err := node.buildReport(); err != nil {
+		node.endpoint.Close()
+		return nil, err
+	}
 	if err := node.buildShared(); err != nil {
 		node.endpoint.Close()
 		return nil, err
@@ -175,13 +187,13 @@
 		KeyHeader:     n.settings.Callers.KeyHeader,
 		Configuration: n.configuration,
 		Freeze:        n.freeze,
-		Admission:     []pipeline.Filter{tokens, &orders.Filter{Service: n.orders, MaxBodyBytes: orders.DefaultMaxBodyBytes}},
+		Admission:     []pipeline.Filter{n.collector, tokens, &orders.Filter{Service: n.orders, MaxBodyBytes: orders.DefaultMaxBodyBytes}},
 		Guards:        []ingress.AttemptGuard{tokens, orderGuard{}},
 		Remote:        n.endpoint,
 		Local:         n.backendProxy,
 		Selector:      selection.New(selection.Config{Members: n.members.Snapshot, View: n.configuration.View}),
 		Retry:         selection.NewRetries(),
-		Recorder:      n.metrics,
+		Recorder:      recorders{metrics: n.metrics, collector: n.collector},
 		Logger:        n.logger,
 	})
 }
@@ -192,8 +204,9 @@
 }
 
 // serverStateChanged tells the fleet which backend servers are ejected.
-func (n *Node) serverStateChanged(server fleetconfig.BackendServerID, _, to health.State) {
+func (n *Node) serverStateChanged(service fleetconfig.ServiceName, server fleetconfig.BackendServerID, from, to health.State) {
 	n.registry.SetEjected(server, to == health.StateEjected)
+	n.observeServer(service, server, from, to)
 }
 
 func (n *Node) openHTTPPorts() error {
@@ -218,7 +231,7 @@
 	n.supervisor.Add(n.registry)
 	n.supervisor.Add(n.ejection)
 	if n.control != nil {
-		n.supervisor.Add(n.control)
+		n.controlToken = n.supervisor.Add(n.control)
 	}
 	if n.sync != nil {
 		n.supervisor.Add(n.sync)
@@ -226,6 +239,7 @@
 	if n.keeper != nil {
 		n.supervisor.Add(n.keeper)
 	}
+	n.senderToken = n.supervisor.Add(n.sender)
 	n.supervisor.Add(n.quota)
 	n.supervisor.Add(n.orders)
 	n.supervisor.Add(n.local)
--- /dev/null
+++ b/node/report.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"path/filepath"
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/health"
+	"github.com/hemlockring/hemlockring/ingress"
+	"github.com/hemlockring/hemlockring/metrics"
+	"github.com/hemlockring/hemlockring/pipeline"
+	"github.com/hemlockring/hemlockring/report"
+	"github.com/hemlockring/hemlockring/settings"
+	"github.com/hemlockring/hemlockring/storage"
+)
+
+// Folders of journals in the data folder.
+const (
+	reportFolder = "report"
+	ordersFolder = "orders"
+)
+
+// buildReport builds the collector of this instance's summaries and, on control
+// instances, the book that keeps them.
+func (n *Node) buildReport() error {
+	now := time.Now()
+	n.collector = report.NewCollector(n.settings.Instance.ID, uint64(now.UnixMicro()), n.metrics.AccountLabel, now)
+	interval := n.options.ReportInterval
+	if interval == 0 {
+		interval = report.DefaultInterval
+	}
+	n.sender = report.NewSender(n.collector, n.endpoint, n.controlAddresses, interval, n.logger)
+	if !n.settings.Instance.HasRole(settings.RoleControl) {
+		return nil
+	}
+	journal, err := storage.OpenJournal(storage.OSFS{}, filepath.Join(n.settings.Instance.DataFolder, reportFolder))
+	if err != nil {
+		return err
+	}
+	n.report, err = report.NewService(journal, n.fleetMux, n.logger)
+	return err
+}
+
+func (n *Node) controlAddresses() []string {
+	var addresses []string
+	for _, member := range n.settings.Control.Members {
+		addresses = append(addresses, member.Address)
+	}
+	return addresses
+}
+
+// observeServer reports the changes of state of a backend server.
+func (n *Node) observeServer(service fleetconfig.ServiceName, server fleetconfig.BackendServerID, from, to health.State) {
+	event := report.Event{
+		At:       time.Now(),
+		Service:  service,
+		Instance: n.settings.Instance.ID,
+		Server:   server,
+	}
+	switch {
+	case from == health.StateInService && to == health.StateEjected:
+		event.Kind = report.EventEjected
+	case to == health.StateInService:
+		event.Kind = report.EventReturned
+	default:
+		return
+	}
+	n.collector.Observe(event)
+}
+
+// recorders passes each exchange on to several recorders.
+type recorders struct {
+	metrics   *metrics.Metrics
+	collector *report.Collector
+}
+
+var _ ingress.Recorder = recorders{}
+
+// Record implements ingress.Recorder.
+func (r recorders) Record(exchange *pipeline.Exchange, elapsed time.Duration) {
+	r.metrics.Record(exchange, elapsed)
+	r.collector.Record(exchange, elapsed)
+}
--- a/node/shared.go
+++ b/node/shared.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"path/filepath"
 	"sync/atomic"
 	"time"
 
@@ -9,6 +10,8 @@
 	"github.com/hemlockring/hemlockring/orders"
 	"github.com/hemlockring/hemlockring/pipeline"
 	"github.com/hemlockring/hemlockring/quotadriver"
+	"github.com/hemlockring/hemlockring/settings"
+	"github.com/hemlockring/hemlockring/storage"
 )
 
 // maxOrderBytes bounds the order records of an instance.
@@ -31,13 +34,20 @@
 		return err
 	}
 	n.quota.Register(n.fleetMux)
-	n.orders, err = orders.New(orders.Config{
+	config := orders.Config{
 		Self:       n.settings.Instance.ID,
 		Parameters: idempotency.DefaultConfig(),
 		MaxBytes:   maxOrderBytes,
 		ShardMap:   read.shardMap,
 		Logger:     n.logger,
-	}, n.endpoint, n.fleetMux)
+	}
+	if n.settings.Instance.HasRole(settings.RoleControl) {
+		config.Journal, err = storage.OpenJournal(storage.OSFS{}, filepath.Join(n.settings.Instance.DataFolder, ordersFolder))
+		if err != nil {
+			return err
+		}
+	}
+	n.orders, err = orders.New(config, n.endpoint, n.fleetMux)
 	return err
 }
 
--- a/node/stop.go
+++ b/node/stop.go
@@ -8,6 +8,10 @@
 	"golang.org/x/sync/errgroup"
 )
 
+// handOverTimeout bounds how long leases, order records and the leadership of the
+// replicated log may take to be handed over.
+const handOverTimeout = 3 * time.Second
+
 // fleetShutdownTimeout bounds how long the last answers may take to arrive at the
 // other instances.
 const fleetShutdownTimeout = 3 * time.Second
@@ -25,7 +29,8 @@
 
 // stop is the planned stop. The order matters: first the fleet hears that this
 // instance takes no new work, then the callers' port closes and waits for its
-// requests, which may need the fleet port; the fleet port closes last.
+// requests, which need leases, order records and the fleet port; then what this
+// instance holds for others is handed over; the fleet port closes last.
 func (n *Node) stop() error {
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Limits.StopTimeout)
 	defer cancel()
@@ -37,6 +42,7 @@
 		group.Go(func() error { return n.callers.shutdown(ctx) })
 	}
 	err := group.Wait()
+	n.handOver()
 	n.members.Leave()
 	n.shutDownFleetPort()
 	if err != nil {
@@ -45,3 +51,25 @@
 	n.logger.Info("instance stopped, no request was cut off")
 	return nil
 }
+
+// handOver gives to others what this instance holds for the fleet. What does not
+// succeed in time is recovered by the others as after a crash.
+func (n *Node) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	if err := n.orders.Drain(ctx); err != nil {
+		n.logger.Warn("order records", "error", err)
+	}
+	if err := n.quota.HandOver(ctx); err != nil {
+		n.logger.Warn("leases", "error", err)
+	}
+	if err := n.supervisor.RemoveAndWait(n.senderToken, handOverTimeout); err == nil {
+		n.sender.Finish(ctx)
+	}
+	if n.control == nil {
+		return
+	}
+	if err := n.supervisor.RemoveAndWait(n.controlToken, handOverTimeout); err != nil {
+		n.logger.Warn("leadership of the replicated log", "error", err)
+	}
+}
