--- a/control/members.go
+++ b/control/members.go
@@ -74,7 +74,7 @@
 		}
 		switch {
 		case refused == nil:
-			_, err := wait(ctx, done)
+			_, err := awaitOutcome(ctx, done)
 			return err
 		case errors.Is(refused, consensus.ErrNotLeader):
 			return n.notLeader()
--- a/control/node.go
+++ b/control/node.go
@@ -50,17 +50,20 @@
 	if len(command) > MaxCommandBytes {
 		return nil, &BusyError{Reason: fmt.Sprintf("it is larger than %d bytes", MaxCommandBytes)}
 	}
+	if ctx.Err() != nil {
+		return nil, &BusyError{Reason: ctx.Err().Error()}
+	}
 	p := &proposal{command: command, done: make(chan outcome, 1)}
 	select {
 	case n.proposals <- p:
 	case <-ctx.Done():
 		return nil, &BusyError{Reason: ctx.Err().Error()}
 	}
-	return wait(ctx, p.done)
+	return awaitOutcome(ctx, p.done)
 }
 
-// wait returns the outcome of something that was proposed.
-func wait(ctx context.Context, done <-chan outcome) ([]byte, error) {
+// awaitOutcome returns the outcome of something that was proposed.
+func awaitOutcome(ctx context.Context, done <-chan outcome) ([]byte, error) {
 	select {
 	case o := <-done:
 		return o.result, o.err
