--- /dev/null
+++ b/control/bench_test.go
@@ -0,0 +1,94 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+)
+
+const benchCommandBytes = 200
+
+// BenchmarkPropose measures accepted commands with real files, 64 proposers at a
+// time, and one at a time.
+func BenchmarkPropose(b *testing.B) {
+	for _, size := range []int{3, 5} {
+		for _, proposers := range []int{1, 64} {
+			b.Run(fmt.Sprintf("nodes=%d/proposers=%d", size, proposers), func(b *testing.B) {
+				c := newCluster(b, size)
+				c.startAll()
+				c.propose("first")
+				leader := c.leader()
+				command := make([]byte, benchCommandBytes)
+				var failed atomic.Int64
+				b.SetParallelism(max(1, proposers/runtime.GOMAXPROCS(0)))
+				b.ResetTimer()
+				if proposers == 1 {
+					for range b.N {
+						if _, err := leader.Propose(context.Background(), command); err != nil {
+							failed.Add(1)
+						}
+					}
+				} else {
+					b.RunParallel(func(pb *testing.PB) {
+						for pb.Next() {
+							if _, err := leader.Propose(context.Background(), command); err != nil {
+								failed.Add(1)
+							}
+						}
+					})
+				}
+				b.StopTimer()
+				must.Zero(b, failed.Load())
+				b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commands/s")
+			})
+		}
+	}
+}
+
+// BenchmarkAtRest measures what the nodes send and compute without proposals, with
+// the default timeouts' ratio. One iteration is one heartbeat interval.
+func BenchmarkAtRest(b *testing.B) {
+	for _, size := range []int{3, 5, 7} {
+		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
+			c := newCluster(b, size)
+			c.startAll()
+			c.propose("first")
+			c.network.mu.Lock()
+			calls, sent := c.network.calls, c.network.bytes
+			c.network.mu.Unlock()
+			cpu := processorTime()
+			start := time.Now()
+			b.ResetTimer()
+			end := start.Add(time.Duration(b.N) * testHeartbeat)
+			must.Wait(b, wait.InitialSuccess(
+				wait.BoolFunc(func() bool { return !time.Now().Before(end) }),
+				wait.Timeout(time.Hour), wait.Gap(testHeartbeat),
+			))
+			b.StopTimer()
+			elapsed := time.Since(start)
+			c.network.mu.Lock()
+			calls, sent = c.network.calls-calls, c.network.bytes-sent
+			c.network.mu.Unlock()
+			beats := elapsed.Seconds() / testHeartbeat.Seconds()
+			b.ReportMetric(float64(calls)/beats, "calls/beat")
+			b.ReportMetric(float64(sent)/beats, "bytes/beat")
+			b.ReportMetric(float64((processorTime()-cpu).Microseconds())/beats, "cpu-µs/beat")
+		})
+	}
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
