--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,254 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/hemlockring/hemlockring/backendproxy"
+	"github.com/hemlockring/hemlockring/configsync"
+	"github.com/hemlockring/hemlockring/control"
+	"github.com/hemlockring/hemlockring/ejection"
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/gossip"
+	"github.com/hemlockring/hemlockring/health"
+	"github.com/hemlockring/hemlockring/ingress"
+	"github.com/hemlockring/hemlockring/internal/freeze"
+	"github.com/hemlockring/hemlockring/membership"
+	"github.com/hemlockring/hemlockring/metrics"
+	"github.com/hemlockring/hemlockring/orders"
+	"github.com/hemlockring/hemlockring/pipeline"
+	"github.com/hemlockring/hemlockring/pki"
+	"github.com/hemlockring/hemlockring/quota"
+	"github.com/hemlockring/hemlockring/quotadriver"
+	"github.com/hemlockring/hemlockring/selection"
+	"github.com/hemlockring/hemlockring/settings"
+	"github.com/hemlockring/hemlockring/shard"
+	"github.com/hemlockring/hemlockring/shardkeeper"
+	"github.com/hemlockring/hemlockring/transport"
+)
+
+// Node is one instance of the fleet.
+type Node struct {
+	settings      *settings.Settings
+	options       Options
+	logger        *slog.Logger
+	metrics       *metrics.Metrics
+	freeze        *freeze.Detector
+	endpoint      *transport.Endpoint
+	fleetMux      *http.ServeMux
+	members       *gossip.Service
+	registry      *backendproxy.Registry
+	ejection      *ejection.Service
+	control       *control.Node
+	sync          *configsync.Service
+	keeper        *shardkeeper.Keeper
+	quota         *quotadriver.Service
+	orders        *orders.Service
+	backendProxy  *backendproxy.Proxy
+	ingress       *ingress.Proxy
+	configuration ingress.Configuration
+	supervisor    *suture.Supervisor
+	callers       *httpPort
+	local         *httpPort
+}
+
+// Options replace parts of a node.
+type Options struct {
+	// Configuration is used in place of the fleet's shared one.
+	Configuration ingress.Configuration
+	// LeaseTiming is used in place of shard.DefaultTiming.
+	LeaseTiming shard.Timing
+}
+
+// New opens the ports of an instance. Nothing is served before Run.
+func New(settings *settings.Settings, options Options, logger *slog.Logger) (*Node, error) {
+	node := &Node{
+		options:       options,
+		settings:      settings,
+		logger:        logger.With("instance", string(settings.Instance.ID)),
+		freeze:        freeze.NewDetector(),
+		fleetMux:      http.NewServeMux(),
+		configuration: options.Configuration,
+		metrics:       metrics.New(settings.Instance.ID, settings.Instance.FailureDomain),
+	}
+	node.supervisor = newSupervisor(node.logger)
+	if err := node.openFleetPort(); err != nil {
+		return nil, err
+	}
+	if err := node.buildConfiguration(); err != nil {
+		node.endpoint.Close()
+		return nil, err
+	}
+	if err := node.buildShared(); err != nil {
+		node.endpoint.Close()
+		return nil, err
+	}
+	node.buildChains()
+	node.buildKeeper()
+	if err := node.openHTTPPorts(); err != nil {
+		node.endpoint.Close()
+		return nil, err
+	}
+	node.addServices()
+	return node, nil
+}
+
+func (n *Node) openFleetPort() error {
+	identity, err := pki.LoadIdentity(n.settings.Fleet.Certificate, n.settings.Fleet.Key, n.settings.Fleet.Authority)
+	if err != nil {
+		return err
+	}
+	gossipKey, err := pki.LoadGossipKey(n.settings.Fleet.GossipKey)
+	if err != nil {
+		return err
+	}
+	n.endpoint, err = transport.Listen(transport.EndpointConfig{
+		Address:  cmp.Or(n.settings.Fleet.Listen, n.settings.Fleet.Address),
+		Identity: identity,
+		Handler:  http.HandlerFunc(n.serveFleet),
+		Logger:   n.logger,
+	})
+	if err != nil {
+		return err
+	}
+	datagrams, err := transport.NewDatagrams(n.endpoint, gossipKey)
+	if err != nil {
+		return err
+	}
+	n.members = gossip.New(n.newMembership(), datagrams, n.endpoint, n.fleetMux, n.logger)
+	return nil
+}
+
+func (n *Node) newMembership() *membership.State {
+	now := time.Now()
+	self := membership.Record{
+		ID:            n.settings.Instance.ID,
+		Incarnation:   uint64(now.UnixMicro()),
+		Address:       n.settings.Fleet.Address,
+		FailureDomain: n.settings.Instance.FailureDomain,
+		Region:        n.settings.Instance.Region,
+		Control:       n.settings.Instance.HasRole(settings.RoleControl),
+	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return membership.New(membership.Config{}, self, n.settings.Fleet.Join, random, now)
+}
+
+// serveFleet tells forwarded requests of callers from the fleet's own calls. Only
+// ingresses set the header, and only instances of the fleet reach this port.
+func (n *Node) serveFleet(w http.ResponseWriter, request *http.Request) {
+	if request.Header.Get(pipeline.HeaderBackendServer) != "" {
+		n.backendProxy.ServeHTTP(w, request)
+		return
+	}
+	n.fleetMux.ServeHTTP(w, request)
+}
+
+func (n *Node) buildChains() {
+	n.ejection = ejection.New(ejection.Config{
+		Self:          n.settings.Instance.ID,
+		Shards:        n.quota,
+		Caller:        n.endpoint,
+		View:          n.configuration.View,
+		OnStateChange: n.serverStateChanged,
+		Logger:        n.logger,
+	}, n.fleetMux)
+	n.registry = backendproxy.NewRegistry(func(servers []membership.Server) {
+		n.ejection.SetServers(servers)
+		n.members.SetServers(servers)
+	}, n.queueLength)
+	n.backendProxy = backendproxy.New(backendproxy.Config{
+		Registry: n.registry,
+		View:     n.configuration.View,
+		Freeze:   n.freeze,
+		Watch:    n.ejection,
+		Clock:    quota.NewDispatchClock(rand.Uint64(), time.Now()),
+	})
+	tokens := ingress.NewQuotaFilter(n.quota)
+	n.ingress = ingress.New(ingress.Config{
+		KeyHeader:     n.settings.Callers.KeyHeader,
+		Configuration: n.configuration,
+		Freeze:        n.freeze,
+		Admission:     []pipeline.Filter{tokens, &orders.Filter{Service: n.orders, MaxBodyBytes: orders.DefaultMaxBodyBytes}},
+		Guards:        []ingress.AttemptGuard{tokens, orderGuard{}},
+		Remote:        n.endpoint,
+		Local:         n.backendProxy,
+		Selector:      selection.New(selection.Config{Members: n.members.Snapshot, View: n.configuration.View}),
+		Retry:         selection.NewRetries(),
+		Recorder:      n.metrics,
+		Logger:        n.logger,
+	})
+}
+
+// queueLength is how many requests may wait for each backend server.
+func (n *Node) queueLength() int {
+	return int(n.configuration.View().Preset().QueueLength)
+}
+
+// serverStateChanged tells the fleet which backend servers are ejected.
+func (n *Node) serverStateChanged(server fleetconfig.BackendServerID, _, to health.State) {
+	n.registry.SetEjected(server, to == health.StateEjected)
+}
+
+func (n *Node) openHTTPPorts() error {
+	var err error
+	if n.settings.Instance.HasRole(settings.RoleProxy) {
+		n.callers, err = openCallerPort(&n.settings.Callers, n.ingress, n.logger)
+		if err != nil {
+			return err
+		}
+	}
+	n.local, err = openLocalPort(n.settings.Local.Address, n.localMux(), n.logger)
+	if err != nil && n.callers != nil {
+		n.callers.close()
+	}
+	return err
+}
+
+func (n *Node) addServices() {
+	n.supervisor.Add(n.freeze)
+	n.supervisor.Add(n.endpoint)
+	n.supervisor.Add(n.members)
+	n.supervisor.Add(n.registry)
+	n.supervisor.Add(n.ejection)
+	if n.control != nil {
+		n.supervisor.Add(n.control)
+	}
+	if n.sync != nil {
+		n.supervisor.Add(n.sync)
+	}
+	if n.keeper != nil {
+		n.supervisor.Add(n.keeper)
+	}
+	n.supervisor.Add(n.quota)
+	n.supervisor.Add(n.orders)
+	n.supervisor.Add(n.local)
+	if n.callers != nil {
+		n.supervisor.Add(n.callers)
+	}
+}
+
+// Run serves until ctx ends, then stops without cutting off a request in flight.
+// It returns an error when requests were still running after the stop timeout.
+func (n *Node) Run(ctx context.Context) error {
+	serving, stopServing := context.WithCancel(context.Background())
+	defer stopServing()
+	ended := n.supervisor.ServeBackground(serving)
+	n.logger.Info("instance serves", "fleet", n.settings.Fleet.Address, "callers", n.settings.Callers.Address)
+	var err error
+	select {
+	case <-ctx.Done():
+		err = n.stop()
+	case err = <-ended:
+		err = errors.Wrap(err, "the supervisor gave up; look at the log for the service that failed")
+	}
+	stopServing()
+	n.endpoint.Close()
+	return errors.CombineErrors(err, n.metrics.Close())
+}
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -41,6 +41,9 @@
 	// TokenExpires is when the quota token of the request runs out; zero when the
 	// request needs no token.
 	TokenExpires time.Time
+	// DispatchBy is when a backend proxy must have dispatched the request, by its own
+	// clock.
+	DispatchBy time.Time
 	// Outcome says what is known about whether a backend server ran the request.
 	Outcome Outcome
 	// Status is the status code sent to the caller, 0 while none was sent.
@@ -53,6 +56,11 @@
 	BackendServer fleetconfig.BackendServerID
 	// Instance is the instance of the last attempt.
 	Instance fleetconfig.InstanceID
+	// Truncated says that the answer broke off after its head was sent. The server
+	// must end the connection or stream, so that the caller sees the break.
+	Truncated bool
+	// State is for the chain that made the exchange.
+	State any
 	// Refusal is the refusal sent to the caller, nil when there was none.
 	Refusal *Refusal
 
