--- a/quota/measure_test.go
+++ b/quota/measure_test.go
@@ -265,9 +265,38 @@
 	}
 }
 
-// run measures the window after the warm-up. The owner dies at its start, or not.
-func (tr *trial) run(kill bool, load float64) {
-	end := tr.now.Add(measureWarmup)
+// loss is what happens to the owner at the start of the window.
+type loss string
+
+const (
+	ownerStays loss = "stays"
+	ownerStops loss = "stops"
+	ownerDies  loss = "dies"
+)
+
+// lose ends the owner. A planned stop lasts a second.
+func (tr *trial) lose(how loss) {
+	for _, node := range tr.nodes {
+		if how == ownerStays || len(node.group.Leases(tr.now)) == 0 {
+			continue
+		}
+		tr.died = tr.now
+		if how == ownerDies {
+			tr.dead[node] = true
+			return
+		}
+		lender := node.lender
+		node.group.Export = lender.Export
+		tr.sendShard(node, node.group.Stop(tr.now))
+		tr.after(time.Second, func() { tr.dead[node] = true })
+		return
+	}
+}
+
+// run measures the window after the warm-up, whose end is random beside the
+// renewals of the lease.
+func (tr *trial) run(how loss, load float64) {
+	end := tr.now.Add(measureWarmup + time.Duration(tr.random.IntN(1000))*time.Millisecond)
 	for _, length := range []time.Duration{0, measureWindow} {
 		end = end.Add(length)
 		for tr.now.Before(end) {
@@ -283,39 +312,33 @@
 			return
 		}
 		tr.measuring = true
-		for _, node := range tr.nodes {
-			if kill && len(node.group.Leases(tr.now)) > 0 {
-				tr.dead[node] = true
-				tr.died = tr.now
-			}
-		}
+		tr.lose(how)
 	}
 }
 
 // BenchmarkWrongfulRefusals measures, in virtual time, the requests of an account
 // within its rate that an ideal bucket would have admitted and that were refused,
-// by cause, in the ten seconds from the death of the owner on (or without one),
-// beside an account at five times its rate. The requests spread evenly over all
+// by cause, in the ten seconds from the loss of the owner on, beside an account at five times its rate. The requests spread evenly over all
 // ingresses.
 func BenchmarkWrongfulRefusals(b *testing.B) {
-	for _, kill := range []bool{false, true} {
+	for _, how := range []loss{ownerStays, ownerStops, ownerDies} {
 		for _, instances := range []int{5, 22} {
 			for _, burst := range []uint32{1, 2, 5, 20} {
-				name := fmt.Sprintf("ownerDies=%v/ingresses=%d/burst=%d", kill, instances, burst)
-				b.Run(name, func(b *testing.B) { measureRefusals(b, kill, instances, burst) })
+				name := fmt.Sprintf("owner=%s/ingresses=%d/burst=%d", how, instances, burst)
+				b.Run(name, func(b *testing.B) { measureRefusals(b, how, instances, burst) })
 			}
 		}
 	}
 }
 
-func measureRefusals(b *testing.B, kill bool, instances int, burst uint32) {
+func measureRefusals(b *testing.B, how loss, instances int, burst uint32) {
 	admitted, wrongful := 0, make(map[Cause]int)
 	var failover, worst, firstGot time.Duration
 	seed := uint64(0)
 	for b.Loop() {
 		seed++
 		tr := newTrial(seed, instances, burst)
-		tr.run(kill, 0.5)
+		tr.run(how, 0.5)
 		admitted += tr.admitted
 		for cause, count := range tr.wrongful {
 			wrongful[cause] += count
@@ -327,7 +350,7 @@
 	for _, cause := range []Cause{CauseOverRate, CauseOwnerUnknown, CauseOwnerUnreachable, CauseIngressFull} {
 		b.ReportMetric(100*float64(wrongful[cause])/float64(admitted), "%"+cause.String())
 	}
-	if kill {
+	if how == ownerDies {
 		b.ReportMetric(failover.Seconds()/float64(seed), "s-failover")
 		b.ReportMetric(worst.Seconds(), "s-failover-worst")
 		b.ReportMetric(firstGot.Seconds()/float64(seed), "s-first-token")
--- a/quota/soup_test.go
+++ b/quota/soup_test.go
@@ -91,6 +91,8 @@
 	settled int
 	// release is when every queue lets its requests go, with their tokens.
 	release time.Time
+	// loseAt is when the owner is lost while requests are held.
+	loseAt time.Time
 }
 
 var soupAccounts = []fleetconfig.AccountID{"small", "large"}
@@ -407,10 +409,8 @@
 	case 7:
 		s.loseOwner()
 	default:
-		s.release = s.now.Add(time.Duration(s.draw("release", 2500)) * time.Millisecond)
-		if s.draw("lose owner", 2) == 0 {
-			s.loseOwner()
-		}
+		s.loseAt = s.now.Add(time.Duration(s.draw("lose at", 1000)) * time.Millisecond)
+		s.release = s.loseAt.Add(time.Duration(s.draw("release", 2000)) * time.Millisecond)
 	}
 }
 
@@ -449,6 +449,10 @@
 
 // step lets 40 ms pass.
 func (s *quotaSoup) step() {
+	if !s.loseAt.IsZero() && s.now.After(s.loseAt) {
+		s.loseAt = time.Time{}
+		s.loseOwner()
+	}
 	for range 4 {
 		s.now = s.now.Add(10 * time.Millisecond)
 		s.deliver()
--- a/shard/timing.go
+++ b/shard/timing.go
@@ -28,9 +28,9 @@
 // DefaultTiming returns the timing of production fleets.
 func DefaultTiming() Timing {
 	return Timing{
-		Lease:        3 * time.Second,
-		Renew:        time.Second,
-		Stagger:      200 * time.Millisecond,
-		RoundTimeout: 500 * time.Millisecond,
+		Lease:        2 * time.Second,
+		Renew:        500 * time.Millisecond,
+		Stagger:      100 * time.Millisecond,
+		RoundTimeout: 400 * time.Millisecond,
 	}
 }
