Planned stop offers each lease to the next replica; memory and processor time

Cause: a lease was offered once, to the first other replica; if that one was down the lease ran out. Now HandOver offers what is left every 200 ms to the next one. A token with less than 50 ms to live is not given to a request, which could not reach its backend server in time.

--- /dev/null
+++ b/quota/bench_test.go
@@ -0,0 +1,94 @@
+package quota
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/internal/soup"
+	"github.com/hemlockring/hemlockring/shard"
+)
+
+const memoryAccounts = 80_000
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// BenchmarkMemoryPerAccount measures the heap of an owner's ledger and of an
+// ingress's borrower for accounts that have a token lent out each. The names of
+// the accounts are counted apart, because the configuration holds them.
+func BenchmarkMemoryPerAccount(b *testing.B) {
+	accounts := make([]fleetconfig.AccountID, memoryAccounts)
+	for i := range accounts {
+		accounts[i] = fleetconfig.AccountID(fmt.Sprintf("account-%d", i))
+	}
+	limits := Limits{RatePerSecond: 10, Burst: 20}
+	var ledgerBytes, borrowerBytes float64
+	for b.Loop() {
+		now := soup.Start
+		before := heapBytes()
+		ledger := NewLedger(now.Add(-MaxTokenLife))
+		for i, account := range accounts {
+			ask := Ask{Account: account, Grant: GrantID(i), Want: 1}
+			ledger.Lend("instance-1", &ask, limits, now.Add(MaxTokenLife), now)
+		}
+		between := heapBytes()
+		borrower := NewBorrower(memoryAccounts, 1)
+		for i, account := range accounts {
+			borrower.Wait(account, 0, uint64(i), now)
+		}
+		answer(borrower, limits, now)
+		after := heapBytes()
+		ledgerBytes = float64(between-before) / memoryAccounts
+		borrowerBytes = float64(after-between) / memoryAccounts
+		runtime.KeepAlive(ledger)
+		runtime.KeepAlive(borrower)
+	}
+	b.ReportMetric(ledgerBytes, "ledger-B/account")
+	b.ReportMetric(borrowerBytes, "borrower-B/account")
+}
+
+// answer gives every account a token from a ledger that is dropped afterwards.
+func answer(borrower *Borrower, limits Limits, now time.Time) {
+	out := make(map[shard.ID]*Outgoing)
+	borrower.Flush(out, now)
+	ledger := NewLedger(now.Add(-MaxTokenLife))
+	reply := &BorrowReply{}
+	for i := range out[0].Request.Asks {
+		loan := ledger.Lend("instance-1", &out[0].Request.Asks[i], limits, now.Add(MaxTokenLife), now)
+		reply.Loans = append(reply.Loans, loan)
+	}
+	borrower.Handle(reply, now)
+}
+
+// BenchmarkLenderBorrow measures the owner's processor time for a message with one
+// ask and the report on the token before it, for accounts in turn.
+func BenchmarkLenderBorrow(b *testing.B) {
+	document := &fleetconfig.Document{Version: 1, Shards: fleetconfig.ShardMap{Shards: make([]fleetconfig.ShardPlacement, 1)}}
+	for i := range 1250 {
+		id := fleetconfig.AccountID(fmt.Sprintf("account-%d", i))
+		document.Accounts = append(document.Accounts, fleetconfig.Account{ID: id, RatePerSecond: 10, Burst: 20})
+	}
+	lender := NewLender()
+	lender.Adopt(fleetconfig.NewView(document), soup.Start)
+	lease := shard.Lease{Holder: shard.Holder{Term: 1}, Until: soup.Start.Add(1000 * time.Hour)}
+	now := soup.Start
+	grant := GrantID(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		grant++
+		account := document.Accounts[int(grant)%len(document.Accounts)].ID
+		request := &BorrowRequest{Asks: []Ask{{Account: account, Grant: grant, Want: 1}}}
+		if previous := int(grant) - len(document.Accounts); previous > 0 {
+			request.Reports = []Report{{Account: account, Grant: GrantID(previous), Spent: 1}}
+		}
+		lender.Borrow(lease, "instance-1", request, now)
+	}
+}
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -31,7 +31,7 @@
 	// MaxTokenLife is the longest life of a lent token.
 	MaxTokenLife = 2 * time.Second
 	// minTokenLife is the shortest life that is worth lending.
-	minTokenLife = 100 * time.Millisecond
+	minTokenLife = 200 * time.Millisecond
 	// maxWait is the longest wait that a refusal names.
 	maxWait = time.Hour
 	// maxReportDelay is how long the news of a spent token may wait at most.
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -25,6 +25,8 @@
 	poolMemory = 10 * time.Second
 	// maxRefusalMemory is how long a refusal is repeated without asking again.
 	maxRefusalMemory = 200 * time.Millisecond
+	// minUsefulLife is the shortest life of a token that is given to a request.
+	minUsefulLife = 50 * time.Millisecond
 	// aheadPause is how long nothing is borrowed ahead after the owner had nothing.
 	aheadPause = 100 * time.Millisecond
 )
@@ -91,12 +93,13 @@
 	reportAt time.Time
 }
 
-// take returns a token from the batch that expires first.
+// take returns a token from the batch that expires first, of those that live long
+// enough for the request to reach its backend server.
 func (p *pool) take(now time.Time) (Token, bool) {
 	best := -1
 	for i := range p.batches {
 		b := &p.batches[i]
-		if b.free == 0 || !now.Before(b.expires) {
+		if b.free == 0 || b.expires.Sub(now) < minUsefulLife {
 			continue
 		}
 		if best < 0 || b.expires.Before(p.batches[best].expires) {
@@ -116,7 +119,7 @@
 func (p *pool) free(now time.Time) uint32 {
 	sum := uint32(0)
 	for i := range p.batches {
-		if now.Before(p.batches[i].expires) {
+		if p.batches[i].expires.Sub(now) >= minUsefulLife {
 			sum += p.batches[i].free
 		}
 	}
--- a/quotadriver/acquire.go
+++ b/quotadriver/acquire.go
@@ -31,6 +31,11 @@
 	st.waiting = make(map[uint64]chan quota.Settlement)
 }
 
+// stripeAccounts is the bound of one stripe, with room for an uneven spread.
+func stripeAccounts(maxAccounts int) int {
+	return maxAccounts/stripeCount*9/8 + 1
+}
+
 func stripeIndex(account fleetconfig.AccountID) int {
 	// The low bits choose the shard, so the high ones choose the stripe.
 	return int(xxhash.Sum64String(string(account)) >> 58)
--- a/quotadriver/service.go
+++ b/quotadriver/service.go
@@ -23,6 +23,9 @@
 	tickInterval = 50 * time.Millisecond
 	// sweepInterval is how often unused buckets are dropped.
 	sweepInterval = 5 * time.Second
+	// offerInterval is how long a successor has to take a lease until the next one
+	// is asked.
+	offerInterval = 200 * time.Millisecond
 )
 
 // Config holds what a Service depends on.
@@ -41,8 +44,8 @@
 	// Timing is the timing of leases, the same on all instances. The zero value
 	// means shard.DefaultTiming.
 	Timing shard.Timing
-	// MaxAccounts bounds the accounts that the ingress holds tokens of. Zero means
-	// DefaultMaxAccounts.
+	// MaxAccounts bounds, to an eighth, the accounts that the ingress holds tokens
+	// of. Zero means DefaultMaxAccounts.
 	MaxAccounts int
 	// Logger receives changes of ownership. Nil means slog.Default.
 	Logger *slog.Logger
@@ -95,7 +98,7 @@
 	}
 	s.group.Export = s.lender.Export
 	for i := range s.stripes {
-		s.stripes[i].init(config.MaxAccounts / stripeCount * 2)
+		s.stripes[i].init(stripeAccounts(config.MaxAccounts))
 	}
 	return s, nil
 }
@@ -178,20 +181,22 @@
 // HandOver starts a planned stop: it hands the held leases over and returns when
 // none is left, or when the context ends. Serve must go on meanwhile.
 func (s *Service) HandOver(ctx context.Context) error {
-	s.mu.Lock()
-	out := s.group.Stop(time.Now())
-	s.mu.Unlock()
-	s.sendShard(ctx, out)
-	ticker := time.NewTicker(tickInterval)
+	ticker := time.NewTicker(offerInterval)
 	defer ticker.Stop()
-	for s.HeldShards() > 0 {
+	for {
+		s.mu.Lock()
+		out := s.group.Stop(time.Now())
+		s.mu.Unlock()
+		s.sendShard(ctx, out)
+		if len(out) == 0 && s.HeldShards() == 0 {
+			return nil
+		}
 		select {
 		case <-ctx.Done():
 			return errors.Wrap(ctx.Err(), "leases left; their successors start when they have run out")
 		case <-ticker.C:
 		}
 	}
-	return nil
 }
 
 // HeldShards returns how many shards this instance owns now.
--- a/shard/group.go
+++ b/shard/group.go
@@ -15,6 +15,8 @@
 	replica   *Replica
 	owner     *Owner
 	nextRead  time.Time
+	// offers counts the offers of the lease, each to another replica.
+	offers int
 }
 
 // Lease is a lease that this instance holds.
@@ -125,22 +127,29 @@
 	return nil
 }
 
-// offer offers a held lease to the first other replica in rendezvous order.
+// offer offers a held lease to the next other replica in rendezvous order.
 func (g *Group) offer(m *member, now time.Time) []Envelope {
 	offer, held := m.owner.Offer(now)
 	if !held {
 		return nil
 	}
+	var others []fleetconfig.InstanceAddress
 	for _, replica := range m.placement.Replicas {
 		if replica.ID != g.self {
-			return []Envelope{{To: replica, Message: Message{Offer: offer}}}
+			others = append(others, replica)
 		}
 	}
-	return nil
+	if len(others) == 0 {
+		return nil
+	}
+	successor := others[m.offers%len(others)]
+	m.offers++
+	return []Envelope{{To: successor, Message: Message{Offer: offer}}}
 }
 
 // Stop starts a planned stop: held leases are offered to their successors, and no
-// new one is asked for. Replicas go on voting.
+// new one is asked for. Replicas go on voting. Each further call offers what is
+// still held to the next replica.
 func (g *Group) Stop(now time.Time) []Envelope {
 	g.stopped = true
 	var out []Envelope
