idempotency: shards that shrink and epochs that are missed stay safe

Cause: the shard planner removes replicas down to the instances that there are, and gives no joining epoch. A claim with three of five votes then meets later groups in which the two that never heard of it are a majority, or are all that a recovering replica reads; and an instance that misses epochs may have been removed and added again. Found by reading the planner against the argument of the package; seen as red schedules in TestOneClaimOnly.

Now replicas remember the largest slack of earlier groups for one retention and tell it with votes and pages; more votes and more reads than that are needed. A replica whose joining epoch is not known reads again after a missed epoch. The disk keeps epoch and slack as well. TestDuel makes wild steps in half its duels.

--- a/idempotency/claim.go
+++ b/idempotency/claim.go
@@ -86,6 +86,7 @@
 	dispatched  bool
 	answered    []bool
 	granted     int
+	slack       int
 	replies     int
 	causes      [CauseTooLong + 1]int
 	held        Verdict
@@ -141,6 +142,7 @@
 	}
 	c.answered[i] = true
 	c.replies++
+	c.slack = max(c.slack, reply.Slack)
 	switch reply.Result {
 	case VoteGranted:
 		c.granted++
@@ -175,20 +177,25 @@
 
 func (c *Claim) decide() {
 	open := len(c.group.Members) - c.replies
+	needed := c.needed()
 	switch {
-	case c.granted >= c.group.Majority():
+	case c.granted >= needed:
 		c.stage = stageClaimed
 	case c.held.Kind == VerdictAnswered:
 		c.stage = stageLost
 	case open == 0:
 		c.stage = stageLost
-	case c.granted+open < c.group.Majority() && c.held.Kind != VerdictPending && c.replies >= c.group.Majority():
+	case c.granted+open < needed && c.held.Kind != VerdictPending && c.replies >= c.group.Majority():
 		// Without a trace of another claim the rest is waited for, because one of
 		// them may know of an answer.
 		c.stage = stageLost
 	}
 }
 
+// needed is how many votes the claim needs: a majority, and more than the slack
+// of every earlier group whose claims are retained.
+func (c *Claim) needed() int { return max(c.group.Majority(), c.slack+1) }
+
 func causeOf(result VoteResult) Cause {
 	switch result {
 	case VoteNotReady:
@@ -259,6 +266,11 @@
 		return c.held
 	}
 	verdict := Verdict{Kind: VerdictNotRun}
+	if c.needed() > len(c.group.Members) {
+		// The shard has shrunk; it serves again after the retention.
+		verdict.Cause = CauseNotReady
+		return verdict
+	}
 	for cause, count := range c.causes {
 		if count > c.causes[verdict.Cause] {
 			verdict.Cause = Cause(cause)
--- a/idempotency/duel_test.go
+++ b/idempotency/duel_test.go
@@ -35,6 +35,7 @@
 		for range duelsPerCase {
 			d := &duel{world: newWorld(t, 3+2*random.IntN(2), random)}
 			changes := random.IntN(2) == 0
+			d.wild = random.IntN(2) == 0
 			for range duelSteps {
 				d.randomStep(changes)
 			}
--- a/idempotency/group.go
+++ b/idempotency/group.go
@@ -17,7 +17,9 @@
 	// ID is the instance.
 	ID fleetconfig.InstanceID `cbor:"1,keyasint"`
 	// Joined is the epoch in which the instance was last added to the group. It
-	// tells a replica that missed the epochs in between that it was away.
+	// tells a replica that missed the epochs in between whether it was away. Zero
+	// means that this is not known; a replica that missed an epoch then takes it
+	// that it was.
 	Joined uint64 `cbor:"2,keyasint"`
 }
 
@@ -37,6 +39,10 @@
 // three for a group of five, and one for a group of one, which has no others.
 func (g Group) ReadQuorum() int { return len(g.Members) - g.Majority() + 1 }
 
+// Slack is how many members need not hold a claim that has its majority.
+// It is zero for no group.
+func (g Group) Slack() int { return max(0, len(g.Members)-g.Majority()) }
+
 // Index returns the position of an instance, or -1 when it is no member.
 func (g Group) Index(id fleetconfig.InstanceID) int {
 	for i := range g.Members {
@@ -88,6 +94,9 @@
 			return false
 		}
 	}
+	if g.Epoch == FoundingEpoch {
+		return count == len(g.Members)
+	}
 	return count >= g.Majority()
 }
 
--- a/idempotency/journal.go
+++ b/idempotency/journal.go
@@ -26,8 +26,11 @@
 	Kind ChangeKind `cbor:"1,keyasint"`
 	// Record is the record of ChangePut, and the id of ChangeRemove.
 	Record RecordCopy `cbor:"2,keyasint,omitzero"`
-	// Joined is the joining epoch of ChangeReady.
+	// Joined, Epoch and Slack belong to ChangeReady: the joining epoch of the
+	// instance, the epoch taken up, and the slack of its group.
 	Joined uint64 `cbor:"3,keyasint,omitempty"`
+	Epoch  uint64 `cbor:"4,keyasint,omitempty"`
+	Slack  int    `cbor:"5,keyasint,omitempty"`
 }
 
 // journal collects the changes of a replica that keeps its records on disk.
@@ -36,6 +39,7 @@
 	changes  []Change
 	restored bool
 	joined   uint64
+	epoch    uint64
 }
 
 func (j *journal) append(change Change) {
@@ -54,13 +58,19 @@
 	j.append(Change{Kind: ChangeRemove, Record: RecordCopy{Record: id}})
 }
 
-func (j *journal) ready(joined uint64) { j.append(Change{Kind: ChangeReady, Joined: joined}) }
+func (j *journal) ready(group Group, member Member) {
+	j.append(Change{Kind: ChangeReady, Joined: member.Joined, Epoch: group.Epoch, Slack: group.Slack()})
+}
 
 func (j *journal) left() { j.append(Change{Kind: ChangeLeft}) }
 
-// restoredFor reports whether the disk held the complete records of the
-// instance's present membership.
-func (j *journal) restoredFor(joined uint64) bool { return j.restored && j.joined == joined }
+// restoredFor reports whether the disk holds the complete records of the
+// instance's present membership. A membership without a joining epoch may be
+// another one when epochs were missed.
+func (j *journal) restoredFor(group Group, member Member) bool {
+	followed := member.Joined != 0 || group.Epoch <= j.epoch+1
+	return j.restored && j.joined == member.Joined && followed
+}
 
 // TakeChanges returns the changes since the last call, for the disk.
 func (r *Replica) TakeChanges() []Change {
@@ -83,7 +93,8 @@
 			r.table.remove(held)
 		}
 	case ChangeReady:
-		r.journal.restored, r.journal.joined = true, change.Joined
+		r.journal.restored, r.journal.joined, r.journal.epoch = true, change.Joined, change.Epoch
+		r.slack.raise(change.Slack, now, r.config.longestLife())
 	case ChangeLeft:
 		r.table.clear()
 		r.journal.restored = false
@@ -116,7 +127,8 @@
 		}
 	}
 	if i := r.group.Index(r.self); r.phase == PhaseReady && i >= 0 {
-		changes = append(changes, Change{Kind: ChangeReady, Joined: r.group.Members[i].Joined})
+		most := max(r.group.Slack(), r.slack.at(now))
+		changes = append(changes, Change{Kind: ChangeReady, Joined: r.group.Members[i].Joined, Epoch: r.group.Epoch, Slack: most})
 	}
 	return changes
 }
--- a/idempotency/messages.go
+++ b/idempotency/messages.go
@@ -67,6 +67,9 @@
 	Remaining time.Duration `cbor:"5,keyasint,omitempty"`
 	// Answer is the stored answer, in the driver's encoding.
 	Answer []byte `cbor:"6,keyasint,omitempty"`
+	// Slack is the largest slack of earlier groups. More votes than that are
+	// needed.
+	Slack int `cbor:"7,keyasint,omitempty"`
 }
 
 // ReleaseRequest frees the record from a claim that has not run and never will.
@@ -115,6 +118,9 @@
 	Last uint64 `cbor:"6,keyasint"`
 	// More says that there are further pages.
 	More bool `cbor:"7,keyasint"`
+	// Slack is the largest slack of earlier groups. More reads than that are
+	// needed.
+	Slack int `cbor:"8,keyasint,omitempty"`
 }
 
 // RecordCopy is a record on its way to another replica or to disk.
--- a/idempotency/recovery.go
+++ b/idempotency/recovery.go
@@ -55,16 +55,17 @@
 	return nil
 }
 
-// covered reports whether enough others are read. A group of one has no other,
-// so it is never covered.
-func (v *recovery) covered(group Group) bool {
+// covered reports whether enough others are read: more than the slack of every
+// group whose claims are retained. A group of one has no other, so it is never
+// covered.
+func (v *recovery) covered(group Group, slack int) bool {
 	done := 0
 	for i := range v.reads {
 		if v.reads[i].done {
 			done++
 		}
 	}
-	return done >= group.ReadQuorum()
+	return done >= max(group.ReadQuorum(), slack+1)
 }
 
 // Read is a ReadRequest with its destination.
@@ -103,6 +104,7 @@
 		return reply
 	}
 	reply.Ready = true
+	reply.Slack = r.slack.at(now)
 	size := 0
 	for _, held := range r.table.after(request.After) {
 		if held.removed {
@@ -140,10 +142,13 @@
 			return
 		}
 	}
+	if reply.Slack > 0 {
+		r.slack.raise(reply.Slack, now, r.config.longestLife())
+	}
 	source.incarnation = reply.Incarnation
 	source.after = reply.Last
 	source.done = !reply.More
-	if r.recovery.covered(r.group) {
+	if r.recovery.covered(r.group, r.slack.at(now)) {
 		r.becomeReady()
 	}
 }
--- a/idempotency/replica.go
+++ b/idempotency/replica.go
@@ -30,6 +30,7 @@
 	group       Group
 	phase       Phase
 	recovery    recovery
+	slack       slack
 	table       table
 	released    releasedClaims
 	journal     journal
@@ -58,23 +59,31 @@
 	}
 	last := r.group
 	r.group = group
+	r.slack.raise(last.Slack(), now, r.config.longestLife())
 	i := group.Index(r.self)
 	if i < 0 {
 		r.leave()
 		return
 	}
-	wasAway := r.phase == PhaseAbsent
-	if j := last.Index(r.self); j >= 0 && last.Members[j].Joined != group.Members[i].Joined {
-		wasAway = true
-	}
-	if wasAway {
+	if r.phase == PhaseAbsent || wasAway(last, group, r.self) {
 		r.join(group.Members[i], last.Epoch == 0, now)
 		return
 	}
+	if r.phase == PhaseReady {
+		r.journal.ready(group, group.Members[i])
+		return
+	}
 	// Reads of an earlier epoch do not cover the majorities of this one.
 	r.recovery.reset(group, r.self)
 }
 
+// wasAway reports whether a member of both groups may have been none in between.
+func wasAway(last, group Group, self fleetconfig.InstanceID) bool {
+	before, after := last.Members[last.Index(self)].Joined, group.Members[group.Index(self)].Joined
+	skipped := group.Epoch > last.Epoch+1
+	return before != after || (skipped && after == 0)
+}
+
 func (r *Replica) leave() {
 	r.phase = PhaseAbsent
 	r.table.clear()
@@ -83,8 +92,8 @@
 
 // join begins the recovery, unless the records on disk are complete.
 func (r *Replica) join(member Member, first bool, now time.Time) {
-	if first && r.journal.restoredFor(member.Joined) {
-		r.phase = PhaseReady
+	if first && r.journal.restoredFor(r.group, member) {
+		r.becomeReady()
 		return
 	}
 	r.recovery.begin(r.config, r.group, r.self, now)
@@ -96,7 +105,7 @@
 
 func (r *Replica) becomeReady() {
 	r.phase = PhaseReady
-	r.journal.ready(r.group.Members[r.group.Index(r.self)].Joined)
+	r.journal.ready(r.group, r.group.Members[r.group.Index(r.self)])
 }
 
 // Tick drops records whose retention has run out and moves the recovery on.
@@ -130,7 +139,7 @@
 // retention has run out.
 func (r *Replica) Vote(request VoteRequest, now time.Time) VoteReply {
 	r.Tick(now)
-	reply := VoteReply{Claim: request.Claim}
+	reply := VoteReply{Claim: request.Claim, Slack: r.slack.at(now)}
 	reply.Result = r.mayVote(request)
 	if reply.Result != VoteGranted {
 		return reply
--- a/idempotency/scenario_test.go
+++ b/idempotency/scenario_test.go
@@ -10,7 +10,12 @@
 	"github.com/hemlockring/hemlockring/fleetconfig"
 )
 
-func scenarioWorld() *world { return newWorld(nil, 5, rand.New(rand.NewPCG(1, 1))) }
+// scenarioWorld returns five replicas whose group has not changed for long.
+func scenarioWorld() *world {
+	w := newWorld(nil, 5, rand.New(rand.NewPCG(1, 1)))
+	w.now = w.now.Add(testConfig.longestLife())
+	return w
+}
 
 // pick returns the nodes with the given numbers.
 func (w *world) pick(numbers ...int) []*node {
@@ -156,6 +161,61 @@
 			exchange(b, w.now, w.pick(3, 4, 5)...)
 			return a, b
 		},
+		"the shard shrinks to replicas that never heard of the claim": func(w *world) (a, b *Claim) {
+			a = w.claim("a", "/x")
+			exchange(a, w.now, w.pick(0, 1, 2)...)
+			w.nextGroup(1, 2, 3, 4)
+			w.learn(1, 2, 3, 4)
+			w.nextGroup(2, 3, 4)
+			w.learn(2, 3, 4)
+			b = w.claim("a", "/x")
+			exchange(b, w.now, w.pick(3, 4)...)
+			return a, b
+		},
+		"the shard has shrunk and a replica that lost its memory reads few": func(w *world) (a, b *Claim) {
+			a = w.claim("a", "/x")
+			exchange(a, w.now, w.pick(0, 1, 2)...)
+			w.nextGroup(1, 2, 3, 4)
+			w.learn(1, 2, 3, 4)
+			w.loseMemory(1, 3, 4)
+			b = w.claim("a", "/x")
+			exchange(b, w.now, w.pick(1, 3, 4)...)
+			return a, b
+		},
+		"the epochs of the larger shard were skipped": func(w *world) (a, b *Claim) {
+			a = w.claim("a", "/x")
+			exchange(a, w.now, w.pick(0, 1, 2)...)
+			w.nextGroup(1, 2, 3, 4)
+			w.learn(2)
+			w.nextGroup(2, 3, 4)
+			w.learn(2, 3, 4)
+			b = w.claim("a", "/x")
+			exchange(b, w.now, w.pick(3, 4)...)
+			return a, b
+		},
+		"a replica was away in epochs that it skipped": func(w *world) (a, b *Claim) {
+			for i := range w.groups {
+				for j := range w.groups[i].Members {
+					w.groups[i].Members[j].Joined = 0
+				}
+			}
+			for _, n := range w.nodes {
+				w.crash(n)
+				n.replica.phase = PhaseReady
+			}
+			w.nextGroup(1, 2, 3, 4, 5)
+			w.learn(1, 2, 3, 4, 5)
+			w.now = w.now.Add(testConfig.claimWait())
+			w.readFrom(5, 2, 3, 4)
+			a = w.claim("a", "/x")
+			exchange(a, w.now, w.pick(1, 2, 3)...)
+			w.nextGroup(0, 2, 3, 4, 5)
+			w.groups[len(w.groups)-1].Members[0].Joined = 0
+			w.learn(0, 2, 3, 4, 5)
+			b = w.claim("a", "/x")
+			exchange(b, w.now, w.pick(0, 4, 5)...)
+			return a, b
+		},
 		"a replica was away without noticing": func(w *world) (a, b *Claim) {
 			w.nextGroup(0, 1, 2, 3, 4, 5)
 			w.learn(1, 2, 3, 4, 5)
@@ -312,3 +372,41 @@
 	w.nodes[0].replica.Tick(w.now)
 	must.Eq(t, 0, w.nodes[0].replica.table.budget.Used())
 }
+
+// TestDiskStandsInForMemory restores a replica from its changes. It votes at once
+// and knows its votes, unless it may have been away meanwhile.
+func TestDiskStandsInForMemory(t *testing.T) {
+	w := scenarioWorld()
+	n := w.nodes[0]
+	durable := NewReplica(testConfig, n.id, 9, NewBudget(1<<20), true)
+	durable.SetGroup(w.groups[0], w.now)
+	durable.SetGroup(w.groups[1], w.now)
+	n.replica = durable
+	claim := w.claim("a", "/x")
+	exchange(claim, w.now, w.nodes...)
+	must.True(t, claim.MayDispatch(w.now))
+	log := durable.TakeChanges()
+	for _, changes := range [][]Change{log, durable.Snapshot(w.now)} {
+		w.boot(n)
+		for i := range changes {
+			must.True(t, n.replica.Restore(&changes[i], w.now))
+		}
+		n.replica.SetGroup(w.group(), w.now)
+		must.Eq(t, PhaseReady, n.replica.Phase())
+		must.Eq(t, 2, n.replica.slack.at(w.now))
+		repeat := w.claim("a", "/x")
+		exchange(repeat, w.now, n)
+		must.Eq(t, VerdictInProgress, repeat.held.Kind)
+	}
+	for _, joined := range []uint64{0, 4} {
+		w.boot(n)
+		for i := range log {
+			change := log[i]
+			change.Joined = min(change.Joined, joined)
+			n.replica.Restore(&change, w.now)
+		}
+		later := Group{Epoch: 4, Members: []Member{{ID: n.id, Joined: joined}, {ID: "x"}, {ID: "y"}}}
+		n.replica.SetGroup(later, w.now)
+		must.Eq(t, PhaseWaiting, n.replica.Phase())
+	}
+}
--- a/idempotency/world_test.go
+++ b/idempotency/world_test.go
@@ -63,11 +63,14 @@
 
 // world is a small soup of messages around replicas and claims.
 type world struct {
-	t          *rapid.T
-	random     *rand.Rand
-	now        time.Time
-	groups     []Group
-	keys       int
+	t      *rapid.T
+	random *rand.Rand
+	now    time.Time
+	groups []Group
+	keys   int
+	// wild maps change in any single step at any time, also where CheckStep says
+	// no: that costs availability, never a second run.
+	wild       bool
 	nodes      []*node
 	soup       []message
 	attempts   []*attempt
@@ -338,22 +341,26 @@
 func (w *world) changeMap() {
 	last := w.group()
 	next := Group{Epoch: last.Epoch + 1, Members: slices.Clone(last.Members)}
-	if len(next.Members)%2 == 1 {
+	grow := len(next.Members)%2 == 1
+	if w.wild {
+		grow = len(next.Members) == 1 || (len(next.Members) < 6 && w.random.IntN(2) == 0)
+	}
+	if !grow {
+		i := w.random.IntN(len(next.Members))
+		next.Members = slices.Delete(next.Members, i, i+1)
+	} else {
 		i := len(w.nodes)
 		if away := w.away(); away >= 0 && w.random.IntN(2) == 0 {
 			i = away
 		}
 		next.Members = append(next.Members, Member{ID: nodeID(i), Joined: next.Epoch})
-	} else {
-		i := w.random.IntN(len(next.Members))
-		next.Members = slices.Delete(next.Members, i, i+1)
 	}
-	if CheckStep(last, next, w.statuses()) != nil {
+	if !w.wild && CheckStep(last, next, w.statuses()) != nil {
 		return
 	}
 	w.groups = append(w.groups, next)
-	if i := next.Members[len(next.Members)-1].ID; len(next.Members)%2 == 0 && i == nodeID(len(w.nodes)) {
-		n := &node{id: i}
+	if last := next.Members[len(next.Members)-1].ID; grow && last == nodeID(len(w.nodes)) {
+		n := &node{id: last}
 		w.boot(n)
 		w.nodes = append(w.nodes, n)
 	}
--- a/orders/filter.go
+++ b/orders/filter.go
@@ -17,8 +17,8 @@
 const DefaultMaxBodyBytes = 1 << 20
 
 // Filter claims orders with an Idempotency-Key on routes that are not
-// idempotent. It stands last before the filter that forwards, which must ask
-// CheckDispatch before each attempt.
+// idempotent. It stands last before the filter that forwards, and is a guard of
+// that filter's attempts.
 type Filter struct {
 	// Service claims the orders.
 	Service *Service
@@ -123,6 +123,11 @@
 		"send the request again with the same Idempotency-Key", retrySoon)
 }
 
+// BeforeAttempt implements the ingress's guard of attempts by CheckDispatch.
+func (*Filter) BeforeAttempt(exchange *pipeline.Exchange) error {
+	return CheckDispatch(exchange.Request, time.Now())
+}
+
 // Finish implements pipeline.Finisher. It records how the order ended.
 func (f *Filter) Finish(exchange *pipeline.Exchange) {
 	order := runningOf(exchange.Request.Context())
