--- /dev/null
+++ b/node/eject_test.go
@@ -0,0 +1,84 @@
+package node
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/internal/emulator"
+)
+
+// ejected counts the backend servers that a node knows as ejected.
+func (f *testFleet) ejected(instance int) int {
+	count := 0
+	for _, placed := range f.nodes[instance].members.Snapshot().Servers("catalogue") {
+		if placed.Server.Ejected {
+			count++
+		}
+	}
+	return count
+}
+
+// A backend server that fails gray, healthy on paper, is ejected under a permit
+// and gets no more work; it returns once it is well.
+func TestAGrayBackendServerIsEjectedAndReturns(t *testing.T) {
+	fleet := startFleet(t, 4, emulator.Config{Slots: 20})
+	fleet.config.set(func(document *fleetconfig.Document) {
+		document.Presets = []fleetconfig.Preset{{Name: "ordinary", EjectionEnabled: true, QueueLength: 10, RetryBudgetPercent: 10}}
+		document.PresetInForce = "ordinary"
+		document.Services = []fleetconfig.Service{{Name: "catalogue", FloorPercent: 50}}
+	})
+	sent := 0
+	send := func() {
+		for range 20 {
+			fleet.send(t, sent%4, http.MethodGet, "/open", "")
+			sent++
+		}
+	}
+	// Every server becomes positively believed healthy.
+	waitFor(t, func() bool {
+		send()
+		for _, backend := range fleet.backends {
+			if backend.Executions().Total < 50 {
+				return false
+			}
+		}
+		return true
+	})
+	fleet.backends[1].SetFault(emulator.Fault{Kind: emulator.FaultError, Share: 1})
+	waitFor(t, func() bool { send(); return fleet.ejected(0) == 1 })
+	before := fleet.backends[1].Executions().Total
+	send()
+	must.LessEq(t, before+3, fleet.backends[1].Executions().Total)
+
+	fleet.backends[1].SetFault(emulator.Fault{})
+	waitFor(t, func() bool { send(); return fleet.ejected(0) == 0 && fleet.backends[1].Executions().Total > before+50 })
+}
+
+// When a second backend server fails, ejection leaves the floor.
+func TestEjectionStopsAtTheFloor(t *testing.T) {
+	fleet := startFleet(t, 4, emulator.Config{Slots: 20})
+	fleet.config.set(func(document *fleetconfig.Document) {
+		document.Presets = []fleetconfig.Preset{{Name: "ordinary", EjectionEnabled: true, QueueLength: 10, RetryBudgetPercent: 10}}
+		document.PresetInForce = "ordinary"
+		document.Services = []fleetconfig.Service{{Name: "catalogue", FloorPercent: 75}}
+	})
+	sent := 0
+	send := func() {
+		for range 20 {
+			fleet.send(t, sent%4, http.MethodGet, "/open", "")
+			sent++
+		}
+	}
+	waitFor(t, func() bool { send(); return fleet.backends[0].Executions().Total > 100 })
+	fleet.backends[0].SetFault(emulator.Fault{Kind: emulator.FaultError, Share: 1})
+	waitFor(t, func() bool { send(); return fleet.ejected(3) == 1 })
+	// One more would leave half of the slots, under the floor of three quarters.
+	fleet.backends[1].SetFault(emulator.Fault{Kind: emulator.FaultError, Share: 1})
+	for range 60 {
+		send()
+		must.LessEq(t, 1, fleet.ejected(3))
+	}
+}
