health: bound a stall by its length in time; balance: exact own load

Pauses are absolute times. Change: the cap grows with the square of the length and convicts alone from about 1.4 s (8 slow bounds when that is more); evidence offered early counts later.

balance: the load was the last report plus requests sent since, which kept ended requests until the next report; now an ingress's own requests are exact and the others' are those of the report.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -70,12 +70,12 @@
 	inFlightAtReport uint32
 }
 
-// load estimates the requests for each slot if one more were sent: the reported
-// ones and those that this ingress has sent since the report.
+// load estimates the requests for each slot if one more were sent: this ingress's
+// own, which it knows, and those of the others at the last report.
 func (b *Backend) load() float64 {
-	requests := b.ReportedInFlight + 1
-	if b.inFlight > b.inFlightAtReport {
-		requests += b.inFlight - b.inFlightAtReport
+	requests := b.inFlight + 1
+	if b.ReportedInFlight > b.inFlightAtReport {
+		requests += b.ReportedInFlight - b.inFlightAtReport
 	}
 	return float64(requests) / float64(max(1, b.Slots))
 }
@@ -195,7 +195,6 @@
 	if backend.inFlight > 0 {
 		backend.inFlight--
 	}
-	backend.inFlightAtReport = min(backend.inFlightAtReport, backend.inFlight)
 }
 
 // rebuild lists the usable backend servers of each tier.
--- a/health/detector.go
+++ b/health/detector.go
@@ -12,7 +12,7 @@
 const (
 	// faultShare is the share of bad outcomes, above the usual one, that the tests
 	// are tuned to tell from the usual.
-	faultShare = 0.2
+	faultShare = 0.3
 	// maxFaultShare bounds the alternative when the usual share is high.
 	maxFaultShare = 0.9
 	// doublingNats is the evidence for each doubling of a latency past the slow
@@ -225,17 +225,21 @@
 // before.
 func (d *Detector) countAge(request *openRequest, now time.Time) bool {
 	level := d.levelOf(now.Sub(request.began), now)
-	for request.level < level {
-		request.level++
-		nats := doublingNats
-		if request.level == 1 {
-			nats = badNats(d.baseline.SlowShare)
+	if level == 0 {
+		return false
+	}
+	var nats float64
+	for ; request.level < level; request.level++ {
+		if request.level == 0 {
+			nats += badNats(d.baseline.SlowShare)
+		} else {
+			nats += doublingNats
 		}
-		bound := d.Bound()
-		admitted := d.stall.admit(request.began, request.level, nats, bound)
-		d.latency.add(request.account, nats, admitted, sumLimitFactor*bound)
 	}
-	return request.level > 0
+	bound := d.Bound()
+	admitted := d.stall.admit(request.began, now, d.baseline.SlowBound, nats, bound)
+	d.latency.add(request.account, nats, admitted, sumLimitFactor*bound)
+	return true
 }
 
 func (d *Detector) levelOf(age time.Duration, now time.Time) int {
--- a/health/stall.go
+++ b/health/stall.go
@@ -2,31 +2,58 @@
 
 import "time"
 
-// stallCaps is how much evidence one stall gives at most, as a share of the
-// bound, by the highest level that one of its requests has reached. A stall alone
-// convicts only past 32 times the slow bound.
-var stallCaps = [maxLevel + 1]float64{0, 0.2, 0.25, 0.3, 0.5, 0.8, 1.2, 1.5, 2}
+// Bounds on the evidence of one stall.
+const (
+	// stallBound is the length from which a stall alone convicts a server.
+	// Shorter stops, such as pauses of a garbage collector, happen to healthy
+	// servers.
+	stallBound = 1500 * time.Millisecond
+	// minStallBounds is the same in multiples of the slow bound.
+	minStallBounds = 8
+	// shortStallShare is the share of the bound that the shortest stall gives at
+	// most, longStallShare what is added at the length of stallBound.
+	shortStallShare = 0.25
+	longStallShare  = 0.95
+)
 
 // stall joins slow requests that one stop of the whole server can explain: all
 // began before the first of them ended. Such requests are no independent
-// evidence, however many they are, so that the evidence of a stall is bounded.
+// evidence, however many they are, so that the evidence of a stall is bounded by
+// its length.
 type stall struct {
+	began    time.Time
 	firstEnd time.Time
-	level    int
-	nats     float64
+	// offered is the evidence of all requests, admitted what has counted of it.
+	offered  float64
+	admitted float64
 }
 
-// admit returns how much of the evidence of a request counts.
-func (s *stall) admit(began time.Time, level int, nats, bound float64) float64 {
-	if !s.firstEnd.IsZero() && began.After(s.firstEnd) {
-		*s = stall{}
+// admit adds the evidence of a request and returns how much counts now: as the
+// stall gets longer, more of what was offered before counts. Bound is that of the
+// sum, slowBound that of the latency.
+func (s *stall) admit(began, now time.Time, slowBound time.Duration, nats, bound float64) float64 {
+	if s.began.IsZero() || (!s.firstEnd.IsZero() && began.After(s.firstEnd)) {
+		*s = stall{began: began}
 	}
-	s.level = max(s.level, level)
-	admitted := max(0, min(nats, stallCaps[s.level]*bound-s.nats))
-	s.nats += admitted
+	if began.Before(s.began) {
+		s.began = began
+	}
+	s.offered += nats
+	most := stallShare(now.Sub(s.began), slowBound) * bound
+	admitted := max(0, min(s.offered, most)-s.admitted)
+	s.admitted += admitted
 	return admitted
 }
 
+// stallShare is the most that a stall of the given length gives, as a share of
+// the bound. It grows with the square of the length, so that several short stalls
+// in a row give less than a long one.
+func stallShare(length, slowBound time.Duration) float64 {
+	convicts := max(stallBound, minStallBounds*slowBound)
+	part := float64(length) / float64(convicts)
+	return shortStallShare + longStallShare*part*part
+}
+
 // memberEnded records that a slow request has ended.
 func (s *stall) memberEnded(now time.Time) {
 	if s.firstEnd.IsZero() {
