--- /dev/null
+++ b/health/bench_test.go
@@ -0,0 +1,70 @@
+package health
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/internal/codec"
+)
+
+// TestHoldGrowsWithFlapping holds that each ejection soon after another doubles
+// the hold up to its limit, and that time in service takes doublings back.
+func TestHoldGrowsWithFlapping(t *testing.T) {
+	policy := PolicyOf(&fleetconfig.Preset{})
+	var h hold
+	now := epoch
+	for _, seconds := range []int{5, 10, 20, 40, 80, 160, 320, 600, 600} {
+		must.Eq(t, time.Duration(seconds)*time.Second, h.next(&policy, now))
+		now = now.Add(time.Minute)
+	}
+	must.Eq(t, 320*time.Second, h.next(&policy, now.Add(policy.ForgetAfter)))
+	must.Eq(t, policy.FirstHold, h.next(&policy, now.Add(24*time.Hour)))
+}
+
+func BenchmarkMonitorRequest(b *testing.B) {
+	monitor := NewMonitor("instance", "server", 7, PolicyOf(&fleetconfig.Preset{EjectionEnabled: true}), 1, epoch)
+	accounts := []fleetconfig.AccountID{"a", "b", "c", "d"}
+	now := epoch
+	i := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		i++
+		now = now.Add(time.Millisecond)
+		token := monitor.Begin(accounts[i%4], now.Add(time.Second), now)
+		monitor.End(token, ResultOK, now.Add(20*time.Millisecond))
+	}
+}
+
+// BenchmarkReport is one report of a server among 22 at the owner, with its
+// summary, its encoding and its share of the baseline. It reports the bytes.
+func BenchmarkReport(b *testing.B) {
+	owner := NewPermitOwner(Floor{Percent: 50}, DefaultPermitLife, 1, epoch)
+	detector := NewDetector(DefaultServerDays, 0, epoch)
+	now := epoch
+	for i := range 200 {
+		token := detector.Begin("a", now.Add(time.Second), now)
+		detector.End(token, ResultOK, now.Add(time.Duration(i)*time.Millisecond/4))
+	}
+	const servers = 22
+	summary := detector.Summary(now)
+	size := 0
+	i := uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		i++
+		now = now.Add(time.Second / servers)
+		report := Report{
+			Instance: "instance-00", Server: fleetconfig.BackendServerID(rune('a' + i%servers)),
+			Incarnation: 1, Number: i, Slots: 7, Standing: StandingHealthy, Summary: summary,
+		}
+		data, err := codec.Marshal(report)
+		must.NoError(b, err)
+		reply, err := codec.Marshal(owner.Report(report, now))
+		must.NoError(b, err)
+		size = len(data) + len(reply)
+	}
+	b.ReportMetric(float64(size), "B/report")
+}
