--- a/node/eject_test.go
+++ b/node/eject_test.go
@@ -24,6 +24,7 @@
 // A backend server that fails gray, healthy on paper, is ejected under a permit
 // and gets no more work; it returns once it is well.
 func TestAGrayBackendServerIsEjectedAndReturns(t *testing.T) {
+	t.Parallel()
 	fleet := startFleet(t, 4, emulator.Config{Slots: 20})
 	fleet.config.set(func(document *fleetconfig.Document) {
 		document.Presets = []fleetconfig.Preset{{Name: "ordinary", EjectionEnabled: true, QueueLength: 10, RetryBudgetPercent: 10}}
@@ -59,6 +60,7 @@
 
 // When a second backend server fails, ejection leaves the floor.
 func TestEjectionStopsAtTheFloor(t *testing.T) {
+	t.Parallel()
 	fleet := startFleet(t, 4, emulator.Config{Slots: 20})
 	fleet.config.set(func(document *fleetconfig.Document) {
 		document.Presets = []fleetconfig.Preset{{Name: "ordinary", EjectionEnabled: true, QueueLength: 10, RetryBudgetPercent: 10}}
--- a/node/orders_test.go
+++ b/node/orders_test.go
@@ -53,6 +53,7 @@
 // Ingresses that race for the same order run it once; a repeat hears the stored
 // answer, and other content under the same key is refused.
 func TestAnOrderSentThroughEveryIngressRunsOnce(t *testing.T) {
+	t.Parallel()
 	fleet := startFleet(t, 3, emulator.Config{Slots: 50, ServiceTime: 3 * time.Millisecond})
 	for i := range 20 {
 		key := fmt.Sprintf("order-%d", i)
@@ -92,6 +93,7 @@
 // Callers resend their orders through other ingresses after a backend server has
 // reset the connection: the outcome stays unknown and the order never runs twice.
 func TestAnOrderWithUnknownOutcomeIsNotRunAgain(t *testing.T) {
+	t.Parallel()
 	fleet := startFleet(t, 3, emulator.Config{Slots: 50})
 	for _, backend := range fleet.backends {
 		backend.SetFault(emulator.Fault{Kind: emulator.FaultReset, Share: 1})
@@ -112,6 +114,7 @@
 // An account at several times its rate gets no more than rate and burst over all
 // instances, and is told when to come back.
 func TestAnAccountGetsNoMoreThanItsRateAndBurst(t *testing.T) {
+	t.Parallel()
 	fleet := startFleet(t, 3, emulator.Config{Slots: 50})
 	started := time.Now()
 	refused := 0
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -21,6 +21,7 @@
 )
 
 func TestARequestIsServedFromAnyInstance(t *testing.T) {
+	t.Parallel()
 	fleet := startFleet(t, 3, emulator.Config{Slots: 8})
 	for i := range 60 {
 		response, body := fleet.send(t, i%3, http.MethodPost, "/orders/7?x=1", "hello")
@@ -37,6 +38,7 @@
 }
 
 func TestRefusalsAreProblemDocumentsThatSayWhenToComeBack(t *testing.T) {
+	t.Parallel()
 	fleet := startFleet(t, 1, emulator.Config{Slots: 8})
 	cases := []struct {
 		path, key string
@@ -143,6 +145,7 @@
 // net/http sends a request with an Idempotency-Key and an empty body again by
 // itself when a reused connection closes. The fleet must not.
 func TestAKeyedOrderIsNotReplayedWhenAReusedConnectionCloses(t *testing.T) {
+	t.Parallel()
 	fleet := startFleet(t, 2, emulator.Config{})
 	backend, address := startRawBackend(t, func(run int32, w io.Writer) bool {
 		if run == 1 {
@@ -167,6 +170,7 @@
 }
 
 func TestNoBackendServerSeesAKeyOrAForgedHeader(t *testing.T) {
+	t.Parallel()
 	fleet := startFleet(t, 2, emulator.Config{})
 	backend, address := startRawBackend(t, func(_ int32, w io.Writer) bool {
 		answerOK(w)
@@ -202,6 +206,7 @@
 }
 
 func TestAnOverlongHeadIsRefused(t *testing.T) {
+	t.Parallel()
 	fleet := startFleet(t, 1, emulator.Config{Slots: 1})
 	request, err := http.NewRequest(http.MethodGet, fleet.url(0, "/open"), nil)
 	must.NoError(t, err)
@@ -218,6 +223,7 @@
 // A reset after the head of the answer must reach the caller as a break, over a
 // hop and without one.
 func TestATruncatedAnswerIsNeverTakenForAWholeOne(t *testing.T) {
+	t.Parallel()
 	fleet := startFleet(t, 2, emulator.Config{Slots: 8})
 	for _, backend := range fleet.backends {
 		backend.SetFault(emulator.Fault{Kind: emulator.FaultTruncate, Share: 1})
@@ -240,6 +246,7 @@
 }
 
 func TestStreamsPassBothWaysWithoutBuffering(t *testing.T) {
+	t.Parallel()
 	fleet := startFleet(t, 2, emulator.Config{Slots: 8})
 	for i := range 8 {
 		reader, writer := io.Pipe()
@@ -263,6 +270,7 @@
 }
 
 func TestALargeBodyPasses(t *testing.T) {
+	t.Parallel()
 	const size = 32 << 20
 	fleet := startFleet(t, 2, emulator.Config{Slots: 8})
 	for i := range 4 {
@@ -281,6 +289,7 @@
 func (zeros) Read(buffer []byte) (int, error) { return len(buffer), nil }
 
 func TestADeadlineEndsTheRequestWithItsOwnAnswer(t *testing.T) {
+	t.Parallel()
 	fleet := startFleet(t, 2, emulator.Config{Slots: 8})
 	for _, backend := range fleet.backends {
 		backend.SetFault(emulator.Fault{Kind: emulator.FaultNeverAnswer, Share: 1})
@@ -298,6 +307,7 @@
 }
 
 func TestACallersCancelReachesTheBackendServer(t *testing.T) {
+	t.Parallel()
 	fleet := startFleet(t, 2, emulator.Config{Slots: 8})
 	for _, backend := range fleet.backends {
 		backend.SetFault(emulator.Fault{Kind: emulator.FaultNeverAnswer, Share: 1})
@@ -325,6 +335,7 @@
 // Thousands of concurrent requests, some of them killed, each hear their own
 // answer.
 func TestEachCallerHearsItsOwnAnswer(t *testing.T) {
+	t.Parallel()
 	fleet := startFleet(t, 3, emulator.Config{Slots: 200, ServiceTime: 2 * time.Millisecond})
 	fleet.backends[1].SetFault(emulator.Fault{Kind: emulator.FaultReset, Share: 0.2})
 	var group errgroup.Group
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -20,6 +20,7 @@
 // A planned stop of an instance cuts off no request that came through it or runs
 // beside it, and new ones go elsewhere.
 func TestAPlannedStopCutsOffNoRequest(t *testing.T) {
+	t.Parallel()
 	fleet := startFleet(t, 3, emulator.Config{Slots: 50, ServiceTime: 400 * time.Millisecond})
 	type result struct {
 		status int
@@ -57,6 +58,7 @@
 }
 
 func TestADrainingBackendServerGetsNoNewWork(t *testing.T) {
+	t.Parallel()
 	fleet := startFleet(t, 2, emulator.Config{})
 	backend, address := startRawBackend(t, func(_ int32, w io.Writer) bool {
 		answerOK(w)
@@ -77,6 +79,7 @@
 
 // A peer with the certificate of another authority is refused.
 func TestAPeerOfAnotherAuthorityIsRefused(t *testing.T) {
+	t.Parallel()
 	fleet := startFleet(t, 1, emulator.Config{})
 	folder := t.TempDir()
 	must.NoError(t, pki.InitAuthority(folder, time.Now()))
