configsync: spread the configuration by a tree of polls and offers

Purpose: each instance learns of changes and stays current with a handful of neighbours; control is asked by the holders and as the last resort.

Cause of a failure found by TestConfigurationOutlivesControlAndRestarts: a holder that restarted without memory knew no holders, took control as the root of the tree, and with control gone had nobody to poll. An instance that serves from nothing yet now polls its near peers first. Cause of slowness: holders learnt of the acceptance with their next poll, so a change took one poll interval (20 ms in the benchmark, 500 ms by default). The leader now tells them with a round of offers.

--- a/configsync/depend.go
+++ b/configsync/depend.go
@@ -28,10 +28,23 @@
 	// with control.NotLeaderError or control.BusyError if the command was certainly
 	// not proposed, and with control.OutcomeUnknownError if it may still be applied.
 	Propose(ctx context.Context, command []byte) (result []byte, err error)
-	// Leadership reports whether this instance leads and its state machine has
-	// applied an entry of the present term, and so everything that earlier leaders
-	// committed. confirmedAt is the time, by time.Now of this process, at which it
-	// sent the latest messages that a majority of control has answered in this
-	// term. No other leader has committed anything up to that time.
-	Leadership() (term uint64, confirmedAt time.Time, leads bool)
+	// Leadership returns what this instance knows of the leader.
+	Leadership() Leadership
+}
+
+// Leadership is what a control instance knows of the leader.
+type Leadership struct {
+	// Leads says that this instance leads and that its state machine has applied an
+	// entry of the present term, and so everything that earlier leaders committed.
+	Leads bool
+	// Term is the term that it leads in.
+	Term uint64
+	// ConfirmedAt is the time, by time.Now of this process, at which it sent the
+	// latest messages that a majority of control has answered in this term. No other
+	// leader has committed anything up to that time.
+	ConfirmedAt time.Time
+	// Leader is the leader, or empty while none is known.
+	Leader fleetconfig.InstanceID
+	// Address is the leader's address, or empty.
+	Address string
 }
--- /dev/null
+++ b/configsync/fake_test.go
@@ -0,0 +1,218 @@
+package configsync
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/hemlockring/hemlockring/control"
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/internal/codec"
+)
+
+// fakeLog is control with one instance: it commits at once while it leads.
+type fakeLog struct {
+	mu      sync.Mutex
+	replica *Replica
+	away    atomic.Bool
+}
+
+func (l *fakeLog) Propose(_ context.Context, command []byte) ([]byte, error) {
+	if l.away.Load() {
+		return nil, &control.NotLeaderError{}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.replica.Apply(0, command), nil
+}
+
+func (l *fakeLog) Leadership() Leadership {
+	return Leadership{Leads: !l.away.Load(), Term: 1, ConfirmedAt: time.Now()}
+}
+
+// fakeFleet is a network of services in one process.
+type fakeFleet struct {
+	tb        testing.TB
+	mu        sync.Mutex
+	instances map[string]*fakeInstance
+	// calls and bytes count what was sent.
+	calls, bytes atomic.Int64
+}
+
+type fakeInstance struct {
+	fleet   *fakeFleet
+	peer    Peer
+	service *Service
+	log     *fakeLog
+	mux     *http.ServeMux
+	cancel  context.CancelFunc
+	cut     atomic.Bool
+}
+
+func newFakeFleet(tb testing.TB) *fakeFleet {
+	return &fakeFleet{tb: tb, instances: make(map[string]*fakeInstance)}
+}
+
+// start starts an instance; one with the same number that runs is replaced, and
+// has lost its memory.
+func (f *fakeFleet) start(number int, isControl bool) *fakeInstance {
+	instance := &fakeInstance{fleet: f, mux: http.NewServeMux()}
+	instance.peer = Peer{Control: isControl, InstanceAddress: fleetconfig.InstanceAddress{
+		ID:            fleetconfig.InstanceID(fmt.Sprintf("i%03d", number)),
+		Address:       fmt.Sprintf("192.0.2.%d:7400", number),
+		FailureDomain: fleetconfig.FailureDomain(fmt.Sprintf("fd%d", number%3)),
+	}}
+	config := Config{
+		Self:         instance.peer.InstanceAddress,
+		Incarnation:  uint64(time.Now().UnixNano()),
+		Peers:        instance,
+		Caller:       instance,
+		PollInterval: 20 * time.Millisecond,
+		Logger:       slog.New(slog.DiscardHandler),
+	}
+	if isControl {
+		config.Replica = NewReplica()
+		instance.log = &fakeLog{replica: config.Replica}
+		config.Log = instance.log
+	}
+	instance.service = New(config, instance.mux)
+	ctx, cancel := context.WithCancel(context.Background())
+	instance.cancel = cancel
+	f.mu.Lock()
+	f.instances[instance.peer.Address] = instance
+	f.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = instance.service.Serve(ctx)
+	}()
+	f.tb.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return instance
+}
+
+// Peers implements Peers.
+func (i *fakeInstance) Peers() []Peer {
+	i.fleet.mu.Lock()
+	defer i.fleet.mu.Unlock()
+	var peers []Peer
+	for _, other := range i.fleet.instances {
+		if other.peer.ID != i.peer.ID {
+			peers = append(peers, other.peer)
+		}
+	}
+	return peers
+}
+
+// Call implements transport.Caller.
+func (i *fakeInstance) Call(_ context.Context, address, path string, request, reply any) error {
+	i.fleet.mu.Lock()
+	other := i.fleet.instances[address]
+	i.fleet.mu.Unlock()
+	if other == nil || other.cut.Load() || i.cut.Load() {
+		return errors.New("unreachable")
+	}
+	data, err := codec.Marshal(request)
+	if err != nil {
+		return err
+	}
+	call := httptest.NewRequest(http.MethodPost, path, bytes.NewReader(data))
+	certificate := &x509.Certificate{Subject: pkix.Name{CommonName: string(i.peer.ID)}}
+	call.TLS = &tls.ConnectionState{PeerCertificates: []*x509.Certificate{certificate}}
+	recorder := httptest.NewRecorder()
+	other.mux.ServeHTTP(recorder, call)
+	if recorder.Code != http.StatusOK {
+		return errors.New(recorder.Body.String())
+	}
+	i.fleet.calls.Add(1)
+	i.fleet.bytes.Add(int64(len(data) + recorder.Body.Len()))
+	return codec.Unmarshal(recorder.Body.Bytes(), reply)
+}
+
+// stop ends an instance for good.
+func (f *fakeFleet) stop(instance *fakeInstance) {
+	instance.cut.Store(true)
+	instance.cancel()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.instances, instance.peer.Address)
+}
+
+// propose makes a change at the leader until it is taken.
+func (f *fakeFleet) propose(leader *fakeInstance, id string, changes ...fleetconfig.Change) *fleetconfig.Result {
+	var result *fleetconfig.Result
+	await(f.tb, id, func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		var err error
+		result, err = leader.service.Propose(ctx, &fleetconfig.Command{
+			ChangeID:    id,
+			BaseVersion: leader.log.replica.Document().Version,
+			Changes:     changes,
+		})
+		return err
+	})
+	return result
+}
+
+func await(tb testing.TB, what string, condition func() error) {
+	tb.Helper()
+	must.Wait(tb, wait.InitialSuccess(wait.ErrorFunc(condition), wait.Timeout(20*time.Second), wait.Gap(time.Millisecond)), must.Sprint(what))
+}
+
+// awaitVersion waits until all instances serve from the version and are current.
+func awaitVersion(tb testing.TB, version uint64, instances ...*fakeInstance) {
+	tb.Helper()
+	for _, instance := range instances {
+		await(tb, string(instance.peer.ID), func() error {
+			current, _ := instance.service.Current(time.Now())
+			if served := instance.service.View().Version(); served != version || !current {
+				return errors.Newf("serves version %d, current %v, want version %d", served, current, version)
+			}
+			return nil
+		})
+	}
+}
+
+func holdersAmong(instances ...*fakeInstance) fleetconfig.Change {
+	change := fleetconfig.Change{Kind: fleetconfig.SetHolders}
+	for _, instance := range instances {
+		change.Holders = append(change.Holders, instance.peer.InstanceAddress)
+	}
+	return change
+}
+
+func usePreset(version uint64) fleetconfig.Change {
+	name := []string{fleetconfig.PresetOrdinary, fleetconfig.PresetPeak}[version%2]
+	return fleetconfig.Change{Kind: fleetconfig.UsePreset, Name: name}
+}
+
+// newFleet starts a control instance and count others, with the first five as
+// holders, or fewer. It is at version 1.
+func newFleet(tb testing.TB, count int) (*fakeFleet, *fakeInstance, []*fakeInstance) {
+	fleet := newFakeFleet(tb)
+	leader := fleet.start(0, true)
+	var others []*fakeInstance
+	for number := 1; number <= count; number++ {
+		others = append(others, fleet.start(number, false))
+	}
+	fleet.propose(leader, "holders", holdersAmong(others[:min(5, count)]...))
+	awaitVersion(tb, 1, append(others, leader)...)
+	return fleet, leader, others
+}
--- a/configsync/handlers.go
+++ b/configsync/handlers.go
@@ -54,8 +54,10 @@
 		if err != nil {
 			return nil, err
 		}
-		s.hold(document, request.Accepted)
+		s.hold(document, false)
 	}
+	s.node.Accept(request.Accepted, time.Now())
+	s.publish()
 	return s.reply(s.held.Version, true), nil
 }
 
--- a/configsync/lead.go
+++ b/configsync/lead.go
@@ -15,24 +15,24 @@
 	if s.config.Log == nil {
 		return
 	}
-	term, confirmedAt, leads := s.config.Log.Leadership()
+	leadership := s.config.Log.Leadership()
 	// The document is read after Leadership, so that it has all that earlier
 	// leaders committed.
 	document := s.config.Replica.Document()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hold(document, false)
-	if !leads {
+	if !leadership.Leads {
 		s.leader = nil
 		return
 	}
 	revision := currency.RevisionOf(document)
-	if s.leader == nil || s.leader.Term() != term {
-		s.leader = currency.NewLeader(term, revision)
+	if s.leader == nil || s.leader.Term() != leadership.Term {
+		s.leader = currency.NewLeader(leadership.Term, revision)
 	}
 	s.leader.Commit(revision)
-	s.confirmedAt = confirmedAt
-	s.node.Lead(s.leader.Attest(), confirmedAt, time.Now())
+	s.confirmedAt = leadership.ConfirmedAt
+	s.node.Lead(s.leader.Attest(), s.confirmedAt, time.Now())
 	s.publish()
 	for _, holder := range holdersOf(document) {
 		if !s.polling[holder.ID] {
@@ -71,6 +71,7 @@
 	s.mu.Lock()
 	have := s.heldBy[holder.ID]
 	request := &offerRequest{Leader: true}
+	request.Accepted, _ = leader.Accepted()
 	request.Delta, _ = s.deltas.Since(have, s.held.Version)
 	s.mu.Unlock()
 	askedAt := time.Now()
@@ -82,23 +83,30 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.heldBy[holder.ID] = answer.Held
+	before, _ := leader.Accepted()
 	leader.Hear(holder.ID, answer, askedAt, time.Now())
-	accepted, known := leader.Accepted()
+	accepted, _ := leader.Accepted()
 	committed := leader.Committed()
-	if s.leader == leader && known && accepted == committed.Version {
-		// Attest at once, so that the version comes into force here.
-		s.node.Lead(leader.Attest(), s.confirmedAt, time.Now())
+	if accepted > before {
+		// Tell it at once, so that the version comes into force.
+		s.node.Accept(accepted, time.Now())
 		s.publish()
 		s.announceAccepted()
+		s.offerAll(ctx, leader)
 		return
 	}
 	// A holder that has just taken the version is asked again with all others, to
 	// find a moment at which a majority held it. That is one round for each holder
 	// and version.
 	if answer.Held >= committed.Version && have < committed.Version {
-		for _, other := range holdersOf(s.held) {
-			go s.offer(ctx, leader, other)
-		}
+		s.offerAll(ctx, leader)
+	}
+}
+
+// offerAll starts a round of offers. The caller holds mu.
+func (s *Service) offerAll(ctx context.Context, leader *currency.Leader) {
+	for _, holder := range holdersOf(s.held) {
+		go s.offer(ctx, leader, holder)
 	}
 }
 
--- a/configsync/messages.go
+++ b/configsync/messages.go
@@ -38,8 +38,8 @@
 	// Delta leads to the version. It is nil when the sender has no delta for the
 	// receiver.
 	Delta *fleetconfig.Delta `cbor:"1,keyasint,omitempty"`
-	// Accepted says that the version is accepted.
-	Accepted bool `cbor:"2,keyasint,omitempty"`
+	// Accepted is the highest version that the sender knows to be accepted.
+	Accepted uint64 `cbor:"2,keyasint,omitempty"`
 	// Leader says that the sender is the leader of control.
 	Leader bool `cbor:"3,keyasint,omitempty"`
 }
--- a/configsync/poll.go
+++ b/configsync/poll.go
@@ -18,6 +18,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	near := findNeighbours(s.config.Self, s.config.Replica != nil, s.held.Holders, peers)
+	if _, serving := s.node.Serving(); !serving {
+		near.parents = nearest(s.config.Self, peers)
+	}
 	s.spread(ctx, near.children)
 	targets := s.probes()
 	if parent, found := s.parent(near.parents); found {
@@ -163,7 +166,7 @@
 		go func() {
 			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
-			request := &offerRequest{Delta: delta, Accepted: true}
+			request := &offerRequest{Delta: delta, Accepted: version}
 			if err := s.config.Caller.Call(callCtx, child.Address, pathOffer, request, new(pollReply)); err != nil {
 				s.config.Logger.Debug("offer of the configuration failed", "instance", child.ID, "error", err)
 			}
--- a/configsync/propose.go
+++ b/configsync/propose.go
@@ -7,18 +7,19 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hemlockring/hemlockring/control"
 	"github.com/hemlockring/hemlockring/currency"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 )
 
 // Propose makes a command on the leader of control and returns its result once a
 // majority of the holders has it too. The result may be a conflict or a list of
-// faults, see fleetconfig.Result. It fails with *NotLeaderError or
-// *NotProposedError if the command was certainly not proposed, and with
-// *OutcomeUnknownError if it may have been made.
+// faults, see fleetconfig.Result. It fails with *control.NotLeaderError or
+// *control.BusyError if the command was certainly not proposed, and with
+// *control.OutcomeUnknownError if it may have been made.
 func (s *Service) Propose(ctx context.Context, command *fleetconfig.Command) (*fleetconfig.Result, error) {
 	if s.config.Log == nil {
-		return nil, &NotLeaderError{}
+		return nil, &control.NotLeaderError{}
 	}
 	if err := s.mayPropose(command.BaseVersion); err != nil {
 		return nil, err
@@ -33,7 +34,7 @@
 	}
 	result, err := fleetconfig.DecodeResult(data)
 	if err != nil {
-		return nil, &OutcomeUnknownError{Reason: err.Error()}
+		return nil, &control.OutcomeUnknownError{Reason: err.Error()}
 	}
 	if result.Verdict != fleetconfig.VerdictAccepted {
 		return result, nil
@@ -49,23 +50,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leader == nil {
-		return &NotLeaderError{Leader: s.leaderID, Address: s.addressOf(s.leaderID)}
+		return s.notLeader()
 	}
 	err := s.leader.MayPropose(baseVersion, time.Now())
 	var notReady *currency.NotReadyError
 	if errors.As(err, &notReady) {
-		return &NotProposedError{Reason: notReady.Reason}
+		return &control.BusyError{Reason: notReady.Reason}
 	}
 	return err
 }
 
-func (s *Service) addressOf(id fleetconfig.InstanceID) string {
-	for _, peer := range s.config.Peers.Peers() {
-		if peer.ID == id {
-			return peer.Address
-		}
-	}
-	return ""
+func (s *Service) notLeader() error {
+	known := s.config.Log.Leadership()
+	return &control.NotLeaderError{Leader: known.Leader, Address: known.Address}
 }
 
 // awaitAcceptance waits until a majority of the holders has the version.
@@ -85,7 +82,7 @@
 		select {
 		case <-signal:
 		case <-ctx.Done():
-			return &OutcomeUnknownError{Reason: fmt.Sprintf("version %d is committed, "+
+			return &control.OutcomeUnknownError{Reason: fmt.Sprintf("version %d is committed, "+
 				"but a majority of the holders has not confirmed it yet", version)}
 		}
 	}
--- /dev/null
+++ b/configsync/service_test.go
@@ -0,0 +1,159 @@
+package configsync
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+
+	"github.com/hemlockring/hemlockring/control"
+	"github.com/hemlockring/hemlockring/currency"
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+// Changes come into force everywhere; then control goes away, and instances
+// restart with empty memories and find the configuration at their neighbours.
+func TestConfigurationOutlivesControlAndRestarts(t *testing.T) {
+	fleet, leader, others := newFleet(t, 12)
+	for version := uint64(2); version <= 20; version++ {
+		result := fleet.propose(leader, fmt.Sprint(version), usePreset(version))
+		must.Eq(t, version, result.Version)
+	}
+	awaitVersion(t, 20, append(others, leader)...)
+
+	leader.log.away.Store(true)
+	fleet.stop(leader)
+	for _, number := range []int{1, 7, 12} {
+		others[number-1].cancel()
+		others[number-1] = fleet.start(number, false)
+	}
+	awaitVersion(t, 20, others...)
+	// A second loss right after: as many holders as leave a majority.
+	for _, number := range []int{2, 3} {
+		others[number-1].cancel()
+		others[number-1] = fleet.start(number, false)
+	}
+	awaitVersion(t, 20, others...)
+}
+
+// A change that a majority of the holders does not confirm has an unknown
+// outcome; sent again, it gets its answer once they are back.
+func TestUnconfirmedChangeIsUnknownNotRejected(t *testing.T) {
+	_, leader, others := newFleet(t, 3)
+	command := &fleetconfig.Command{ChangeID: "c", BaseVersion: 1, Changes: []fleetconfig.Change{usePreset(1)}}
+	for _, holder := range others {
+		holder.cut.Store(true)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, err := leader.service.Propose(ctx, command)
+	var unknown *control.OutcomeUnknownError
+	must.True(t, errors.As(err, &unknown))
+	must.Eq(t, 1, leader.service.View().Version())
+
+	// Nothing is proposed on top of it.
+	next := &fleetconfig.Command{ChangeID: "d", BaseVersion: 2, Changes: []fleetconfig.Change{usePreset(2)}}
+	_, err = leader.service.Propose(context.Background(), next)
+	var busy *control.BusyError
+	must.True(t, errors.As(err, &busy))
+
+	for _, holder := range others {
+		holder.cut.Store(false)
+	}
+	result, err := leader.service.Propose(context.Background(), command)
+	must.NoError(t, err)
+	must.Eq(t, 2, result.Version)
+	awaitVersion(t, 2, append(others, leader)...)
+}
+
+// An instance that is cut off alone stops being current within the promise, and
+// the others do not.
+func TestInstanceThatIsCutOffIsNotCurrent(t *testing.T) {
+	fleet, leader, others := newFleet(t, 4)
+	alone := others[3]
+	alone.cut.Store(true)
+	cutAt := time.Now()
+	fleet.propose(leader, "withdrawal", usePreset(1))
+	await(t, "currency runs out", func() error {
+		if current, _ := alone.service.Current(time.Now()); current {
+			return errors.New("still current")
+		}
+		return nil
+	})
+	must.Less(t, currency.Promise, time.Since(cutAt))
+	awaitVersion(t, 2, others[:3]...)
+	alone.cut.Store(false)
+	awaitVersion(t, 2, alone)
+}
+
+// The tree reaches every instance once, and nobody has more than fanOut children.
+func TestTreeReachesEveryInstance(t *testing.T) {
+	var all []Peer
+	for i := range 820 {
+		all = append(all, Peer{Control: i < 5, InstanceAddress: fleetconfig.InstanceAddress{
+			ID:            fleetconfig.InstanceID(fmt.Sprintf("i%03d", i)),
+			FailureDomain: fleetconfig.FailureDomain(fmt.Sprintf("fd%d", i%8)),
+		}})
+	}
+	var holders []fleetconfig.InstanceAddress
+	for i := range 7 {
+		holders = append(holders, all[100*i+9].InstanceAddress)
+	}
+	offered := make(map[fleetconfig.InstanceID]int)
+	for i, self := range all {
+		peers := append(append([]Peer(nil), all[:i]...), all[i+1:]...)
+		near := findNeighbours(self.InstanceAddress, self.Control, holders, peers)
+		must.LessEq(t, fanOut, len(near.children))
+		must.SliceNotEmpty(t, near.parents)
+		for _, child := range near.children {
+			offered[child.ID]++
+		}
+	}
+	for _, peer := range all {
+		isHolder := false
+		for _, holder := range holders {
+			isHolder = isHolder || holder.ID == peer.ID
+		}
+		if !isHolder {
+			must.Eq(t, 1, offered[peer.ID], must.Sprint(peer.ID))
+		}
+	}
+}
+
+// BenchmarkInForce is the time from a proposal until all instances serve from the
+// new version, without a network's delay.
+func BenchmarkInForce(b *testing.B) {
+	for _, count := range []int{5, 22} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			fleet, leader, others := newFleet(b, count)
+			version := uint64(1)
+			for b.Loop() {
+				version++
+				fleet.propose(leader, fmt.Sprint(version), usePreset(version))
+				awaitVersion(b, version, others...)
+			}
+		})
+	}
+}
+
+// BenchmarkAtRest reports calls and bytes of bodies for each instance and poll
+// interval when nothing changes.
+func BenchmarkAtRest(b *testing.B) {
+	for _, count := range []int{10, 40, 160} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			fleet, leader, _ := newFleet(b, count)
+			for b.Loop() {
+				calls, bytes := fleet.calls.Load(), fleet.bytes.Load()
+				const intervals = 50
+				timer := time.NewTimer(intervals * leader.service.config.PollInterval)
+				<-timer.C
+				each := float64(intervals * (count + 1))
+				b.ReportMetric(float64(fleet.calls.Load()-calls)/each, "calls/interval")
+				b.ReportMetric(float64(fleet.bytes.Load()-bytes)/each, "B/interval")
+			}
+		})
+	}
+}
--- a/configsync/topology.go
+++ b/configsync/topology.go
@@ -80,6 +80,36 @@
 	return order[first:min(first+fanOut, len(order))]
 }
 
+// nearest returns whom an instance polls that starts and knows no tree yet: all
+// others, those of its failure domain first, control last. Within each it begins
+// after its own ID, so that instances that start together ask different ones.
+func nearest(self fleetconfig.InstanceAddress, peers []Peer) []fleetconfig.InstanceAddress {
+	distance := func(peer Peer) int {
+		switch {
+		case peer.Control:
+			return 2
+		case peer.FailureDomain != self.FailureDomain:
+			return 1
+		}
+		return 0
+	}
+	wrapped := func(peer Peer) int {
+		if peer.ID < self.ID {
+			return 1
+		}
+		return 0
+	}
+	sorted := slices.Clone(peers)
+	slices.SortFunc(sorted, func(a, b Peer) int {
+		return cmp.Or(distance(a)-distance(b), wrapped(a)-wrapped(b), byID(a.InstanceAddress, b.InstanceAddress))
+	})
+	addresses := make([]fleetconfig.InstanceAddress, len(sorted))
+	for i, peer := range sorted {
+		addresses[i] = peer.InstanceAddress
+	}
+	return addresses
+}
+
 // parentsOf returns the parent of a position, and then the two instances before
 // and after it on its level, as replacements.
 func parentsOf(order []fleetconfig.InstanceAddress, roots, position int) []fleetconfig.InstanceAddress {
--- a/currency/node.go
+++ b/currency/node.go
@@ -63,6 +63,13 @@
 	n.advance(now)
 }
 
+// Accept takes note that a version is accepted. That never changes, so it may be
+// told at any age.
+func (n *Node) Accept(version uint64, now time.Time) {
+	n.accepted = max(n.accepted, version)
+	n.advance(now)
+}
+
 // HoldServed takes a revision that another instance serves from, and which is
 // therefore accepted.
 func (n *Node) HoldServed(revision Revision, now time.Time) {
