admin: administration API and its typed client; forwarding to the leader

Purpose: operators read and change the configuration over HTTP and JSON; a lost answer is never told as a rejection. Whatever does not prove that a change was not made is 503 outcome-unknown. The client sends again with the same change id and remembers that an answer was lost, also when later attempts certainly did not make the change. Writes are one resource, /v1/changes, in place of a PUT for each kind: a list is made together, and every kind has base version and change id.

configsync.Forwarder passes commands on to the leader by a call of the fleet.

--- /dev/null
+++ b/admin/admin_test.go
@@ -0,0 +1,281 @@
+package admin_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/hemlockring/hemlockring/admin"
+	"github.com/hemlockring/hemlockring/admin/api"
+	"github.com/hemlockring/hemlockring/admin/client"
+	"github.com/hemlockring/hemlockring/control"
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	_ "github.com/hemlockring/hemlockring/internal/fixedseed"
+)
+
+// fakeConfiguration is a fleet in one value. Faults are errors that the next
+// proposals return, before or after the change is made.
+type fakeConfiguration struct {
+	mu      sync.Mutex
+	machine *fleetconfig.Machine
+	changed chan struct{}
+	faults  []fault
+}
+
+type fault struct {
+	err  error
+	made bool
+}
+
+func newFakeConfiguration() *fakeConfiguration {
+	return &fakeConfiguration{machine: fleetconfig.NewMachine(), changed: make(chan struct{})}
+}
+
+func (f *fakeConfiguration) View() *fleetconfig.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return fleetconfig.NewView(f.machine.Document())
+}
+
+func (f *fakeConfiguration) Current(time.Time) (bool, time.Duration) { return true, 0 }
+
+func (f *fakeConfiguration) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+func (f *fakeConfiguration) History() []fleetconfig.HistoryEntry { return f.machine.History() }
+
+func (f *fakeConfiguration) Propose(_ context.Context, command *fleetconfig.Command) (*fleetconfig.Result, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var next fault
+	if len(f.faults) > 0 {
+		next, f.faults = f.faults[0], f.faults[1:]
+	}
+	if next.err != nil && !next.made {
+		return nil, next.err
+	}
+	entry, err := fleetconfig.EncodeCommand(command)
+	if err != nil {
+		return nil, err
+	}
+	result, err := fleetconfig.DecodeResult(f.machine.Apply(0, entry))
+	close(f.changed)
+	f.changed = make(chan struct{})
+	if next.err != nil {
+		return nil, next.err
+	}
+	return result, err
+}
+
+var operators = []admin.Operator{
+	{Name: "vera", Role: admin.RoleViewer, TokenHash: admin.HashToken("v")},
+	{Name: "olga", Role: admin.RoleOperator, TokenHash: admin.HashToken("o")},
+	{Name: "ada", Role: admin.RoleAdministrator, TokenHash: admin.HashToken("a")},
+}
+
+func serve(t testing.TB, fake *fakeConfiguration) *httptest.Server {
+	server := httptest.NewServer(admin.NewHandler(admin.Config{
+		Configuration: fake, Proposer: fake, History: fake, Operators: operators,
+	}))
+	t.Cleanup(server.Close)
+	return server
+}
+
+func newClient(server *httptest.Server, token string) *client.Client {
+	return &client.Client{Servers: []string{server.URL}, Token: token, HTTP: server.Client(), ResendPause: time.Millisecond}
+}
+
+func usePreset(id string, base uint64, preset string) *api.ChangeRequest {
+	return &api.ChangeRequest{ChangeID: id, BaseVersion: base, Changes: []fleetconfig.Change{
+		{Kind: fleetconfig.UsePreset, Name: preset},
+	}}
+}
+
+// Whatever answers are lost, before or after the change is made, the client ends
+// with the one true answer, and the change is made once.
+func TestLostAnswersAreNeverRejections(t *testing.T) {
+	fake := newFakeConfiguration()
+	server := serve(t, fake)
+	rapid.Check(t, func(t *rapid.T) {
+		for range rapid.IntRange(0, 4).Draw(t, "faults") {
+			fake.faults = append(fake.faults, rapid.SampledFrom([]fault{
+				{err: &control.OutcomeUnknownError{Reason: "lost"}, made: true},
+				{err: &control.OutcomeUnknownError{Reason: "lost"}},
+				{err: &control.NotLeaderError{}},
+				{err: &control.BusyError{Reason: "busy"}},
+				{err: errors.New("anything else"), made: true},
+			}).Draw(t, "fault"))
+		}
+		base := fake.View().Version()
+		request := usePreset(client.NewChangeID(), base, fleetconfig.PresetPeak)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		reply, err := newClient(server, "o").Change(ctx, request)
+		must.NoError(t, err)
+		must.Eq(t, base+1, reply.Version)
+		must.Eq(t, base+1, fake.View().Version())
+
+		again, err := newClient(server, "o").Change(ctx, request)
+		must.NoError(t, err)
+		must.Eq(t, reply, again)
+	})
+}
+
+// cancelAfter ends the caller's time once it has read a number of answers.
+type cancelAfter struct {
+	inner   http.RoundTripper
+	answers int
+	cancel  func()
+}
+
+func (c *cancelAfter) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := c.inner.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	response.Body = io.NopCloser(bytes.NewReader(body))
+	c.answers--
+	if c.answers == 0 {
+		c.cancel()
+	}
+	return response, err
+}
+
+// When no answer ever comes, the outcome is unknown if the change may have been
+// made, also when later attempts certainly did not make it.
+func TestOutcomeStaysUnknownOnceAnAnswerWasLost(t *testing.T) {
+	fake := newFakeConfiguration()
+	fake.faults = []fault{
+		{err: &control.OutcomeUnknownError{Reason: "lost"}, made: true},
+		{err: &control.NotLeaderError{}},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	server := serve(t, fake)
+	impatient := newClient(server, "o")
+	impatient.HTTP = &http.Client{Transport: &cancelAfter{inner: server.Client().Transport, answers: 2, cancel: cancel}}
+	_, err := impatient.Change(ctx, usePreset("c", 0, fleetconfig.PresetPeak))
+	var unknown *client.OutcomeUnknownError
+	must.True(t, errors.As(err, &unknown))
+	must.ErrorContains(t, err, "same change id")
+
+	// The only attempt was certainly not made, and there is no time for another.
+	fake = newFakeConfiguration()
+	fake.faults = []fault{{err: &control.NotLeaderError{}}}
+	ctx, cancel = context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	patient := newClient(serve(t, fake), "o")
+	patient.ResendPause = time.Minute
+	_, err = patient.Change(ctx, usePreset("c", 0, fleetconfig.PresetPeak))
+	var problem *api.Problem
+	must.True(t, errors.As(err, &problem))
+	must.True(t, problem.HasType(api.ProblemNotMade))
+}
+
+// problemOf makes a change and returns the problem.
+func problemOf(t *testing.T, c *client.Client, request *api.ChangeRequest) *api.Problem {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err := c.Change(ctx, request)
+	var problem *api.Problem
+	must.True(t, errors.As(err, &problem))
+	must.NotEq(t, "", problem.Remedy)
+	return problem
+}
+
+func TestRefusalsAreTypedAndNameRemedies(t *testing.T) {
+	server := serve(t, newFakeConfiguration())
+	operator := newClient(server, "o")
+	_, err := operator.Change(context.Background(), usePreset("c", 0, fleetconfig.PresetPeak))
+	must.NoError(t, err)
+
+	conflict := problemOf(t, operator, usePreset("d", 0, fleetconfig.PresetMaintenance))
+	must.True(t, conflict.HasType(api.ProblemConflict))
+	must.Eq(t, 1, conflict.CurrentVersion)
+	invalid := problemOf(t, operator, usePreset("e", 1, "none"))
+	must.True(t, invalid.HasType(api.ProblemInvalid))
+	must.SliceLen(t, 1, invalid.Faults)
+	must.True(t, problemOf(t, operator, usePreset("c", 1, fleetconfig.PresetPeak)).HasType(api.ProblemReusedID))
+
+	holders := &api.ChangeRequest{ChangeID: "h", BaseVersion: 1, Changes: []fleetconfig.Change{{Kind: fleetconfig.SetHolders}}}
+	must.True(t, problemOf(t, operator, holders).HasType(api.ProblemForbidden))
+	_, err = newClient(server, "a").Change(context.Background(), holders)
+	must.NoError(t, err)
+	must.True(t, problemOf(t, newClient(server, "v"), usePreset("f", 1, fleetconfig.PresetPeak)).HasType(api.ProblemForbidden))
+	for _, token := range []string{"", "x"} {
+		must.True(t, problemOf(t, newClient(server, token), usePreset("g", 1, fleetconfig.PresetPeak)).HasType(api.ProblemUnauthorized))
+	}
+}
+
+func TestResourcesAndWatch(t *testing.T) {
+	fake := newFakeConfiguration()
+	server := serve(t, fake)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	viewer := newClient(server, "v")
+	watched := make(chan uint64, 1)
+	go func() {
+		status, err := viewer.Watch(ctx, 0)
+		if err == nil {
+			watched <- status.Version
+		}
+	}()
+	_, err := newClient(server, "o").Change(ctx, &api.ChangeRequest{ChangeID: "c", Changes: []fleetconfig.Change{
+		{Kind: fleetconfig.CreateAccount, Account: &fleetconfig.Account{ID: "shop", RatePerSecond: 1, Burst: 1}},
+		{Kind: fleetconfig.GiveKey, Key: &fleetconfig.Key{Hash: fleetconfig.HashKey("k"), Account: "shop", Label: "till"}},
+	}})
+	must.NoError(t, err)
+	must.Eq(t, 1, <-watched)
+
+	document, err := viewer.Document(ctx)
+	must.NoError(t, err)
+	must.SliceEmpty(t, fleetconfig.Validate(document))
+	history, err := viewer.History(ctx)
+	must.NoError(t, err)
+	must.Eq(t, "olga", history[0].Operator)
+	for path, status := range map[string]int{
+		"/v1/accounts/shop": http.StatusOK, "/v1/accounts/none": http.StatusNotFound, "/v1/keys": http.StatusOK,
+		"/v1/presets": http.StatusOK, "/v1/services": http.StatusOK, "/v1/routes/x": http.StatusNotFound, "/other": http.StatusNotFound,
+	} {
+		request, err := http.NewRequest(http.MethodGet, server.URL+path, nil)
+		must.NoError(t, err)
+		request.Header.Set("Authorization", "Bearer v")
+		response, err := server.Client().Do(request)
+		must.NoError(t, err)
+		must.NoError(t, response.Body.Close())
+		must.Eq(t, status, response.StatusCode, must.Sprint(path))
+	}
+}
+
+// A connection that breaks after the change was made is a lost answer.
+func TestBrokenConnectionIsALostAnswer(t *testing.T) {
+	fake := newFakeConfiguration()
+	inner := admin.NewHandler(admin.Config{Configuration: fake, Proposer: fake, History: fake, Operators: operators})
+	var broken atomic.Bool
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if broken.CompareAndSwap(false, true) {
+			inner.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		}
+		inner.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	reply, err := newClient(server, "o").Change(context.Background(), usePreset("c", 0, fleetconfig.PresetPeak))
+	must.NoError(t, err)
+	must.Eq(t, 1, reply.Version)
+}
--- /dev/null
+++ b/admin/server.go
@@ -0,0 +1,191 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/hemlockring/hemlockring/admin/api"
+	"github.com/hemlockring/hemlockring/configsync"
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+// Limits of the API.
+const (
+	// maxBodyBytes is the largest body of a request.
+	maxBodyBytes = 32 << 20
+	// proposeTimeout bounds a write. After it the outcome is unknown.
+	proposeTimeout = 15 * time.Second
+	// watchTimeout is how long a watch waits before it answers with what is.
+	watchTimeout = 30 * time.Second
+)
+
+// Configuration is the configuration on this instance. configsync.Service
+// implements it.
+type Configuration interface {
+	// View returns the accepted configuration.
+	View() *fleetconfig.View
+	// Current reports whether the view may be acted on.
+	Current(now time.Time) (current bool, retryAfter time.Duration)
+	// Changed returns a channel that is closed when View returns another version.
+	Changed() <-chan struct{}
+}
+
+// History tells who changed what. configsync.Replica implements it.
+type History interface {
+	// History returns the latest accepted commands, oldest first.
+	History() []fleetconfig.HistoryEntry
+}
+
+// Config is what the API needs.
+type Config struct {
+	// Configuration is read from.
+	Configuration Configuration
+	// Proposer makes changes: a configsync.Forwarder.
+	Proposer configsync.Proposer
+	// History is the history.
+	History History
+	// Operators may use the API.
+	Operators []Operator
+}
+
+// server handles the API. It is safe for concurrent use.
+type server struct {
+	config Config
+}
+
+// NewHandler returns the handler of the API.
+func NewHandler(config Config) http.Handler {
+	s := &server{config: config}
+	mux := http.NewServeMux()
+	s.read(mux, "/v1/status", func(*http.Request) (any, bool) { return s.status(), true })
+	s.read(mux, "/v1/document", func(*http.Request) (any, bool) { return s.document(), true })
+	s.read(mux, "/v1/history", func(*http.Request) (any, bool) { return s.config.History.History(), true })
+	s.read(mux, "/v1/keys", func(*http.Request) (any, bool) { return s.keys(), true })
+	s.read(mux, "/v1/watch", s.watch)
+	list(s, mux, "accounts", func(d *fleetconfig.Document) []fleetconfig.Account { return d.Accounts },
+		func(a *fleetconfig.Account) string { return string(a.ID) })
+	list(s, mux, "routes", func(d *fleetconfig.Document) []fleetconfig.Route { return d.Routes },
+		func(r *fleetconfig.Route) string { return r.ID })
+	list(s, mux, "services", func(d *fleetconfig.Document) []fleetconfig.Service { return d.Services },
+		func(v *fleetconfig.Service) string { return string(v.Name) })
+	list(s, mux, "presets", func(d *fleetconfig.Document) []fleetconfig.Preset { return d.Presets },
+		func(p *fleetconfig.Preset) string { return p.Name })
+	mux.HandleFunc("POST /v1/changes", s.change)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		writeProblem(w, notFound(r.URL.Path))
+	})
+	return mux
+}
+
+// list registers a table of the document, whole and by name.
+func list[V any](s *server, mux *http.ServeMux, name string, items func(*fleetconfig.Document) []V, id func(*V) string) {
+	s.read(mux, "/v1/"+name, func(*http.Request) (any, bool) {
+		// A list is never null in JSON.
+		return append([]V{}, items(s.document())...), true
+	})
+	s.read(mux, "/v1/"+name+"/{id}", func(r *http.Request) (any, bool) {
+		all := items(s.document())
+		for i := range all {
+			if id(&all[i]) == r.PathValue("id") {
+				return &all[i], true
+			}
+		}
+		return nil, false
+	})
+}
+
+// read registers a resource that a viewer may read.
+func (s *server) read(mux *http.ServeMux, path string, get func(*http.Request) (any, bool)) {
+	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, r *http.Request) {
+		if _, problem := s.authorize(r, RoleViewer); problem != nil {
+			writeProblem(w, problem)
+			return
+		}
+		value, found := get(r)
+		if !found {
+			writeProblem(w, notFound(r.URL.Path))
+			return
+		}
+		writeJSON(w, http.StatusOK, "application/json", value)
+	})
+}
+
+func (s *server) authorize(r *http.Request, role Role) (*Operator, *api.Problem) {
+	operator := authenticate(s.config.Operators, r)
+	if operator == nil {
+		return nil, unauthorized()
+	}
+	if operator.Role < role {
+		return nil, forbidden(operator, role)
+	}
+	return operator, nil
+}
+
+func (s *server) document() *fleetconfig.Document { return s.config.Configuration.View().Document() }
+
+func (s *server) status() *api.Status {
+	document := s.document()
+	current, _ := s.config.Configuration.Current(time.Now())
+	return &api.Status{
+		Version:       document.Version,
+		PresetInForce: document.PresetInForce,
+		Current:       current,
+		Accounts:      len(document.Accounts),
+		Keys:          len(document.Keys),
+		Routes:        len(document.Routes),
+		Services:      len(document.Services),
+		Presets:       len(document.Presets),
+		Holders:       len(document.Holders),
+	}
+}
+
+func (s *server) keys() []api.Key {
+	document := s.document()
+	keys := make([]api.Key, len(document.Keys))
+	for i := range document.Keys {
+		key := &document.Keys[i]
+		keys[i] = api.Key{ID: key.Hash.ID(), Account: key.Account, Label: key.Label}
+	}
+	return keys
+}
+
+// change makes a list of changes.
+func (s *server) change(w http.ResponseWriter, r *http.Request) {
+	operator, problem := s.authorize(r, RoleOperator)
+	if problem != nil {
+		writeProblem(w, problem)
+		return
+	}
+	request := new(api.ChangeRequest)
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(request); err != nil {
+		writeProblem(w, badRequest(err))
+		return
+	}
+	if role := roleFor(request.Changes); operator.Role < role {
+		writeProblem(w, forbidden(operator, role))
+		return
+	}
+	// A caller that goes away does not stop the change half way: the outcome is
+	// kept under its change id.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), proposeTimeout)
+	defer cancel()
+	result, err := s.config.Proposer.Propose(ctx, &fleetconfig.Command{
+		ChangeID:    request.ChangeID,
+		BaseVersion: request.BaseVersion,
+		Operator:    operator.Name,
+		At:          time.Now().UTC(),
+		Changes:     request.Changes,
+	})
+	if err == nil {
+		err = result.Err()
+	}
+	if err != nil {
+		writeProblem(w, changeProblem(err))
+		return
+	}
+	writeJSON(w, http.StatusOK, "application/json", &api.ChangeReply{ChangeID: result.ChangeID, Version: result.Version})
+}
--- a/configsync/service_test.go
+++ b/configsync/service_test.go
@@ -56,7 +56,9 @@
 
 	// Nothing is proposed on top of it.
 	next := &fleetconfig.Command{ChangeID: "d", BaseVersion: 2, Changes: []fleetconfig.Change{usePreset(2)}}
-	_, err = leader.service.Propose(context.Background(), next)
+	ctx, cancel = context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, err = leader.service.Propose(ctx, next)
 	var busy *control.BusyError
 	must.True(t, errors.As(err, &busy))
 
