--- /dev/null
+++ b/internal/ctl/items.go
@@ -0,0 +1,123 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+// list prints a table, a line for each item or JSON.
+func list[V any](s *session, items []V, line func(*V) string) error {
+	if s.connection.JSON {
+		return s.printJSON(items)
+	}
+	for i := range items {
+		s.printf("%s\n", line(&items[i]))
+	}
+	return nil
+}
+
+// assign sets a field if a flag was given.
+func assign[V any](field, flag *V) {
+	if flag != nil {
+		*field = *flag
+	}
+}
+
+func (s *session) account(ctx context.Context, command *AccountCommand) error {
+	document, err := s.client.Document(ctx)
+	if err != nil {
+		return err
+	}
+	switch {
+	case command.Set != nil:
+		change := fleetconfig.Change{Kind: fleetconfig.CreateAccount, Account: &fleetconfig.Account{ID: fleetconfig.AccountID(command.Set.Name)}}
+		if present := fleetconfig.NewView(document).Account(change.Account.ID); present != nil {
+			change.Kind, change.Account = fleetconfig.UpdateAccount, present
+		}
+		assign(&change.Account.RatePerSecond, command.Set.Rate)
+		assign(&change.Account.Burst, command.Set.Burst)
+		return s.change(ctx, document.Version, []fleetconfig.Change{change})
+	case command.Remove != nil:
+		return s.change(ctx, document.Version, []fleetconfig.Change{{Kind: fleetconfig.RemoveAccount, Name: command.Remove.Name}})
+	}
+	return list(s, document.Accounts, func(a *fleetconfig.Account) string {
+		return fmt.Sprintf("%s\trate %g/s\tburst %d", a.ID, a.RatePerSecond, a.Burst)
+	})
+}
+
+func (s *session) service(ctx context.Context, command *ServiceCommand) error {
+	document, err := s.client.Document(ctx)
+	if err != nil {
+		return err
+	}
+	switch {
+	case command.Set != nil:
+		change := fleetconfig.Change{Kind: fleetconfig.CreateService, Service: &fleetconfig.Service{Name: fleetconfig.ServiceName(command.Set.Name)}}
+		if present := fleetconfig.NewView(document).Service(change.Service.Name); present != nil {
+			change.Kind, change.Service = fleetconfig.UpdateService, present
+		}
+		assign(&change.Service.FloorSlots, command.Set.FloorSlots)
+		assign(&change.Service.FloorPercent, command.Set.FloorPercent)
+		return s.change(ctx, document.Version, []fleetconfig.Change{change})
+	case command.Remove != nil:
+		return s.change(ctx, document.Version, []fleetconfig.Change{{Kind: fleetconfig.RemoveService, Name: command.Remove.Name}})
+	}
+	return list(s, document.Services, func(v *fleetconfig.Service) string {
+		return fmt.Sprintf("%s\tfloor %d slots\tfloor %d%%", v.Name, v.FloorSlots, v.FloorPercent)
+	})
+}
+
+func (s *session) route(ctx context.Context, command *RouteCommand) error {
+	document, err := s.client.Document(ctx)
+	if err != nil {
+		return err
+	}
+	switch {
+	case command.Set != nil:
+		return s.change(ctx, document.Version, []fleetconfig.Change{routeChange(document, command.Set)})
+	case command.Remove != nil:
+		return s.change(ctx, document.Version, []fleetconfig.Change{{Kind: fleetconfig.RemoveRoute, Name: command.Remove.Name}})
+	}
+	return list(s, document.Routes, func(r *fleetconfig.Route) string {
+		return fmt.Sprintf("%s\t%s%s\tservice %s\topen to all %v\tidempotency %s\ttimeout %s",
+			r.ID, r.Host, r.PathPrefix, r.Service, r.OpenToAll, r.Idempotency, r.Timeout)
+	})
+}
+
+func routeChange(document *fleetconfig.Document, command *RouteSetCommand) fleetconfig.Change {
+	change := fleetconfig.Change{Kind: fleetconfig.CreateRoute, Route: &fleetconfig.Route{ID: command.Name}}
+	for i := range document.Routes {
+		if document.Routes[i].ID == command.Name {
+			change.Kind, change.Route = fleetconfig.UpdateRoute, &document.Routes[i]
+		}
+	}
+	assign(&change.Route.Host, command.Host)
+	assign(&change.Route.PathPrefix, command.PathPrefix)
+	if command.Service != nil {
+		change.Route.Service = fleetconfig.ServiceName(*command.Service)
+	}
+	assign(&change.Route.OpenToAll, command.OpenToAll)
+	assign(&change.Route.Idempotency, command.Idempotency)
+	assign(&change.Route.Timeout, command.Timeout)
+	return change
+}
+
+func (s *session) preset(ctx context.Context, command *PresetCommand) error {
+	document, err := s.client.Document(ctx)
+	if err != nil {
+		return err
+	}
+	if command.Use != nil {
+		return s.change(ctx, document.Version, []fleetconfig.Change{{Kind: fleetconfig.UsePreset, Name: command.Use.Name}})
+	}
+	return list(s, document.Presets, func(p *fleetconfig.Preset) string {
+		mark := " "
+		if p.Name == document.PresetInForce {
+			mark = "*"
+		}
+		return fmt.Sprintf("%s %s\tretry budget %d%%\thedge after %s\tqueue %d\tejection %v\tslow start %s",
+			mark, p.Name, p.RetryBudgetPercent, p.HedgeAfter, p.QueueLength, p.EjectionEnabled, p.SlowStart)
+	})
+}
--- /dev/null
+++ b/internal/ctl/whole.go
@@ -0,0 +1,121 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/fleetconfig/inifile"
+)
+
+// watchPause is the pause after a watch that failed.
+const watchPause = time.Second
+
+func (s *session) status(ctx context.Context) error {
+	status, err := s.client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if s.connection.JSON {
+		return s.printJSON(status)
+	}
+	s.printf("version %d\npreset in force %s\ncurrent %v\naccounts %d\nkeys %d\nroutes %d\nservices %d\npresets %d\nholders %d\n",
+		status.Version, status.PresetInForce, status.Current, status.Accounts, status.Keys, status.Routes,
+		status.Services, status.Presets, status.Holders)
+	return nil
+}
+
+func (s *session) history(ctx context.Context) error {
+	history, err := s.client.History(ctx)
+	if err != nil {
+		return err
+	}
+	return list(s, history, func(e *fleetconfig.HistoryEntry) string {
+		line := fmt.Sprintf("%d\t%s\t%s\t%s", e.Version, e.At.Format(time.RFC3339), e.Operator, e.ChangeID)
+		for _, summary := range e.Summary {
+			line += "\n\t" + summary
+		}
+		if more := e.Changes - len(e.Summary); more > 0 {
+			line += fmt.Sprintf("\n\tand %d more", more)
+		}
+		return line
+	})
+}
+
+// fileChanges returns the document in force and what a file would change in it.
+func (s *session) fileChanges(ctx context.Context, name string) (*fleetconfig.Document, []fleetconfig.Change, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, nil, &UsageError{Problem: fmt.Sprintf("the file can't be read: %v; mend the name", err)}
+	}
+	file, err := inifile.Parse(name, data)
+	if err != nil {
+		return nil, nil, err
+	}
+	document, err := s.client.Document(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	changes, err := file.Changes(document)
+	return document, changes, err
+}
+
+func (s *session) apply(ctx context.Context, command *FileCommand) error {
+	document, changes, err := s.fileChanges(ctx, command.File)
+	if err != nil {
+		return err
+	}
+	if len(changes) == 0 {
+		s.printf("version %d agrees with the file; nothing to do\n", document.Version)
+		return nil
+	}
+	return s.change(ctx, document.Version, changes)
+}
+
+func (s *session) diff(ctx context.Context, command *FileCommand) error {
+	_, changes, err := s.fileChanges(ctx, command.File)
+	if err != nil || len(changes) == 0 {
+		return err
+	}
+	if err := list(s, changes, (*fleetconfig.Change).Summary); err != nil {
+		return err
+	}
+	return errDiffers
+}
+
+// watch prints each new version until the context ends.
+func (s *session) watch(ctx context.Context) error {
+	status, err := s.client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	shown := status.Version
+	s.printf("version %d\tpreset %s\n", shown, status.PresetInForce)
+	for ctx.Err() == nil {
+		status, err := s.client.Watch(ctx, shown)
+		if err != nil {
+			s.waitAfter(ctx, err)
+			continue
+		}
+		if status.Version > shown {
+			shown = status.Version
+			s.printf("version %d\tpreset %s\n", shown, status.PresetInForce)
+		}
+	}
+	return nil
+}
+
+func (s *session) waitAfter(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	_, _ = fmt.Fprintln(s.stderr, "hemlockctl: "+err.Error())
+	timer := time.NewTimer(watchPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
