--- a/node/configuration.go
+++ b/node/configuration.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"path/filepath"
-	"time"
 
 	"github.com/hemlockring/hemlockring/configsync"
 	"github.com/hemlockring/hemlockring/control"
@@ -109,9 +108,8 @@
 }
 
 // Leadership implements configsync.Log.
-func (l replicatedLog) Leadership() (term uint64, confirmedAt time.Time, leads bool) {
-	leadership := l.node.Leadership()
-	return leadership.Term, leadership.ConfirmedAt, leadership.Leads
+func (l replicatedLog) Leadership() configsync.Leadership {
+	return configsync.Leadership(l.node.Leadership())
 }
 
 // memberPeers are the other members as the configuration service needs them.
