--- a/admin/server.go
+++ b/admin/server.go
@@ -48,6 +48,16 @@
 	History History
 	// Operators may use the API.
 	Operators []Operator
+	// Resources are further resources that a viewer may read.
+	Resources []Resource
+}
+
+// Resource is a further resource of the API.
+type Resource struct {
+	// Path is its path.
+	Path string
+	// Handler serves GET requests of operators.
+	Handler http.Handler
 }
 
 // server handles the API. It is safe for concurrent use.
@@ -72,6 +82,9 @@
 		func(v *fleetconfig.Service) string { return string(v.Name) })
 	list(s, mux, "presets", func(d *fleetconfig.Document) []fleetconfig.Preset { return d.Presets },
 		func(p *fleetconfig.Preset) string { return p.Name })
+	for _, resource := range config.Resources {
+		s.serveResource(mux, resource)
+	}
 	mux.HandleFunc("POST /v1/changes", s.change)
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		writeProblem(w, notFound(r.URL.Path))
@@ -112,6 +125,17 @@
 	})
 }
 
+// serveResource registers a further resource that a viewer may read.
+func (s *server) serveResource(mux *http.ServeMux, resource Resource) {
+	mux.HandleFunc("GET "+resource.Path, func(w http.ResponseWriter, r *http.Request) {
+		if _, problem := s.authorize(r, RoleViewer); problem != nil {
+			writeProblem(w, problem)
+			return
+		}
+		resource.Handler.ServeHTTP(w, r)
+	})
+}
+
 func (s *server) authorize(r *http.Request, role Role) (*Operator, *api.Problem) {
 	operator := authenticate(s.config.Operators, r)
 	if operator == nil {
--- a/internal/testbed/layout.go
+++ b/internal/testbed/layout.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hemlockring/hemlockring/admin"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/pki"
 )
@@ -25,6 +26,9 @@
 
 	folderMode = 0o700
 	fileMode   = 0o600
+	operatorsFile = "operators"
+	// OperatorToken is the token of the layout's one operator.
+	OperatorToken = "testbed-operator-token"
 	// firstHost is the last byte of the first instance's address.
 	firstHost = 10
 )
@@ -100,6 +104,10 @@
 			return nil, err
 		}
 	}
+	operator := admin.OperatorLine("testbed", admin.RoleAdministrator, OperatorToken)
+	if err := os.WriteFile(filepath.Join(layout.Folder, operatorsFile), []byte(operator), fileMode); err != nil {
+		return nil, errors.Wrap(err, "write the operators")
+	}
 	for i := range layout.Instances {
 		if err := layout.writeSettings(&layout.Instances[i]); err != nil {
 			return nil, err
@@ -144,6 +152,9 @@
 		instance.ID, instance.ID)
 	fmt.Fprintf(&text, "[callers]\naddress = %s\n[local]\naddress = %s\n", instance.Callers, instance.Local)
 	fmt.Fprintf(&text, "[control]\nmembers = %s\n", l.controlMembers())
+	if instance.Control {
+		fmt.Fprintf(&text, "[admin]\naddress = %s\noperators = %s\n", instance.Admin, operatorsFile)
+	}
 	return errors.Wrap(os.WriteFile(instance.SettingsFile, []byte(text.String()), fileMode), "write the settings")
 }
 
--- /dev/null
+++ b/node/admin.go
@@ -0,0 +1,158 @@
+package node
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hemlockring/hemlockring/admin"
+	"github.com/hemlockring/hemlockring/configsync"
+	"github.com/hemlockring/hemlockring/report"
+)
+
+// openAdminPort opens the administration API of a control instance.
+func (n *Node) openAdminPort(replica *configsync.Replica) error {
+	operators, err := admin.LoadOperators(n.settings.Admin.Operators)
+	if err != nil {
+		return err
+	}
+	handler := admin.NewHandler(admin.Config{
+		Configuration: n.sync,
+		Proposer:      configsync.NewForwarder(n.sync, n.endpoint, n.fleetMux),
+		History:       replica,
+		Operators:     operators,
+		Resources: []admin.Resource{
+			{Path: "/v1/members", Handler: http.HandlerFunc(n.handleMembers)},
+			{Path: "/v1/control", Handler: http.HandlerFunc(n.handleControl)},
+			{Path: "/v1/report", Handler: http.HandlerFunc(n.handleReport)},
+		},
+	})
+	n.admin, err = openPort(n.settings.Admin.Address, handler, n.logger)
+	if err != nil {
+		return err
+	}
+	certificate := cmp.Or(n.settings.Admin.Certificate, n.settings.Fleet.Certificate)
+	key := cmp.Or(n.settings.Admin.Key, n.settings.Fleet.Key)
+	return n.admin.useTLS(certificate, key)
+}
+
+// memberView is a member as operators see it.
+type memberView struct {
+	Instance      string       `json:"instance"`
+	Address       string       `json:"address"`
+	FailureDomain string       `json:"failure_domain"`
+	Region        string       `json:"region,omitempty"`
+	Control       bool         `json:"control"`
+	Liveness      string       `json:"liveness"`
+	Path          string       `json:"path"`
+	Draining      bool         `json:"draining"`
+	Left          bool         `json:"left"`
+	Servers       []serverView `json:"backend_servers"`
+}
+
+// serverView is a backend server as operators see it.
+type serverView struct {
+	Server   string `json:"backend_server"`
+	Service  string `json:"service"`
+	Slots    uint32 `json:"slots"`
+	Draining bool   `json:"draining"`
+	Ejected  bool   `json:"ejected"`
+}
+
+// handleMembers shows the members as this instance sees them. A path that is cut
+// in one direction is shown as indirect-only.
+func (n *Node) handleMembers(w http.ResponseWriter, _ *http.Request) {
+	views := []memberView{}
+	for _, member := range n.members.Snapshot().Members {
+		record := &member.Record
+		view := memberView{
+			Instance:      string(record.ID),
+			Address:       record.Address,
+			FailureDomain: string(record.FailureDomain),
+			Region:        record.Region,
+			Control:       record.Control,
+			Liveness:      member.Liveness.String(),
+			Path:          member.Path.String(),
+			Draining:      record.Draining,
+			Left:          record.Left,
+			Servers:       []serverView{},
+		}
+		for _, server := range record.Servers {
+			view.Servers = append(view.Servers, serverView{
+				Server:   string(server.ID),
+				Service:  string(server.Service),
+				Slots:    server.Slots,
+				Draining: server.State != 0,
+				Ejected:  server.Ejected,
+			})
+		}
+		views = append(views, view)
+	}
+	writeJSON(w, views)
+}
+
+// handleControl shows the replicated log as this instance sees it.
+func (n *Node) handleControl(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, n.control.Status())
+}
+
+// Formats of the report.
+const (
+	formatText = "text"
+	formatJSON = "json"
+	formatHTML = "html"
+)
+
+// handleReport serves the report of the last week, or of the span that the
+// parameters from and to give (RFC 3339), in the format that the parameter format
+// names.
+func (n *Node) handleReport(w http.ResponseWriter, request *http.Request) {
+	now := time.Now()
+	from, to, err := reportSpan(request, now)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	made := n.report.Report(from, to, now)
+	switch cmp.Or(request.FormValue("format"), formatText) {
+	case formatJSON:
+		w.Header().Set("Content-Type", "application/json")
+		err = made.WriteJSON(w)
+	case formatHTML:
+		w.Header().Set("Content-Type", "text/html; charset=utf-8")
+		err = made.WriteHTML(w)
+	case formatText:
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		err = made.WriteText(w)
+	default:
+		http.Error(w, "format must be text, json or html", http.StatusBadRequest)
+	}
+	if err != nil {
+		n.logger.Debug("report not sent", "error", err)
+	}
+}
+
+// reportSpan returns the hours that a report is asked for.
+func reportSpan(request *http.Request, now time.Time) (from, to time.Time, err error) {
+	to = now.Truncate(time.Hour).Add(time.Hour)
+	from = to.Add(-report.Week)
+	if text := request.FormValue("from"); text != "" {
+		if from, err = time.Parse(time.RFC3339, text); err != nil {
+			return from, to, errors.Newf("from must be a time as in 2026-03-01T00:00:00Z, not %q", text)
+		}
+	}
+	if text := request.FormValue("to"); text != "" {
+		if to, err = time.Parse(time.RFC3339, text); err != nil {
+			return from, to, errors.Newf("to must be a time as in 2026-03-08T00:00:00Z, not %q", text)
+		}
+	}
+	return from, to, nil
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -35,10 +35,11 @@
 		Logger:      n.logger,
 	}
 	if n.settings.Instance.HasRole(settings.RoleControl) {
-		config.Replica = configsync.NewReplica()
-		if err := n.buildControl(config.Replica); err != nil {
+		n.replica = configsync.NewReplica()
+		if err := n.buildControl(n.replica); err != nil {
 			return err
 		}
+		config.Replica = n.replica
 		config.Log = replicatedLog{n.control}
 	}
 	n.sync = configsync.New(config, n.fleetMux)
--- a/node/node.go
+++ b/node/node.go
@@ -48,6 +48,7 @@
 	registry      *backendproxy.Registry
 	ejection      *ejection.Service
 	control       *control.Node
+	replica       *configsync.Replica
 	sync          *configsync.Service
 	keeper        *shardkeeper.Keeper
 	collector     *report.Collector
@@ -63,6 +64,7 @@
 	supervisor    *suture.Supervisor
 	callers       *httpPort
 	local         *httpPort
+	admin         *httpPort
 }
 
 // Options replace parts of a node.
@@ -217,13 +219,24 @@
 			return err
 		}
 	}
-	n.local, err = openLocalPort(n.settings.Local.Address, n.localMux(), n.logger)
-	if err != nil && n.callers != nil {
-		n.callers.close()
+	n.local, err = openPort(n.settings.Local.Address, n.localMux(), n.logger)
+	if err == nil && n.settings.Admin.Address != "" {
+		err = n.openAdminPort(n.replica)
+	}
+	if err != nil {
+		n.closePorts()
 	}
 	return err
 }
 
+func (n *Node) closePorts() {
+	for _, port := range []*httpPort{n.callers, n.local, n.admin} {
+		if port != nil {
+			port.close()
+		}
+	}
+}
+
 func (n *Node) addServices() {
 	n.supervisor.Add(n.freeze)
 	n.supervisor.Add(n.endpoint)
@@ -243,8 +256,10 @@
 	n.supervisor.Add(n.quota)
 	n.supervisor.Add(n.orders)
 	n.supervisor.Add(n.local)
-	if n.callers != nil {
-		n.supervisor.Add(n.callers)
+	for _, port := range []*httpPort{n.callers, n.admin} {
+		if port != nil {
+			n.supervisor.Add(port)
+		}
 	}
 }
 
--- a/node/ports.go
+++ b/node/ports.go
@@ -40,17 +40,7 @@
 	if callers.Certificate == "" {
 		return port, nil
 	}
-	certificate, err := tls.LoadX509KeyPair(callers.Certificate, callers.Key)
-	if err != nil {
-		port.close()
-		return nil, errors.Wrap(err, "read the certificate for callers")
-	}
-	port.serveTLS(certificate)
-	return port, nil
-}
-
-func openLocalPort(address string, handler http.Handler, logger *slog.Logger) (*httpPort, error) {
-	return openPort(address, handler, logger)
+	return port, port.useTLS(callers.Certificate, callers.Key)
 }
 
 func openPort(address string, handler http.Handler, logger *slog.Logger) (*httpPort, error) {
@@ -72,8 +62,16 @@
 	return &httpPort{server: server, listener: listener}, nil
 }
 
-func (p *httpPort) serveTLS(certificate tls.Certificate) {
+// useTLS makes the port serve TLS. It closes the port when the certificate can not
+// be read.
+func (p *httpPort) useTLS(certificateFile, keyFile string) error {
+	certificate, err := tls.LoadX509KeyPair(certificateFile, keyFile)
+	if err != nil {
+		p.close()
+		return errors.Wrapf(err, "read the certificate for %s", p.listener.Addr())
+	}
 	p.server.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{certificate}}
+	return nil
 }
 
 // Serve implements suture.Service.
