--- a/admin/client/client.go
+++ b/admin/client/client.go
@@ -90,6 +90,20 @@
 	return get[api.Status](ctx, c, fmt.Sprintf("/v1/watch?after=%d", after))
 }
 
+// Read returns a resource as the server sends it, such as a report.
+func (c *Client) Read(ctx context.Context, path string) ([]byte, error) {
+	var last error
+	for attempt := range c.Servers {
+		data, err := exchange(ctx, c, http.MethodGet, c.server(attempt)+path, nil)
+		var problem *api.Problem
+		if err == nil || errors.As(err, &problem) {
+			return data, err
+		}
+		last = err
+	}
+	return nil, &UnreachableError{Err: last}
+}
+
 // Change makes changes. When an answer is lost, or the change was not made for
 // want of a leader or a majority, it sends the request again with the same change
 // id until the context ends. Then the error is an *OutcomeUnknownError, or an
@@ -163,9 +177,22 @@
 	return nil, &UnreachableError{Err: last}
 }
 
-// call sends one request. The error is an *api.Problem if the server has answered
-// with one.
+// call sends one request and decodes the answer. The error is an *api.Problem if
+// the server has answered with one.
 func call[Reply any](ctx context.Context, c *Client, method, url string, body []byte) (*Reply, error) {
+	data, err := exchange(ctx, c, method, url, body)
+	if err != nil {
+		return nil, err
+	}
+	reply := new(Reply)
+	if err := json.Unmarshal(data, reply); err != nil {
+		return nil, errors.Wrap(err, "read the answer")
+	}
+	return reply, nil
+}
+
+// exchange sends one request and returns the body of the answer.
+func exchange(ctx context.Context, c *Client, method, url string, body []byte) ([]byte, error) {
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, "make the request")
@@ -188,9 +215,5 @@
 		}
 		return nil, problem
 	}
-	reply := new(Reply)
-	if err := json.Unmarshal(data, reply); err != nil {
-		return nil, errors.Wrap(err, "read the answer")
-	}
-	return reply, nil
+	return data, nil
 }
--- a/cmd/hemlockctl/main.go
+++ b/cmd/hemlockctl/main.go
@@ -17,6 +17,7 @@
 type arguments struct {
 	ctl.Connection
 	ctl.Commands
+	ctl.LocalCommands
 }
 
 // Description implements arg.Described.
@@ -41,6 +42,9 @@
 		parser.WriteHelp(os.Stderr)
 		return ctl.ExitUsage
 	}
+	if code, ran := ctl.RunLocal(&parsed.LocalCommands, os.Stdout, os.Stderr); ran {
+		return code
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	return ctl.Run(ctx, &parsed.Connection, &parsed.Commands, os.Stdout, os.Stderr)
--- a/gossip/snapshot.go
+++ b/gossip/snapshot.go
@@ -48,5 +48,19 @@
 // dead and have not left. The slice must not be changed.
 func (s *Snapshot) Servers(service fleetconfig.ServiceName) []Placed { return s.services[service] }
 
+// CountServers returns how many backend servers are known and how many of them are
+// ejected.
+func (s *Snapshot) CountServers() (known, ejected int) {
+	for _, servers := range s.services {
+		known += len(servers)
+		for _, placed := range servers {
+			if placed.Server.Ejected {
+				ejected++
+			}
+		}
+	}
+	return known, ejected
+}
+
 // Member returns the member with the given id, or nil when it is not known.
 func (s *Snapshot) Member(id fleetconfig.InstanceID) *membership.Member { return s.byID[id] }
--- a/internal/ctl/args.go
+++ b/internal/ctl/args.go
@@ -26,6 +26,9 @@
 	Apply   *FileCommand    `arg:"subcommand:apply" help:"make the configuration that a file states"`
 	Diff    *FileCommand    `arg:"subcommand:diff" help:"show what apply would change; exit code 6 if anything"`
 	Resend  *FileCommand    `arg:"subcommand:resend" help:"send a change again whose outcome is unknown, from the file that the earlier command has named"`
+	Members *MembersCommand `arg:"subcommand:members" help:"show instances and backend servers, and paths that are cut"`
+	Control *ControlCommand `arg:"subcommand:control" help:"show the replicated log of the control instances"`
+	Report  *ReportCommand  `arg:"subcommand:report" help:"print the weekly report: late answers and orders counted once"`
 	History *HistoryCommand `arg:"subcommand:history" help:"show who changed what"`
 	Watch   *WatchCommand   `arg:"subcommand:watch" help:"print each new version as it comes into force"`
 }
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -40,6 +40,12 @@
 	ctx, cancel := context.WithTimeout(ctx, connection.Timeout)
 	defer cancel()
 	switch {
+	case commands.Members != nil:
+		return s.members(ctx)
+	case commands.Control != nil:
+		return s.control(ctx)
+	case commands.Report != nil:
+		return s.report(ctx, commands.Report)
 	case commands.Status != nil:
 		return s.status(ctx)
 	case commands.History != nil:
--- a/internal/testbed/layout.go
+++ b/internal/testbed/layout.go
@@ -24,8 +24,8 @@
 	adminPort  = 7402
 	callerPort = 8080
 
-	folderMode = 0o700
-	fileMode   = 0o600
+	folderMode    = 0o700
+	fileMode      = 0o600
 	operatorsFile = "operators"
 	// OperatorToken is the token of the layout's one operator.
 	OperatorToken = "testbed-operator-token"
--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -10,6 +10,10 @@
 	"github.com/cockroachdb/errors"
 )
 
+// EnvironmentMark is set in the environment of each process that the bench starts,
+// so that a test executable knows to act as the bench's command.
+const EnvironmentMark = "HEMLOCKRING_TESTBED_PROCESS"
+
 // Process is a running process of a fleet.
 type Process struct {
 	command *exec.Cmd
@@ -29,6 +33,7 @@
 		return nil, errors.Wrap(err, "open the log")
 	}
 	command := exec.Command(executable, arguments...)
+	command.Env = append(os.Environ(), EnvironmentMark+"=1")
 	command.Stdout = log
 	command.Stderr = log
 	// A process of the bench does not outlive the bench.
--- a/node/local.go
+++ b/node/local.go
@@ -14,6 +14,11 @@
 	Current       bool   `json:"configuration_current"`
 	Members       int    `json:"members"`
 	Reason        string `json:"reason,omitempty"`
+	ShardEpoch    uint64 `json:"shard_epoch"`
+	Shards        int    `json:"shards"`
+	HeldShards    int    `json:"held_shards"`
+	Servers       int    `json:"backend_servers"`
+	Ejected       int    `json:"ejected"`
 }
 
 // localMux serves what runs on the same machine: backend servers, metrics,
@@ -39,6 +44,11 @@
 		Current:       current,
 		Members:       len(snapshot.Members),
 	}
+	shards := &n.configuration.View().Document().Shards
+	state.ShardEpoch = shards.Epoch
+	state.Shards = len(shards.Shards)
+	state.HeldShards = n.quota.HeldShards()
+	state.Servers, state.Ejected = snapshot.CountServers()
 	self := snapshot.Member(snapshot.Self)
 	switch {
 	case self.Record.Draining:
