storage: a log that is opened is written anew before it counts

Cause: after a failed sync Linux may show content that it has given up writing; a node that its supervisor served again read it and would have confirmed it. Weighed: syncing the file again at open, which may report success for lost pages; ruled out. TestOpenMakesDurableWhatItReads was red before.

--- a/control/config.go
+++ b/control/config.go
@@ -27,6 +27,8 @@
 	maxUncommittedBytes = 16 << 20
 	// maxMessageBytes bounds the entries of one message.
 	maxMessageBytes = 1 << 20
+	// maxSnapshotLogBytes bounds the log file, which is written anew in one piece.
+	maxSnapshotLogBytes = 24 << 20
 	// retainedEntries stay in memory after a snapshot, for members that lag.
 	retainedEntries = 256
 	// maxBatch is the number of proposals that share one sync.
@@ -93,6 +95,9 @@
 		return nil, errors.New("a control instance needs a caller and a state machine")
 	}
 	setDefaults(&config)
+	if config.SnapshotLogBytes > maxSnapshotLogBytes {
+		return nil, errors.Newf("the log may grow to %d bytes at most before a snapshot; lower its size", maxSnapshotLogBytes)
+	}
 	if config.HeartbeatInterval*2 > config.ElectionTimeout {
 		return nil, errors.New("the heartbeat interval must be at most half of the election timeout; lower it")
 	}
--- a/control/loop.go
+++ b/control/loop.go
@@ -248,6 +248,9 @@
 		return nil
 	}
 	snapshot := l.node.TakeSnapshot()
+	if snapshot.Index <= l.store.SnapshotIndex() {
+		return nil
+	}
 	data, err := l.config.StateMachine.Snapshot()
 	if err != nil {
 		return errors.Wrap(err, "take a snapshot")
--- a/control/statemachine.go
+++ b/control/statemachine.go
@@ -9,7 +9,8 @@
 	// It must be deterministic: every control instance applies the same commands
 	// in the same order. A command that the application refuses is a result too.
 	Apply(index uint64, command []byte) (result []byte)
-	// Snapshot returns the whole state, encoded.
+	// Snapshot returns the whole state, encoded. It must stay below 60 MiB, so that
+	// it fits in one call to another instance. No command is applied meanwhile.
 	Snapshot() ([]byte, error)
 	// Restore replaces the whole state by that of a snapshot.
 	Restore(snapshot []byte) error
--- a/storage/doc.go
+++ b/storage/doc.go
@@ -6,12 +6,13 @@
 // the folder synced, so that a reader finds the old value or the new one. The log
 // is a row of segments with checksummed records.
 //
-// A crash may leave a torn tail at the end of the last segment: records whose
-// sync never returned. It is cut. Anything else that cannot be read was once
+// A crash may leave a torn tail at the end of the newest segment: a record whose
+// sync never returned. It is dropped. Anything else that cannot be read was once
 // synced and is damage: opening fails with a [DamageError] that names the file,
 // the offset and the remedy. One case cannot be told apart: damage within the last
-// batch that was synced, with no later batch as proof, is cut as a torn tail.
+// batch that was synced, with no later batch as proof, is dropped as a torn tail.
 //
 // After a failed write or sync the log refuses all further work, since what is on
-// the disk is then unknown. The remedy is to open it again.
+// the disk is then unknown. The remedy is to open it again. Opening writes the log
+// anew before anything of it counts.
 package storage
--- a/storage/fs.go
+++ b/storage/fs.go
@@ -18,8 +18,6 @@
 	Create(name string) (File, error)
 	// Append opens a file to write at its end.
 	Append(name string) (File, error)
-	// Truncate cuts a file and syncs it.
-	Truncate(name string, size int64) error
 	// Rename renames a file, in place of an existing one.
 	Rename(from, to string) error
 	// Remove removes a file.
@@ -78,19 +76,6 @@
 	return os.OpenFile(name, os.O_WRONLY|os.O_APPEND, fileMode)
 }
 
-// Truncate cuts a file and syncs it.
-func (OSFS) Truncate(name string, size int64) error {
-	file, err := os.OpenFile(name, os.O_WRONLY, fileMode)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = file.Close() }()
-	if err := file.Truncate(size); err != nil {
-		return err
-	}
-	return file.Sync()
-}
-
 // Rename renames a file, in place of an existing one.
 func (OSFS) Rename(from, to string) error { return os.Rename(from, to) }
 
--- a/storage/logstore.go
+++ b/storage/logstore.go
@@ -45,7 +45,7 @@
 }
 
 // LogStore keeps the replicated log of one member. It is not safe for concurrent
-// use.
+// use. A snapshot and what one Ready stores may each take up to 64 MiB.
 type LogStore struct {
 	files     FS
 	folder    string
@@ -132,16 +132,42 @@
 	if len(numbers) == 0 {
 		return &DamageError{File: segmentName(s.folder, firstSegment), Reason: "the log is missing"}
 	}
-	newest, scan, err := openSegment(s.files, s.folder, numbers[len(numbers)-1])
+	newest := numbers[len(numbers)-1]
+	scan, err := readSegment(s.files, s.folder, newest)
 	if err != nil {
 		return err
 	}
-	s.segment = newest
-	replay, err := replayRecords(segmentName(s.folder, newest.number), scan)
+	replay, err := replayRecords(segmentName(s.folder, newest), scan)
 	if err != nil {
 		return err
 	}
-	return s.join(replay)
+	if err := s.join(replay); err != nil {
+		return err
+	}
+	return s.beginSegment(newest+1, s.snapshot, s.entries)
+}
+
+// beginSegment makes a segment that is complete by itself, and removes the older
+// ones.
+//
+// A log that is opened begins one too. What was read may never have reached the
+// disk: after a failed sync the operating system shows content that it has given
+// up writing. Nothing of it may be confirmed before it is written anew.
+func (s *LogStore) beginSegment(number uint64, snapshot consensus.Snapshot, after []consensus.Entry) error {
+	payload, err := codec.Marshal(logRecord{
+		HardState: &s.hardState,
+		Base:      &logBase{Index: snapshot.Index, Term: snapshot.Term},
+		Entries:   after,
+	})
+	if err != nil {
+		return err
+	}
+	next, err := createSegment(s.files, s.folder, number, payload)
+	if err != nil {
+		return err
+	}
+	s.segment = next
+	return next.removeOlder()
 }
 
 // join fits the entries to the snapshot.
@@ -176,6 +202,9 @@
 	return snapshot, found, err
 }
 
+// SnapshotIndex returns the last entry that the newest snapshot covers.
+func (s *LogStore) SnapshotIndex() uint64 { return s.snapshot.Index }
+
 // Bytes returns the size of the log file, without the snapshot.
 func (s *LogStore) Bytes() int64 { return s.segment.size }
 
@@ -215,22 +244,12 @@
 	if err := s.saveSnapshot(snapshot); err != nil {
 		return err
 	}
-	payload, err := codec.Marshal(logRecord{
-		HardState: &s.hardState,
-		Base:      &logBase{Index: snapshot.Index, Term: snapshot.Term},
-		Entries:   after,
-	})
-	if err != nil {
-		return err
-	}
-	next, err := createSegment(s.files, s.folder, s.segment.number+1, payload)
-	if err != nil {
+	previous := s.segment
+	if err := s.beginSegment(previous.number+1, snapshot, after); err != nil {
 		s.segment.failed = true
 		return err
 	}
-	_ = s.segment.file.Close()
-	s.segment = next
-	return next.removeOlder()
+	return errors.Wrap(previous.file.Close(), "close a segment; check the disk")
 }
 
 func (s *LogStore) saveSnapshot(snapshot consensus.Snapshot) error {
--- a/storage/logstore_test.go
+++ b/storage/logstore_test.go
@@ -206,6 +206,23 @@
 	}
 }
 
+// After a failed sync the operating system may show what never reaches the disk.
+// What a log that is opened then shows must be durable.
+func TestOpenMakesDurableWhatItReads(t *testing.T) {
+	files := newMemFS(1 << 30)
+	log, err := openTestLog(files)
+	must.NoError(t, err)
+	name := segmentName(testFolder, firstSegment)
+	before := len(files.names[name].data)
+	must.NoError(t, log.Save(consensus.Ready{HardState: state(1, 0)}))
+	files.budget = len(files.names[name].data) - before
+	must.ErrorIs(t, log.Save(consensus.Ready{HardState: state(2, 0)}), errInjected)
+	files.budget = 1 << 30
+	shown := found(t, files)
+	must.Eq(t, describe(*state(2, 0), 0, ""), shown)
+	must.Eq(t, shown, found(t, files.crash(keepSynced)))
+}
+
 func TestLostIdentityIsRefused(t *testing.T) {
 	files := newMemFS(1 << 30)
 	_, _ = runWrites(files)
--- a/storage/segments.go
+++ b/storage/segments.go
@@ -64,28 +64,18 @@
 	return &segment{files: files, folder: folder, number: number, file: file, size: int64(len(content))}, nil
 }
 
-// openSegment reads a segment's records and opens it to append. It cuts a torn
-// tail.
-func openSegment(files FS, folder string, number uint64) (*segment, scanResult, error) {
+// readSegment reads a segment's records, without a torn tail.
+func readSegment(files FS, folder string, number uint64) (scanResult, error) {
 	name := segmentName(folder, number)
 	data, err := files.ReadFile(name)
 	if err != nil {
-		return nil, scanResult{}, errors.Wrapf(err, "read %s; check the disk", name)
+		return scanResult{}, errors.Wrapf(err, "read %s; check the disk", name)
 	}
 	scan := scanRecords(data)
 	if scan.wasSynced || len(scan.payloads) == 0 {
-		return nil, scanResult{}, &DamageError{File: name, Offset: scan.end, Reason: "a record's checksum does not match"}
+		return scanResult{}, &DamageError{File: name, Offset: scan.end, Reason: "a record's checksum does not match"}
 	}
-	if scan.end < int64(len(data)) {
-		if err := files.Truncate(name, scan.end); err != nil {
-			return nil, scanResult{}, errors.Wrapf(err, "cut the torn tail of %s; check the disk", name)
-		}
-	}
-	file, err := files.Append(name)
-	if err != nil {
-		return nil, scanResult{}, errors.Wrapf(err, "open %s; check its permissions", name)
-	}
-	return &segment{files: files, folder: folder, number: number, file: file, size: scan.end}, scan, nil
+	return scan, nil
 }
 
 // append writes a record and syncs it.
