--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -20,6 +20,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
+	"github.com/hemlockring/hemlockring/consensus"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/internal/codec"
 	"github.com/hemlockring/hemlockring/storage"
@@ -38,6 +39,24 @@
 	cut      map[fleetconfig.InstanceID]bool
 	calls    int
 	bytes    int
+	delay    time.Duration
+	// handedOver counts the delivered messages that hand the leadership over.
+	handedOver int
+}
+
+// delivered counts a call that was answered.
+func (n *fakeNetwork) delivered(request any) {
+	call, ok := request.(*envelope)
+	if !ok {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, message := range call.Messages {
+		if message.Type == consensus.MessageTimeoutNow {
+			n.handedOver++
+		}
+	}
 }
 
 // fakeCaller is one instance's way into the network.
@@ -56,7 +75,15 @@
 	lost := c.network.cut[c.id] || c.network.cut[fleetconfig.InstanceID(address)]
 	c.network.calls++
 	c.network.bytes += len(data)
+	delay := c.network.delay
 	c.network.mu.Unlock()
+	if delay > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(delay):
+		}
+	}
 	if lost || handler == nil {
 		return errors.New("lost")
 	}
@@ -68,6 +95,7 @@
 	if answer.Code != http.StatusOK {
 		return errors.Newf("status %d: %s", answer.Code, answer.Body.String())
 	}
+	c.network.delivered(request)
 	return codec.Unmarshal(answer.Body.Bytes(), reply)
 }
 
@@ -75,9 +103,14 @@
 type listMachine struct {
 	mu       sync.Mutex
 	commands []string
+	// blocked, if set, holds up Apply until it is closed.
+	blocked chan struct{}
 }
 
 func (m *listMachine) Apply(_ uint64, command []byte) []byte {
+	if m.blocked != nil {
+		<-m.blocked
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.commands = append(m.commands, string(command))
--- a/control/node_test.go
+++ b/control/node_test.go
@@ -150,12 +150,35 @@
 	c.propose("before")
 	stopped := c.leader()
 	term := stopped.Status().Term
+	c.network.mu.Lock()
+	c.network.delay = testHeartbeat / 10
+	c.network.mu.Unlock()
 	c.stop(stopped.config.ID)
+	must.Eq(t, 1, c.network.handedOver)
 	c.propose("after")
 	// One campaign, without a failed one before it.
 	must.Eq(t, term+1, c.leader().Status().Term)
 }
 
+// A leader whose loop stands still, as that of a frozen process or one with a hung
+// disk does, is no longer certain of its role, although it does nothing.
+func TestLeaderThatStandsStillIsNotCertain(t *testing.T) {
+	c := newCluster(t, 1)
+	c.startAll()
+	leader := c.leader()
+	leader.machine.blocked = make(chan struct{})
+	ended := make(chan error, 1)
+	go func() {
+		_, err := leader.Propose(context.Background(), []byte("held up"))
+		ended <- err
+	}()
+	c.until("the end of certainty", func() bool { return !leader.IsLeader() })
+	must.Eq(t, "leader", leader.Status().Role)
+	close(leader.machine.blocked)
+	must.NoError(t, <-ended)
+	c.until("certainty again", leader.IsLeader)
+}
+
 // TestServeGoesOnFromTheFiles serves a node again whose state machine kept its
 // state: no command is applied twice.
 func TestServeGoesOnFromTheFiles(t *testing.T) {
