--- a/orders/fake_test.go
+++ b/orders/fake_test.go
@@ -32,7 +32,7 @@
 
 // testFleet connects services by function calls that may get lost or doubled.
 type testFleet struct {
-	t *testing.T
+	t testing.TB
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -45,7 +45,7 @@
 
 func address(i int) string { return fmt.Sprintf("10.0.0.%d:1", i) }
 
-func newTestFleet(t *testing.T, size int) *testFleet {
+func newTestFleet(t testing.TB, size int) *testFleet {
 	fleet := &testFleet{
 		t:        t,
 		random:   rand.New(rand.NewPCG(1, 2)),
--- a/orders/service.go
+++ b/orders/service.go
@@ -151,11 +151,18 @@
 	addresses []string
 }
 
+// GroupOf returns the replicas of a shard as the decisions see them.
+func GroupOf(shardMap fleetconfig.ShardMap, number int) idempotency.Group {
+	group := idempotency.Group{Epoch: shardMap.Epoch}
+	for _, replica := range shardMap.Shards[number].Replicas {
+		group.Members = append(group.Members, idempotency.Member{ID: replica.ID})
+	}
+	return group
+}
+
 func shardOf(shardMap fleetconfig.ShardMap, number int) shard {
-	placement := shardMap.Shards[number]
-	placed := shard{number: number, group: idempotency.Group{Epoch: shardMap.Epoch}}
-	for _, replica := range placement.Replicas {
-		placed.group.Members = append(placed.group.Members, idempotency.Member{ID: replica.ID})
+	placed := shard{number: number, group: GroupOf(shardMap, number)}
+	for _, replica := range shardMap.Shards[number].Replicas {
 		placed.addresses = append(placed.addresses, replica.Address)
 	}
 	return placed
--- a/report/build.go
+++ b/report/build.go
@@ -54,7 +54,8 @@
 	Detected       uint64 `json:"detected"`
 	Ejected        uint64 `json:"ejected"`
 	FalseEjections uint64 `json:"false_ejections"`
-	// Median and Worst are times from the first evidence to the detection.
+	// Median and Worst are times from the first evidence to the detection, of the
+	// events that state it.
 	Median time.Duration `json:"median_ns"`
 	Worst  time.Duration `json:"worst_ns"`
 }
@@ -173,10 +174,12 @@
 	var detection Detection
 	var took []time.Duration
 	for i := range events {
+		if events[i].Took > 0 {
+			took = append(took, events[i].Took)
+		}
 		switch events[i].Kind {
 		case EventDetected:
 			detection.Detected++
-			took = append(took, events[i].Took)
 		case EventEjected:
 			detection.Ejected++
 			if events[i].False {
--- a/report/histogram.go
+++ b/report/histogram.go
@@ -31,6 +31,9 @@
 	Buckets []Bucket
 }
 
+// maxCount bounds a bucket of a message, so that sums over many do not overflow.
+const maxCount = 1 << 48
+
 var errHistogram = errors.New("the encoding of a histogram is damaged; the sender may run another version of hemlockring")
 
 // MarshalBinary implements encoding.BinaryMarshaler: for each bucket the distance
@@ -57,7 +60,8 @@
 		}
 		count, m := binary.Uvarint(data[n:])
 		index += distance
-		if m <= 0 || index > math.MaxUint16 || (distance == 0 && len(h.Buckets) > 0) {
+		outside := distance > math.MaxUint16 || index > math.MaxUint16 || count > maxCount
+		if m <= 0 || outside || (distance == 0 && len(h.Buckets) > 0) {
 			return errHistogram
 		}
 		h.Buckets = append(h.Buckets, Bucket{Index: uint16(index), Count: count})
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -9,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -191,6 +193,26 @@
 	must.Eq(t, maxServices+1+maxRoutes+600-maxRoutes+maxAccounts+1, len(total.Latency))
 }
 
+// FuzzHistogram reads damaged encodings: they are refused or read back the same.
+func FuzzHistogram(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte{3, 1, 2, 200, 1})
+	f.Add([]byte{5, 1, 255, 255, 255, 255, 255, 255, 255, 255, 255, 1, 1})
+	f.Add([]byte{255, 255, 255, 255, 255, 255, 255, 255, 255, 1, 1, 1, 1})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var histogram, again Histogram
+		if histogram.UnmarshalBinary(data) != nil {
+			return
+		}
+		_ = histogram.Quantiles()
+		must.True(t, slices.IsSortedFunc(histogram.Buckets, func(a, b Bucket) int { return cmp.Compare(a.Index, b.Index) }))
+		encoded, err := histogram.MarshalBinary()
+		must.NoError(t, err)
+		must.NoError(t, again.UnmarshalBinary(encoded))
+		must.Eq(t, histogram, again)
+	})
+}
+
 // memoryStore is a disk that outlives the service.
 type memoryStore struct{ entries [][]byte }
 
--- a/report/summary.go
+++ b/report/summary.go
@@ -138,7 +138,8 @@
 	Instance fleetconfig.InstanceID `cbor:"4,keyasint" json:"instance"`
 	// Server is the backend server.
 	Server fleetconfig.BackendServerID `cbor:"5,keyasint" json:"backend_server"`
-	// Took is the time from the first evidence to a detection.
+	// Took is the time from the first evidence to a detection or ejection, zero when
+	// it is not known.
 	Took time.Duration `cbor:"6,keyasint,omitempty" json:"took_ns"`
 	// False says that an ejection turned out to be wrong.
 	False bool `cbor:"7,keyasint,omitempty" json:"false"`
