--- a/node/configuration.go
+++ b/node/configuration.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"path/filepath"
-	"time"
 
 	"github.com/hemlockring/hemlockring/configsync"
 	"github.com/hemlockring/hemlockring/control"
@@ -36,10 +35,11 @@
 		Logger:      n.logger,
 	}
 	if n.settings.Instance.HasRole(settings.RoleControl) {
-		config.Replica = configsync.NewReplica()
-		if err := n.buildControl(config.Replica); err != nil {
+		n.replica = configsync.NewReplica()
+		if err := n.buildControl(n.replica); err != nil {
 			return err
 		}
+		config.Replica = n.replica
 		config.Log = replicatedLog{n.control}
 	}
 	n.sync = configsync.New(config, n.fleetMux)
@@ -109,9 +109,8 @@
 }
 
 // Leadership implements configsync.Log.
-func (l replicatedLog) Leadership() (term uint64, confirmedAt time.Time, leads bool) {
-	leadership := l.node.Leadership()
-	return leadership.Term, leadership.ConfirmedAt, leadership.Leads
+func (l replicatedLog) Leadership() configsync.Leadership {
+	return configsync.Leadership(l.node.Leadership())
 }
 
 // memberPeers are the other members as the configuration service needs them.
