health: repeat an unanswered ask only after the life of a grant

Cause: only the answer to the last ask counts, and asks went out each 250 ms; on a path slower than that no permit would ever have been taken. Found by reading. TestSlowAnswersStillCount, seen red with the former interval.

--- a/health/monitor.go
+++ b/health/monitor.go
@@ -10,7 +10,10 @@
 const (
 	reportInterval    = time.Second
 	minReportInterval = 100 * time.Millisecond
-	askInterval       = 250 * time.Millisecond
+	// askInterval is the time from a refusal to the next ask. An ask without an
+	// answer is repeated after grantLife only, since just the answer to the last
+	// one counts.
+	askInterval = 250 * time.Millisecond
 	// minGoodOutcomes is how many good outcomes make a server positively believed
 	// healthy.
 	minGoodOutcomes = 3
@@ -277,7 +280,7 @@
 	}
 	m.askedAt = now
 	m.pending = true
-	m.askNotBefore = now.Add(askInterval)
+	m.askNotBefore = now.Add(grantLife)
 	return append(actions, AskPermit{Ask: m.asked})
 }
 
@@ -313,6 +316,7 @@
 		return nil
 	}
 	m.pending = false
+	m.askNotBefore = now.Add(askInterval)
 	m.refusedReason = reason
 	if m.state == StateInService || reason == ReasonStarting || reason == ReasonStale {
 		return nil
--- a/health/bench_test.go
+++ b/health/monitor_test.go
@@ -68,3 +68,25 @@
 	}
 	b.ReportMetric(float64(size), "B/report")
 }
+
+// TestSlowAnswersStillCount holds that a grant counts that takes nearly as long
+// as it may, however often the monitor ticks meanwhile.
+func TestSlowAnswersStillCount(t *testing.T) {
+	monitor := NewMonitor("instance", "server", 7, PolicyOf(&fleetconfig.Preset{EjectionEnabled: true}), 1, epoch)
+	for i := range 20 {
+		token := monitor.Begin(accountName(i%3), epoch.Add(time.Minute), epoch)
+		monitor.End(token, ResultFailed, epoch)
+	}
+	var asks []Ask
+	now := epoch
+	for ; now.Before(epoch.Add(grantLife)); now = now.Add(50 * time.Millisecond) {
+		for _, action := range monitor.Tick(now) {
+			if ask, ok := action.(AskPermit); ok {
+				asks = append(asks, ask.Ask)
+			}
+		}
+	}
+	must.Len(t, 1, asks)
+	monitor.Granted(asks[0].ID, now)
+	must.Eq(t, StateEjected, monitor.State())
+}
