--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -20,8 +20,10 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
+	"github.com/hemlockring/hemlockring/consensus"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/internal/codec"
+	"github.com/hemlockring/hemlockring/storage"
 )
 
 const (
@@ -37,6 +39,24 @@
 	cut      map[fleetconfig.InstanceID]bool
 	calls    int
 	bytes    int
+	delay    time.Duration
+	// handedOver counts the delivered messages that hand the leadership over.
+	handedOver int
+}
+
+// delivered counts a call that was answered.
+func (n *fakeNetwork) delivered(request any) {
+	call, ok := request.(*envelope)
+	if !ok {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, message := range call.Messages {
+		if message.Type == consensus.MessageTimeoutNow {
+			n.handedOver++
+		}
+	}
 }
 
 // fakeCaller is one instance's way into the network.
@@ -55,7 +75,15 @@
 	lost := c.network.cut[c.id] || c.network.cut[fleetconfig.InstanceID(address)]
 	c.network.calls++
 	c.network.bytes += len(data)
+	delay := c.network.delay
 	c.network.mu.Unlock()
+	if delay > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(delay):
+		}
+	}
 	if lost || handler == nil {
 		return errors.New("lost")
 	}
@@ -67,6 +95,7 @@
 	if answer.Code != http.StatusOK {
 		return errors.Newf("status %d: %s", answer.Code, answer.Body.String())
 	}
+	c.network.delivered(request)
 	return codec.Unmarshal(answer.Body.Bytes(), reply)
 }
 
@@ -74,9 +103,14 @@
 type listMachine struct {
 	mu       sync.Mutex
 	commands []string
+	// blocked, if set, holds up Apply until it is closed.
+	blocked chan struct{}
 }
 
 func (m *listMachine) Apply(_ uint64, command []byte) []byte {
+	if m.blocked != nil {
+		<-m.blocked
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.commands = append(m.commands, string(command))
@@ -114,6 +148,7 @@
 	peers         []Peer
 	nodes         map[fleetconfig.InstanceID]*testNode
 	snapshotBytes int64
+	files         storage.FS
 }
 
 func newCluster(t testing.TB, size int) *cluster {
@@ -163,11 +198,11 @@
 		ElectionTimeout:   testElectionTimeout,
 		HeartbeatInterval: testHeartbeat,
 		SnapshotLogBytes:  c.snapshotBytes,
+		Files:             c.files,
 	}, mux)
 	must.NoError(c.t, err)
-	ctx, stop := context.WithCancel(context.Background())
-	running := &testNode{Node: node, machine: machine, stop: stop, ended: make(chan error, 1)}
-	go func() { running.ended <- node.Serve(ctx) }()
+	running := &testNode{Node: node, machine: machine, ended: make(chan error, 1)}
+	c.serveAgain(running)
 	c.network.mu.Lock()
 	c.network.handlers[string(id)] = mux
 	delete(c.network.cut, id)
@@ -175,6 +210,13 @@
 	c.nodes[id] = running
 }
 
+// serveAgain serves a node that is not served, as its supervisor does.
+func (c *cluster) serveAgain(node *testNode) {
+	ctx, stop := context.WithCancel(context.Background())
+	node.stop = stop
+	go func() { node.ended <- node.Serve(ctx) }()
+}
+
 // kill ends a process. Nothing that it sends from now on arrives.
 func (c *cluster) kill(id fleetconfig.InstanceID) {
 	c.cut(id, true)
