--- a/storage/journal.go
+++ b/storage/journal.go
@@ -34,13 +34,14 @@
 	// A newer segment is complete once it has its name, so the older ones are left
 	// over from a crash.
 	newest := numbers[len(numbers)-1]
-	segment, scan, err := openSegment(files, folder, newest)
+	scan, err := readSegment(files, folder, newest)
 	if err != nil {
 		return nil, err
 	}
-	journal.segment = segment
 	journal.loaded = scan.payloads[1:]
-	return journal, segment.removeOlder()
+	// What was read may never have been synced. It is written anew, so that it is
+	// durable before anything counts on it.
+	return journal, journal.write(newest+1, journal.loaded)
 }
 
 // Load calls restore with each entry that was there when the journal was opened,
@@ -64,11 +65,19 @@
 // Replace puts entries in place of all others. After an error or a crash the
 // journal holds the old entries or the new ones.
 func (j *Journal) Replace(entries [][]byte) error {
+	old := j.segment.file
+	if err := j.write(j.segment.number+1, entries); err != nil {
+		return err
+	}
+	return errors.Wrap(old.Close(), "close the old segment")
+}
+
+// write makes a new segment with the given entries and goes on in it.
+func (j *Journal) write(number uint64, entries [][]byte) error {
 	content := appendRecord(nil, journalHeader, 0)
 	for _, entry := range entries {
 		content = appendRecord(content, entry, 0)
 	}
-	number := j.segment.number + 1
 	name := segmentName(j.folder, number)
 	if err := writeDurably(j.files, name, content); err != nil {
 		return err
@@ -77,7 +86,6 @@
 	if err != nil {
 		return errors.Wrapf(err, "open %s; check its permissions", name)
 	}
-	_ = j.segment.file.Close()
 	j.segment = &segment{files: j.files, folder: j.folder, number: number, file: file, size: int64(len(content))}
 	return j.segment.removeOlder()
 }
--- a/storage/journal_test.go
+++ b/storage/journal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"path/filepath"
 	"testing"
 
@@ -50,7 +51,7 @@
 			case 2:
 				must.NoError(t, journal.Append(entries[:1]))
 				cut := rapid.Int64Range(before, journal.segment.size-1).Draw(t, "cut")
-				must.NoError(t, files.Truncate(segmentName(path, journal.segment.number), cut))
+				must.NoError(t, os.Truncate(segmentName(path, journal.segment.number), cut))
 			}
 			must.NoError(t, journal.Close())
 		}
@@ -64,7 +65,7 @@
 	for i := range 10 {
 		must.NoError(t, journal.Append([][]byte{fmt.Appendf(nil, "entry %d", i)}))
 	}
-	name := segmentName(folder, 0)
+	name := segmentName(folder, journal.segment.number)
 	must.NoError(t, journal.Close())
 	data, err := OSFS{}.ReadFile(name)
 	must.NoError(t, err)
