idempotency: CheckStep takes proposals without joining epochs

Cause: the planner proposes replicas only; once the map states joining epochs, every member would have counted as changed. Seen red in TestCheckStepRefusesSizesThatForget against the version before.

--- a/idempotency/group.go
+++ b/idempotency/group.go
@@ -146,15 +146,19 @@
 	return nil
 }
 
-// difference returns the members of a that b does not have, or has under
-// another joining epoch.
+// difference returns the members of a that b does not have, or has under another
+// joining epoch. A proposed group need not state joining epochs.
 func difference(a, b Group) []Member {
 	var only []Member
 	for _, member := range a.Members {
 		i := b.Index(member.ID)
-		if i < 0 || b.Members[i].Joined != member.Joined {
-			only = append(only, member)
+		if i >= 0 {
+			other := b.Members[i].Joined
+			if other == member.Joined || other == 0 || member.Joined == 0 {
+				continue
+			}
 		}
+		only = append(only, member)
 	}
 	return only
 }
--- a/idempotency/scenario_test.go
+++ b/idempotency/scenario_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -282,6 +283,15 @@
 	w.now = w.now.Add(testConfig.claimWait())
 	w.readFrom(5, 2, 3, 4)
 	must.NoError(t, CheckStep(six, w.group(), w.statuses()))
+	// A proposal without joining epochs is the same step; one that takes a replica
+	// out and in again is not.
+	proposed := Group{Epoch: w.group().Epoch, Members: slices.Clone(w.group().Members)}
+	for i := range proposed.Members {
+		proposed.Members[i].Joined = 0
+	}
+	must.NoError(t, CheckStep(six, proposed, w.statuses()))
+	proposed.Members[0].Joined = proposed.Epoch
+	must.ErrorIs(t, CheckStep(six, proposed, w.statuses()), ErrStepTooLarge)
 }
 
 // TestVotesOutsideTheClaimTime proves that late and doubled answers do not count
