--- a/fleetconfig/edit_shards.go
+++ b/fleetconfig/edit_shards.go
@@ -13,7 +13,11 @@
 		e.add("shards", "", "are placed already", "change one replica at a time with step-shard")
 		return
 	}
-	e.shards = ShardMap{Epoch: e.shards.Epoch + 1, Shards: slices.Clone(change.Shards)}
+	shards := make([]ShardPlacement, len(change.Shards))
+	for i := range change.Shards {
+		shards[i] = placementAfter(ShardPlacement{}, change.Shards[i].Replicas, e.shards.Epoch+1)
+	}
+	e.shards = ShardMap{Epoch: e.shards.Epoch + 1, Shards: shards}
 }
 
 // openShards ends the founding epoch.
@@ -48,10 +52,24 @@
 		return
 	}
 	shards := slices.Clone(e.shards.Shards)
-	shards[step.Shard] = ShardPlacement{Replicas: slices.Clone(step.Replicas)}
+	shards[step.Shard] = placementAfter(shards[step.Shard], step.Replicas, step.Epoch)
 	e.shards = ShardMap{Epoch: step.Epoch, Shards: shards}
 }
 
+// placementAfter returns the placement after a step. Replicas that stay keep the
+// epoch in which they joined.
+func placementAfter(last ShardPlacement, replicas []InstanceAddress, epoch uint64) ShardPlacement {
+	next := ShardPlacement{Replicas: slices.Clone(replicas), Joined: make([]uint64, len(replicas))}
+	for i, replica := range replicas {
+		next.Joined[i] = epoch
+		before := slices.IndexFunc(last.Replicas, func(r InstanceAddress) bool { return r.ID == replica.ID })
+		if before >= 0 && before < len(last.Joined) {
+			next.Joined[i] = last.Joined[before]
+		}
+	}
+	return next
+}
+
 // isSingleStep reports whether one replica was added, removed or given another
 // address.
 func isSingleStep(before, after []InstanceAddress) bool {
--- a/internal/bench/demo.go
+++ b/internal/bench/demo.go
@@ -25,6 +25,8 @@
 	demoLimit = 4 * time.Minute
 	// phaseLength is how long the load runs between two events.
 	phaseLength = 5 * time.Second
+	// summaryWait lets the last summaries reach control.
+	summaryWait = 3 * time.Second
 	// withdrawalBound is how long a withdrawn key may work.
 	withdrawalBound = 5 * time.Second
 )
@@ -112,6 +114,9 @@
 	}
 	d.load.stop()
 	d.say("load ends")
+	if err := wait(ctx, summaryWait); err != nil {
+		return err
+	}
 	if err := d.checkOrders(); err != nil {
 		return err
 	}
--- a/internal/bench/overhead.go
+++ b/internal/bench/overhead.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -23,10 +22,10 @@
 	capacityLength   = 3 * time.Second
 	segmentLength    = 2 * time.Second
 	warmUpLength     = time.Second
-	overheadBackend  = "127.0.0.1:18999"
+	overheadService  = "catalogue"
+	overheadRate     = 1_000_000
 	processStopLimit = 20 * time.Second
 	readyLimit       = 30 * time.Second
-	readyPoll        = 20 * time.Millisecond
 	microsPerMilli   = 1000
 )
 
@@ -81,7 +80,7 @@
 	}
 	report, err := rig.measure(ctx, arguments)
 	if err != nil {
-		rig.kill()
+		rig.fleet.Kill()
 		return err
 	}
 	if err := rig.stop(report); err != nil {
@@ -90,23 +89,21 @@
 	return report.print(out, arguments.JSON)
 }
 
-func overheadDocument() *fleetconfig.Document {
-	return &fleetconfig.Document{
-		Version:  1,
-		Accounts: []fleetconfig.Account{{ID: "load", RatePerSecond: 1e6, Burst: 1e6}},
-		Keys:     []fleetconfig.Key{{Hash: fleetconfig.HashKey(overheadKey), Account: "load"}},
-		Routes:   []fleetconfig.Route{{ID: "all", PathPrefix: "/", Service: "catalogue"}},
-		Services: []fleetconfig.Service{{Name: "catalogue"}},
+func overheadChanges() []fleetconfig.Change {
+	key := &fleetconfig.Key{Hash: fleetconfig.HashKey(overheadKey), Account: "load"}
+	return []fleetconfig.Change{
+		{Kind: fleetconfig.CreateService, Service: &fleetconfig.Service{Name: overheadService, FloorPercent: 50}},
+		{Kind: fleetconfig.CreateRoute, Route: &fleetconfig.Route{ID: "all", PathPrefix: "/", Service: overheadService}},
+		{Kind: fleetconfig.CreateAccount, Account: &fleetconfig.Account{ID: "load", RatePerSecond: overheadRate, Burst: overheadRate}},
+		{Kind: fleetconfig.GiveKey, Key: key},
 	}
 }
 
 // overheadRig is one ingress, one instance with a backend server beside it, and
 // the backend server, each a process of its own.
 type overheadRig struct {
-	layout    *testbed.Layout
-	processes []*testbed.Process
-	roles     []string
-	through   int64
+	fleet   *testbed.Fleet
+	through int64
 }
 
 func startOverheadRig(ctx context.Context, folder string) (*overheadRig, error) {
@@ -114,58 +111,25 @@
 	if err != nil {
 		return nil, err
 	}
-	document := filepath.Join(folder, "document.json")
-	data, err := json.Marshal(overheadDocument())
-	if err == nil {
-		err = os.WriteFile(document, data, 0o600)
-	}
-	if err != nil {
-		return nil, errors.Wrap(err, "write the configuration")
-	}
-	rig := &overheadRig{layout: layout}
-	executable, err := os.Executable()
+	fleet, err := testbed.StartFleet(layout, testbed.BackendSpec{Service: overheadService, Slots: overheadSlots, Beside: []int{1}})
 	if err != nil {
-		return nil, errors.Wrap(err, "find the executable")
-	}
-	start := func(role string, arguments ...string) error {
-		process, err := testbed.StartProcess(executable, filepath.Join(folder, role+".log"), arguments...)
-		if err == nil {
-			rig.processes = append(rig.processes, process)
-			rig.roles = append(rig.roles, role)
-		}
-		return err
-	}
-	err = errors.CombineErrors(err, start("ingress", "daemon", "-c", layout.Instances[0].SettingsFile, "--static-configuration", document))
-	err = errors.CombineErrors(err, start("backendproxy", "daemon", "-c", layout.Instances[1].SettingsFile, "--static-configuration", document))
-	err = errors.CombineErrors(err, start("backend", "backend", "--listen", overheadBackend, "--local", layout.Instances[1].Local,
-		"--slots", fmt.Sprint(overheadSlots), "--service-time", "0s"))
-	if err != nil {
-		rig.kill()
 		return nil, err
 	}
-	return rig, rig.waitReady(ctx)
-}
-
-// waitReady waits until a request passes.
-func (r *overheadRig) waitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyLimit)
 	defer cancel()
-	client := newLoadClient(1)
-	defer client.CloseIdleConnections()
-	for {
-		err := sendOne(ctx, client, r.throughTarget())
-		if err == nil {
-			return nil
-		}
-		if !sleepUntil(ctx, time.Now().Add(readyPoll)) {
-			r.kill()
-			return errors.Wrap(err, "the fleet did not become ready")
-		}
+	version, err := fleet.Change(ctx, overheadChanges()...)
+	if err == nil {
+		err = fleet.WaitServing(ctx, version)
+	}
+	if err != nil {
+		fleet.Kill()
+		return nil, err
 	}
+	return &overheadRig{fleet: fleet}, nil
 }
 
 func (r *overheadRig) throughTarget() target {
-	return target{url: "http://" + r.layout.Instances[0].Callers + "/lookup", key: overheadKey}
+	return target{url: "http://" + r.fleet.Layout.Instances[0].Callers + "/lookup", key: overheadKey}
 }
 
 func (r *overheadRig) measure(ctx context.Context, arguments OverheadArguments) (*overheadReport, error) {
@@ -183,7 +147,7 @@
 		pace:    time.Duration(float64(overheadWorkers) / rate * float64(time.Second)),
 		length:  warmUpLength,
 	}
-	direct := target{url: "http://" + overheadBackend + "/lookup"}
+	direct := target{url: "http://" + r.fleet.BackendAddresses[0] + "/lookup"}
 	paced.run(ctx, direct)
 	r.through += paced.run(ctx, r.throughTarget()).latency.TotalCount()
 	paced.length = segmentLength
@@ -219,16 +183,18 @@
 
 // stop ends the processes and reads what they have used.
 func (r *overheadRig) stop(report *overheadReport) error {
-	for i := len(r.processes) - 1; i >= 0; i-- {
-		if err := r.processes[i].Terminate(processStopLimit); err != nil {
-			return errors.Wrapf(err, "stop the %s", r.roles[i])
+	roles := []string{"ingress", "backendproxy", "backend"}
+	processes := []*testbed.Process{r.fleet.Daemons[0], r.fleet.Daemons[1], r.fleet.Backends[0]}
+	for i, process := range processes {
+		if err := process.Terminate(processStopLimit); err != nil {
+			return errors.Wrapf(err, "stop the %s", roles[i])
 		}
 	}
 	const mebibyte = 1 << 20
-	for i, process := range r.processes {
+	for i, process := range processes {
 		cpu, memory := process.Usage()
 		report.Processes = append(report.Processes, processUsage{
-			Role:            r.roles[i],
+			Role:            roles[i],
 			CPUSeconds:      cpu.Seconds(),
 			PeakMemoryMiB:   float64(memory) / mebibyte,
 			RequestsPerCore: float64(r.through) / cpu.Seconds(),
@@ -237,12 +203,6 @@
 	return nil
 }
 
-func (r *overheadRig) kill() {
-	for _, process := range r.processes {
-		process.Kill()
-	}
-}
-
 func (r *overheadReport) print(out io.Writer, asJSON bool) error {
 	if asJSON {
 		encoder := json.NewEncoder(out)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,18 +4,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
-	"time"
 
-	"github.com/cockroachdb/errors"
-
-	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/node"
 	"github.com/hemlockring/hemlockring/settings"
 )
@@ -36,8 +31,6 @@
 	Settings string `arg:"-c,--settings,required" help:"settings file (INI)" placeholder:"FILE"`
 	// Check only checks the settings.
 	Check bool `arg:"--check" help:"check the settings file and exit"`
-	// Static is a fixed configuration.
-	Static string `arg:"--static-configuration" help:"serve a fixed configuration document (JSON)" placeholder:"FILE"`
 }
 
 const (
@@ -68,7 +61,7 @@
 	debug.SetGCPercent(collectorPercent)
 	debug.SetMemoryLimit(memoryLimit)
 	logger := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: loaded.Log.Level}))
-	if err := run(loaded, arguments.Static, logger); err != nil {
+	if err := run(loaded, logger); err != nil {
 		logger.Error("hemlockd ends", "error", err)
 		return ExitFailure
 	}
@@ -76,12 +69,8 @@
 }
 
 // run serves until SIGTERM or SIGINT. A second signal ends the process at once.
-func run(loaded *settings.Settings, static string, logger *slog.Logger) error {
-	configuration, err := readStatic(static)
-	if err != nil {
-		return err
-	}
-	instance, err := node.New(loaded, node.Options{Configuration: configuration}, logger)
+func run(loaded *settings.Settings, logger *slog.Logger) error {
+	instance, err := node.New(loaded, node.Options{}, logger)
 	if err != nil {
 		return err
 	}
@@ -89,21 +78,3 @@
 	context.AfterFunc(ctx, restoreSignals)
 	return instance.Run(ctx)
 }
-
-// staticConfiguration is a configuration that never changes.
-type staticConfiguration struct{ view *fleetconfig.View }
-
-// View implements ingress.Configuration.
-func (s staticConfiguration) View() *fleetconfig.View { return s.view }
-
-// Current implements ingress.Configuration.
-func (staticConfiguration) Current(time.Time) (bool, time.Duration) { return true, 0 }
-
-func readStatic(file string) (staticConfiguration, error) {
-	var document fleetconfig.Document
-	data, err := os.ReadFile(file)
-	if err == nil {
-		err = json.Unmarshal(data, &document)
-	}
-	return staticConfiguration{view: fleetconfig.NewView(&document)}, errors.Wrap(err, "read the static configuration")
-}
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 
@@ -37,6 +38,8 @@
 	Slots int
 	// ServiceTime is the mean time of a request.
 	ServiceTime time.Duration
+	// Beside lists the instances that have one; nil gives one to each.
+	Beside []int
 }
 
 // Fleet is a fleet of real processes: a daemon and a backend server for each
@@ -77,6 +80,9 @@
 			fleet.Kill()
 			return nil, err
 		}
+		if spec.Beside != nil && !slices.Contains(spec.Beside, i) {
+			continue
+		}
 		if err := fleet.startBackend(i, spec); err != nil {
 			fleet.Kill()
 			return nil, err
@@ -242,7 +248,7 @@
 				continue
 			}
 			ready, err := f.Ready(i)
-			if err != nil || !ready.Ready || ready.Version < version || ready.ShardEpoch < 2 || ready.Servers < f.running() {
+			if err != nil || !ready.Ready || ready.Version < version || ready.ShardEpoch < 2 || ready.Servers < len(f.Backends) {
 				return false
 			}
 			held += ready.HeldShards
@@ -252,16 +258,6 @@
 	})
 }
 
-func (f *Fleet) running() int {
-	running := 0
-	for _, process := range f.Daemons {
-		if process != nil {
-			running++
-		}
-	}
-	return running
-}
-
 // SetFault switches a fault of a backend server on.
 func (f *Fleet) SetFault(instance int, fault emulator.Fault) error {
 	body, err := json.Marshal(fault)
--- a/internal/testbed/layout.go
+++ b/internal/testbed/layout.go
@@ -151,6 +151,7 @@
 	fmt.Fprintf(&text, "certificate = tls/%s.crt\nkey = tls/%s.key\nauthority = tls/ca.crt\ngossip_key = tls/gossip.key\n",
 		instance.ID, instance.ID)
 	fmt.Fprintf(&text, "[callers]\naddress = %s\n[local]\naddress = %s\n", instance.Callers, instance.Local)
+	fmt.Fprintf(&text, "[limits]\nreport_interval = 1s\n")
 	fmt.Fprintf(&text, "[control]\nmembers = %s\n", l.controlMembers())
 	if instance.Control {
 		fmt.Fprintf(&text, "[admin]\naddress = %s\noperators = %s\n", instance.Admin, operatorsFile)
--- a/node/node.go
+++ b/node/node.go
@@ -73,8 +73,6 @@
 	Configuration ingress.Configuration
 	// LeaseTiming is used in place of shard.DefaultTiming.
 	LeaseTiming shard.Timing
-	// ReportInterval is used in place of report.DefaultInterval.
-	ReportInterval time.Duration
 }
 
 // New opens the ports of an instance. Nothing is served before Run.
@@ -185,12 +183,13 @@
 		Clock:    quota.NewDispatchClock(rand.Uint64(), time.Now()),
 	})
 	tokens := ingress.NewQuotaFilter(n.quota)
+	claims := &orders.Filter{Service: n.orders, MaxBodyBytes: orders.DefaultMaxBodyBytes}
 	n.ingress = ingress.New(ingress.Config{
 		KeyHeader:     n.settings.Callers.KeyHeader,
 		Configuration: n.configuration,
 		Freeze:        n.freeze,
-		Admission:     []pipeline.Filter{n.collector, tokens, &orders.Filter{Service: n.orders, MaxBodyBytes: orders.DefaultMaxBodyBytes}},
-		Guards:        []ingress.AttemptGuard{tokens, orderGuard{}},
+		Admission:     []pipeline.Filter{n.collector, tokens, claims},
+		Guards:        []ingress.AttemptGuard{tokens, claims},
 		Remote:        n.endpoint,
 		Local:         n.backendProxy,
 		Selector:      selection.New(selection.Config{Members: n.members.Snapshot, View: n.configuration.View}),
--- a/node/report.go
+++ b/node/report.go
@@ -25,11 +25,7 @@
 func (n *Node) buildReport() error {
 	now := time.Now()
 	n.collector = report.NewCollector(n.settings.Instance.ID, uint64(now.UnixMicro()), n.metrics.AccountLabel, now)
-	interval := n.options.ReportInterval
-	if interval == 0 {
-		interval = report.DefaultInterval
-	}
-	n.sender = report.NewSender(n.collector, n.endpoint, n.controlAddresses, interval, n.logger)
+	n.sender = report.NewSender(n.collector, n.endpoint, n.controlAddresses, n.settings.Limits.ReportInterval, n.logger)
 	if !n.settings.Instance.HasRole(settings.RoleControl) {
 		return nil
 	}
--- a/node/shared.go
+++ b/node/shared.go
@@ -8,7 +8,6 @@
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/idempotency"
 	"github.com/hemlockring/hemlockring/orders"
-	"github.com/hemlockring/hemlockring/pipeline"
 	"github.com/hemlockring/hemlockring/quotadriver"
 	"github.com/hemlockring/hemlockring/settings"
 	"github.com/hemlockring/hemlockring/storage"
@@ -91,11 +90,3 @@
 	}
 	return r.configuration.View().Document().Shards
 }
-
-// orderGuard keeps an order from being sent after its claim has run out.
-type orderGuard struct{}
-
-// BeforeAttempt implements ingress.AttemptGuard.
-func (orderGuard) BeforeAttempt(exchange *pipeline.Exchange) error {
-	return orders.CheckDispatch(exchange.Request, time.Now())
-}
--- a/orders/service.go
+++ b/orders/service.go
@@ -154,8 +154,13 @@
 // GroupOf returns the replicas of a shard as the decisions see them.
 func GroupOf(shardMap fleetconfig.ShardMap, number int) idempotency.Group {
 	group := idempotency.Group{Epoch: shardMap.Epoch}
-	for _, replica := range shardMap.Shards[number].Replicas {
-		group.Members = append(group.Members, idempotency.Member{ID: replica.ID})
+	placement := shardMap.Shards[number]
+	for i, replica := range placement.Replicas {
+		member := idempotency.Member{ID: replica.ID}
+		if i < len(placement.Joined) {
+			member.Joined = placement.Joined[i]
+		}
+		group.Members = append(group.Members, member)
 	}
 	return group
 }
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -150,7 +150,14 @@
 	{
 		section: sectionLimits, key: "stop_timeout", standard: "60s",
 		help: "How long a planned stop waits for requests in flight, from 1s to 1h.",
-		set:  func(s *Settings, text string) error { return setStopTimeout(&s.Limits.StopTimeout, text) },
+		set:  func(s *Settings, text string) error { return setDuration(&s.Limits.StopTimeout, text, minStop, maxStop) },
+	},
+	{
+		section: sectionLimits, key: "report_interval", standard: "1m",
+		help: "How often a summary for the weekly report goes to the control instances, from 1s to 1h.",
+		set: func(s *Settings, text string) error {
+			return setDuration(&s.Limits.ReportInterval, text, minReport, maxReport)
+		},
 	},
 	{
 		section: sectionLog, key: "level", standard: "info",
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -17,6 +17,8 @@
 	maxNameLength = 64
 	minStop       = time.Second
 	maxStop       = time.Hour
+	minReport     = time.Second
+	maxReport     = time.Hour
 )
 
 func checkName(text string) error {
@@ -107,10 +109,10 @@
 	return nil
 }
 
-func setStopTimeout(target *time.Duration, text string) error {
+func setDuration(target *time.Duration, text string, least, most time.Duration) error {
 	value, err := time.ParseDuration(text)
-	if err != nil || value < minStop || value > maxStop {
-		return errors.Newf("write a duration from %s to %s, as in 60s, not %q", minStop, maxStop, text)
+	if err != nil || value < least || value > most {
+		return errors.Newf("write a duration from %s to %s, as in 60s, not %q", least, most, text)
 	}
 	*target = value
 	return nil
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -130,6 +130,9 @@
 	// StopTimeout is how long a planned stop waits for requests in flight. Default
 	// 60 s.
 	StopTimeout time.Duration
+	// ReportInterval is how often a summary goes to the control instances. Default
+	// 1 minute.
+	ReportInterval time.Duration
 }
 
 // Log sets the log.
--- a/shardkeeper/steps.go
+++ b/shardkeeper/steps.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/idempotency"
+	"github.com/hemlockring/hemlockring/orders"
 	"github.com/hemlockring/hemlockring/shard"
 )
 
@@ -47,13 +48,5 @@
 
 // stepAllowed reports whether the order records permit the step of a shard.
 func stepAllowed(current, next fleetconfig.ShardMap, number int, statuses []idempotency.Status) bool {
-	return idempotency.CheckStep(groupOf(current, number), groupOf(next, number), statuses) == nil
-}
-
-func groupOf(shardMap fleetconfig.ShardMap, number int) idempotency.Group {
-	group := idempotency.Group{Epoch: shardMap.Epoch}
-	for _, replica := range shardMap.Shards[number].Replicas {
-		group.Members = append(group.Members, idempotency.Member{ID: replica.ID})
-	}
-	return group
+	return idempotency.CheckStep(orders.GroupOf(current, number), orders.GroupOf(next, number), statuses) == nil
 }
