hemlockbench scale: fleets of several sizes at rest, under changes and after a kill

Purpose: CAPACITY.md needs the processor time, bytes and memory of an instance at rest as the fleet grows, the time until a change is in force everywhere, and the time until the shards of a killed owner have an owner again.

The daemon had no count of its bytes between instances. The fleet port now counts the payloads of UDP packets at its socket: transport.Endpoint.Traffic, /readyz (fleet_sent_bytes and others) and two counters in /metrics. Weighed: counting in a plain net.PacketConn, ruled out, because quic-go would then read packet by packet without ECN and segmentation offload. The wrapper offers ReadBatch, ReadMsgUDP and WriteMsgUDP, which quic-go looks for.

--- a/internal/bench/command.go
+++ b/internal/bench/command.go
@@ -26,6 +26,7 @@
 	Demo       *DemoArguments       `arg:"subcommand:demo" help:"show a small fleet under load while things fail"`
 	Experiment *ExperimentArguments `arg:"subcommand:experiment" help:"compare policies over outcomes of fake backend servers"`
 	Overhead   *OverheadArguments   `arg:"subcommand:overhead" help:"measure what the fleet adds to a request"`
+	Scale      *ScaleArguments      `arg:"subcommand:scale" help:"measure fleets of several sizes at rest, under changes and after a kill"`
 }
 
 // Description implements the go-arg interface.
@@ -52,6 +53,8 @@
 		err = runExperiment(ctx, args.Experiment)
 	case args.Overhead != nil:
 		err = Overhead(ctx, *args.Overhead, os.Stdout)
+	case args.Scale != nil:
+		err = Scale(ctx, *args.Scale, os.Stdout)
 	default:
 		parser.Fail("name a command")
 	}
--- /dev/null
+++ b/internal/bench/scale.go
@@ -0,0 +1,153 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/internal/testbed"
+)
+
+const (
+	scaleControls = 3
+	scaleDomains  = 3
+	scaleService  = "catalogue"
+	scaleSlots    = 7
+	scaleAccount  = "scale"
+	// maxScaleInstances bounds the processes of one fleet.
+	maxScaleInstances = 50
+	// scaleLimit bounds the measurement of all sizes together.
+	scaleLimit = 175 * time.Second
+)
+
+// ScaleArguments is the command line of the measurement over fleet sizes.
+type ScaleArguments struct {
+	// Instances are the sizes, separated by commas.
+	Instances string `arg:"--instances" default:"5,22,44" help:"fleet sizes, separated by commas, at most 50 each"`
+	// JSON prints JSON in place of a table.
+	JSON bool `arg:"--json" help:"print JSON"`
+}
+
+// scaleReport is the result of the measurement.
+type scaleReport struct {
+	// LoadBefore is the machine's load average over a minute before the first fleet:
+	// what else ran on the machine.
+	LoadBefore string       `json:"load_average_before"`
+	Sizes      []*scaleSize `json:"sizes"`
+}
+
+// Scale brings up fleets of several sizes, one after the other, and measures what
+// the instances use at rest, how fast changes are in force and how long shards
+// have no owner after their owner was killed.
+func Scale(ctx context.Context, arguments ScaleArguments, out io.Writer) error {
+	sizes, err := parseSizes(arguments.Instances)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, scaleLimit)
+	defer cancel()
+	report := &scaleReport{LoadBefore: loadAverage()}
+	for _, size := range sizes {
+		result, err := measureSize(ctx, size)
+		if err != nil {
+			return errors.Wrapf(err, "with %d instances", size)
+		}
+		report.Sizes = append(report.Sizes, result)
+	}
+	return report.print(out, arguments.JSON)
+}
+
+func parseSizes(text string) ([]int, error) {
+	var sizes []int
+	for part := range strings.SplitSeq(text, ",") {
+		size, err := strconv.Atoi(strings.TrimSpace(part))
+		if err != nil || size < scaleControls || size > maxScaleInstances {
+			return nil, errors.Newf("the size %q must be a number from %d to %d", part, scaleControls, maxScaleInstances)
+		}
+		sizes = append(sizes, size)
+	}
+	return sizes, nil
+}
+
+// loadAverage returns the system's load averages over 1, 5 and 15 minutes.
+func loadAverage() string {
+	data, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	const averages = 3
+	return strings.Join(strings.Fields(string(data))[:averages], " ")
+}
+
+// measureSize brings up one fleet, measures it and ends its processes.
+func measureSize(ctx context.Context, size int) (*scaleSize, error) {
+	folder, err := os.MkdirTemp("", "hemlockbench-scale-")
+	if err != nil {
+		return nil, errors.Wrap(err, "make a folder for the fleet")
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	layout, err := testbed.Create(folder, testbed.Specs(size, scaleControls, scaleDomains))
+	if err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	fleet, err := testbed.StartFleet(layout, testbed.BackendSpec{Service: scaleService, Slots: scaleSlots, Beside: []int{size - 1}})
+	if err != nil {
+		return nil, err
+	}
+	defer fleet.Kill()
+	version, err := fleet.Change(ctx, scaleChanges()...)
+	if err != nil {
+		return nil, err
+	}
+	if err := fleet.WaitServing(ctx, version); err != nil {
+		return nil, err
+	}
+	result := &scaleSize{Instances: size, StartSeconds: time.Since(began).Seconds()}
+	rig := &scaleRig{fleet: fleet, result: result}
+	for _, step := range []func(context.Context) error{rig.measureRest, rig.measureChanges, rig.measureFailover} {
+		if err := step(ctx); err != nil {
+			return nil, err
+		}
+	}
+	return result, nil
+}
+
+func scaleChanges() []fleetconfig.Change {
+	return []fleetconfig.Change{
+		{Kind: fleetconfig.CreateService, Service: &fleetconfig.Service{Name: scaleService, FloorPercent: 50}},
+		{Kind: fleetconfig.CreateRoute, Route: &fleetconfig.Route{ID: "all", PathPrefix: "/", Service: scaleService}},
+		{Kind: fleetconfig.CreateAccount, Account: &fleetconfig.Account{ID: scaleAccount, RatePerSecond: 1, Burst: 1}},
+	}
+}
+
+func (r *scaleReport) print(out io.Writer, asJSON bool) error {
+	if asJSON {
+		encoder := json.NewEncoder(out)
+		encoder.SetIndent("", "  ")
+		return errors.Wrap(encoder.Encode(r), "print the report")
+	}
+	for _, size := range r.Sizes {
+		_, err := fmt.Fprintf(out, "%d instances (load average before: %s)\n"+
+			"  at rest per instance: %.2f%% of a core (most %.2f%%), sent %.0f B/s (most %.0f), received %.0f B/s (most %.0f), %.1f MiB (most %.1f)\n"+
+			"  %d changes: in force everywhere p50 %.0f ms, worst %.0f ms, %.1f changes/s\n"+
+			"  owner of %d of %d shards killed: all shards owned again after %.2f s\n",
+			size.Instances, r.LoadBefore,
+			size.All.CorePercent, size.All.CorePercentMost, size.All.Sent, size.All.SentMost,
+			size.All.Received, size.All.ReceivedMost, size.All.ResidentMiB, size.All.ResidentMiBMost,
+			size.Changes.Count, size.Changes.InForceP50, size.Changes.InForceWorst, size.Changes.PerSecond,
+			size.Failover.HeldShards, size.Failover.Shards, size.Failover.Seconds)
+		if err != nil {
+			return errors.Wrap(err, "print the report")
+		}
+	}
+	return nil
+}
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -204,6 +204,14 @@
 	HeldShards int `json:"held_shards"`
 	// Shards is how many shards there are.
 	Shards int `json:"shards"`
+	// Members is how many instances it knows.
+	Members int `json:"members"`
+	// SentBytes and ReceivedBytes have passed its fleet port since it started.
+	SentBytes     uint64 `json:"fleet_sent_bytes"`
+	ReceivedBytes uint64 `json:"fleet_received_bytes"`
+	// SentPackets and ReceivedPackets are the packets of these.
+	SentPackets     uint64 `json:"fleet_sent_packets"`
+	ReceivedPackets uint64 `json:"fleet_received_packets"`
 }
 
 // Ready asks an instance for its state.
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -33,6 +33,7 @@
 // Metrics is the root of an instance's metrics. It is safe for concurrent use.
 type Metrics struct {
 	scope    tally.Scope
+	registry *prometheus.Registry
 	closer   io.Closer
 	reporter promreporter.Reporter
 	buckets  tally.Buckets
@@ -73,6 +74,7 @@
 	}, reportInterval)
 	return &Metrics{
 		scope:    scope,
+		registry: registry,
 		closer:   closer,
 		reporter: reporter,
 		buckets:  tally.MustMakeExponentialDurationBuckets(firstBucket, bucketFactor, bucketCount),
@@ -83,6 +85,13 @@
 // Scope returns the scope for metrics of other parts.
 func (m *Metrics) Scope() tally.Scope { return m.scope }
 
+// RegisterCounter adds a counter that read returns at the time of each scrape. The
+// name gets the common prefix. Each name may be registered once.
+func (m *Metrics) RegisterCounter(name, help string, read func() uint64) {
+	options := prometheus.CounterOpts{Namespace: "hemlock", Name: name, Help: help}
+	m.registry.MustRegister(prometheus.NewCounterFunc(options, func() float64 { return float64(read()) }))
+}
+
 // Handler serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler { return m.reporter.HTTPHandler() }
 
--- a/node/local.go
+++ b/node/local.go
@@ -19,6 +19,10 @@
 	HeldShards    int    `json:"held_shards"`
 	Servers       int    `json:"backend_servers"`
 	Ejected       int    `json:"ejected"`
+	SentBytes     uint64 `json:"fleet_sent_bytes"`
+	SentPackets   uint64 `json:"fleet_sent_packets"`
+	ReceivedBytes uint64 `json:"fleet_received_bytes"`
+	Received      uint64 `json:"fleet_received_packets"`
 }
 
 // localMux serves what runs on the same machine: backend servers, metrics,
@@ -36,6 +40,16 @@
 	return mux
 }
 
+// registerTraffic adds the counters of the fleet port to the metrics.
+func (n *Node) registerTraffic() {
+	n.metrics.RegisterCounter("fleet_sent_bytes", "UDP payload bytes sent on the fleet port.", func() uint64 {
+		return n.endpoint.Traffic().SentBytes
+	})
+	n.metrics.RegisterCounter("fleet_received_bytes", "UDP payload bytes received on the fleet port.", func() uint64 {
+		return n.endpoint.Traffic().ReceivedBytes
+	})
+}
+
 func (n *Node) handleReady(w http.ResponseWriter, _ *http.Request) {
 	snapshot := n.members.Snapshot()
 	current, _ := n.configuration.Current(time.Now())
@@ -49,6 +63,9 @@
 	state.Shards = len(shards.Shards)
 	state.HeldShards = n.quota.HeldShards()
 	state.Servers, state.Ejected = snapshot.CountServers()
+	traffic := n.endpoint.Traffic()
+	state.SentBytes, state.SentPackets = traffic.SentBytes, traffic.SentPackets
+	state.ReceivedBytes, state.Received = traffic.ReceivedBytes, traffic.ReceivedPackets
 	self := snapshot.Member(snapshot.Self)
 	switch {
 	case self.Record.Draining:
--- a/node/node.go
+++ b/node/node.go
@@ -130,6 +130,7 @@
 	if err != nil {
 		return err
 	}
+	n.registerTraffic()
 	datagrams, err := transport.NewDatagrams(n.endpoint, gossipKey)
 	if err != nil {
 		return err
--- a/transport/endpoint.go
+++ b/transport/endpoint.go
@@ -52,7 +52,7 @@
 // of other instances and opens connections to them. It is a suture service.
 type Endpoint struct {
 	config    EndpointConfig
-	socket    *net.UDPConn
+	socket    *countedSocket
 	transport *quic.Transport
 	listener  *quic.Listener
 	server    *http3.Server
@@ -65,10 +65,11 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "the fleet address %q must be an IP number and a port", config.Address)
 	}
-	socket, err := net.ListenUDP("udp", address)
+	bound, err := net.ListenUDP("udp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on the fleet address %s; see whether another process has the port", config.Address)
 	}
+	socket := newCountedSocket(bound)
 	_ = socket.SetReadBuffer(socketBufferBytes)
 	_ = socket.SetWriteBuffer(socketBufferBytes)
 
@@ -91,6 +92,9 @@
 // Address returns the address that the endpoint listens on.
 func (e *Endpoint) Address() net.Addr { return e.socket.LocalAddr() }
 
+// Traffic returns what has passed the fleet port so far.
+func (e *Endpoint) Traffic() Traffic { return e.socket.traffic() }
+
 // Serve accepts connections of other instances until ctx ends.
 func (e *Endpoint) Serve(ctx context.Context) error {
 	go e.pool.closeIdle(ctx)
