transport, gossip: benchmarks of a call, a connection and a large fleet's members

Purpose: CAPACITY.md derives the cost of each role from slopes. The cost of a call over QUIC, of an open connection, and of the member list at 820 instances with eleven backend servers and 8,800 with one had no benchmark.

--- /dev/null
+++ b/gossip/bench_test.go
@@ -0,0 +1,122 @@
+package gossip
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/internal/codec"
+	"github.com/hemlockring/hemlockring/membership"
+)
+
+// maxSettled is the largest fleet that the benchmark lets come to rest.
+const maxSettled = 1000
+
+// BenchmarkLargeFleet measures the membership of one instance at both readings of
+// "one slot per instance": 820 instances with eleven backend servers each, and
+// 8,800 instances with one. It reports the heap of the state and of a snapshot,
+// the time of a snapshot (made on each change of any record), of a fingerprint
+// (one for each side of a digest exchange), and the time and bytes of a probe
+// period: after a start, when every record is still being spread, and at rest.
+func BenchmarkLargeFleet(b *testing.B) {
+	for _, fleet := range []struct{ instances, servers int }{{100, 11}, {820, 11}, {8800, 1}} {
+		b.Run(fmt.Sprintf("instances=%d/servers=%d", fleet.instances, fleet.servers), func(b *testing.B) {
+			for b.Loop() {
+				measureFleet(b, fleet.instances, fleet.servers)
+			}
+		})
+	}
+}
+
+func measureFleet(b *testing.B, instances, servers int) {
+	now := time.Unix(1_000_000, 0)
+	before := heapBytes()
+	state := largeFleet(instances, servers, now)
+	b.ReportMetric((heapBytes()-before)/(1<<20), "MiB-state")
+	before = heapBytes()
+	snapshot := newSnapshot("self", state.Members())
+	b.ReportMetric((heapBytes()-before)/(1<<20), "MiB-snapshot")
+	b.ReportMetric(micros(func() { snapshot = newSnapshot("self", state.Members()) }), "µs/snapshot")
+	b.ReportMetric(micros(func() { state.Fingerprint() }), "µs/fingerprint")
+	bytes := 0
+	period := func() { now, bytes = probePeriod(state, now) }
+	b.ReportMetric(micros(period), "µs/period-after-start")
+	b.ReportMetric(float64(bytes), "B/probe-after-start")
+	runtime.KeepAlive(snapshot)
+	if instances > maxSettled {
+		return
+	}
+	for hot := true; hot; {
+		now, hot = spread(state, now)
+	}
+	b.ReportMetric(micros(period), "µs/period-at-rest")
+	b.ReportMetric(float64(bytes), "B/probe-at-rest")
+}
+
+func largeFleet(instances, servers int, now time.Time) *membership.State {
+	state := membership.New(membership.Config{}, membership.Record{ID: "self", Address: "10.9.9.9:1", Incarnation: 1}, nil, rand.New(rand.NewPCG(1, 2)), now)
+	for i := range instances {
+		address := fmt.Sprintf("10.1.%d.%d:7400", i/250, i%250)
+		record := membership.Record{
+			ID: fleetconfig.InstanceID(fmt.Sprintf("instance-%d", i)), Address: address, Incarnation: 1,
+			FailureDomain: fleetconfig.FailureDomain(fmt.Sprint("domain-", i%8)), Region: fmt.Sprint("region-", i%3),
+		}
+		for j := range servers {
+			record.Servers = append(record.Servers, membership.Server{
+				ID:      fleetconfig.BackendServerID(fmt.Sprintf("worker-%d-%d", i, j)),
+				Service: fleetconfig.ServiceName(fmt.Sprintf("service-%d", (i*servers+j)%450)), Slots: 7,
+			})
+		}
+		state.MergeAll([]membership.Update{{Record: record}}, now)
+	}
+	return state
+}
+
+// spread lets one probe period pass in one tick and reports whether the probe
+// still had updates on it.
+func spread(state *membership.State, now time.Time) (later time.Time, hot bool) {
+	now = now.Add(time.Second)
+	for _, envelope := range state.Tick(now) {
+		hot = hot || len(envelope.Message.Updates) > 0
+		state.Step(&membership.Message{Kind: membership.Ack, From: envelope.Message.Target, Number: envelope.Message.Number}, now)
+	}
+	return now, hot
+}
+
+// probePeriod lets one probe period pass; every probe is answered.
+func probePeriod(state *membership.State, now time.Time) (later time.Time, bytes int) {
+	const ticks = int(time.Second / tickInterval)
+	for range ticks {
+		now = now.Add(tickInterval)
+		for _, envelope := range state.Tick(now) {
+			data, err := codec.Marshal(&envelope.Message)
+			if err != nil {
+				panic(err)
+			}
+			bytes += len(data)
+			state.Step(&membership.Message{Kind: membership.Ack, From: envelope.Message.Target, Number: envelope.Message.Number}, now)
+		}
+	}
+	return now, bytes
+}
+
+// micros returns the mean time of a call in microseconds.
+func micros(call func()) float64 {
+	const calls = 20
+	began := time.Now()
+	for range calls {
+		call()
+	}
+	return time.Since(began).Seconds() * 1e6 / calls
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
--- /dev/null
+++ b/transport/bench_test.go
@@ -0,0 +1,120 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"path/filepath"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/pki"
+)
+
+const benchPath = "/bench"
+
+type benchMessage struct {
+	Payload []byte `cbor:"1,keyasint"`
+}
+
+// benchEndpoints opens n fleet ports whose handler answers each call with as many
+// bytes as it came with.
+func benchEndpoints(b *testing.B, n int) []*Endpoint {
+	folder := b.TempDir()
+	must.NoError(b, pki.InitAuthority(folder, time.Now()))
+	request := pki.IssueRequest{Name: "i1", Addresses: []net.IP{net.IPv4(127, 0, 0, 1)}}
+	must.NoError(b, pki.Issue(folder, folder, request, time.Now()))
+	identity, err := pki.LoadIdentity(filepath.Join(folder, "i1.crt"), filepath.Join(folder, "i1.key"), filepath.Join(folder, pki.AuthorityCertificateFile))
+	must.NoError(b, err)
+	mux := http.NewServeMux()
+	HandleCall(mux, benchPath, func(_ context.Context, _ fleetconfig.InstanceID, request *benchMessage) (*benchMessage, error) {
+		return request, nil
+	})
+	endpoints := make([]*Endpoint, n)
+	for i := range endpoints {
+		endpoints[i], err = Listen(EndpointConfig{
+			Address: "127.0.0.1:0", Identity: identity, Handler: mux,
+			Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		})
+		must.NoError(b, err)
+		b.Cleanup(endpoints[i].Close)
+		go func() { _ = endpoints[i].Serve(b.Context()) }()
+	}
+	return endpoints
+}
+
+func benchCall(b *testing.B, from, to *Endpoint, payload []byte) {
+	must.NoError(b, from.Call(context.Background(), to.Address().String(), benchPath, &benchMessage{Payload: payload}, new(benchMessage)))
+}
+
+// BenchmarkCall measures one call on an open connection: the processor time of
+// both sides together and the bytes that pass the caller's port both ways.
+func BenchmarkCall(b *testing.B) {
+	for _, size := range []int{40, 400} {
+		b.Run(fmt.Sprintf("payload=%d", size), func(b *testing.B) {
+			endpoints := benchEndpoints(b, 2)
+			payload := make([]byte, size)
+			benchCall(b, endpoints[0], endpoints[1], payload)
+			before, cpu := endpoints[0].Traffic(), processorTime()
+			b.ResetTimer()
+			for range b.N {
+				benchCall(b, endpoints[0], endpoints[1], payload)
+			}
+			b.StopTimer()
+			after, n := endpoints[0].Traffic(), float64(b.N)
+			b.ReportMetric(float64((processorTime()-cpu).Nanoseconds())/1e3/n, "cpu-µs/call")
+			b.ReportMetric(float64(after.SentBytes-before.SentBytes)/n, "sent-B/call")
+			b.ReportMetric(float64(after.ReceivedBytes-before.ReceivedBytes)/n, "received-B/call")
+		})
+	}
+}
+
+// BenchmarkConnection measures connections of one instance to others: the setup
+// with one call, the heap of both sides together, and what an unused connection
+// sends to stay open.
+func BenchmarkConnection(b *testing.B) {
+	const peers = 100
+	for b.Loop() {
+		endpoints := benchEndpoints(b, peers+1)
+		heap, cpu := heapBytes(), processorTime()
+		for _, peer := range endpoints[1:] {
+			benchCall(b, endpoints[0], peer, nil)
+		}
+		b.ReportMetric(float64((processorTime()-cpu).Microseconds())/peers, "cpu-µs/setup")
+		b.ReportMetric((heapBytes()-heap)/peers/1024, "heap-KiB/connection")
+		traffic := endpoints[0].Traffic()
+		b.ReportMetric(float64(traffic.SentBytes+traffic.ReceivedBytes)/peers, "B/setup")
+		cpu = processorTime()
+		const idle = 8 * time.Second
+		<-time.After(idle)
+		each := peers * idle.Seconds()
+		after := endpoints[0].Traffic()
+		b.ReportMetric(float64(after.SentBytes-traffic.SentBytes+after.ReceivedBytes-traffic.ReceivedBytes)/each, "idle-B/s/connection")
+		b.ReportMetric(float64((processorTime()-cpu).Microseconds())/each, "idle-cpu-µs/s/connection")
+	}
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapInuse + stats.StackInuse)
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
