hemlockbench scale: summaries as seldom as in production; benchmarks of idle connections and digests

Cause: the test bed sends summaries every second so that tests see them soon; on 44 instances that adds 3.2 KB/s sent and 6.2 KB/s received to each control instance at rest. A capacity measurement needs the production interval: testbed.CreateProduction.

--- a/gossip/bench_test.go
+++ b/gossip/bench_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
+
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/internal/codec"
 	"github.com/hemlockring/hemlockring/membership"
@@ -41,6 +43,9 @@
 	b.ReportMetric((heapBytes()-before)/(1<<20), "MiB-snapshot")
 	b.ReportMetric(micros(func() { snapshot = newSnapshot("self", state.Members()) }), "µs/snapshot")
 	b.ReportMetric(micros(func() { state.Fingerprint() }), "µs/fingerprint")
+	digest, err := codec.Marshal(&membership.DigestRequest{Entries: state.Digest()})
+	must.NoError(b, err)
+	b.ReportMetric(float64(len(digest)), "B/digest")
 	bytes := 0
 	period := func() { now, bytes = probePeriod(state, now) }
 	b.ReportMetric(micros(period), "µs/period-after-start")
--- a/internal/bench/scale.go
+++ b/internal/bench/scale.go
@@ -94,7 +94,7 @@
 		return nil, errors.Wrap(err, "make a folder for the fleet")
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
-	layout, err := testbed.Create(folder, testbed.Specs(size, scaleControls, scaleDomains))
+	layout, err := testbed.CreateProduction(folder, testbed.Specs(size, scaleControls, scaleDomains))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/testbed/layout.go
+++ b/internal/testbed/layout.go
@@ -14,6 +14,7 @@
 	"github.com/hemlockring/hemlockring/admin"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/pki"
+	"github.com/hemlockring/hemlockring/report"
 )
 
 // Ports of each instance. Instances differ by their loopback address.
@@ -31,6 +32,8 @@
 	OperatorToken = "testbed-operator-token"
 	// firstHost is the last byte of the first instance's address.
 	firstHost = 10
+	// fastReports lets a test see its summaries soon.
+	fastReports = time.Second
 )
 
 // InstanceSpec describes an instance to lay out.
@@ -65,6 +68,8 @@
 	Instances []Instance
 
 	relayed bool
+	// reportInterval is how often instances send summaries.
+	reportInterval time.Duration
 }
 
 // Specs returns n instances named i1, i2, … spread over the failure domains, the
@@ -84,12 +89,18 @@
 // Create writes the files of a fleet to folder. The instances get addresses of a
 // random loopback network, so that fleets of several tests do not meet.
 func Create(folder string, specs []InstanceSpec) (*Layout, error) {
-	return create(&Layout{Folder: folder}, specs)
+	return create(&Layout{Folder: folder, reportInterval: fastReports}, specs)
+}
+
+// CreateProduction is like Create for a fleet that sends its summaries as seldom
+// as one in production.
+func CreateProduction(folder string, specs []InstanceSpec) (*Layout, error) {
+	return create(&Layout{Folder: folder, reportInterval: report.DefaultInterval}, specs)
 }
 
 // CreateRelayed is like Create for a fleet whose datagrams pass a Relay.
 func CreateRelayed(folder string, specs []InstanceSpec) (*Layout, error) {
-	return create(&Layout{Folder: folder, relayed: true}, specs)
+	return create(&Layout{Folder: folder, relayed: true, reportInterval: fastReports}, specs)
 }
 
 func create(layout *Layout, specs []InstanceSpec) (*Layout, error) {
@@ -151,7 +162,7 @@
 	fmt.Fprintf(&text, "certificate = tls/%s.crt\nkey = tls/%s.key\nauthority = tls/ca.crt\ngossip_key = tls/gossip.key\n",
 		instance.ID, instance.ID)
 	fmt.Fprintf(&text, "[callers]\naddress = %s\n[local]\naddress = %s\n", instance.Callers, instance.Local)
-	fmt.Fprintf(&text, "[limits]\nreport_interval = 1s\n")
+	fmt.Fprintf(&text, "[limits]\nreport_interval = %s\n", l.reportInterval)
 	fmt.Fprintf(&text, "[control]\nmembers = %s\n", l.controlMembers())
 	if instance.Control {
 		fmt.Fprintf(&text, "[admin]\naddress = %s\noperators = %s\n", instance.Admin, operatorsFile)
--- a/transport/bench_test.go
+++ b/transport/bench_test.go
@@ -92,9 +92,12 @@
 		b.ReportMetric((heapBytes()-heap)/peers/1024, "heap-KiB/connection")
 		traffic := endpoints[0].Traffic()
 		b.ReportMetric(float64(traffic.SentBytes+traffic.ReceivedBytes)/peers, "B/setup")
-		cpu = processorTime()
 		const idle = 8 * time.Second
 		<-time.After(idle)
+		found := endpoints[0].Traffic()
+		b.ReportMetric(float64(found.SentBytes-traffic.SentBytes+found.ReceivedBytes-traffic.ReceivedBytes)/peers, "B/mtu-discovery")
+		traffic, cpu = found, processorTime()
+		<-time.After(idle)
 		each := peers * idle.Seconds()
 		after := endpoints[0].Traffic()
 		b.ReportMetric(float64(after.SentBytes-traffic.SentBytes+after.ReceivedBytes-traffic.ReceivedBytes)/each, "idle-B/s/connection")
