--- a/internal/bench/scale_measure.go
+++ b/internal/bench/scale_measure.go
@@ -31,12 +31,14 @@
 	// StartSeconds is from the first process to the moment when all serve.
 	StartSeconds float64 `json:"start_seconds"`
 	// All, Control and Proxies are what instances used at rest: all of them, those
-	// with the control role, and the others.
-	All      restUse        `json:"all"`
-	Control  restUse        `json:"control"`
-	Proxies  restUse        `json:"proxies"`
-	Changes  changeTimes    `json:"changes"`
-	Failover failoverResult `json:"failover"`
+	// with the control role, and the others. Shardless are those of the others that
+	// own no shard; they may still be replicas.
+	All       restUse        `json:"all"`
+	Control   restUse        `json:"control"`
+	Proxies   restUse        `json:"proxies"`
+	Shardless restUse        `json:"proxies_without_owned_shard"`
+	Changes   changeTimes    `json:"changes"`
+	Failover  failoverResult `json:"failover"`
 }
 
 // restUse is the mean and the highest use of an instance at rest.
@@ -124,19 +126,28 @@
 		return err
 	}
 	for i := range after {
-		r.result.All.add(&before[i], &after[i])
-		if r.fleet.Layout.Instances[i].Control {
-			r.result.Control.add(&before[i], &after[i])
-		} else {
-			r.result.Proxies.add(&before[i], &after[i])
+		for _, use := range r.groupsOf(i, &before[i], &after[i]) {
+			use.add(&before[i], &after[i])
 		}
 	}
-	r.result.All.finish()
-	r.result.Control.finish()
-	r.result.Proxies.finish()
+	for _, use := range []*restUse{&r.result.All, &r.result.Control, &r.result.Proxies, &r.result.Shardless} {
+		use.finish()
+	}
 	return nil
 }
 
+// groupsOf returns the groups that an instance is counted in.
+func (r *scaleRig) groupsOf(instance int, before, after *reading) []*restUse {
+	if r.fleet.Layout.Instances[instance].Control {
+		return []*restUse{&r.result.All, &r.result.Control}
+	}
+	groups := []*restUse{&r.result.All, &r.result.Proxies}
+	if before.ready.HeldShards == 0 && after.ready.HeldShards == 0 {
+		groups = append(groups, &r.result.Shardless)
+	}
+	return groups
+}
+
 // add adds one instance to the sums.
 func (u *restUse) add(before, after *reading) {
 	seconds := after.at.Sub(before.at).Seconds()
