--- a/transport/bench_test.go
+++ b/transport/bench_test.go
@@ -77,6 +77,28 @@
 	}
 }
 
+// BenchmarkBusyCalls measures the processor time of a call, both sides together,
+// when 60 calls at a time are under way on one connection.
+func BenchmarkBusyCalls(b *testing.B) {
+	const parallelism = 60
+	endpoints := benchEndpoints(b, 2)
+	payload := make([]byte, 40)
+	benchCall(b, endpoints[0], endpoints[1], payload)
+	b.SetParallelism(max(1, parallelism/runtime.GOMAXPROCS(0)))
+	before, cpu := endpoints[0].Traffic(), processorTime()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			benchCall(b, endpoints[0], endpoints[1], payload)
+		}
+	})
+	b.StopTimer()
+	after, n := endpoints[0].Traffic(), float64(b.N)
+	b.ReportMetric(float64((processorTime()-cpu).Nanoseconds())/1e3/n, "cpu-µs/call")
+	b.ReportMetric(float64(after.SentBytes-before.SentBytes)/n, "sent-B/call")
+	b.ReportMetric(float64(after.ReceivedBytes-before.ReceivedBytes)/n, "received-B/call")
+}
+
 // BenchmarkConnection measures connections of one instance to others: the setup
 // with one call, the heap of both sides together, and what an unused connection
 // sends to stay open.
