--- /dev/null
+++ b/e2e/fleet_test.go
@@ -0,0 +1,158 @@
+package e2e
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/internal/bench"
+	"github.com/hemlockring/hemlockring/internal/emulator"
+	"github.com/hemlockring/hemlockring/internal/testbed"
+	"github.com/hemlockring/hemlockring/pipeline"
+)
+
+// TestMain lets the processes that the tests start act as the bench's command.
+func TestMain(m *testing.M) {
+	if os.Getenv(testbed.EnvironmentMark) != "" {
+		os.Exit(bench.Main())
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	service     = "catalogue"
+	accountKey  = "key-of-acme"
+	waitLimit   = 3 * time.Minute
+	promise     = 5 * time.Second
+	slots       = 20
+	serviceTime = 2 * time.Millisecond
+)
+
+// fleet is a running fleet with what the tests need.
+type fleet struct {
+	*testbed.Fleet
+	ctx    context.Context
+	client *http.Client
+	relay  *testbed.Relay
+}
+
+// start brings a fleet up, its datagrams through a relay when cuts are wanted.
+func start(t *testing.T, instances, controls int, relayed bool) *fleet {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	t.Cleanup(cancel)
+	create := testbed.Create
+	if relayed {
+		create = testbed.CreateRelayed
+	}
+	layout, err := create(t.TempDir(), testbed.Specs(instances, controls, 3))
+	must.NoError(t, err)
+	started := &fleet{ctx: ctx, client: &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	if relayed {
+		started.relay, err = testbed.StartRelay(layout)
+		must.NoError(t, err)
+		t.Cleanup(started.relay.Close)
+	}
+	started.Fleet, err = testbed.StartFleet(layout, testbed.BackendSpec{Service: service, Slots: slots, ServiceTime: serviceTime})
+	must.NoError(t, err)
+	t.Cleanup(started.Kill)
+	t.Cleanup(started.client.CloseIdleConnections)
+	version, err := started.Change(ctx, documentChanges()...)
+	must.NoError(t, err)
+	must.NoError(t, started.WaitServing(ctx, version))
+	return started
+}
+
+func documentChanges() []fleetconfig.Change {
+	account := &fleetconfig.Account{ID: "acme", RatePerSecond: 10_000, Burst: 10_000}
+	return []fleetconfig.Change{
+		{Kind: fleetconfig.CreateService, Service: &fleetconfig.Service{Name: service, FloorPercent: 50}},
+		{Kind: fleetconfig.CreateRoute, Route: &fleetconfig.Route{ID: "open", PathPrefix: "/open", Service: service, OpenToAll: true, Timeout: 5 * time.Second}},
+		{Kind: fleetconfig.CreateRoute, Route: &fleetconfig.Route{ID: "orders", PathPrefix: "/orders", Service: service, Timeout: 5 * time.Second}},
+		{Kind: fleetconfig.CreateAccount, Account: account},
+		{Kind: fleetconfig.GiveKey, Key: &fleetconfig.Key{Hash: fleetconfig.HashKey(accountKey), Account: "acme"}},
+	}
+}
+
+// answer is what a caller heard.
+type answer struct {
+	status    int
+	outcome   string
+	refusal   string
+	requestID string
+	err       error
+}
+
+// send sends a request with the account's key through an instance. An order is
+// sent under its Idempotency-Key.
+func (f *fleet) send(instance int, method, path, order string) answer {
+	request, err := http.NewRequestWithContext(f.ctx, method, "http://"+f.Layout.Instances[instance].Callers+path, strings.NewReader(order))
+	if err != nil {
+		return answer{err: err}
+	}
+	request.Header.Set("Authorization", "Bearer "+accountKey)
+	if order != "" {
+		request.Header.Set(pipeline.HeaderIdempotencyKey, order)
+		request.Header.Set(emulator.HeaderOrder, order)
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return answer{
+		status:    response.StatusCode,
+		outcome:   response.Header.Get(pipeline.HeaderOutcome),
+		refusal:   response.Header.Get(pipeline.HeaderRefusal),
+		requestID: response.Header.Get(pipeline.HeaderRequestID),
+		err:       err,
+	}
+}
+
+// until waits until the condition holds.
+func (f *fleet) until(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	must.NoError(t, testbed.WaitUntil(f.ctx, what, condition))
+}
+
+// leader returns the instance that leads control.
+func (f *fleet) leader(t *testing.T) int {
+	t.Helper()
+	found := -1
+	f.until(t, "a leader", func() bool {
+		for i, instance := range f.Layout.Instances {
+			if f.Daemons[i] == nil || !instance.Control {
+				continue
+			}
+			ready, err := f.Ready(i)
+			if err == nil && ready.Leads {
+				found = i
+			}
+		}
+		return found >= 0
+	})
+	return found
+}
+
+// version waits until an instance answers and returns its version.
+func (f *fleet) version(t *testing.T, instance int) uint64 {
+	t.Helper()
+	var version uint64
+	f.until(t, "an answer of the instance", func() bool {
+		ready, err := f.Ready(instance)
+		if err != nil {
+			return false
+		}
+		version = ready.Version
+		return true
+	})
+	return version
+}
--- a/gossip/snapshot.go
+++ b/gossip/snapshot.go
@@ -62,5 +62,16 @@
 	return known, ejected
 }
 
+// CountIndirect returns how many members are reached only through others.
+func (s *Snapshot) CountIndirect() int {
+	count := 0
+	for i := range s.Members {
+		if s.Members[i].Path == membership.PathIndirectOnly {
+			count++
+		}
+	}
+	return count
+}
+
 // Member returns the member with the given id, or nil when it is not known.
 func (s *Snapshot) Member(id fleetconfig.InstanceID) *membership.Member { return s.byID[id] }
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -200,6 +200,12 @@
 	Servers int `json:"backend_servers"`
 	// Ejected is how many of them are ejected.
 	Ejected int `json:"ejected"`
+	// Members is how many instances it knows.
+	Members int `json:"members"`
+	// IndirectOnly is how many of them it reaches only through others.
+	IndirectOnly int `json:"indirect_only"`
+	// Leads says that it leads control.
+	Leads bool `json:"leads"`
 	// HeldShards is how many shards it owns.
 	HeldShards int `json:"held_shards"`
 	// Shards is how many shards there are.
--- a/node/local.go
+++ b/node/local.go
@@ -19,6 +19,8 @@
 	HeldShards    int    `json:"held_shards"`
 	Servers       int    `json:"backend_servers"`
 	Ejected       int    `json:"ejected"`
+	IndirectOnly  int    `json:"indirect_only"`
+	Leads         bool   `json:"leads"`
 }
 
 // localMux serves what runs on the same machine: backend servers, metrics,
@@ -49,6 +51,8 @@
 	state.Shards = len(shards.Shards)
 	state.HeldShards = n.quota.HeldShards()
 	state.Servers, state.Ejected = snapshot.CountServers()
+	state.IndirectOnly = snapshot.CountIndirect()
+	state.Leads = n.control != nil && n.control.IsLeader()
 	self := snapshot.Member(snapshot.Self)
 	switch {
 	case self.Record.Draining:
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -150,7 +150,9 @@
 	{
 		section: sectionLimits, key: "stop_timeout", standard: "60s",
 		help: "How long a planned stop waits for requests in flight, from 1s to 1h.",
-		set:  func(s *Settings, text string) error { return setDuration(&s.Limits.StopTimeout, text, minStop, maxStop) },
+		set: func(s *Settings, text string) error {
+			return setDuration(&s.Limits.StopTimeout, text, minStop, maxStop)
+		},
 	},
 	{
 		section: sectionLimits, key: "report_interval", standard: "1m",
