--- a/internal/soup/soup.go
+++ b/internal/soup/soup.go
@@ -27,6 +27,12 @@
 	return Start.Add(c.Offset + elapsed + time.Duration(c.Drift*float64(elapsed)))
 }
 
+// TrueTime returns the true time at which the clock shows the reading.
+func (c Clock) TrueTime(reading time.Time) time.Time {
+	elapsed := float64(reading.Sub(Start)-c.Offset) / (1 + c.Drift)
+	return Start.Add(time.Duration(elapsed))
+}
+
 // Parcel is a message on its way.
 type Parcel[M any] struct {
 	From, To fleetconfig.InstanceID
@@ -46,6 +52,8 @@
 type Network[M any] struct {
 	// Draw returns a number from 0 to sides-1.
 	Draw func(label string, sides int) int
+	// LossOdds is one in how many messages is lost.
+	LossOdds int
 	// Cut holds the links that lose everything.
 	Cut    map[Link]bool
 	flight []Parcel[M]
@@ -54,8 +62,8 @@
 // shortDelay is the longest delay of a message that may still come in time.
 const shortDelay = 600
 
-// Post sends a message at the given true time. One in 40 is lost, two are late,
-// and one comes twice.
+// Post sends a message at the given true time. One in LossOdds is lost; one
+// in 20 is late and one in 40 comes twice.
 func (n *Network[M]) Post(from, to fleetconfig.InstanceID, message M, now time.Time) {
 	n.PostLate(from, to, message, now, 0)
 }
@@ -65,11 +73,12 @@
 	if n.Cut[Link{From: from, To: to}] {
 		return
 	}
+	if n.Draw("loss", n.LossOdds) == 0 {
+		return
+	}
 	fate := n.Draw("fate", 40)
 	parcel := Parcel[M]{From: from, To: to, Message: message, due: now.Add(held + time.Duration(1+fate/2)*time.Millisecond)}
 	switch fate {
-	case 0:
-		return
 	case 1:
 		parcel.due = now.Add(time.Duration(n.Draw("delay", maxDelay)) * time.Millisecond)
 	case 2:
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -211,6 +211,9 @@
 		return maxWait
 	}
 	wait := time.Duration(min(missing/b.fillRate(), maxWait.Seconds()) * float64(time.Second))
+	if b.at.After(now) && b.lent == 0 {
+		wait += b.at.Sub(now) // The tenure has not begun to lend.
+	}
 	if b.room() >= missing {
 		return wait
 	}
--- a/quota/soup_test.go
+++ b/quota/soup_test.go
@@ -104,7 +104,7 @@
 
 func newQuotaSoup(t *rapid.T) *quotaSoup {
 	s := &quotaSoup{t: t, random: newRandom(t), now: soup.Start, meters: make(map[fleetconfig.AccountID]*meter), orders: make(map[int]bool)}
-	s.network = soup.Network[quotaMessage]{Draw: s.draw, Cut: make(map[soup.Link]bool)}
+	s.network = soup.Network[quotaMessage]{Draw: s.draw, LossOdds: []int{5, 40}[s.draw("loss odds", 2)], Cut: make(map[soup.Link]bool)}
 	var addresses []fleetconfig.InstanceAddress
 	for i := range 1 + s.draw("nodes", 5) {
 		node := &quotaNode{
--- a/shard/soup_test.go
+++ b/shard/soup_test.go
@@ -20,6 +20,7 @@
 	address fleetconfig.InstanceAddress
 	clock   soup.Clock
 	frozen  time.Time
+	stops   time.Time // when a planned stop ends in a restart
 	life    uint64
 	group   *Group
 	epoch   int
@@ -47,6 +48,10 @@
 	steps   int
 	passed  int
 	last    map[ID]Holder
+	// ends is, for each shard, the true time at which the last of all tenures so far
+	// would have ended.
+	ends  map[ID]time.Time
+	waits int
 }
 
 const soupShards = 2
@@ -64,8 +69,9 @@
 		planner: NewPlanner(timing),
 		away:    make(map[fleetconfig.InstanceID]bool),
 		last:    make(map[ID]Holder),
+		ends:    make(map[ID]time.Time),
 	}
-	s.network = soup.Network[soupMessage]{Draw: s.draw, Cut: make(map[soup.Link]bool)}
+	s.network = soup.Network[soupMessage]{Draw: s.draw, LossOdds: []int{5, 40}[s.draw("loss odds", 2)], Cut: make(map[soup.Link]bool)}
 	count := minNodes + s.draw("nodes", maxNodes-minNodes+1)
 	var addresses []fleetconfig.InstanceAddress
 	for i := range count {
@@ -93,6 +99,7 @@
 // start gives a node an empty memory and the map that it has been sent.
 func (s *leaseSoup) start(node *soupNode) {
 	node.life++
+	node.stops = time.Time{}
 	node.group = NewGroup(node.address.ID, node.life*1000+uint64(len(node.address.ID)), DefaultTiming())
 	node.group.Export = func(_ ID, ended Holder, _ time.Time) []byte { return fmt.Append(nil, ended) }
 	s.send(node, node.group.Adopt(&s.maps[node.epoch], s.draw("map read", 2) == 0, node.clock.At(s.now)))
@@ -143,22 +150,38 @@
 func (s *leaseSoup) check() {
 	for shard := range ID(soupShards) {
 		var owners []Lease
+		var owner *soupNode
 		for _, node := range s.nodes {
 			if lease, held := node.group.Held(shard, node.clock.At(s.now)); held {
 				owners = append(owners, lease)
+				owner = node
 			}
 		}
 		if len(owners) > 1 {
 			s.t.Fatalf("shard %d has two owners at %v: %+v", shard, s.now.Sub(soup.Start), owners)
 		}
 		if len(owners) == 1 && owners[0].Holder != s.last[shard] {
-			s.observeTenure(shard, owners[0])
+			s.observeTenure(shard, owners[0], owner)
+		}
+		if len(owners) == 1 {
+			if end := owner.clock.TrueTime(owners[0].Until); s.ends[shard].Before(end) {
+				s.ends[shard] = end
+			}
 		}
 	}
 }
 
-func (s *leaseSoup) observeTenure(shard ID, lease Lease) {
+// observeTenure checks a new tenure: it has the state of the one before, or it
+// knows when all earlier ones would have ended.
+func (s *leaseSoup) observeTenure(shard ID, lease Lease, owner *soupNode) {
 	s.tenures++
+	if end := s.ends[shard]; lease.Inherited == nil && s.now.Before(end) {
+		s.waits++
+		if owner.clock.TrueTime(lease.Clear).Before(end) {
+			s.t.Fatalf("shard %d: %+v starts without state, %v before the tenure before it would have ended",
+				shard, lease.Holder, end.Sub(s.now))
+		}
+	}
 	if lease.Inherited != nil {
 		s.passed++
 		if string(lease.Inherited) != fmt.Sprint(s.last[shard]) {
@@ -186,12 +209,23 @@
 	case 5:
 		s.away[node.address.ID] = !s.away[node.address.ID]
 	case 6:
-		s.send(node, node.group.Stop(node.clock.At(s.now)))
+		s.stopOwner()
 	default:
 		s.plan()
 	}
 }
 
+// stopOwner starts a planned stop of the instances that own a shard.
+func (s *leaseSoup) stopOwner() {
+	for _, node := range s.nodes {
+		now := node.clock.At(s.now)
+		if len(node.group.Leases(now)) > 0 && !s.now.Before(node.frozen) {
+			s.send(node, node.group.Stop(now))
+			node.stops = s.now.Add(time.Second)
+		}
+	}
+}
+
 // plan makes the next step of the map, if the replicas that can be asked allow it.
 func (s *leaseSoup) plan() {
 	var alive []fleetconfig.InstanceAddress
@@ -230,13 +264,16 @@
 			node.epoch++
 			s.send(node, node.group.Adopt(&s.maps[node.epoch], false, node.clock.At(s.now)))
 		}
+		if !node.stops.IsZero() && s.now.After(node.stops) {
+			s.start(node)
+		}
 		s.send(node, node.group.Tick(node.clock.At(s.now)))
 		s.check()
 	}
 }
 
 func TestAtMostOneOwnerPerShard(t *testing.T) {
-	tenures, steps, passed := 0, 0, 0
+	tenures, steps, passed, waits := 0, 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSoup(t, 1, 8, PlannerTiming{GoneAfter: 4 * time.Second, StableAfter: time.Second})
 		calm := []int{3, 10, 30}[s.draw("calm", 3)]
@@ -249,11 +286,13 @@
 		tenures += s.tenures
 		steps += s.steps
 		passed += s.passed
+		waits += s.waits
 	})
 	must.Positive(t, tenures)
 	must.Positive(t, steps)
 	must.Positive(t, passed)
-	t.Logf("%d tenures, %d of them handed over with state, %d steps of the map", tenures, passed, steps)
+	t.Logf("%d tenures, %d handed over with state, %d that wait for an earlier one, %d steps of the map",
+		tenures, passed, waits, steps)
 }
 
 // TestAtMostOneOwnerWhileTheMapChanges moves replicas as fast as the planner
