--- a/quotadriver/service_test.go
+++ b/quotadriver/service_test.go
@@ -42,15 +42,14 @@
 	self    fleetconfig.InstanceAddress
 }
 
-var errDown = errors.New("the instance is down")
-
 func (c *fakeCaller) Call(ctx context.Context, address, path string, request, reply any) error {
 	c.network.mu.Lock()
 	mux := c.network.muxes[address]
 	down := c.network.down[address] || c.network.down[c.self.Address]
 	c.network.mu.Unlock()
 	if down {
-		return errDown
+		<-ctx.Done() // A dead instance does not answer.
+		return ctx.Err()
 	}
 	data, err := codec.Marshal(request)
 	if err != nil {
@@ -251,7 +250,9 @@
 			leaving = i
 		}
 	}
-	must.NoError(t, f.services[leaving].HandOver(context.Background()))
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	must.NoError(t, f.services[leaving].HandOver(ctx))
 	must.Zero(t, f.services[leaving].HeldShards())
 	waitFor(t, func() bool { return held() == 6 })
 }
