--- /dev/null
+++ b/configsync/propose.go
@@ -0,0 +1,95 @@
+package configsync
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hemlockring/hemlockring/control"
+	"github.com/hemlockring/hemlockring/currency"
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+// Propose makes a command on the leader of control and returns its result once a
+// majority of the holders has it too. The result may be a conflict or a list of
+// faults, see fleetconfig.Result. It fails with *control.NotLeaderError or
+// *control.BusyError if the command was certainly not proposed, and with
+// *control.OutcomeUnknownError if it may have been made.
+func (s *Service) Propose(ctx context.Context, command *fleetconfig.Command) (*fleetconfig.Result, error) {
+	if s.config.Log == nil {
+		return nil, &control.NotLeaderError{}
+	}
+	if err := s.mayPropose(command.BaseVersion); err != nil {
+		return nil, err
+	}
+	entry, err := fleetconfig.EncodeCommand(command)
+	if err != nil {
+		return nil, err
+	}
+	data, err := s.config.Log.Propose(ctx, entry)
+	if err != nil {
+		return nil, err
+	}
+	result, err := fleetconfig.DecodeResult(data)
+	if err != nil {
+		return nil, &control.OutcomeUnknownError{Reason: err.Error()}
+	}
+	if result.Verdict != fleetconfig.VerdictAccepted {
+		return result, nil
+	}
+	s.wakeUp()
+	if err := s.awaitAcceptance(ctx, result.Version); err != nil {
+		return nil, err
+	}
+	return result, nil
+}
+
+func (s *Service) mayPropose(baseVersion uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leader == nil {
+		return s.notLeader()
+	}
+	err := s.leader.MayPropose(baseVersion, time.Now())
+	var notReady *currency.NotReadyError
+	if errors.As(err, &notReady) {
+		return &control.BusyError{Reason: notReady.Reason}
+	}
+	return err
+}
+
+func (s *Service) notLeader() error {
+	known := s.config.Log.Leadership()
+	return &control.NotLeaderError{Leader: known.Leader, Address: known.Address}
+}
+
+// awaitAcceptance waits until a majority of the holders has the version.
+func (s *Service) awaitAcceptance(ctx context.Context, version uint64) error {
+	for {
+		s.mu.Lock()
+		accepted := s.node.Accepted()
+		if s.leader != nil {
+			own, _ := s.leader.Accepted()
+			accepted = max(accepted, own)
+		}
+		signal := s.accepted
+		s.mu.Unlock()
+		if accepted >= version {
+			return nil
+		}
+		select {
+		case <-signal:
+		case <-ctx.Done():
+			return &control.OutcomeUnknownError{Reason: fmt.Sprintf("version %d is committed, "+
+				"but a majority of the holders has not confirmed it yet", version)}
+		}
+	}
+}
+
+// announceAccepted wakes those that wait for an acceptance. The caller holds mu.
+func (s *Service) announceAccepted() {
+	close(s.accepted)
+	s.accepted = make(chan struct{})
+}
--- /dev/null
+++ b/node/stop.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// handOverTimeout bounds how long leases, order records and the leadership of the
+// replicated log may take to be handed over.
+const handOverTimeout = 3 * time.Second
+
+// fleetShutdownTimeout bounds how long the last answers may take to arrive at the
+// other instances.
+const fleetShutdownTimeout = 3 * time.Second
+
+// shutDownFleetPort lets the last answers arrive at the other instances. Closing
+// the port at once would lose what the handlers have written but nobody has
+// received yet.
+func (n *Node) shutDownFleetPort() {
+	ctx, cancel := context.WithTimeout(context.Background(), fleetShutdownTimeout)
+	defer cancel()
+	if err := n.endpoint.Shutdown(ctx); err != nil {
+		n.logger.Warn("fleet port did not shut down in time", "error", err)
+	}
+}
+
+// stop is the planned stop. The order matters: first the fleet hears that this
+// instance takes no new work, then the callers' port closes and waits for its
+// requests, which need leases, order records and the fleet port; then what this
+// instance holds for others is handed over; the fleet port closes last.
+func (n *Node) stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Limits.StopTimeout)
+	defer cancel()
+	n.logger.Info("instance stops, requests in flight go on")
+	n.members.SetDraining()
+	var group errgroup.Group
+	group.Go(func() error { return n.backendProxy.Drain(ctx) })
+	if n.callers != nil {
+		group.Go(func() error { return n.callers.shutdown(ctx) })
+	}
+	err := group.Wait()
+	n.handOver()
+	n.members.Leave()
+	n.shutDownFleetPort()
+	if err != nil {
+		return errors.Wrap(err, "stop")
+	}
+	n.logger.Info("instance stopped, no request was cut off")
+	return nil
+}
+
+// handOver gives to others what this instance holds for the fleet. What does not
+// succeed in time is recovered by the others as after a crash.
+func (n *Node) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	if err := n.orders.Drain(ctx); err != nil {
+		n.logger.Warn("order records", "error", err)
+	}
+	if err := n.quota.HandOver(ctx); err != nil {
+		n.logger.Warn("leases", "error", err)
+	}
+	if err := n.supervisor.RemoveAndWait(n.senderToken, handOverTimeout); err == nil {
+		n.sender.Finish(ctx)
+	}
+	if n.control == nil {
+		return
+	}
+	if err := n.supervisor.RemoveAndWait(n.controlToken, handOverTimeout); err != nil {
+		n.logger.Warn("leadership of the replicated log", "error", err)
+	}
+}
