Quota: forget unanswered asks when their tokens have expired; say when Spent may be called

Cause: an ingress told an owner that stayed away of given-up asks for ever. Spent for a request whose outcome is unknown would free its place in the burst while it may still be dispatched; the comments of Spent now say so.

--- a/quota/borrower.go
+++ b/quota/borrower.go
@@ -284,6 +284,7 @@
 		p.pending = pendingAsk{}
 		if len(p.canceled) < maxCanceled {
 			p.canceled = append(p.canceled, ask.Grant)
+			p.canceledAt = now
 		}
 		p.reportAt = now.Add(resendReport)
 		settled = append(settled, p.refuse(Refusal{Account: p.account, Cause: cause, RetryAfter: retryAfter})...)
@@ -320,8 +321,10 @@
 	return p.settle(now)
 }
 
-// Spent records that the request of a token was dispatched to a backend server,
-// at least ago before now. The owner hears of it as soon as it has asked to.
+// Spent records that the request of a token is known to have been dispatched to a
+// backend server, at least ago before now. A token whose request may still be
+// under way must be left to expire instead: once the owner hears of Spent, the
+// token's place in the burst fills again. The owner hears of it as soon as it has asked to.
 func (b *Borrower) Spent(token Token, ago time.Duration, now time.Time) {
 	p, batch := b.find(token)
 	if batch == nil || batch.taken() == 0 {
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -88,6 +88,7 @@
 	refusedUntil time.Time
 	refusal      Refusal
 	canceled     []GrantID
+	canceledAt   time.Time
 
 	queued   bool // in the borrower's list of accounts to send for
 	reportAt time.Time
@@ -166,6 +167,9 @@
 // tick gives unused tokens back and forgets expired batches. It reports whether
 // the owner must be told something now.
 func (p *pool) tick(now time.Time) bool {
+	if now.Sub(p.canceledAt) > MaxTokenLife {
+		p.canceled = nil // Whatever was lent for them has expired.
+	}
 	target := p.target(now)
 	kept := p.batches[:0]
 	for i := range p.batches {
