--- a/health/detector.go
+++ b/health/detector.go
@@ -17,7 +17,7 @@
 	maxFaultShare = 0.9
 	// doublingNats is the evidence for each doubling of a latency past the slow
 	// bound.
-	doublingNats = 2.0
+	doublingNats = 2.5
 	// maxLevel bounds how often one request counts.
 	maxLevel = 8
 	// sums is the number of tests that share the target for false ejections.
@@ -169,7 +169,7 @@
 		d.recordSummary(&request, result, now)
 		return false
 	}
-	slow := d.countAge(&request, now)
+	slow := d.countAge(&request, now) || request.level > 0
 	if slow {
 		d.stall.memberEnded(now)
 	}
--- a/health/permit.go
+++ b/health/permit.go
@@ -22,6 +22,11 @@
 	commonCauseWait = 5 * time.Second
 	// baselineInterval is the shortest time between two baselines.
 	baselineInterval = time.Second
+	// baselineSettles is how long after a rise the baseline still lags behind: the
+	// summaries hold up to 20 s. No new permit is granted meanwhile.
+	baselineSettles = 15 * time.Second
+	// lowestLife is how long a low baseline is remembered, to tell a rise from it.
+	lowestLife = time.Minute
 )
 
 // AskID identifies an ask for a permit.
@@ -142,8 +147,10 @@
 	servers      []*ownedServer
 	baseline     Baseline
 	baselineMade time.Time
-	// lowest is the lowest baseline since the number last changed.
-	lowest Baseline
+	// lowest is the lowest baseline since lowestSince.
+	lowest      Baseline
+	lowestSince time.Time
+	risenAt     time.Time
 }
 
 // NewPermitOwner returns an owner that starts now and knows nothing. The
@@ -249,7 +256,7 @@
 	if server.firstAsk.IsZero() || now.Sub(server.firstAsk) > 2*commonCauseWait {
 		server.firstAsk = now
 	}
-	if ask.Baseline != o.baseline.Number || o.commonCause(server, now) {
+	if o.unsettled(&ask, now) || o.commonCause(server, now) {
 		return ReasonCommonCause
 	}
 	capacities, candidate := o.capacities(server, now)
@@ -328,18 +335,28 @@
 		}
 	}
 	o.baseline = MergeBaseline(o.baseline, summaries)
-	o.numberBaseline()
+	o.numberBaseline(now)
+}
+
+// unsettled reports whether the evidence of an ask may be that of a day that has
+// just become slow for all.
+func (o *PermitOwner) unsettled(ask *Ask, now time.Time) bool {
+	return ask.Baseline != o.baseline.Number || now.Sub(o.risenAt) < baselineSettles
 }
 
 // numberBaseline gives a baseline that has risen a new number. Monitors that have
 // not heard of it yet ask in vain, so that no evidence from before it ejects a
 // server.
-func (o *PermitOwner) numberBaseline() {
+func (o *PermitOwner) numberBaseline(now time.Time) {
 	if o.baseline.risen(&o.lowest) {
 		o.baseline.Number++
-		o.lowest = o.baseline
+		o.risenAt = now
+		o.lowest, o.lowestSince = o.baseline, now
 		return
 	}
+	if now.Sub(o.lowestSince) >= lowestLife {
+		o.lowest, o.lowestSince = o.baseline, now
+	}
 	o.lowest.SlowBound = min(o.lowest.SlowBound, o.baseline.SlowBound)
 	o.lowest.ErrorShare = min(o.lowest.ErrorShare, o.baseline.ErrorShare)
 }
--- a/health/stall.go
+++ b/health/stall.go
@@ -7,12 +7,12 @@
 	// stallBound is the length from which a stall alone convicts a server.
 	// Shorter stops, such as pauses of a garbage collector, happen to healthy
 	// servers.
-	stallBound = 1500 * time.Millisecond
+	stallBound = 2 * time.Second
 	// minStallBounds is the same in multiples of the slow bound.
 	minStallBounds = 8
 	// shortStallShare is the share of the bound that the shortest stall gives at
 	// most, longStallShare what is added at the length of stallBound.
-	shortStallShare = 0.25
+	shortStallShare = 0.3
 	longStallShare  = 0.95
 )
 
