--- a/health/permit_test.go
+++ b/health/permit_test.go
@@ -397,3 +397,37 @@
 		must.Eq(t, allowed, MayEject(floor, servers, candidate))
 	})
 }
+
+// TestLateMessages holds one by one what keeps the owner's view and the permits
+// true when messages come late: each has a scenario that the random test meets
+// too rarely.
+func TestLateMessages(t *testing.T) {
+	owner := NewPermitOwner(Floor{Slots: 1}, DefaultPermitLife, 1, epoch)
+	now := epoch.Add(DefaultPermitLife)
+	report := func(name fleetconfig.BackendServerID, number uint64, standing Standing) {
+		owner.Report(Report{Instance: "i", Server: name, Incarnation: 1, Number: number, Slots: 1, Standing: standing,
+			Echo: Challenge{Owner: 1, Age: now.Sub(epoch)}}, now)
+	}
+	ask := func(incarnation, number uint64) Reason {
+		return owner.Ask(Ask{ID: AskID{incarnation, number}, Instance: "i", Server: "a"}, now)
+	}
+	report("a", 2, StandingSuspect)
+	report("a", 1, StandingHealthy)
+	report("b", 1, StandingHealthy)
+	record := owner.find(serverKey{"i", "a"}, false)
+	must.Eq(t, StandingSuspect, record.standing(now), must.Sprint("a late report revived the server"))
+	must.Eq(t, ReasonUnknownServer, ask(2, 1), must.Sprint("this incarnation has not reported"))
+	must.Eq(t, ReasonNone, ask(1, 3))
+	must.Eq(t, ReasonStale, ask(1, 1), must.Sprint("a late ask"))
+	owner.Release("i", "a", AskID{1, 2})
+	must.True(t, record.live(now), must.Sprint("a late release ended a newer permit"))
+
+	monitor := NewMonitor("i", "a", 1, PolicyOf(&fleetconfig.Preset{EjectionEnabled: true}), 1, now)
+	for i := range 20 {
+		monitor.End(monitor.Begin(accountName(i%3), now.Add(time.Minute), now), ResultFailed, now)
+	}
+	monitor.Tick(now)
+	late := monitor.Granted(AskID{1, 1}, now.Add(grantLife+1))
+	must.Eq(t, []Action{ReleasePermit{ID: AskID{1, 1}}}, late, must.Sprint("a late grant"))
+	must.Eq(t, StateInService, monitor.State())
+}
