--- /dev/null
+++ b/health/monitor_permit.go
@@ -0,0 +1,64 @@
+package health
+
+import "time"
+
+// ask asks for a permit or the renewal of one, unless the last ask or refusal is
+// too recent.
+func (m *Monitor) ask(now time.Time, actions []Action) []Action {
+	if now.Before(m.askNotBefore) {
+		return actions
+	}
+	m.asks++
+	m.asked = Ask{
+		ID:       AskID{Incarnation: m.incarnation, Number: m.asks},
+		Instance: m.instance,
+		Server:   m.server,
+		Severity: m.detector.Severity(),
+		Renews:   m.state != StateInService,
+		Baseline: m.detector.baseline.Number,
+	}
+	m.askedAt = now
+	m.pending = true
+	m.askNotBefore = now.Add(grantLife)
+	return append(actions, AskPermit{Ask: m.asked})
+}
+
+// Granted records the owner's permit. Only the answer to the last ask counts,
+// and its life counts from when it was asked for. A permit that comes too late to
+// begin an ejection is given back.
+func (m *Monitor) Granted(id AskID, now time.Time) []Action {
+	if !m.pending || id != m.asked.ID {
+		return nil
+	}
+	m.pending = false
+	expires := m.askedAt.Add(m.policy.PermitLife)
+	if !now.Before(expires) {
+		return nil
+	}
+	if m.state != StateInService {
+		m.permit, m.permitExpires = id, expires
+		return nil
+	}
+	if now.Sub(m.askedAt) > grantLife || !m.detector.Convicted() || m.draining {
+		return []Action{ReleasePermit{ID: id}}
+	}
+	m.permit, m.permitExpires = id, expires
+	m.holdUntil = now.Add(m.hold.next(&m.policy, now))
+	return m.enter(StateEjected, now, nil)
+}
+
+// Denied records that the owner refused a permit. A refused renewal returns the
+// server to service at once, unless the owner has only just started: then the
+// permit runs out by itself.
+func (m *Monitor) Denied(id AskID, reason Reason, now time.Time) []Action {
+	if !m.pending || id != m.asked.ID {
+		return nil
+	}
+	m.pending = false
+	m.askNotBefore = now.Add(askInterval)
+	m.refusedReason = reason
+	if m.state == StateInService || reason == ReasonStarting || reason == ReasonStale {
+		return nil
+	}
+	return m.release(now, nil)
+}
