--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -20,6 +20,7 @@
 	settings.Seeds = 6
 	settings.HealthyServerDays = 0.5
 	settings.LoadSeconds = 3
+	settings.LoadSeeds = 1
 	settings.Workers = 2
 	settings.JSONFile = filepath.Join(t.TempDir(), "result.json")
 	settings.PlotFile = filepath.Join(t.TempDir(), "result.svg")
--- a/internal/experiment/load_settings.go
+++ b/internal/experiment/load_settings.go
@@ -75,6 +75,7 @@
 	s.Seeds = r.whole("seeds", 1, 10_000)
 	s.HealthyServerDays = r.number("healthy_server_days", 0.001, 100_000)
 	s.LoadSeconds = r.whole("load_seconds", 1, 86_400)
+	s.LoadSeeds = r.whole("load_seeds", 1, 1000)
 	s.Workers = r.whole("workers", 1, 64)
 	s.FailureDomains = r.whole("failure_domains", 1, 64)
 	s.Ingresses = r.whole("ingresses", 1, 64)
--- a/internal/experiment/settings.go
+++ b/internal/experiment/settings.go
@@ -19,6 +19,8 @@
 	HealthyServerDays float64
 	// LoadSeconds is the length of each load run.
 	LoadSeconds int
+	// LoadSeeds is how many runs each load case gets.
+	LoadSeeds int
 	// Workers is how many runs go on at once.
 	Workers int
 	// FailureDomains is how many failure domains the servers are spread over.
