consensus: a new voter was a receiver with the same disk before

Cause: a change could make a member a voter whose log did not admit its disk yet; if its leader then lost the leadership, the member never voted and the log stood still. The driver already took both steps.

--- a/consensus/errors.go
+++ b/consensus/errors.go
@@ -20,7 +20,8 @@
 	// ErrNotCaughtUp reports that a member lacks committed entries.
 	ErrNotCaughtUp = errors.New("the member has not received the whole log yet; retry when it has")
 	// ErrInvalidChange reports a membership that may not follow the present one.
-	ErrInvalidChange = errors.New("a change may add or remove one voter, and must leave between one and seven; make it in steps")
+	ErrInvalidChange = errors.New("a change may turn one receiver into a voter or remove one voter, " +
+		"and must leave between one and eight; make it in steps")
 )
 
 // InconsistentStateError reports stored state that no run of the algorithm
--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -94,11 +94,19 @@
 // its disk, with any majority of the other. That holds if they differ by at most
 // one voter. So a new disk cannot take a voter's place in one step: the voter is
 // first turned into a receiver with the new disk, then into a voter.
+//
+// Invariant: a new voter was a receiver with the same disk. Its log then admits
+// the disk, so that it votes even if it never hears that it became a voter.
 func (m Membership) mayFollow(previous Membership) bool {
 	voters := m.Voters()
 	if voters < 1 || voters > maxVoters {
 		return false
 	}
+	for _, member := range m.Members {
+		if member.Voter && !previous.Admits(member.ID, member.Disk) {
+			return false
+		}
+	}
 	return votersOnlyIn(m, previous)+votersOnlyIn(previous, m) <= 1
 }
 
--- a/storage/journal.go
+++ b/storage/journal.go
@@ -16,8 +16,9 @@
 	loaded  [][]byte
 }
 
-// OpenJournal opens the journal in a folder, or starts one. A torn tail is cut;
-// damage before it is a [DamageError].
+// OpenJournal opens the journal in a folder, or starts one. A torn tail is
+// dropped; damage before it is a [DamageError]. What was there is written anew
+// before it counts, since it may never have reached the disk.
 func OpenJournal(files FS, folder string) (*Journal, error) {
 	if err := files.MkdirAll(folder); err != nil {
 		return nil, errors.Wrapf(err, "make the folder %s; check its permissions", folder)
@@ -34,13 +35,12 @@
 	// A newer segment is complete once it has its name, so the older ones are left
 	// over from a crash.
 	newest := numbers[len(numbers)-1]
-	segment, scan, err := openSegment(files, folder, newest)
+	scan, err := readSegment(files, folder, newest)
 	if err != nil {
 		return nil, err
 	}
-	journal.segment = segment
 	journal.loaded = scan.payloads[1:]
-	return journal, segment.removeOlder()
+	return journal, journal.begin(newest+1, journal.loaded)
 }
 
 // Load calls restore with each entry that was there when the journal was opened,
@@ -64,11 +64,19 @@
 // Replace puts entries in place of all others. After an error or a crash the
 // journal holds the old entries or the new ones.
 func (j *Journal) Replace(entries [][]byte) error {
+	previous := j.segment
+	if err := j.begin(previous.number+1, entries); err != nil {
+		return err
+	}
+	return errors.Wrap(previous.file.Close(), "close a segment; check the disk")
+}
+
+// begin makes a segment with entries and removes the older ones.
+func (j *Journal) begin(number uint64, entries [][]byte) error {
 	content := appendRecord(nil, journalHeader, 0)
 	for _, entry := range entries {
 		content = appendRecord(content, entry, 0)
 	}
-	number := j.segment.number + 1
 	name := segmentName(j.folder, number)
 	if err := writeDurably(j.files, name, content); err != nil {
 		return err
@@ -77,7 +85,6 @@
 	if err != nil {
 		return errors.Wrapf(err, "open %s; check its permissions", name)
 	}
-	_ = j.segment.file.Close()
 	j.segment = &segment{files: j.files, folder: j.folder, number: number, file: file, size: int64(len(content))}
 	return j.segment.removeOlder()
 }
