--- a/consensus/node_test.go
+++ b/consensus/node_test.go
@@ -68,6 +68,35 @@
 	must.False(t, granted[0].Reject)
 }
 
+// votesFor tells whether the node gives a candidate of term 3 the vote of the given
+// kind.
+func votesFor(node *Node, now time.Time, kind MessageType) bool {
+	node.Step(now, Message{Type: kind, From: "c", FromDisk: "dc", To: "a", Term: 3, Index: 1, LogTerm: 1})
+	for _, answer := range drain(node) {
+		if !answer.Reject {
+			return true
+		}
+	}
+	return false
+}
+
+// A member that hears a leader gives no vote against it, and neither does one that
+// has restarted: it doesn't know what it answered before.
+func TestNoVoteWhileALeaderCountsOnTheMember(t *testing.T) {
+	for _, kind := range []MessageType{MessagePreVote, MessageVote} {
+		restarted := newTestNode(t, "a")
+		must.False(t, votesFor(restarted, testStart.Add(testElectionTimeout-1), kind))
+		must.True(t, votesFor(restarted, testStart.Add(testElectionTimeout), kind))
+
+		node := newTestNode(t, "a")
+		now := testStart.Add(2 * testElectionTimeout)
+		node.Step(now, Message{Type: MessageAppend, From: "b", FromDisk: "db", To: "a", Term: 2, Index: 1, LogTerm: 1})
+		drain(node)
+		must.False(t, votesFor(node, now.Add(testElectionTimeout-1), kind))
+		must.True(t, votesFor(node, now.Add(testElectionTimeout), kind))
+	}
+}
+
 // A planned stop hands the role over without an election timeout.
 func TestTransferElectsTheSuccessorAtOnce(t *testing.T) {
 	nodes := map[MemberID]*Node{}
--- a/consensus/soup_actions_test.go
+++ b/consensus/soup_actions_test.go
@@ -42,7 +42,7 @@
 // agree on a leader if a majority of the disks is left.
 func TestLogSurvivesFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := newSoup(t, rapid.SampledFrom([]int{1, 3, 3, 5}).Draw(t, "voters"))
+		s := newSoup(t, rapid.SampledFrom([]int{1, 3, 3, 5, 7}).Draw(t, "voters"))
 		s.calm(30)
 		var weighted []func(*soup)
 		for _, action := range soupActions {
--- a/consensus/soup_test.go
+++ b/consensus/soup_test.go
@@ -13,7 +13,7 @@
 const (
 	testElectionTimeout = 500 * time.Millisecond
 	testHeartbeat       = 100 * time.Millisecond
-	soupServers         = 6
+	soupServers         = 8
 	maxSoupMessages     = 400
 )
 
