control: members are found at the address of their last call

Cause: a member that started again at another address was sent nothing, since the membership's address went first. AddMember now also brings a voter's address up to date.

--- a/control/loop.go
+++ b/control/loop.go
@@ -266,9 +266,7 @@
 // publish shows the state to other goroutines.
 func (l *loop) publish(now time.Time) {
 	status := newStatus(l.config.ID, l.store.Disk(), l.node.Status())
-	if status.LeaderAddress == "" && l.senders != nil {
-		status.LeaderAddress = l.senders.address(consensus.MemberID(status.Leader), consensus.Membership{})
-	}
+	status.LeaderAddress = l.leaderAddress()
 	l.view.Store(&view{status: status, leaseEnd: l.node.LeaseEnd(now), confirmedAt: l.confirmation(now)})
 	if role := l.node.Role(); role != l.role {
 		l.role = role
@@ -277,6 +275,18 @@
 	}
 }
 
+func (l *loop) leaderAddress() string {
+	leader := l.node.Leader()
+	switch {
+	case leader == "":
+		return ""
+	case leader == consensus.MemberID(l.config.ID):
+		return l.config.Address
+	default:
+		return l.senders.address(leader, l.node.Membership())
+	}
+}
+
 // beat tells the application that this instance leads.
 func (l *loop) beat(now time.Time) {
 	leaseEnd := l.node.LeaseEnd(now)
--- a/control/members.go
+++ b/control/members.go
@@ -13,8 +13,9 @@
 // AddMember makes an instance a voter with the disk that it has now. It is also
 // how a member is admitted again whose disk is blank or was swapped: the member
 // first only receives the log with its new disk, then becomes a voter. Both steps
-// may be repeated; an instance that is a voter already is left alone. It waits
-// until the member has the whole log or the context ends.
+// may be repeated; of an instance that is a voter already, only the address is
+// brought up to date. It waits until the member has the whole log or the context
+// ends.
 //
 // It fails with [NotLeaderError] on an instance that does not lead.
 func (n *Node) AddMember(ctx context.Context, id fleetconfig.InstanceID, address string) error {
@@ -27,10 +28,9 @@
 	}
 	member := consensus.Member{ID: consensus.MemberID(id), Address: address, Disk: reply.Disk}
 	err = n.changeMembers(ctx, func(current consensus.Membership) consensus.Membership {
-		if current.Admits(member.ID, member.Disk) {
-			return current
-		}
-		return current.With(member)
+		receiver := member
+		receiver.Voter = current.IsVoter(member.ID, member.Disk)
+		return current.With(receiver)
 	})
 	if err != nil {
 		return err
--- a/control/node.go
+++ b/control/node.go
@@ -191,9 +191,6 @@
 		if member.ID == consensus.MemberID(id) {
 			progress = consensus.Progress{Disk: disk, Match: status.LastIndex}
 		}
-		if member.ID == status.Leader {
-			described.LeaderAddress = member.Address
-		}
 		described.Members = append(described.Members, MemberStatus{
 			ID:            fleetconfig.InstanceID(member.ID),
 			Address:       member.Address,
--- a/control/send.go
+++ b/control/send.go
@@ -83,13 +83,11 @@
 		learned: map[consensus.MemberID]string{},
 		sent:    make(chan struct{}, 1),
 	}
-	for _, peer := range node.config.Initial {
-		s.learn(consensus.MemberID(peer.ID), peer.Address)
-	}
 	return s
 }
 
-// learn keeps the address of an instance that is not in the membership yet.
+// learn keeps the address that an instance gave in its last call. It may not be in
+// the membership yet, or have another address since.
 func (s *senders) learn(id consensus.MemberID, address string) {
 	if address == "" {
 		return
@@ -99,11 +97,20 @@
 	}
 }
 
+// address returns where an instance takes calls, or "" if that is not known.
 func (s *senders) address(id consensus.MemberID, membership consensus.Membership) string {
-	if member, ok := membership.Find(id); ok && member.Address != "" {
+	if address, ok := s.learned[id]; ok {
+		return address
+	}
+	if member, ok := membership.Find(id); ok {
 		return member.Address
 	}
-	return s.learned[id]
+	for _, peer := range s.node.config.Initial {
+		if consensus.MemberID(peer.ID) == id {
+			return peer.Address
+		}
+	}
+	return ""
 }
 
 // send queues messages. A snapshot gets its data from the disk.
--- a/storage/logstore_test.go
+++ b/storage/logstore_test.go
@@ -273,3 +273,14 @@
 		must.NoError(b, log.Save(consensus.Ready{Entries: []consensus.Entry{entry}}))
 	}
 }
+
+// BenchmarkCompact measures a snapshot of 20 MB.
+func BenchmarkCompact(b *testing.B) {
+	log, err := OpenLog(OSFS{}, b.TempDir(), bytes.NewReader(make([]byte, identityBytes)))
+	must.NoError(b, err)
+	snapshot := consensus.Snapshot{Term: 1, Data: make([]byte, 20<<20)}
+	for b.Loop() {
+		snapshot.Index++
+		must.NoError(b, log.Compact(snapshot, nil))
+	}
+}
