--- a/orders/fake_test.go
+++ b/orders/fake_test.go
@@ -32,7 +32,7 @@
 
 // testFleet connects services by function calls that may get lost or doubled.
 type testFleet struct {
-	t *testing.T
+	t testing.TB
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -45,7 +45,7 @@
 
 func address(i int) string { return fmt.Sprintf("10.0.0.%d:1", i) }
 
-func newTestFleet(t *testing.T, size int) *testFleet {
+func newTestFleet(t testing.TB, size int) *testFleet {
 	fleet := &testFleet{
 		t:        t,
 		random:   rand.New(rand.NewPCG(1, 2)),
@@ -57,6 +57,7 @@
 	for i := range size {
 		placement.Replicas = append(placement.Replicas,
 			fleetconfig.InstanceAddress{ID: fleetconfig.InstanceID(address(i)), Address: address(i)})
+		placement.Joined = append(placement.Joined, idempotency.FoundingEpoch)
 	}
 	fleet.shardMap = fleetconfig.ShardMap{Epoch: idempotency.FoundingEpoch, Shards: []fleetconfig.ShardPlacement{placement, placement}}
 	for i := range size {
--- a/storage/journal.go
+++ b/storage/journal.go
@@ -16,9 +16,8 @@
 	loaded  [][]byte
 }
 
-// OpenJournal opens the journal in a folder, or starts one. A torn tail is
-// dropped; damage before it is a [DamageError]. What was there is written anew
-// before it counts, since it may never have reached the disk.
+// OpenJournal opens the journal in a folder, or starts one. A torn tail is cut;
+// damage before it is a [DamageError].
 func OpenJournal(files FS, folder string) (*Journal, error) {
 	if err := files.MkdirAll(folder); err != nil {
 		return nil, errors.Wrapf(err, "make the folder %s; check its permissions", folder)
@@ -40,7 +39,9 @@
 		return nil, err
 	}
 	journal.loaded = scan.payloads[1:]
-	return journal, journal.begin(newest+1, journal.loaded)
+	// What was read may never have been synced. It is written anew, so that it is
+	// durable before anything counts on it.
+	return journal, journal.write(newest+1, journal.loaded)
 }
 
 // Load calls restore with each entry that was there when the journal was opened,
@@ -64,15 +65,15 @@
 // Replace puts entries in place of all others. After an error or a crash the
 // journal holds the old entries or the new ones.
 func (j *Journal) Replace(entries [][]byte) error {
-	previous := j.segment
-	if err := j.begin(previous.number+1, entries); err != nil {
+	old := j.segment.file
+	if err := j.write(j.segment.number+1, entries); err != nil {
 		return err
 	}
-	return errors.Wrap(previous.file.Close(), "close a segment; check the disk")
+	return errors.Wrap(old.Close(), "close the old segment")
 }
 
-// begin makes a segment with entries and removes the older ones.
-func (j *Journal) begin(number uint64, entries [][]byte) error {
+// write makes a new segment with the given entries and goes on in it.
+func (j *Journal) write(number uint64, entries [][]byte) error {
 	content := appendRecord(nil, journalHeader, 0)
 	for _, entry := range entries {
 		content = appendRecord(content, entry, 0)
--- a/storage/journal_test.go
+++ b/storage/journal_test.go
@@ -65,7 +65,7 @@
 	for i := range 10 {
 		must.NoError(t, journal.Append([][]byte{fmt.Appendf(nil, "entry %d", i)}))
 	}
-	name := segmentName(folder, 0)
+	name := segmentName(folder, journal.segment.number)
 	must.NoError(t, journal.Close())
 	data, err := OSFS{}.ReadFile(name)
 	must.NoError(t, err)
