--- a/consensus/election.go
+++ b/consensus/election.go
@@ -4,7 +4,7 @@
 
 // Step handles a message from another member.
 func (n *Node) Step(now time.Time, message Message) {
-	if message.To != n.config.ID || message.From == n.config.ID {
+	if message.To != n.config.ID || message.From == n.config.ID || !message.wellFormed() {
 		return
 	}
 	if n.role == Leader {
--- a/consensus/message.go
+++ b/consensus/message.go
@@ -55,3 +55,22 @@
 	// stepped down, so its followers need not wait for it to fall silent.
 	Transfer bool `cbor:"14,keyasint,omitempty"`
 }
+
+// wellFormed tells whether a message can come from a member that keeps to the
+// algorithm. Others are dropped.
+func (m *Message) wellFormed() bool {
+	if m.Type == MessageSnapshot {
+		return m.Snapshot != nil && m.Snapshot.Index > 0 && m.Snapshot.Term <= m.Term
+	}
+	index, term := m.Index, m.LogTerm
+	for _, entry := range m.Entries {
+		if entry.Index != index+1 || entry.Term < term || entry.Term > m.Term {
+			return false
+		}
+		if entry.Kind == EntryMembership && entry.Membership == nil {
+			return false
+		}
+		index, term = entry.Index, entry.Term
+	}
+	return m.LogTerm <= m.Term
+}
--- a/consensus/node_test.go
+++ b/consensus/node_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
+
+	"github.com/hemlockring/hemlockring/internal/codec"
 )
 
 var testStart = time.Unix(1_700_000_000, 0)
@@ -128,6 +130,35 @@
 	must.True(t, nodes["b"].Role() == Leader || nodes["c"].Role() == Leader)
 }
 
+// FuzzStep hands a follower messages that no member sends.
+func FuzzStep(f *testing.F) {
+	seeds := []Message{
+		{Type: MessageAppend, From: "b", To: "a", Term: 2, Index: 1, LogTerm: 1, Entries: []Entry{{Index: 2, Term: 2}}},
+		{Type: MessageAppend, From: "b", To: "a", Term: 2, Index: 1, LogTerm: 1, Entries: []Entry{{Index: 9, Term: 7}}},
+		{Type: MessageSnapshot, From: "b", To: "a", Term: 2, Snapshot: &Snapshot{Index: 9, Term: 2}},
+		{Type: MessageVote, From: "b", FromDisk: "db", To: "a", Term: 9, Index: 1, LogTerm: 1},
+	}
+	for _, seed := range seeds {
+		data, err := codec.Marshal(seed)
+		must.NoError(f, err)
+		f.Add(data, data)
+	}
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		node := newTestNode(t, "a")
+		now := testStart.Add(testElectionTimeout)
+		for _, data := range [][]byte{first, second} {
+			var message Message
+			if codec.Unmarshal(data, &message) == nil {
+				message.To = "a"
+				node.Step(now, message)
+				drain(node)
+			}
+		}
+		node.Tick(now.Add(2 * testElectionTimeout))
+		drain(node)
+	})
+}
+
 func TestStoredLogWithAGapIsRefused(t *testing.T) {
 	_, err := New(Config{ElectionTimeout: time.Second, Rand: rand.New(rand.NewPCG(1, 2))}, Stored{
 		HardState: HardState{Term: 1},
--- a/consensus/snapshot.go
+++ b/consensus/snapshot.go
@@ -22,9 +22,6 @@
 
 // handleSnapshot takes the leader's state in place of entries.
 func (n *Node) handleSnapshot(now time.Time, message Message) {
-	if message.Snapshot == nil {
-		return
-	}
 	n.followLeader(now, message)
 	n.sendAfterSync(Message{
 		Type:   MessageAppendResponse,
