--- a/control/loop.go
+++ b/control/loop.go
@@ -53,6 +53,7 @@
 	<-formed
 	l.senders.wait()
 	l.waiters.failAll("this control instance stops")
+	l.refuseQueued()
 	n.view.Store(&view{status: n.view.Load().status})
 	return errors.CombineErrors(err, l.store.Close())
 }
@@ -173,6 +174,14 @@
 	}
 }
 
+// refuseQueued refuses the proposals that were not taken up before the end.
+func (l *loop) refuseQueued() {
+	for len(l.proposals) > 0 {
+		p := <-l.proposals
+		p.done <- outcome{err: &BusyError{Reason: "this control instance stops"}}
+	}
+}
+
 // proposalError gives an error of the log its public kind. The command is not in
 // the log.
 func (l *loop) proposalError(err error) error {
