--- a/control/loop.go
+++ b/control/loop.go
@@ -53,6 +53,7 @@
 	<-formed
 	l.senders.wait()
 	l.waiters.failAll("this control instance stops")
+	l.refuseQueued()
 	n.view.Store(&view{status: n.view.Load().status})
 	return errors.CombineErrors(err, l.store.Close())
 }
@@ -173,6 +174,14 @@
 	}
 }
 
+// refuseQueued refuses the proposals that were not taken up before the end.
+func (l *loop) refuseQueued() {
+	for len(l.proposals) > 0 {
+		p := <-l.proposals
+		p.done <- outcome{err: &BusyError{Reason: "this control instance stops"}}
+	}
+}
+
 // proposalError gives an error of the log its public kind. The command is not in
 // the log.
 func (l *loop) proposalError(err error) error {
@@ -266,9 +275,7 @@
 // publish shows the state to other goroutines.
 func (l *loop) publish(now time.Time) {
 	status := newStatus(l.config.ID, l.store.Disk(), l.node.Status())
-	if status.LeaderAddress == "" && l.senders != nil {
-		status.LeaderAddress = l.senders.address(consensus.MemberID(status.Leader), consensus.Membership{})
-	}
+	status.LeaderAddress = l.leaderAddress()
 	l.view.Store(&view{status: status, leaseEnd: l.node.LeaseEnd(now), confirmedAt: l.confirmation(now)})
 	if role := l.node.Role(); role != l.role {
 		l.role = role
@@ -277,6 +284,18 @@
 	}
 }
 
+func (l *loop) leaderAddress() string {
+	leader := l.node.Leader()
+	switch {
+	case leader == "":
+		return ""
+	case leader == consensus.MemberID(l.config.ID):
+		return l.config.Address
+	default:
+		return l.senders.address(leader, l.node.Membership())
+	}
+}
+
 // beat tells the application that this instance leads.
 func (l *loop) beat(now time.Time) {
 	leaseEnd := l.node.LeaseEnd(now)
--- a/health/permit.go
+++ b/health/permit.go
@@ -22,89 +22,11 @@
 	commonCauseWait = 5 * time.Second
 	// baselineInterval is the shortest time between two baselines.
 	baselineInterval = time.Second
-)
-
-// AskID identifies an ask for a permit.
-type AskID struct {
-	// Incarnation is that of the asking monitor.
-	Incarnation uint64 `cbor:"1,keyasint"`
-	// Number grows with each ask of the incarnation.
-	Number uint64 `cbor:"2,keyasint"`
-}
-
-// Ask asks for an ejection permit or its renewal.
-type Ask struct {
-	// ID identifies the ask.
-	ID AskID `cbor:"1,keyasint"`
-	// Instance is where the backend server runs.
-	Instance fleetconfig.InstanceID `cbor:"2,keyasint"`
-	// Server is the backend server.
-	Server fleetconfig.BackendServerID `cbor:"3,keyasint"`
-	// Severity is the evidence in multiples of the bound.
-	Severity float64 `cbor:"4,keyasint"`
-	// Renews says that the server is out under a permit. Without it the server is
-	// in service and the floor is counted anew, whatever the owner remembers.
-	Renews bool `cbor:"5,keyasint"`
-	// Baseline is the number of the baseline that the evidence was judged by.
-	Baseline uint64 `cbor:"6,keyasint"`
-}
-
-// Challenge is handed out with each answer to a report. The next report echoes
-// it, so that the owner knows by its own clock how old a report can be.
-type Challenge struct {
-	// Owner is the incarnation of the owner.
-	Owner uint64 `cbor:"1,keyasint"`
-	// Age is the time from the start of the owner to the answer.
-	Age time.Duration `cbor:"2,keyasint"`
-}
-
-// Report is what the proxy beside a backend server tells the permit owner.
-type Report struct {
-	// Instance is where the backend server runs.
-	Instance fleetconfig.InstanceID `cbor:"1,keyasint"`
-	// Server is the backend server.
-	Server fleetconfig.BackendServerID `cbor:"2,keyasint"`
-	// Incarnation is that of the monitor. It grows with each restart.
-	Incarnation uint64 `cbor:"3,keyasint"`
-	// Number grows with each report of the incarnation.
-	Number uint64 `cbor:"4,keyasint"`
-	// Slots is how many requests the server runs at once.
-	Slots uint32 `cbor:"5,keyasint"`
-	// Standing is what the monitor believes.
-	Standing Standing `cbor:"6,keyasint"`
-	// Severity is the evidence in multiples of the bound.
-	Severity float64 `cbor:"7,keyasint"`
-	// Echo is the last challenge that the monitor received.
-	Echo Challenge `cbor:"8,keyasint"`
-	// Summary holds the outcomes of the server.
-	Summary Summary `cbor:"9,keyasint"`
-}
-
-// ReportReply answers a report.
-type ReportReply struct {
-	// Challenge is echoed by the next report.
-	Challenge Challenge `cbor:"1,keyasint"`
-	// Baseline is the present baseline of the service.
-	Baseline Baseline `cbor:"2,keyasint"`
-}
-
-// Reason says why a permit was refused.
-type Reason uint8
-
-const (
-	// ReasonNone means that the permit was granted.
-	ReasonNone Reason = iota
-	// ReasonStarting means that the owner has not yet waited one permit life.
-	ReasonStarting
-	// ReasonUnknownServer means that this incarnation has sent no report.
-	ReasonUnknownServer
-	// ReasonFloor means that the healthy capacity would fall below the floor.
-	ReasonFloor
-	// ReasonCommonCause means that too many servers are suspect at once, or that
-	// the baseline has risen since the evidence was gathered.
-	ReasonCommonCause
-	// ReasonStale means that a newer ask was answered before.
-	ReasonStale
+	// baselineSettles is how long after a rise the baseline still lags behind: the
+	// summaries hold up to 20 s. No new permit is granted meanwhile.
+	baselineSettles = 15 * time.Second
+	// lowestLife is how long a low baseline is remembered, to tell a rise from it.
+	lowestLife = time.Minute
 )
 
 // serverKey names a backend server over all instances.
@@ -142,8 +64,10 @@
 	servers      []*ownedServer
 	baseline     Baseline
 	baselineMade time.Time
-	// lowest is the lowest baseline since the number last changed.
-	lowest Baseline
+	// lowest is the lowest baseline since lowestSince.
+	lowest      Baseline
+	lowestSince time.Time
+	risenAt     time.Time
 }
 
 // NewPermitOwner returns an owner that starts now and knows nothing. The
@@ -249,7 +173,7 @@
 	if server.firstAsk.IsZero() || now.Sub(server.firstAsk) > 2*commonCauseWait {
 		server.firstAsk = now
 	}
-	if ask.Baseline != o.baseline.Number || o.commonCause(server, now) {
+	if o.unsettled(&ask, now) || o.commonCause(server, now) {
 		return ReasonCommonCause
 	}
 	capacities, candidate := o.capacities(server, now)
@@ -328,18 +252,28 @@
 		}
 	}
 	o.baseline = MergeBaseline(o.baseline, summaries)
-	o.numberBaseline()
+	o.numberBaseline(now)
+}
+
+// unsettled reports whether the evidence of an ask may be that of a day that has
+// just become slow for all.
+func (o *PermitOwner) unsettled(ask *Ask, now time.Time) bool {
+	return ask.Baseline != o.baseline.Number || now.Sub(o.risenAt) < baselineSettles
 }
 
 // numberBaseline gives a baseline that has risen a new number. Monitors that have
 // not heard of it yet ask in vain, so that no evidence from before it ejects a
 // server.
-func (o *PermitOwner) numberBaseline() {
+func (o *PermitOwner) numberBaseline(now time.Time) {
 	if o.baseline.risen(&o.lowest) {
 		o.baseline.Number++
-		o.lowest = o.baseline
+		o.risenAt = now
+		o.lowest, o.lowestSince = o.baseline, now
 		return
 	}
+	if now.Sub(o.lowestSince) >= lowestLife {
+		o.lowest, o.lowestSince = o.baseline, now
+	}
 	o.lowest.SlowBound = min(o.lowest.SlowBound, o.baseline.SlowBound)
 	o.lowest.ErrorShare = min(o.lowest.ErrorShare, o.baseline.ErrorShare)
 }
