--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"runtime"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -27,23 +27,19 @@
 				leader := c.leader()
 				command := make([]byte, benchCommandBytes)
 				var failed atomic.Int64
-				b.SetParallelism(max(1, proposers/runtime.GOMAXPROCS(0)))
+				var started atomic.Int64
+				var group sync.WaitGroup
 				b.ResetTimer()
-				if proposers == 1 {
-					for range b.N {
-						if _, err := leader.Propose(context.Background(), command); err != nil {
-							failed.Add(1)
-						}
-					}
-				} else {
-					b.RunParallel(func(pb *testing.PB) {
-						for pb.Next() {
+				for range proposers {
+					group.Go(func() {
+						for started.Add(1) <= int64(b.N) {
 							if _, err := leader.Propose(context.Background(), command); err != nil {
 								failed.Add(1)
 							}
 						}
 					})
 				}
+				group.Wait()
 				b.StopTimer()
 				must.Zero(b, failed.Load())
 				b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commands/s")
