Members of control by the administration API; detection events in the report; tokens of unknown outcomes expire

A token of an attempt that may still run was counted as spent, so that its place in the burst filled too early; it is now left to expire. The backend proxy says how long before the head of the answer a request was dispatched, so that slow answers do not hold the place longer than needed.

--- a/admin/client/client.go
+++ b/admin/client/client.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -104,6 +105,22 @@
 	return nil, &UnreachableError{Err: last}
 }
 
+// ChangeControl changes one member of the replicated log. It asks each server until
+// the leader has answered. The action is admit-disk, add or remove; add needs an
+// address.
+func (c *Client) ChangeControl(ctx context.Context, member, action, address string) ([]byte, error) {
+	path := "/v1/control/" + url.PathEscape(member) + "/" + action + "?" + url.Values{"address": {address}}.Encode()
+	var last error
+	for attempt := range c.Servers {
+		data, err := exchange(ctx, c, http.MethodPost, c.server(attempt)+path, nil)
+		if err == nil {
+			return data, nil
+		}
+		last = err
+	}
+	return nil, last
+}
+
 // Change makes changes. When an answer is lost, or the change was not made for
 // want of a leader or a majority, it sends the request again with the same change
 // id until the context ends. Then the error is an *OutcomeUnknownError, or an
@@ -179,8 +196,8 @@
 
 // call sends one request and decodes the answer. The error is an *api.Problem if
 // the server has answered with one.
-func call[Reply any](ctx context.Context, c *Client, method, url string, body []byte) (*Reply, error) {
-	data, err := exchange(ctx, c, method, url, body)
+func call[Reply any](ctx context.Context, c *Client, method, address string, body []byte) (*Reply, error) {
+	data, err := exchange(ctx, c, method, address, body)
 	if err != nil {
 		return nil, err
 	}
@@ -192,8 +209,8 @@
 }
 
 // exchange sends one request and returns the body of the answer.
-func exchange(ctx context.Context, c *Client, method, url string, body []byte) ([]byte, error) {
-	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+func exchange(ctx context.Context, c *Client, method, address string, body []byte) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, "make the request")
 	}
--- a/admin/operator.go
+++ b/admin/operator.go
@@ -84,7 +84,7 @@
 func roleFor(changes []fleetconfig.Change) Role {
 	for i := range changes {
 		switch changes[i].Kind {
-		case fleetconfig.PlaceShards, fleetconfig.StepShard, fleetconfig.SetHolders:
+		case fleetconfig.PlaceShards, fleetconfig.OpenShards, fleetconfig.StepShard, fleetconfig.SetHolders:
 			return RoleAdministrator
 		}
 	}
--- a/admin/server.go
+++ b/admin/server.go
@@ -48,16 +48,18 @@
 	History History
 	// Operators may use the API.
 	Operators []Operator
-	// Resources are further resources that a viewer may read.
+	// Resources are further resources.
 	Resources []Resource
 }
 
 // Resource is a further resource of the API.
 type Resource struct {
-	// Path is its path.
-	Path string
-	// Handler serves GET requests of operators.
-	Handler http.Handler
+	// Pattern is its method and path, as http.ServeMux takes them.
+	Pattern string
+	// Role is what an operator needs to use it.
+	Role Role
+	// Handler serves the requests of such operators.
+	Handler http.HandlerFunc
 }
 
 // server handles the API. It is safe for concurrent use.
@@ -125,14 +127,14 @@
 	})
 }
 
-// serveResource registers a further resource that a viewer may read.
+// serveResource registers a further resource.
 func (s *server) serveResource(mux *http.ServeMux, resource Resource) {
-	mux.HandleFunc("GET "+resource.Path, func(w http.ResponseWriter, r *http.Request) {
-		if _, problem := s.authorize(r, RoleViewer); problem != nil {
+	mux.HandleFunc(resource.Pattern, func(w http.ResponseWriter, r *http.Request) {
+		if _, problem := s.authorize(r, resource.Role); problem != nil {
 			writeProblem(w, problem)
 			return
 		}
-		resource.Handler.ServeHTTP(w, r)
+		resource.Handler(w, r)
 	})
 }
 
--- a/backendproxy/conn.go
+++ b/backendproxy/conn.go
@@ -18,11 +18,13 @@
 type trackedConn struct {
 	net.Conn
 
-	mu     sync.Mutex
-	wrote  bool
-	sealed bool
-	limit  time.Time
-	late   bool
+	mu    sync.Mutex
+	wrote bool
+	// wroteAt is when the first byte of the present request was handed over.
+	wroteAt time.Time
+	sealed  bool
+	limit   time.Time
+	late    bool
 }
 
 // begin starts a request on the connection. Its first byte may leave until
@@ -47,11 +49,21 @@
 		c.mu.Unlock()
 		return 0, errTooLate
 	}
-	c.wrote = true
+	if !c.wrote {
+		c.wrote = true
+		c.wroteAt = time.Now()
+	}
 	c.mu.Unlock()
 	return c.Conn.Write(data)
 }
 
+// dispatchedAt returns when the first byte of the present request was handed over.
+func (c *trackedConn) dispatchedAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.wroteAt
+}
+
 // seal forbids further writes and reports whether a byte of the present request
 // may have left.
 func (c *trackedConn) seal() (wrote bool) {
--- a/backendproxy/dispatch.go
+++ b/backendproxy/dispatch.go
@@ -65,10 +65,11 @@
 	}}
 	request := outgoingRequest(httptrace.WithClientTrace(ctx, trace), exchange, address)
 	response, err := d.transport.RoundTrip(request)
+	used := conn.Load()
 	if err == nil {
+		exchange.DispatchedAgo = time.Since(used.dispatchedAt())
 		return response, pipeline.OutcomeAnswered, nil
 	}
-	used := conn.Load()
 	if used == nil || !used.seal() {
 		return nil, pipeline.OutcomeNotRun, err
 	}
--- a/backendproxy/filters.go
+++ b/backendproxy/filters.go
@@ -214,6 +214,7 @@
 	load.WeightPercent = f.watch.WeightPercent(exchange.BackendServer, time.Now())
 	header := exchange.Writer.Header()
 	header.Set(HeaderLoad, load.String())
+	header.Set(pipeline.HeaderDispatchedAgo, strconv.FormatInt(exchange.DispatchedAgo.Microseconds(), 10))
 	header.Set(pipeline.HeaderClock, FormatReading(f.clock.Reading(time.Now())))
 	if cause := writeAnswer(exchange, response); cause != nil {
 		f.observeBreak(exchange, cause)
--- a/ejection/service.go
+++ b/ejection/service.go
@@ -41,6 +41,9 @@
 	View func() *fleetconfig.View
 	// OnStateChange is told when a backend server is ejected or returns.
 	OnStateChange func(service fleetconfig.ServiceName, server fleetconfig.BackendServerID, from, to health.State)
+	// OnDetect is told when the evidence against a backend server has crossed its
+	// bound, and how long that took from the first notable evidence.
+	OnDetect func(service fleetconfig.ServiceName, server fleetconfig.BackendServerID, took time.Duration)
 	// Logger receives the messages of the service.
 	Logger *slog.Logger
 }
@@ -53,7 +56,9 @@
 	caller  transport.Caller
 	view    func() *fleetconfig.View
 	changed func(service fleetconfig.ServiceName, server fleetconfig.BackendServerID, from, to health.State)
-	logger  *slog.Logger
+	// detected is called with mu held.
+	detected func(service fleetconfig.ServiceName, server fleetconfig.BackendServerID, took time.Duration)
+	logger   *slog.Logger
 
 	mu      sync.Mutex
 	servers map[fleetconfig.BackendServerID]*watched
@@ -66,15 +71,16 @@
 // New returns the service and registers its calls on mux.
 func New(config Config, mux *http.ServeMux) *Service {
 	service := &Service{
-		self:    config.Self,
-		shards:  config.Shards,
-		caller:  config.Caller,
-		view:    config.View,
-		changed: config.OnStateChange,
-		logger:  config.Logger,
-		servers: make(map[fleetconfig.BackendServerID]*watched),
-		outbox:  make(map[fleetconfig.ServiceName]*outbox),
-		owners:  make(map[fleetconfig.ServiceName]*owned),
+		self:     config.Self,
+		shards:   config.Shards,
+		caller:   config.Caller,
+		view:     config.View,
+		changed:  config.OnStateChange,
+		detected: config.OnDetect,
+		logger:   config.Logger,
+		servers:  make(map[fleetconfig.BackendServerID]*watched),
+		outbox:   make(map[fleetconfig.ServiceName]*outbox),
+		owners:   make(map[fleetconfig.ServiceName]*owned),
 	}
 	transport.HandleCall(mux, batchPath, service.handleBatch)
 	return service
@@ -120,7 +126,11 @@
 		found.mu.Lock()
 		found.monitor.SetPolicy(policy)
 		actions := found.monitor.Tick(now)
+		took, detected := found.noteSuspicion(now)
 		found.mu.Unlock()
+		if detected {
+			s.detected(found.service, id, took)
+		}
 		if len(actions) > 0 {
 			due = append(due, serverActions{server: id, service: found.service, actions: actions})
 		}
--- a/ejection/watch.go
+++ b/ejection/watch.go
@@ -17,6 +17,32 @@
 
 	mu      sync.Mutex
 	monitor *health.Monitor
+	// suspectSince is when the present suspicion began, zero without one.
+	suspectSince time.Time
+	detected     bool
+}
+
+// noteSuspicion follows the suspicion of the monitor. It reports true when the
+// evidence has just crossed the bound, and how long that took from the first
+// notable evidence. The caller holds mu.
+func (w *watched) noteSuspicion(now time.Time) (took time.Duration, detected bool) {
+	if w.monitor.State() != health.StateInService {
+		return 0, false
+	}
+	detector := w.monitor.Detector()
+	if !detector.Suspect() {
+		w.suspectSince = time.Time{}
+		w.detected = false
+		return 0, false
+	}
+	if w.suspectSince.IsZero() {
+		w.suspectSince = now
+	}
+	if w.detected || !detector.Convicted() {
+		return 0, false
+	}
+	w.detected = true
+	return now.Sub(w.suspectSince), true
 }
 
 // Begin implements backendproxy.Watch.
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -166,7 +167,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	result.Latency = time.Since(started)
-	f.readHead(candidate, response.Header, result)
+	f.readHead(exchange, response.Header, result)
 	if refusal := readRefusal(response.StatusCode, response.Header); refusal != nil {
 		return refusal
 	}
@@ -176,9 +177,11 @@
 }
 
 // readHead takes in what the backend proxy says beside the answer.
-func (f *forwardFilter) readHead(candidate Candidate, header http.Header, result *Attempt) {
+func (f *forwardFilter) readHead(exchange *pipeline.Exchange, header http.Header, result *Attempt) {
 	result.Load = header.Get(headerLoad)
-	f.clocks.observe(candidate.Instance, header.Get(pipeline.HeaderClock), time.Now())
+	ago, _ := strconv.ParseInt(header.Get(pipeline.HeaderDispatchedAgo), 10, 64)
+	exchange.DispatchedAgo = time.Duration(max(ago, 0)) * time.Microsecond
+	f.clocks.observe(result.Candidate.Instance, header.Get(pipeline.HeaderClock), time.Now())
 }
 
 func refuseUnreached(exchange *pipeline.Exchange, request *http.Request, err error) *pipeline.Refusal {
--- a/ingress/local.go
+++ b/ingress/local.go
@@ -48,7 +48,7 @@
 		return
 	}
 	w.result.Latency = time.Since(w.started)
-	w.forward.readHead(w.result.Candidate, w.header, w.result)
+	w.forward.readHead(w.exchange, w.header, w.result)
 	if w.refusal = readRefusal(status, w.header); w.refusal != nil {
 		return
 	}
--- a/ingress/quota.go
+++ b/ingress/quota.go
@@ -95,18 +95,21 @@
 	f.settle(exchange)
 }
 
-// settle spends the token, or returns it when the attempt was not run.
+// settle spends the token, or returns it when the attempt was not run. The token of
+// an attempt that may still run is left to expire: until then its place in the
+// burst must stay taken.
 func (f *QuotaFilter) settle(exchange *pipeline.Exchange) {
 	held := tokenOf(exchange)
 	if !held.held {
 		return
 	}
 	held.held = false
-	if exchange.Outcome == pipeline.OutcomeNotRun || exchange.Attempts == 0 {
+	switch {
+	case exchange.Outcome == pipeline.OutcomeNotRun || exchange.Attempts == 0:
 		f.source.Return(held.token)
-		return
+	case exchange.Outcome == pipeline.OutcomeAnswered:
+		f.source.Spent(held.token, exchange.DispatchedAgo)
 	}
-	f.source.Spent(held.token, 0)
 }
 
 func refuseQuota(err error) error {
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -15,7 +15,18 @@
 type MembersCommand struct{}
 
 // ControlCommand is hemlockctl control.
-type ControlCommand struct{}
+type ControlCommand struct {
+	Show      *ListCommand       `arg:"subcommand:show" help:"show the replicated log and its members"`
+	AdmitDisk *NameCommand       `arg:"subcommand:admit-disk" help:"let a member vote again whose disk is blank or was replaced"`
+	Add       *ControlAddCommand `arg:"subcommand:add" help:"add a control instance"`
+	Remove    *NameCommand       `arg:"subcommand:remove" help:"remove a control instance"`
+}
+
+// ControlAddCommand is hemlockctl control add.
+type ControlAddCommand struct {
+	Name    string `arg:"positional,required"`
+	Address string `arg:"positional,required" help:"fleet address of the instance"`
+}
 
 // ReportCommand is hemlockctl report.
 type ReportCommand struct {
@@ -96,9 +107,21 @@
 	}
 }
 
-// control prints the replicated log as one control instance sees it.
-func (s *session) control(ctx context.Context) error {
-	data, err := s.client.Read(ctx, "/v1/control")
+// control shows the replicated log as one control instance sees it, or changes its
+// members.
+func (s *session) control(ctx context.Context, command *ControlCommand) error {
+	var data []byte
+	var err error
+	switch {
+	case command.AdmitDisk != nil:
+		data, err = s.client.ChangeControl(ctx, command.AdmitDisk.Name, "admit-disk", "")
+	case command.Add != nil:
+		data, err = s.client.ChangeControl(ctx, command.Add.Name, "add", command.Add.Address)
+	case command.Remove != nil:
+		data, err = s.client.ChangeControl(ctx, command.Remove.Name, "remove", "")
+	default:
+		data, err = s.client.Read(ctx, "/v1/control")
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -43,7 +43,7 @@
 	case commands.Members != nil:
 		return s.members(ctx)
 	case commands.Control != nil:
-		return s.control(ctx)
+		return s.control(ctx, commands.Control)
 	case commands.Report != nil:
 		return s.report(ctx, commands.Report)
 	case commands.Status != nil:
--- a/internal/testbed/layout.go
+++ b/internal/testbed/layout.go
@@ -41,6 +41,8 @@
 	FailureDomain fleetconfig.FailureDomain
 	// Control gives it the control role.
 	Control bool
+	// SetAside takes the proxy role from it.
+	SetAside bool
 }
 
 // Instance is a laid out instance.
@@ -81,6 +83,16 @@
 	return specs
 }
 
+// SpecsSetAside is like Specs with further instances in front that have the control
+// role only.
+func SpecsSetAside(controls, proxies, domains int) []InstanceSpec {
+	specs := Specs(controls+proxies, controls, domains)
+	for i := range controls {
+		specs[i].SetAside = true
+	}
+	return specs
+}
+
 // Create writes the files of a fleet to folder. The instances get addresses of a
 // random loopback network, so that fleets of several tests do not meet.
 func Create(folder string, specs []InstanceSpec) (*Layout, error) {
@@ -142,7 +154,10 @@
 func (l *Layout) writeSettings(instance *Instance) error {
 	var text strings.Builder
 	roles := "proxy"
-	if instance.Control {
+	switch {
+	case instance.SetAside:
+		roles = "control"
+	case instance.Control:
 		roles = "proxy, control"
 	}
 	fmt.Fprintf(&text, "[instance]\nid = %s\nfailure_domain = %s\nroles = %s\ndata_folder = %s\n",
@@ -150,7 +165,10 @@
 	fmt.Fprintf(&text, "[fleet]\naddress = %s\nlisten = %s\njoin = %s\n", instance.Fleet, instance.Listen, l.joinAddresses())
 	fmt.Fprintf(&text, "certificate = tls/%s.crt\nkey = tls/%s.key\nauthority = tls/ca.crt\ngossip_key = tls/gossip.key\n",
 		instance.ID, instance.ID)
-	fmt.Fprintf(&text, "[callers]\naddress = %s\n[local]\naddress = %s\n", instance.Callers, instance.Local)
+	if !instance.SetAside {
+		fmt.Fprintf(&text, "[callers]\naddress = %s\n", instance.Callers)
+	}
+	fmt.Fprintf(&text, "[local]\naddress = %s\n", instance.Local)
 	fmt.Fprintf(&text, "[limits]\nreport_interval = 1s\n")
 	fmt.Fprintf(&text, "[control]\nmembers = %s\n", l.controlMembers())
 	if instance.Control {
--- a/membership/record.go
+++ b/membership/record.go
@@ -48,6 +48,8 @@
 	Region string `cbor:"6,keyasint,omitempty"`
 	// Control says that the instance has the control role.
 	Control bool `cbor:"7,keyasint,omitempty"`
+	// Proxy says that the instance has the proxy role.
+	Proxy bool `cbor:"11,keyasint,omitempty"`
 	// Left says that the instance has left on purpose.
 	Left bool `cbor:"8,keyasint,omitempty"`
 	// Draining says that the instance is stopping and takes no new work.
--- a/node/admin.go
+++ b/node/admin.go
@@ -9,7 +9,10 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hemlockring/hemlockring/admin"
+	"github.com/hemlockring/hemlockring/admin/api"
 	"github.com/hemlockring/hemlockring/configsync"
+	"github.com/hemlockring/hemlockring/control"
+	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/report"
 )
 
@@ -25,9 +28,10 @@
 		History:       replica,
 		Operators:     operators,
 		Resources: []admin.Resource{
-			{Path: "/v1/members", Handler: http.HandlerFunc(n.handleMembers)},
-			{Path: "/v1/control", Handler: http.HandlerFunc(n.handleControl)},
-			{Path: "/v1/report", Handler: http.HandlerFunc(n.handleReport)},
+			{Pattern: "GET /v1/members", Role: admin.RoleViewer, Handler: n.handleMembers},
+			{Pattern: "GET /v1/control", Role: admin.RoleViewer, Handler: n.handleControl},
+			{Pattern: "GET /v1/report", Role: admin.RoleViewer, Handler: n.handleReport},
+			{Pattern: "POST /v1/control/{member}/{action}", Role: admin.RoleAdministrator, Handler: n.handleControlChange},
 		},
 	})
 	n.admin, err = openPort(n.settings.Admin.Address, handler, n.logger)
@@ -99,6 +103,52 @@
 	writeJSON(w, n.control.Status())
 }
 
+// Actions on the members of the replicated log.
+const (
+	actionAdmit  = "admit-disk"
+	actionAdd    = "add"
+	actionRemove = "remove"
+)
+
+// handleControlChange changes the members of the replicated log, one at a time. It
+// works on the leader only; the answer of others names it.
+func (n *Node) handleControlChange(w http.ResponseWriter, request *http.Request) {
+	member := fleetconfig.InstanceID(request.PathValue("member"))
+	var err error
+	switch request.PathValue("action") {
+	case actionAdmit:
+		err = n.control.AdmitDisk(request.Context(), member)
+	case actionAdd:
+		err = n.control.AddMember(request.Context(), member, request.FormValue("address"))
+	case actionRemove:
+		err = n.control.RemoveMember(request.Context(), member)
+	default:
+		err = errors.Newf("the action must be %s, %s or %s", actionAdmit, actionAdd, actionRemove)
+	}
+	if err != nil {
+		writeControlProblem(w, err)
+		return
+	}
+	writeJSON(w, n.control.Status())
+}
+
+func writeControlProblem(w http.ResponseWriter, err error) {
+	problem := &api.Problem{
+		Type:   api.TypePrefix + string(api.ProblemNotMade),
+		Status: http.StatusServiceUnavailable,
+		Detail: err.Error(),
+		Remedy: "look at 'hemlockctl control show', and ask the leader",
+	}
+	var unknown *control.OutcomeUnknownError
+	if errors.As(err, &unknown) {
+		problem.Type = api.TypePrefix + string(api.ProblemOutcomeUnknown)
+		problem.Remedy = "look at 'hemlockctl control show' whether the members have changed"
+	}
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(problem.Status)
+	_ = json.NewEncoder(w).Encode(problem)
+}
+
 // Formats of the report.
 const (
 	formatText = "text"
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -73,7 +73,7 @@
 	n.keeper = shardkeeper.New(shardkeeper.Config{
 		Proposer: n.sync,
 		Leads:    n.control.IsLeader,
-		Alive:    n.aliveInstances,
+		Alive:    n.aliveProxies,
 		Caller:   n.endpoint,
 		AskStatuses: func(ctx context.Context, shardMap fleetconfig.ShardMap, number int) []idempotency.Status {
 			return orders.AskStatuses(ctx, n.endpoint, shardMap, number)
@@ -85,11 +85,14 @@
 	})
 }
 
-// aliveInstances returns the instances that live and do not stop, ordered by ID.
-func (n *Node) aliveInstances() []fleetconfig.InstanceAddress {
+// aliveProxies returns the instances that may hold the configuration and shards:
+// those with the proxy role that live and do not stop, ordered by ID. An instance
+// set aside for control holds neither, so that the proxies go on without it.
+func (n *Node) aliveProxies() []fleetconfig.InstanceAddress {
 	var alive []fleetconfig.InstanceAddress
 	for _, member := range n.members.Snapshot().Members {
-		if member.Liveness == membership.Alive && !member.Record.Left && !member.Record.Draining {
+		serves := member.Record.Proxy && !member.Record.Left && !member.Record.Draining
+		if serves && member.Liveness == membership.Alive {
 			alive = append(alive, addressOf(&member.Record))
 		}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -147,6 +147,7 @@
 		FailureDomain: n.settings.Instance.FailureDomain,
 		Region:        n.settings.Instance.Region,
 		Control:       n.settings.Instance.HasRole(settings.RoleControl),
+		Proxy:         n.settings.Instance.HasRole(settings.RoleProxy),
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return membership.New(membership.Config{}, self, n.settings.Fleet.Join, random, now)
@@ -169,6 +170,7 @@
 		Caller:        n.endpoint,
 		View:          n.configuration.View,
 		OnStateChange: n.serverStateChanged,
+		OnDetect:      n.observeDetection,
 		Logger:        n.logger,
 	}, n.fleetMux)
 	n.registry = backendproxy.NewRegistry(func(servers []membership.Server) {
--- a/node/report.go
+++ b/node/report.go
@@ -64,6 +64,18 @@
 	n.collector.Observe(event)
 }
 
+// observeDetection reports that a backend server was found to fail.
+func (n *Node) observeDetection(service fleetconfig.ServiceName, server fleetconfig.BackendServerID, took time.Duration) {
+	n.collector.Observe(report.Event{
+		At:       time.Now(),
+		Kind:     report.EventDetected,
+		Service:  service,
+		Instance: n.settings.Instance.ID,
+		Server:   server,
+		Took:     took,
+	})
+}
+
 // recorders passes each exchange on to several recorders.
 type recorders struct {
 	metrics   *metrics.Metrics
