--- a/internal/experiment/plot.go
+++ b/internal/experiment/plot.go
@@ -42,7 +42,8 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, `<svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" font-family="sans-serif" font-size="11">`+"\n",
 		plotLeft+plotWidth+plotTick, height)
-	text(&b, plotTick, plotTick+4, "start", "Requests of the server until detection: bar to the median, line to the worst, dashed where runs found nothing")
+	fmt.Fprintf(&b, `<rect width="100%%" height="%d" fill="#ffffff"/>`+"\n", height)
+	text(&b, plotTick, plotTick+4, "start", "Requests of the server until detection: bar to the median (none: most runs found nothing), line to the worst (dashed: some found nothing)")
 	for i, policy := range detectionPolicies {
 		x := plotTick + i*210
 		rect(&b, float64(x), 26, 10, plotColours[i])
@@ -69,8 +70,12 @@
 
 func plotRow(b *strings.Builder, row *DetectionRow, y int, colour string) {
 	median, worst := scaled(row.RequestsP50), scaled(row.RequestsWorst)
-	rect(b, plotLeft, y, median, colour)
 	dash := ""
+	if 2*row.Found > row.Runs {
+		rect(b, plotLeft, y, median, colour)
+	} else {
+		median = 0
+	}
 	if row.Found < row.Runs {
 		dash = ` stroke-dasharray="2 3"`
 	}
