--- a/configsync/fake_test.go
+++ b/configsync/fake_test.go
@@ -24,6 +24,12 @@
 	"github.com/hemlockring/hemlockring/internal/codec"
 )
 
+// control.Node and Replica fit together by these interfaces.
+var (
+	_ LeaderHint           = (*control.Node)(nil)
+	_ control.StateMachine = (*Replica)(nil)
+)
+
 // fakeLog is control with one instance: it commits at once while it leads.
 type fakeLog struct {
 	mu      sync.Mutex
@@ -40,8 +46,8 @@
 	return l.replica.Apply(0, command), nil
 }
 
-func (l *fakeLog) Leadership() Leadership {
-	return Leadership{Leads: !l.away.Load(), Term: 1, ConfirmedAt: time.Now()}
+func (l *fakeLog) Leadership() (term uint64, confirmedAt time.Time, leads bool) {
+	return 1, time.Now(), !l.away.Load()
 }
 
 // fakeFleet is a network of services in one process.
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,8 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/hemlockring/hemlockring/backendproxy"
+	"github.com/hemlockring/hemlockring/configsync"
+	"github.com/hemlockring/hemlockring/control"
 	"github.com/hemlockring/hemlockring/ejection"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/gossip"
@@ -20,16 +22,23 @@
 	"github.com/hemlockring/hemlockring/internal/freeze"
 	"github.com/hemlockring/hemlockring/membership"
 	"github.com/hemlockring/hemlockring/metrics"
+	"github.com/hemlockring/hemlockring/orders"
 	"github.com/hemlockring/hemlockring/pipeline"
 	"github.com/hemlockring/hemlockring/pki"
+	"github.com/hemlockring/hemlockring/quota"
+	"github.com/hemlockring/hemlockring/quotadriver"
+	"github.com/hemlockring/hemlockring/report"
 	"github.com/hemlockring/hemlockring/selection"
 	"github.com/hemlockring/hemlockring/settings"
+	"github.com/hemlockring/hemlockring/shard"
+	"github.com/hemlockring/hemlockring/shardkeeper"
 	"github.com/hemlockring/hemlockring/transport"
 )
 
 // Node is one instance of the fleet.
 type Node struct {
 	settings      *settings.Settings
+	options       Options
 	logger        *slog.Logger
 	metrics       *metrics.Metrics
 	freeze        *freeze.Detector
@@ -38,6 +47,16 @@
 	members       *gossip.Service
 	registry      *backendproxy.Registry
 	ejection      *ejection.Service
+	control       *control.Node
+	sync          *configsync.Service
+	keeper        *shardkeeper.Keeper
+	collector     *report.Collector
+	sender        *report.Sender
+	report        *report.Service
+	controlToken  suture.ServiceToken
+	senderToken   suture.ServiceToken
+	quota         *quotadriver.Service
+	orders        *orders.Service
 	backendProxy  *backendproxy.Proxy
 	ingress       *ingress.Proxy
 	configuration ingress.Configuration
@@ -46,21 +65,45 @@
 	local         *httpPort
 }
 
+// Options replace parts of a node.
+type Options struct {
+	// Configuration is used in place of the fleet's shared one.
+	Configuration ingress.Configuration
+	// LeaseTiming is used in place of shard.DefaultTiming.
+	LeaseTiming shard.Timing
+	// ReportInterval is used in place of report.DefaultInterval.
+	ReportInterval time.Duration
+}
+
 // New opens the ports of an instance. Nothing is served before Run.
-func New(settings *settings.Settings, configuration ingress.Configuration, logger *slog.Logger) (*Node, error) {
+func New(settings *settings.Settings, options Options, logger *slog.Logger) (*Node, error) {
 	node := &Node{
+		options:       options,
 		settings:      settings,
 		logger:        logger.With("instance", string(settings.Instance.ID)),
 		freeze:        freeze.NewDetector(),
 		fleetMux:      http.NewServeMux(),
-		configuration: configuration,
+		configuration: options.Configuration,
 		metrics:       metrics.New(settings.Instance.ID, settings.Instance.FailureDomain),
 	}
 	node.supervisor = newSupervisor(node.logger)
 	if err := node.openFleetPort(); err != nil {
 		return nil, err
 	}
+	if err := node.buildConfiguration(); err != nil {
+		node.endpoint.Close()
+		return nil, err
+	}
+	if err := node.buildReport(); err != nil {
+		node.endpoint.Close()
+		return nil, err
+	}
+	if err := node.buildShared(); err != nil {
+		node.endpoint.Close()
+		return nil, err
+	}
 	node.buildChains()
+	node.buildKeeper()
 	if err := node.openHTTPPorts(); err != nil {
 		node.endpoint.Close()
 		return nil, err
@@ -122,7 +165,7 @@
 func (n *Node) buildChains() {
 	n.ejection = ejection.New(ejection.Config{
 		Self:          n.settings.Instance.ID,
-		Shards:        noShards{},
+		Shards:        n.quota,
 		Caller:        n.endpoint,
 		View:          n.configuration.View,
 		OnStateChange: n.serverStateChanged,
@@ -131,46 +174,41 @@
 	n.registry = backendproxy.NewRegistry(func(servers []membership.Server) {
 		n.ejection.SetServers(servers)
 		n.members.SetServers(servers)
-	})
+	}, n.queueLength)
 	n.backendProxy = backendproxy.New(backendproxy.Config{
 		Registry: n.registry,
 		View:     n.configuration.View,
 		Freeze:   n.freeze,
 		Watch:    n.ejection,
+		Clock:    quota.NewDispatchClock(rand.Uint64(), time.Now()),
 	})
+	tokens := ingress.NewQuotaFilter(n.quota)
 	n.ingress = ingress.New(ingress.Config{
 		KeyHeader:     n.settings.Callers.KeyHeader,
 		Configuration: n.configuration,
 		Freeze:        n.freeze,
+		Admission:     []pipeline.Filter{n.collector, tokens, &orders.Filter{Service: n.orders, MaxBodyBytes: orders.DefaultMaxBodyBytes}},
+		Guards:        []ingress.AttemptGuard{tokens, orderGuard{}},
 		Remote:        n.endpoint,
 		Local:         n.backendProxy,
-		Selector:      selection.New(n.members.Snapshot),
-		Retry:         unlimitedRetries{},
-		Recorder:      n.metrics,
+		Selector:      selection.New(selection.Config{Members: n.members.Snapshot, View: n.configuration.View}),
+		Retry:         selection.NewRetries(),
+		Recorder:      recorders{metrics: n.metrics, collector: n.collector},
 		Logger:        n.logger,
 	})
 }
 
-// noShards stands in until the shard groups are there.
-type noShards struct{}
-
-// ServiceOwner implements ejection.Shards.
-func (noShards) ServiceOwner(fleetconfig.ServiceName) string { return "" }
-
-// HoldsService implements ejection.Shards.
-func (noShards) HoldsService(fleetconfig.ServiceName, time.Time) (uint64, bool) { return 0, false }
+// queueLength is how many requests may wait for each backend server.
+func (n *Node) queueLength() int {
+	return int(n.configuration.View().Preset().QueueLength)
+}
 
 // serverStateChanged tells the fleet which backend servers are ejected.
-func (n *Node) serverStateChanged(server fleetconfig.BackendServerID, _, to health.State) {
+func (n *Node) serverStateChanged(service fleetconfig.ServiceName, server fleetconfig.BackendServerID, from, to health.State) {
 	n.registry.SetEjected(server, to == health.StateEjected)
+	n.observeServer(service, server, from, to)
 }
 
-// unlimitedRetries permits every retry that the outcome permits.
-type unlimitedRetries struct{}
-
-// MayRetry implements ingress.RetryPolicy.
-func (unlimitedRetries) MayRetry(*pipeline.Exchange) bool { return true }
-
 func (n *Node) openHTTPPorts() error {
 	var err error
 	if n.settings.Instance.HasRole(settings.RoleProxy) {
@@ -192,6 +230,18 @@
 	n.supervisor.Add(n.members)
 	n.supervisor.Add(n.registry)
 	n.supervisor.Add(n.ejection)
+	if n.control != nil {
+		n.controlToken = n.supervisor.Add(n.control)
+	}
+	if n.sync != nil {
+		n.supervisor.Add(n.sync)
+	}
+	if n.keeper != nil {
+		n.supervisor.Add(n.keeper)
+	}
+	n.senderToken = n.supervisor.Add(n.sender)
+	n.supervisor.Add(n.quota)
+	n.supervisor.Add(n.orders)
 	n.supervisor.Add(n.local)
 	if n.callers != nil {
 		n.supervisor.Add(n.callers)
--- a/orders/refusals.go
+++ b/orders/refusals.go
@@ -31,7 +31,7 @@
 			Status:     http.StatusConflict,
 			Detail:     "an order with this Idempotency-Key is in progress",
 			Remedy:     "send the request again with the same Idempotency-Key to hear its answer",
-			RetryAfter: min(max(verdict.Remaining, retrySoon), retryLater),
+			RetryAfter: retrySoon,
 		}
 	case idempotency.VerdictAnswerNotKept:
 		return &pipeline.Refusal{
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -31,9 +31,11 @@
 	// MaxTokenLife is the longest life of a lent token.
 	MaxTokenLife = 2 * time.Second
 	// minTokenLife is the shortest life that is worth lending.
-	minTokenLife = 100 * time.Millisecond
+	minTokenLife = 200 * time.Millisecond
 	// maxWait is the longest wait that a refusal names.
 	maxWait = time.Hour
+	// maxReportDelay is how long the news of a spent token may wait at most.
+	maxReportDelay = time.Second
 	// borrowerMemory is how long an ingress counts as one that uses an account.
 	borrowerMemory = 2 * time.Second
 )
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -17,12 +17,16 @@
 	// idleReturn is how long an unused token of an account without borrowing ahead
 	// is kept.
 	idleReturn = 50 * time.Millisecond
-	// lazyReport is how long the news of spent tokens may wait for company.
-	lazyReport = 250 * time.Millisecond
+	// promptReport is the shortest wait for which a report is put off.
+	promptReport = 50 * time.Millisecond
+	// resendReport is how long a lost report waits until it is sent again.
+	resendReport = 250 * time.Millisecond
 	// poolMemory is how long an account without tokens is remembered.
 	poolMemory = 10 * time.Second
 	// maxRefusalMemory is how long a refusal is repeated without asking again.
 	maxRefusalMemory = 200 * time.Millisecond
+	// minUsefulLife is the shortest life of a token that is given to a request.
+	minUsefulLife = 50 * time.Millisecond
 	// aheadPause is how long nothing is borrowed ahead after the owner had nothing.
 	aheadPause = 100 * time.Millisecond
 )
@@ -71,10 +75,13 @@
 	waiters []uint64
 
 	aheadLimit uint32
-	use        float64 // requests a second
-	useAt      time.Time
-	taken      uint32 // since useAt
-	lastUse    time.Time
+	// reportWithin is how soon the owner wants to hear of spent tokens.
+	reportWithin time.Duration
+
+	use     float64 // requests a second
+	useAt   time.Time
+	taken   uint32 // since useAt
+	lastUse time.Time
 
 	aheadAfter   time.Time
 	refusedAt    time.Time
@@ -86,12 +93,13 @@
 	reportAt time.Time
 }
 
-// take returns a token from the batch that expires first.
+// take returns a token from the batch that expires first, of those that live long
+// enough for the request to reach its backend server.
 func (p *pool) take(now time.Time) (Token, bool) {
 	best := -1
 	for i := range p.batches {
 		b := &p.batches[i]
-		if b.free == 0 || !now.Before(b.expires) {
+		if b.free == 0 || b.expires.Sub(now) < minUsefulLife {
 			continue
 		}
 		if best < 0 || b.expires.Before(p.batches[best].expires) {
@@ -111,7 +119,7 @@
 func (p *pool) free(now time.Time) uint32 {
 	sum := uint32(0)
 	for i := range p.batches {
-		if now.Before(p.batches[i].expires) {
+		if p.batches[i].expires.Sub(now) >= minUsefulLife {
 			sum += p.batches[i].free
 		}
 	}
@@ -181,6 +189,18 @@
 	return p.hasReports() && !now.Before(p.reportAt)
 }
 
+// putReport schedules the news of spent tokens. Those that may wait longest go
+// together, once a maxReportDelay, so that one message carries them.
+func (p *pool) putReport(now time.Time) {
+	at := now.Add(p.reportWithin)
+	if p.reportWithin >= maxReportDelay {
+		at = now.Truncate(maxReportDelay).Add(maxReportDelay)
+	}
+	if !p.hasReports() || at.Before(p.reportAt) {
+		p.reportAt = at
+	}
+}
+
 func (p *pool) hasReports() bool {
 	for i := range p.batches {
 		if p.batches[i].dirty {
--- a/quota/soup_test.go
+++ b/quota/soup_test.go
@@ -89,6 +89,10 @@
 	nextID  int
 	passed  int
 	settled int
+	// release is when every queue lets its requests go, with their tokens.
+	release time.Time
+	// loseAt is when the owner is lost while requests are held.
+	loseAt time.Time
 }
 
 var soupAccounts = []fleetconfig.AccountID{"small", "large"}
@@ -159,14 +163,16 @@
 	node.waiting = make(map[uint64]fleetconfig.AccountID)
 	node.unanswered = nil
 	node.stops = time.Time{}
-	s.adopt(node)
+	s.adopt(node, node.version)
 }
 
-// adopt lets a node take its version of the configuration.
-func (s *quotaSoup) adopt(node *quotaNode) {
+// adopt lets a node take a version of the configuration. The meters see the limits
+// that were in force until now first.
+func (s *quotaSoup) adopt(node *quotaNode, version int) {
 	for _, m := range s.meters {
 		s.drain(m)
 	}
+	node.version = version
 	now := node.clock.At(s.now)
 	view := s.views[node.version]
 	node.lender.Adopt(view, now)
@@ -291,7 +297,7 @@
 // use sends a request on with its token, gives the token back, or loses both.
 func (s *quotaSoup) use(node *quotaNode, token Token) {
 	now := node.clock.At(s.now)
-	switch s.draw("use", 8) {
+	switch s.draw("use", 16) {
 	case 0:
 		return
 	case 1:
@@ -301,7 +307,7 @@
 	target := s.nodes[s.draw("backend", len(s.nodes))]
 	s.nextID++
 	order := &request{token: token, id: s.nextID}
-	if target == node {
+	if target == node && !s.now.Before(s.release) {
 		order.ends, _ = s.localEnds(node, token)
 		s.run(node, order, now, func(m quotaMessage) {
 			if m.spent != nil {
@@ -311,12 +317,19 @@
 		return
 	}
 	ends, known := node.peer(target.address.ID).Ends(token)
+	if target == node {
+		ends, known = s.localEnds(node, token)
+	}
 	if !known {
 		s.settle(node, node.borrower.Return(token, now))
 		return
 	}
 	order.ends = ends
-	s.post(node, target.address.ID, quotaMessage{order: order})
+	held := max(s.release.Sub(s.now), 0)
+	if s.draw("queued", 8) == 0 { // The request waits in a queue, with its token.
+		held = time.Duration(s.draw("held", 2500)) * time.Millisecond
+	}
+	s.network.PostLate(node.address.ID, target.address.ID, quotaMessage{order: order}, s.now, held)
 }
 
 func (s *quotaSoup) localEnds(node *quotaNode, token Token) (ClockReading, bool) {
@@ -378,30 +391,68 @@
 func (s *quotaSoup) fault() {
 	node := s.nodes[s.draw("victim", len(s.nodes))]
 	other := s.nodes[s.draw("other", len(s.nodes))]
-	switch s.draw("fault", 8) {
+	switch s.draw("fault", 10) {
 	case 0:
 		node.frozen = s.now.Add(time.Duration(s.draw("freeze", 6000)) * time.Millisecond)
 	case 1:
 		s.start(node)
 	case 2:
+		if s.draw("isolate", 2) == 0 {
+			s.isolate(node)
+		}
 		s.network.Cut[soup.Link{From: node.address.ID, To: other.address.ID}] = true
 	case 3, 4:
 		clear(s.network.Cut)
 	case 5, 6:
 		shards := s.views[0].Document().Shards
 		s.addView(&shards)
+	case 7:
+		s.loseOwner()
 	default:
-		for _, n := range s.nodes { // A planned stop of the owner.
-			if leases := n.group.Leases(n.clock.At(s.now)); len(leases) > 0 && !s.now.Before(n.frozen) {
-				s.sendShard(n, n.group.Stop(n.clock.At(s.now)))
-				n.stops = s.now.Add(time.Second)
-			}
+		s.loseAt = s.now.Add(time.Duration(s.draw("lose at", 1000)) * time.Millisecond)
+		s.release = s.loseAt.Add(time.Duration(s.draw("release", 2000)) * time.Millisecond)
+	}
+}
+
+// loseOwner stops, isolates, freezes or restarts the instance that owns the shard.
+func (s *quotaSoup) loseOwner() {
+	for _, node := range s.nodes {
+		now := node.clock.At(s.now)
+		if _, held := node.group.Held(0, now); !held || s.now.Before(node.frozen) {
+			continue
+		}
+		switch s.draw("loss", 5) {
+		case 0:
+			s.isolate(node)
+		case 1:
+			node.frozen = s.now.Add(time.Duration(s.draw("freeze", 6000)) * time.Millisecond)
+		case 2:
+			s.start(node)
+		default:
+			s.sendShard(node, node.group.Stop(now))
+			node.stops = s.now.Add(time.Second)
+		}
+	}
+}
+
+// isolate cuts a node off from all others, in one direction or both.
+func (s *quotaSoup) isolate(node *quotaNode) {
+	directions := s.draw("directions", 3)
+	for _, other := range s.nodes {
+		if other == node {
+			continue
 		}
+		s.network.Cut[soup.Link{From: node.address.ID, To: other.address.ID}] = directions != 0
+		s.network.Cut[soup.Link{From: other.address.ID, To: node.address.ID}] = directions != 1
 	}
 }
 
 // step lets 40 ms pass.
 func (s *quotaSoup) step() {
+	if !s.loseAt.IsZero() && s.now.After(s.loseAt) {
+		s.loseAt = time.Time{}
+		s.loseOwner()
+	}
 	for range 4 {
 		s.now = s.now.Add(10 * time.Millisecond)
 		s.deliver()
@@ -416,8 +467,7 @@
 			continue
 		}
 		if node.version+1 < len(s.views) && s.draw("news", node.newsOdds) == 0 {
-			node.version++
-			s.adopt(node)
+			s.adopt(node, node.version+1)
 		}
 		if !node.stops.IsZero() && s.now.After(node.stops) {
 			s.start(node)
@@ -430,9 +480,7 @@
 		if s.draw("sweep", 20) == 0 {
 			node.lender.Sweep(now)
 		}
-		if s.draw("arrive", 2) == 0 {
-			s.arrive(node)
-		}
+		s.arrive(node)
 	}
 }
 
