--- a/configsync/propose.go
+++ b/configsync/propose.go
@@ -77,15 +77,20 @@
 	return err
 }
 
+// notLeader says why this instance does not take commands. The service may not
+// have seen yet that it was elected.
 func (s *Service) notLeader() error {
+	if _, _, leads := s.config.Log.Leadership(); leads {
+		s.wakeUp()
+		return &control.BusyError{Reason: "this instance has just been elected"}
+	}
 	hint, names := s.config.Log.(LeaderHint)
 	if !names {
 		return &control.NotLeaderError{}
 	}
 	leader, address, _ := hint.Leader()
 	if leader == s.config.Self.ID {
-		// This instance has been elected and is not ready yet.
-		return &control.BusyError{Reason: "the leader has just been elected"}
+		return &control.BusyError{Reason: "this instance has just been elected"}
 	}
 	return &control.NotLeaderError{Leader: leader, Address: address}
 }
