--- a/configsync/fake_test.go
+++ b/configsync/fake_test.go
@@ -24,9 +24,9 @@
 	"github.com/hemlockring/hemlockring/internal/codec"
 )
 
-// control.Node and Replica fit together by these interfaces.
+// The log and the configuration fit together by these types.
 var (
-	_ LeaderHint           = (*control.Node)(nil)
+	_                      = Leadership(control.Leadership{})
 	_ control.StateMachine = (*Replica)(nil)
 )
 
@@ -46,8 +46,8 @@
 	return l.replica.Apply(0, command), nil
 }
 
-func (l *fakeLog) Leadership() (term uint64, confirmedAt time.Time, leads bool) {
-	return 1, time.Now(), !l.away.Load()
+func (l *fakeLog) Leadership() Leadership {
+	return Leadership{Leads: !l.away.Load(), Term: 1, ConfirmedAt: time.Now()}
 }
 
 // fakeFleet is a network of services in one process.
--- a/configsync/lead.go
+++ b/configsync/lead.go
@@ -15,23 +15,23 @@
 	if s.config.Log == nil {
 		return
 	}
-	term, confirmedAt, leads := s.config.Log.Leadership()
+	leadership := s.config.Log.Leadership()
 	// The document is read after Leadership, so that it has all that earlier
 	// leaders committed.
 	document := s.config.Replica.Document()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hold(document, false)
-	if !leads {
+	if !leadership.Leads {
 		s.leader = nil
 		return
 	}
 	revision := currency.RevisionOf(document)
-	if s.leader == nil || s.leader.Term() != term {
-		s.leader = currency.NewLeader(term, revision)
+	if s.leader == nil || s.leader.Term() != leadership.Term {
+		s.leader = currency.NewLeader(leadership.Term, revision)
 	}
 	s.leader.Commit(revision)
-	s.confirmedAt = confirmedAt
+	s.confirmedAt = leadership.ConfirmedAt
 	s.node.Lead(s.leader.Attest(), s.confirmedAt, time.Now())
 	s.publish()
 	for _, holder := range holdersOf(document) {
--- a/configsync/propose.go
+++ b/configsync/propose.go
@@ -80,19 +80,12 @@
 // notLeader says why this instance does not take commands. The service may not
 // have seen yet that it was elected.
 func (s *Service) notLeader() error {
-	if _, _, leads := s.config.Log.Leadership(); leads {
+	known := s.config.Log.Leadership()
+	if known.Leads || known.Leader == s.config.Self.ID {
 		s.wakeUp()
 		return &control.BusyError{Reason: "this instance has just been elected"}
 	}
-	hint, names := s.config.Log.(LeaderHint)
-	if !names {
-		return &control.NotLeaderError{}
-	}
-	leader, address, _ := hint.Leader()
-	if leader == s.config.Self.ID {
-		return &control.BusyError{Reason: "this instance has just been elected"}
-	}
-	return &control.NotLeaderError{Leader: leader, Address: address}
+	return &control.NotLeaderError{Leader: known.Leader, Address: known.Address}
 }
 
 // awaitAcceptance waits until a majority of the holders has the version.
--- a/idempotency/group.go
+++ b/idempotency/group.go
@@ -1,6 +1,10 @@
 package idempotency
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/hemlockring/hemlockring/fleetconfig"
@@ -43,6 +47,24 @@
 // It is zero for no group.
 func (g Group) Slack() int { return max(0, len(g.Members)-g.Majority()) }
 
+// GroupID identifies a set of members with their joining epochs. Zero means that
+// a joining epoch is not known.
+type GroupID uint64
+
+// ID returns the identity of the group. Two epochs of equal identity have the
+// same members, none of which was away in between: the steps were those of other
+// shards, or came and went without effect on this one.
+func (g Group) ID() GroupID {
+	hash := sha256.New()
+	for _, member := range g.Members {
+		if member.Joined == 0 {
+			return 0
+		}
+		_, _ = fmt.Fprintf(hash, "%d %s %d ", len(member.ID), member.ID, member.Joined)
+	}
+	return GroupID(binary.LittleEndian.Uint64(hash.Sum(nil)))
+}
+
 // Index returns the position of an instance, or -1 when it is no member.
 func (g Group) Index(id fleetconfig.InstanceID) int {
 	for i := range g.Members {
@@ -124,15 +146,19 @@
 	return nil
 }
 
-// difference returns the members of a that b does not have, or has under
-// another joining epoch.
+// difference returns the members of a that b does not have, or has under another
+// joining epoch. A proposed group need not state joining epochs.
 func difference(a, b Group) []Member {
 	var only []Member
 	for _, member := range a.Members {
 		i := b.Index(member.ID)
-		if i < 0 || b.Members[i].Joined != member.Joined {
-			only = append(only, member)
+		if i >= 0 {
+			other := b.Members[i].Joined
+			if other == member.Joined || other == 0 || member.Joined == 0 {
+				continue
+			}
 		}
+		only = append(only, member)
 	}
 	return only
 }
--- a/orders/service.go
+++ b/orders/service.go
@@ -151,11 +151,23 @@
 	addresses []string
 }
 
-func shardOf(shardMap fleetconfig.ShardMap, number int) shard {
+// GroupOf returns the replicas of a shard as the decisions see them.
+func GroupOf(shardMap fleetconfig.ShardMap, number int) idempotency.Group {
+	group := idempotency.Group{Epoch: shardMap.Epoch}
 	placement := shardMap.Shards[number]
-	placed := shard{number: number, group: idempotency.Group{Epoch: shardMap.Epoch}}
-	for _, replica := range placement.Replicas {
-		placed.group.Members = append(placed.group.Members, idempotency.Member{ID: replica.ID})
+	for i, replica := range placement.Replicas {
+		member := idempotency.Member{ID: replica.ID}
+		if i < len(placement.Joined) {
+			member.Joined = placement.Joined[i]
+		}
+		group.Members = append(group.Members, member)
+	}
+	return group
+}
+
+func shardOf(shardMap fleetconfig.ShardMap, number int) shard {
+	placed := shard{number: number, group: GroupOf(shardMap, number)}
+	for _, replica := range shardMap.Shards[number].Replicas {
 		placed.addresses = append(placed.addresses, replica.Address)
 	}
 	return placed
