--- a/admin/operator.go
+++ b/admin/operator.go
@@ -80,11 +80,17 @@
 	return found
 }
 
-// roleFor returns the role that a list of changes needs.
+// roleFor returns the role that a list of changes needs. A kind that is not named
+// here needs an administrator.
 func roleFor(changes []fleetconfig.Change) Role {
 	for i := range changes {
 		switch changes[i].Kind {
-		case fleetconfig.PlaceShards, fleetconfig.OpenShards, fleetconfig.StepShard, fleetconfig.SetHolders:
+		case fleetconfig.CreateAccount, fleetconfig.UpdateAccount, fleetconfig.RemoveAccount,
+			fleetconfig.GiveKey, fleetconfig.WithdrawKey,
+			fleetconfig.CreateRoute, fleetconfig.UpdateRoute, fleetconfig.RemoveRoute,
+			fleetconfig.CreateService, fleetconfig.UpdateService, fleetconfig.RemoveService,
+			fleetconfig.CreatePreset, fleetconfig.UpdatePreset, fleetconfig.RemovePreset, fleetconfig.UsePreset:
+		default:
 			return RoleAdministrator
 		}
 	}
--- a/configsync/fake_test.go
+++ b/configsync/fake_test.go
@@ -24,6 +24,12 @@
 	"github.com/hemlockring/hemlockring/internal/codec"
 )
 
+// The log and the configuration fit together by these types.
+var (
+	_                      = Leadership(control.Leadership{})
+	_ control.StateMachine = (*Replica)(nil)
+)
+
 // fakeLog is control with one instance: it commits at once while it leads.
 type fakeLog struct {
 	mu      sync.Mutex
--- a/configsync/propose.go
+++ b/configsync/propose.go
@@ -28,6 +28,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(entry) > control.MaxCommandBytes {
+		return tooLarge(command, len(entry)), nil
+	}
 	data, err := s.config.Log.Propose(ctx, entry)
 	if err != nil {
 		return nil, err
@@ -46,6 +49,20 @@
 	return result, nil
 }
 
+// tooLarge refuses a command that the log never takes.
+func tooLarge(command *fleetconfig.Command, size int) *fleetconfig.Result {
+	return &fleetconfig.Result{
+		ChangeID:    command.ChangeID,
+		Verdict:     fleetconfig.VerdictInvalid,
+		BaseVersion: command.BaseVersion,
+		Faults: []fleetconfig.Fault{{
+			Subject: "change",
+			Problem: fmt.Sprintf("%d bytes are more than %d", size, control.MaxCommandBytes),
+			Remedy:  "send the changes in several commands; hemlockctl apply does",
+		}},
+	}
+}
+
 func (s *Service) mayPropose(baseVersion uint64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -60,8 +77,14 @@
 	return err
 }
 
+// notLeader says why this instance does not take commands. The service may not
+// have seen yet that it was elected.
 func (s *Service) notLeader() error {
 	known := s.config.Log.Leadership()
+	if known.Leads || known.Leader == s.config.Self.ID {
+		s.wakeUp()
+		return &control.BusyError{Reason: "this instance has just been elected"}
+	}
 	return &control.NotLeaderError{Leader: known.Leader, Address: known.Address}
 }
 
--- a/internal/ctl/whole.go
+++ b/internal/ctl/whole.go
@@ -4,12 +4,18 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/fleetconfig/inifile"
 )
 
+// maxChangesPerCommand keeps a command below what the log takes. A file with more
+// changes is applied in parts, each of which is made whole or not at all; after a
+// failure, apply makes the rest.
+const maxChangesPerCommand = 2000
+
 // watchPause is the pause after a watch that failed.
 const watchPause = time.Second
 
@@ -71,7 +77,14 @@
 		s.printf("version %d agrees with the file; nothing to do\n", document.Version)
 		return nil
 	}
-	return s.change(ctx, document.Version, changes)
+	base := document.Version
+	for part := range slices.Chunk(changes, maxChangesPerCommand) {
+		if err := s.change(ctx, base, part); err != nil {
+			return err
+		}
+		base++
+	}
+	return nil
 }
 
 func (s *session) diff(ctx context.Context, command *FileCommand) error {
