--- a/e2e/control_test.go
+++ b/e2e/control_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"os"
@@ -74,6 +75,31 @@
 		return err == nil && ready.Version >= later
 	})
 	must.False(t, fleet.leader(t) == 0)
+
+	// The blank disk does not count: with one more member away there is no majority.
+	fleet.KillDaemon(1)
+	short, cancel := context.WithTimeout(fleet.ctx, 3*time.Second)
+	defer cancel()
+	_, err = fleet.Change(short, addAccount(3))
+	must.Error(t, err)
+
+	// Once the disk is admitted, it does.
+	must.NoError(t, fleet.StartDaemon(1))
+	lost := string(fleet.Layout.Instances[0].ID)
+	fleet.until(t, "the admission of the disk", func() bool {
+		_, err := fleet.Client.ChangeControl(fleet.ctx, lost, "admit-disk", "")
+		return err == nil
+	})
+	fleet.KillDaemon(1)
+	_, err = fleet.Change(fleet.ctx, addAccount(4))
+	must.NoError(t, err)
+	document, err := fleet.Client.Document(fleet.ctx)
+	must.NoError(t, err)
+	ids := make(map[fleetconfig.AccountID]bool)
+	for _, account := range document.Accounts {
+		ids[account.ID] = true
+	}
+	must.True(t, ids["account-1"] && ids["account-2"] && ids["account-4"])
 }
 
 // While all of control is away, the others go on; when it comes back, changes are
