--- a/configsync/service.go
+++ b/configsync/service.go
@@ -18,7 +18,7 @@
 	// DefaultPollInterval is how often an instance polls its neighbour.
 	DefaultPollInterval = 500 * time.Millisecond
 	// callTimeout bounds a poll or an offer.
-	callTimeout = 2 * time.Second
+	callTimeout = time.Second
 	// snapshotTimeout bounds the transfer of a snapshot.
 	snapshotTimeout = 30 * time.Second
 	// maxSnapshotTransfers is how many snapshots are sent at one time. Another
@@ -127,8 +127,8 @@
 
 // Serve implements suture.Service.
 func (s *Service) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(s.config.PollInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(s.config.PollInterval)
+	defer timer.Stop()
 	var committed <-chan struct{}
 	if s.config.Replica != nil {
 		committed = s.config.Replica.changed
@@ -139,13 +139,20 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(s.pollInterval())
 		case <-s.wake:
 		case <-committed:
 		}
 	}
 }
 
+func (s *Service) pollInterval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.node.PollInterval(s.config.PollInterval, time.Now())
+}
+
 func (s *Service) wakeUp() {
 	select {
 	case s.wake <- struct{}{}:
--- a/currency/node.go
+++ b/currency/node.go
@@ -207,14 +207,32 @@
 	probeAfter       = 2500 * time.Millisecond
 )
 
+// urgentPolls is how many times as often an instance polls whose attestation has
+// become old.
+const urgentPolls = 4
+
+// PollInterval returns when to poll again, given the usual interval. An instance
+// that is about to lose its currency polls more often, so that a few lost calls in
+// a row do not cost it.
+func (n *Node) PollInterval(usual time.Duration, now time.Time) time.Duration {
+	if n.met == nil || now.Sub(n.met.asOf) > n.probeAfter() {
+		return usual / urgentPolls
+	}
+	return usual
+}
+
+// probeAfter returns the age of an attestation that is old.
+func (n *Node) probeAfter() time.Duration {
+	if n.held.Names(n.id) {
+		return holderProbeAfter
+	}
+	return probeAfter
+}
+
 // Probes returns the holders to poll besides the usual neighbour, if any: all
 // other ones when the latest attestation has become old.
 func (n *Node) Probes(now time.Time) []fleetconfig.InstanceID {
-	after := probeAfter
-	if n.held.Names(n.id) {
-		after = holderProbeAfter
-	}
-	if n.met != nil && now.Sub(n.met.asOf) <= after {
+	if n.met != nil && now.Sub(n.met.asOf) <= n.probeAfter() {
 		return nil
 	}
 	var holders []fleetconfig.InstanceID
--- a/currency/soup_test.go
+++ b/currency/soup_test.go
@@ -179,7 +179,8 @@
 	w.check()
 	w.deliver()
 	for _, p := range w.processes {
-		if !p.frozen && !p.stopped && w.now.Sub(p.polledAt) >= pollInterval {
+		interval := p.node.PollInterval(pollInterval, p.clock(w.now))
+		if !p.frozen && !p.stopped && w.now.Sub(p.polledAt) >= interval {
 			p.polledAt = w.now
 			w.pollAround(p, loss)
 		}
