membership: parts of a fleet that were apart find each other again

Cause: a ping to a seed or to a member taken for dead carried only updates that had not been spread often enough, so once everything had been spread it carried nothing, and the digest exchange asks members only. Seen as two islands after a start of all instances at once (node tests under stress) and as TestRequestsGoOnWhileControlIsAway not ending after control came back. Ruled out: the relay and the transport (both sides answered pings). A stranger is now always told the sender's own record, and one digest exchange in eight goes to a seed. TestPartsThatWereApartMerge failed first and passes.

--- a/membership/soup_test.go
+++ b/membership/soup_test.go
@@ -193,6 +193,28 @@
 	})
 }
 
+// Two parts of a fleet that were apart from the start, or for so long that each
+// takes the other for dead, find each other again.
+func TestPartsThatWereApartMerge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(3, 9).Draw(t, "instances")
+		s := newSoup(rapid.Uint64().Draw(t, "seed"), n)
+		if rapid.Bool().Draw(t, "together first") {
+			s.run(20 * time.Second)
+		}
+		for i := range n {
+			for j := range n {
+				// Each part has one of the two seeds.
+				s.cut[link{soupAddress(i), soupAddress(j)}] = i%2 != j%2
+			}
+		}
+		s.run(time.Duration(rapid.IntRange(30, 200).Draw(t, "seconds apart")) * time.Second)
+		clear(s.cut)
+		s.run(90 * time.Second)
+		s.checkAgreed(t)
+	})
+}
+
 // A one-way cut between two instances is named as such and kills nobody.
 func TestAOneWayCutIsNotTakenForADeath(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/membership/spread.go
+++ b/membership/spread.go
@@ -18,6 +18,8 @@
 	// its servers and of one server.
 	recordBytes = 110
 	serverBytes = 40
+	// seedDigestChance is one in how many digest exchanges that goes to a seed.
+	seedDigestChance = 8
 	// retransmitFactor is how often each update is spread, times the number of
 	// digits of the fleet's size.
 	retransmitFactor = 4
@@ -28,13 +30,33 @@
 func (s *State) envelope(address string, message Message) Envelope {
 	message.From = s.self
 	message.ReplyAddress = s.members[s.self].Record.Address
-	message.Updates = s.takeUpdates(message.Target)
+	own := s.members[s.self].Record
+	if s.isStranger(message.Target) && updateBytes(&own) <= maxUpdateBytes {
+		message.Updates = append(s.takeUpdates(message.Target, updateBytes(&own)), Update{Record: own})
+	} else {
+		message.Updates = s.takeUpdates(message.Target, 0)
+	}
 	return Envelope{Address: address, Message: message}
 }
 
-// takeUpdates returns the updates to spread. A doubt about the receiver goes
+// isStranger reports whether the receiver may not know this instance: a seed whose
+// name is not known, an instance that is not known here, or one that was taken for
+// dead. Such a receiver is always told this instance's own record, however often
+// that was spread before; otherwise two parts of the fleet that have nothing new
+// to spread would never find each other.
+func (s *State) isStranger(receiver fleetconfig.InstanceID) bool {
+	member := s.members[receiver]
+	return member == nil || member.Liveness == Dead
+}
+
+// updateBytes estimates the encoded size of a record.
+func updateBytes(record *Record) int {
+	return recordBytes + len(record.Servers)*serverBytes
+}
+
+// takeUpdates returns the updates to spread, next to reserved bytes. A doubt about the receiver goes
 // first, so that it can refute it.
-func (s *State) takeUpdates(receiver fleetconfig.InstanceID) []Update {
+func (s *State) takeUpdates(receiver fleetconfig.InstanceID, reserved int) []Update {
 	limit := retransmitFactor * log10Ceil(len(s.members))
 	candidates := make([]*Member, 0, len(s.members))
 	for _, member := range s.members {
@@ -50,9 +72,9 @@
 		return cmp.Or(cmp.Compare(a.transmissions, b.transmissions), cmp.Compare(a.Record.ID, b.Record.ID))
 	})
 	var updates []Update
-	size := 0
+	size := reserved
 	for _, member := range candidates {
-		added := recordBytes + len(member.Record.Servers)*serverBytes
+		added := updateBytes(&member.Record)
 		if size+added > maxUpdateBytes {
 			continue
 		}
@@ -165,8 +187,13 @@
 }
 
 // DigestPeer returns the address of a random live member for the next digest
-// exchange, or of a seed while there is none. Empty means that there is nobody.
+// exchange, or of a seed: while there is no member, and now and then, for parts of
+// the fleet whose records are too large for datagrams. Empty means that there is
+// nobody.
 func (s *State) DigestPeer() string {
+	if len(s.seeds) > 0 && s.random.IntN(seedDigestChance) == 0 {
+		return s.seeds[s.random.IntN(len(s.seeds))]
+	}
 	peers := s.pick(1, func(m *Member) bool { return m.Liveness != Dead && !m.Record.Left })
 	if len(peers) == 1 {
 		return peers[0].Record.Address
