--- a/consensus/node_test.go
+++ b/consensus/node_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
+
+	"github.com/hemlockring/hemlockring/internal/codec"
 )
 
 var testStart = time.Unix(1_700_000_000, 0)
@@ -68,6 +70,35 @@
 	must.False(t, granted[0].Reject)
 }
 
+// votesFor tells whether the node gives a candidate of term 3 the vote of the given
+// kind.
+func votesFor(node *Node, now time.Time, kind MessageType) bool {
+	node.Step(now, Message{Type: kind, From: "c", FromDisk: "dc", To: "a", Term: 3, Index: 1, LogTerm: 1})
+	for _, answer := range drain(node) {
+		if !answer.Reject {
+			return true
+		}
+	}
+	return false
+}
+
+// A member that hears a leader gives no vote against it, and neither does one that
+// has restarted: it doesn't know what it answered before.
+func TestNoVoteWhileALeaderCountsOnTheMember(t *testing.T) {
+	for _, kind := range []MessageType{MessagePreVote, MessageVote} {
+		restarted := newTestNode(t, "a")
+		must.False(t, votesFor(restarted, testStart.Add(testElectionTimeout-1), kind))
+		must.True(t, votesFor(restarted, testStart.Add(testElectionTimeout), kind))
+
+		node := newTestNode(t, "a")
+		now := testStart.Add(2 * testElectionTimeout)
+		node.Step(now, Message{Type: MessageAppend, From: "b", FromDisk: "db", To: "a", Term: 2, Index: 1, LogTerm: 1})
+		drain(node)
+		must.False(t, votesFor(node, now.Add(testElectionTimeout-1), kind))
+		must.True(t, votesFor(node, now.Add(testElectionTimeout), kind))
+	}
+}
+
 // A planned stop hands the role over without an election timeout.
 func TestTransferElectsTheSuccessorAtOnce(t *testing.T) {
 	nodes := map[MemberID]*Node{}
@@ -99,6 +130,35 @@
 	must.True(t, nodes["b"].Role() == Leader || nodes["c"].Role() == Leader)
 }
 
+// FuzzStep hands a follower messages that no member sends.
+func FuzzStep(f *testing.F) {
+	seeds := []Message{
+		{Type: MessageAppend, From: "b", To: "a", Term: 2, Index: 1, LogTerm: 1, Entries: []Entry{{Index: 2, Term: 2}}},
+		{Type: MessageAppend, From: "b", To: "a", Term: 2, Index: 1, LogTerm: 1, Entries: []Entry{{Index: 9, Term: 7}}},
+		{Type: MessageSnapshot, From: "b", To: "a", Term: 2, Snapshot: &Snapshot{Index: 9, Term: 2}},
+		{Type: MessageVote, From: "b", FromDisk: "db", To: "a", Term: 9, Index: 1, LogTerm: 1},
+	}
+	for _, seed := range seeds {
+		data, err := codec.Marshal(seed)
+		must.NoError(f, err)
+		f.Add(data, data)
+	}
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		node := newTestNode(t, "a")
+		now := testStart.Add(testElectionTimeout)
+		for _, data := range [][]byte{first, second} {
+			var message Message
+			if codec.Unmarshal(data, &message) == nil {
+				message.To = "a"
+				node.Step(now, message)
+				drain(node)
+			}
+		}
+		node.Tick(now.Add(2 * testElectionTimeout))
+		drain(node)
+	})
+}
+
 func TestStoredLogWithAGapIsRefused(t *testing.T) {
 	_, err := New(Config{ElectionTimeout: time.Second, Rand: rand.New(rand.NewPCG(1, 2))}, Stored{
 		HardState: HardState{Term: 1},
--- a/fleetconfig/delta_test.go
+++ b/fleetconfig/delta_test.go
@@ -120,3 +120,30 @@
 		must.True(t, view.Account(document.Accounts[i].ID) == &document.Accounts[i])
 	}
 }
+
+// Whatever bytes come as a delta, applying them never panics and never changes the
+// document.
+func FuzzDeltaApply(f *testing.F) {
+	machine := newSmallMachine(f)
+	data, err := codec.Marshal(Compare(NewDocument(), machine.Document()))
+	must.NoError(f, err)
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		delta := new(Delta)
+		if codec.Unmarshal(data, delta) != nil {
+			return
+		}
+		document := NewDocument()
+		before := encoding(t, document)
+		next, err := delta.Apply(document)
+		must.Eq(t, before, encoding(t, document))
+		if err != nil {
+			return
+		}
+		view := NewView(next)
+		must.Nil(t, view.KeyByHash(HashKey("unknown")))
+		for i := range next.Keys {
+			must.NotNil(t, view.KeyByHash(next.Keys[i].Hash))
+		}
+	})
+}
--- a/internal/bench/scale_measure.go
+++ b/internal/bench/scale_measure.go
@@ -31,10 +31,12 @@
 	// StartSeconds is from the first process to the moment when all serve.
 	StartSeconds float64 `json:"start_seconds"`
 	// All, Control and Proxies are what instances used at rest: all of them, those
-	// with the control role, and the others. Shardless are those of the others that
+	// with the control role, and the others. Leader is the one that led control
+	// before and after. Shardless are those of the others that
 	// own no shard; they may still be replicas.
 	All       restUse        `json:"all"`
 	Control   restUse        `json:"control"`
+	Leader    restUse        `json:"control_leader"`
 	Proxies   restUse        `json:"proxies"`
 	Shardless restUse        `json:"proxies_without_owned_shard"`
 	Changes   changeTimes    `json:"changes"`
@@ -130,7 +132,7 @@
 			use.add(&before[i], &after[i])
 		}
 	}
-	for _, use := range []*restUse{&r.result.All, &r.result.Control, &r.result.Proxies, &r.result.Shardless} {
+	for _, use := range []*restUse{&r.result.All, &r.result.Control, &r.result.Leader, &r.result.Proxies, &r.result.Shardless} {
 		use.finish()
 	}
 	return nil
@@ -139,7 +141,11 @@
 // groupsOf returns the groups that an instance is counted in.
 func (r *scaleRig) groupsOf(instance int, before, after *reading) []*restUse {
 	if r.fleet.Layout.Instances[instance].Control {
-		return []*restUse{&r.result.All, &r.result.Control}
+		groups := []*restUse{&r.result.All, &r.result.Control}
+		if before.ready.Leads && after.ready.Leads {
+			groups = append(groups, &r.result.Leader)
+		}
+		return groups
 	}
 	groups := []*restUse{&r.result.All, &r.result.Proxies}
 	if before.ready.HeldShards == 0 && after.ready.HeldShards == 0 {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -131,6 +132,14 @@
 	c.expect(ExitOK, "apply fleet.ini", "nothing to do")
 	c.expect(ExitUsage, "apply bad.ini", "bad.ini: [account a] rate: is unknown here")
 	c.expect(ExitUsage, "apply none.ini", "mend the name")
+
+	var large strings.Builder
+	for i := range maxChangesPerCommand + 1 {
+		fmt.Fprintf(&large, "[account large-%d]\nrate_per_second = 1\nburst = 1\n", i)
+	}
+	must.NoError(t, os.WriteFile("large.ini", []byte(large.String()), 0o600))
+	c.expect(ExitOK, "apply large.ini", "version 3 is accepted")
+	c.expect(ExitOK, "diff large.ini", "")
 }
 
 // A lost answer is told as such, and the very same change can be sent again.
--- a/node/local.go
+++ b/node/local.go
@@ -23,6 +23,8 @@
 	SentPackets   uint64 `json:"fleet_sent_packets"`
 	ReceivedBytes uint64 `json:"fleet_received_bytes"`
 	Received      uint64 `json:"fleet_received_packets"`
+	IndirectOnly  int    `json:"indirect_only"`
+	Leads         bool   `json:"leads"`
 }
 
 // localMux serves what runs on the same machine: backend servers, metrics,
@@ -66,6 +68,8 @@
 	traffic := n.endpoint.Traffic()
 	state.SentBytes, state.SentPackets = traffic.SentBytes, traffic.SentPackets
 	state.ReceivedBytes, state.Received = traffic.ReceivedBytes, traffic.ReceivedPackets
+	state.IndirectOnly = snapshot.CountIndirect()
+	state.Leads = n.control != nil && n.control.IsLeader()
 	self := snapshot.Member(snapshot.Self)
 	switch {
 	case self.Record.Draining:
