--- a/internal/bench/overhead.go
+++ b/internal/bench/overhead.go
@@ -16,13 +16,15 @@
 )
 
 const (
-	overheadWorkers  = 32
-	overheadKey      = "overhead-key"
-	overheadSlots    = 4096
-	capacityLength   = 3 * time.Second
-	segmentLength    = 2 * time.Second
-	warmUpLength     = time.Second
-	overheadService  = "catalogue"
+	overheadWorkers = 32
+	overheadKey     = "overhead-key"
+	overheadSlots   = 4096
+	capacityLength  = 3 * time.Second
+	segmentLength   = 2 * time.Second
+	warmUpLength    = time.Second
+	overheadService = "catalogue"
+	// overheadPath asks for an answer of 512 bytes.
+	overheadPath     = "/lookup?size=512"
 	overheadRate     = 1_000_000
 	processStopLimit = 20 * time.Second
 	readyLimit       = 30 * time.Second
@@ -129,7 +131,7 @@
 }
 
 func (r *overheadRig) throughTarget() target {
-	return target{url: "http://" + r.fleet.Layout.Instances[0].Callers + "/lookup", key: overheadKey}
+	return target{url: "http://" + r.fleet.Layout.Instances[0].Callers + overheadPath, key: overheadKey}
 }
 
 func (r *overheadRig) measure(ctx context.Context, arguments OverheadArguments) (*overheadReport, error) {
@@ -147,7 +149,7 @@
 		pace:    time.Duration(float64(overheadWorkers) / rate * float64(time.Second)),
 		length:  warmUpLength,
 	}
-	direct := target{url: "http://" + r.fleet.BackendAddresses[0] + "/lookup"}
+	direct := target{url: "http://" + r.fleet.BackendAddresses[0] + overheadPath}
 	paced.run(ctx, direct)
 	r.through += paced.run(ctx, r.throughTarget()).latency.TotalCount()
 	paced.length = segmentLength
