transport: a connection that somebody is about to use is not closed as idle

Cause: the connection counted as in use only after the request had begun, so the idle check could close it between lookup and request; the request then ended as unknown although nothing was wrong.

--- a/node/eject_test.go
+++ b/node/eject_test.go
@@ -21,23 +21,30 @@
 	return count
 }
 
-// A backend server that fails gray, healthy on paper, is ejected under a permit
-// and gets no more work; it returns once it is well.
-func TestAGrayBackendServerIsEjectedAndReturns(t *testing.T) {
-	t.Parallel()
-	fleet := startFleet(t, 4, emulator.Config{Slots: 20})
+// startEjecting starts a fleet whose preset permits ejection, and returns a
+// function that sends it some requests.
+func startEjecting(t *testing.T, floorPercent uint32) (fleet *testFleet, send func()) {
+	t.Helper()
+	fleet = startFleet(t, 4, emulator.Config{Slots: 20})
 	fleet.config.set(func(document *fleetconfig.Document) {
 		document.Presets = []fleetconfig.Preset{{Name: "ordinary", EjectionEnabled: true, QueueLength: 10, RetryBudgetPercent: 10}}
 		document.PresetInForce = "ordinary"
-		document.Services = []fleetconfig.Service{{Name: "catalogue", FloorPercent: 50}}
+		document.Services = []fleetconfig.Service{{Name: "catalogue", FloorPercent: floorPercent}}
 	})
 	sent := 0
-	send := func() {
+	return fleet, func() {
 		for range 20 {
 			fleet.send(t, sent%4, http.MethodGet, "/open", "")
 			sent++
 		}
 	}
+}
+
+// A backend server that fails gray, healthy on paper, is ejected under a permit
+// and gets no more work; it returns once it is well.
+func TestAGrayBackendServerIsEjectedAndReturns(t *testing.T) {
+	t.Parallel()
+	fleet, send := startEjecting(t, 50)
 	// Every server becomes positively believed healthy.
 	waitFor(t, func() bool {
 		send()
@@ -61,19 +68,7 @@
 // When a second backend server fails, ejection leaves the floor.
 func TestEjectionStopsAtTheFloor(t *testing.T) {
 	t.Parallel()
-	fleet := startFleet(t, 4, emulator.Config{Slots: 20})
-	fleet.config.set(func(document *fleetconfig.Document) {
-		document.Presets = []fleetconfig.Preset{{Name: "ordinary", EjectionEnabled: true, QueueLength: 10, RetryBudgetPercent: 10}}
-		document.PresetInForce = "ordinary"
-		document.Services = []fleetconfig.Service{{Name: "catalogue", FloorPercent: 75}}
-	})
-	sent := 0
-	send := func() {
-		for range 20 {
-			fleet.send(t, sent%4, http.MethodGet, "/open", "")
-			sent++
-		}
-	}
+	fleet, send := startEjecting(t, 75)
 	waitFor(t, func() bool { send(); return fleet.backends[0].Executions().Total > 100 })
 	fleet.backends[0].SetFault(emulator.Fault{Kind: emulator.FaultError, Share: 1})
 	waitFor(t, func() bool { send(); return fleet.ejected(3) == 1 })
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -62,7 +62,6 @@
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
-	peer.inUse.Add(1)
 	var started atomic.Bool
 	trace := &httptrace.ClientTrace{WroteHeaderField: func(string, []string) { started.Store(true) }}
 	ctx := httptrace.WithClientTrace(request.Context(), trace)
@@ -116,7 +115,8 @@
 	c.inUse.Add(-1)
 }
 
-// connection returns the open connection to the peer or opens one.
+// connection returns the open connection to the peer or opens one. The connection
+// is in use until it is released; an error needs no release.
 func (p *pool) connection(ctx context.Context, address string) (*peerConn, error) {
 	peer, isNew, err := p.lookup(address)
 	if err != nil {
@@ -128,11 +128,18 @@
 	select {
 	case <-peer.ready:
 	case <-ctx.Done():
+		peer.release()
 		return nil, ctx.Err()
 	}
-	return peer, peer.err
+	if peer.err != nil {
+		peer.release()
+		return nil, peer.err
+	}
+	return peer, nil
 }
 
+// lookup returns the peer's entry and marks it as in use, under the lock, so that
+// it is not closed as idle between the lookup and the request.
 func (p *pool) lookup(address string) (peer *peerConn, isNew bool, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -140,9 +147,11 @@
 		return nil, false, errors.New("the fleet port is closed")
 	}
 	if peer = p.peers[address]; peer != nil && !peer.broken() {
+		peer.inUse.Add(1)
 		return peer, false, nil
 	}
 	peer = &peerConn{ready: make(chan struct{})}
+	peer.inUse.Add(1)
 	peer.lastUsed.Store(time.Now().UnixNano())
 	p.peers[address] = peer
 	return peer, true, nil
