--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -9,6 +9,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/hemlockring/hemlockring/pipeline"
 )
 
 const (
@@ -25,22 +28,30 @@
 type target struct {
 	url string
 	key string
+	// orders sends orders, each under an Idempotency-Key of its own, in place of
+	// lookups.
+	orders bool
 }
 
 // loadResult is what a closed loop measured.
 type loadResult struct {
 	latency *hdrhistogram.Histogram
 	failed  int
+	// reasons counts the failures by their text.
+	reasons map[string]int
 	elapsed time.Duration
 }
 
 func newLoadResult() *loadResult {
-	return &loadResult{latency: hdrhistogram.New(leastMicros, mostMicros, significantDigits)}
+	return &loadResult{reasons: make(map[string]int), latency: hdrhistogram.New(leastMicros, mostMicros, significantDigits)}
 }
 
 func (r *loadResult) merge(other *loadResult) {
 	r.latency.Merge(other.latency)
 	r.failed += other.failed
+	for reason, count := range other.reasons {
+		r.reasons[reason] += count
+	}
 	r.elapsed += other.elapsed
 }
 
@@ -94,6 +105,7 @@
 		if err := sendOne(ctx, l.client, to); err != nil {
 			if ctx.Err() == nil {
 				result.failed++
+				result.reasons[err.Error()]++
 			}
 			continue
 		}
@@ -113,10 +125,17 @@
 }
 
 func sendOne(ctx context.Context, client *http.Client, to target) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, to.url, nil)
+	method := http.MethodGet
+	if to.orders {
+		method = http.MethodPost
+	}
+	request, err := http.NewRequestWithContext(ctx, method, to.url, nil)
 	if err != nil {
 		return errors.Wrap(err, "build the request")
 	}
+	if to.orders {
+		request.Header.Set(pipeline.HeaderIdempotencyKey, uuid.NewString())
+	}
 	if to.key != "" {
 		request.Header.Set("Authorization", "Bearer "+to.key)
 	}
@@ -129,7 +148,7 @@
 		return errors.Wrap(err, "read the answer")
 	}
 	if response.StatusCode != http.StatusOK {
-		return errors.Newf("status %d", response.StatusCode)
+		return errors.Newf("status %d %s", response.StatusCode, response.Header.Get(pipeline.HeaderRefusal))
 	}
 	return nil
 }
--- a/internal/bench/overhead.go
+++ b/internal/bench/overhead.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -23,6 +24,15 @@
 	segmentLength   = 2 * time.Second
 	warmUpLength    = time.Second
 	overheadService = "catalogue"
+	// The fleet has one instance set aside for control and five proxies, so that
+	// each shard has five replicas.
+	overheadProxies = 5
+	overheadDomains = 3
+	// overheadIngress takes the requests; overheadServing has the backend server.
+	overheadIngress = 1
+	overheadServing = 2
+	// orderShare is the load of orders as a share of that of lookups.
+	orderShare = 0.25
 	// overheadPath asks for an answer of 512 bytes.
 	overheadPath     = "/lookup?size=512"
 	overheadRate     = 1_000_000
@@ -65,7 +75,11 @@
 	Direct    latencySummary `json:"direct"`
 	Through   latencySummary `json:"through"`
 	Added     latencySummary `json:"added"`
+	Orders    latencySummary `json:"orders"`
+	OrderLoad float64        `json:"order_load_requests_per_second"`
 	Processes []processUsage `json:"processes"`
+	// Failures names the failed requests by their reason.
+	Failures []string `json:"failures,omitempty"`
 }
 
 // Overhead measures what the way through ingress and backend proxy adds to a
@@ -109,11 +123,11 @@
 }
 
 func startOverheadRig(ctx context.Context, folder string) (*overheadRig, error) {
-	layout, err := testbed.Create(folder, testbed.Specs(2, 1, 2))
+	layout, err := testbed.Create(folder, testbed.SpecsSetAside(1, overheadProxies, overheadDomains))
 	if err != nil {
 		return nil, err
 	}
-	fleet, err := testbed.StartFleet(layout, testbed.BackendSpec{Service: overheadService, Slots: overheadSlots, Beside: []int{1}})
+	fleet, err := testbed.StartFleet(layout, testbed.BackendSpec{Service: overheadService, Slots: overheadSlots, Beside: []int{overheadServing}})
 	if err != nil {
 		return nil, err
 	}
@@ -131,7 +145,7 @@
 }
 
 func (r *overheadRig) throughTarget() target {
-	return target{url: "http://" + r.fleet.Layout.Instances[0].Callers + overheadPath, key: overheadKey}
+	return target{url: "http://" + r.fleet.Layout.Instances[overheadIngress].Callers + overheadPath, key: overheadKey}
 }
 
 func (r *overheadRig) measure(ctx context.Context, arguments OverheadArguments) (*overheadReport, error) {
@@ -153,19 +167,27 @@
 	paced.run(ctx, direct)
 	r.through += paced.run(ctx, r.throughTarget()).latency.TotalCount()
 	paced.length = segmentLength
-	straight, through := newLoadResult(), newLoadResult()
+	ordered := *paced
+	ordered.pace = time.Duration(float64(paced.pace) / orderShare)
+	orderTarget := r.throughTarget()
+	orderTarget.orders = true
+	straight, through, orders := newLoadResult(), newLoadResult(), newLoadResult()
 	for range arguments.Rounds {
 		straight.merge(paced.run(ctx, direct))
 		through.merge(paced.run(ctx, r.throughTarget()))
+		orders.merge(ordered.run(ctx, orderTarget))
 	}
-	r.through += through.latency.TotalCount()
+	r.through += through.latency.TotalCount() + orders.latency.TotalCount()
 	report := &overheadReport{
-		Capacity: capacity.rate(),
-		Load:     through.rate(),
-		Requests: through.latency.TotalCount(),
-		Failed:   straight.failed + through.failed + capacity.failed,
-		Direct:   summarize(straight.latency),
-		Through:  summarize(through.latency),
+		Capacity:  capacity.rate(),
+		Load:      through.rate(),
+		Requests:  through.latency.TotalCount(),
+		Failed:    straight.failed + through.failed + capacity.failed + orders.failed,
+		Orders:    summarize(orders.latency),
+		OrderLoad: orders.rate(),
+		Failures:  failuresOf(capacity, straight, through, orders),
+		Direct:    summarize(straight.latency),
+		Through:   summarize(through.latency),
 	}
 	report.Added = latencySummary{
 		P50:  report.Through.P50 - report.Direct.P50,
@@ -175,6 +197,20 @@
 	return report, nil
 }
 
+// failuresOf returns a line for each reason of failed requests.
+func failuresOf(results ...*loadResult) []string {
+	total := newLoadResult()
+	for _, result := range results {
+		total.merge(result)
+	}
+	var lines []string
+	for reason, count := range total.reasons {
+		lines = append(lines, fmt.Sprintf("%d failed: %s", count, reason))
+	}
+	slices.Sort(lines)
+	return lines
+}
+
 func summarize(histogram *hdrhistogram.Histogram) latencySummary {
 	return latencySummary{
 		P50:  float64(histogram.ValueAtQuantile(50)) / microsPerMilli,
@@ -186,12 +222,13 @@
 // stop ends the processes and reads what they have used.
 func (r *overheadRig) stop(report *overheadReport) error {
 	roles := []string{"ingress", "backendproxy", "backend"}
-	processes := []*testbed.Process{r.fleet.Daemons[0], r.fleet.Daemons[1], r.fleet.Backends[0]}
+	processes := []*testbed.Process{r.fleet.Daemons[overheadIngress], r.fleet.Daemons[overheadServing], r.fleet.Backends[0]}
 	for i, process := range processes {
 		if err := process.Terminate(processStopLimit); err != nil {
 			return errors.Wrapf(err, "stop the %s", roles[i])
 		}
 	}
+	r.fleet.Kill()
 	const mebibyte = 1 << 20
 	for i, process := range processes {
 		cpu, memory := process.Usage()
@@ -216,10 +253,13 @@
 	rows := []struct {
 		name    string
 		summary latencySummary
-	}{{"direct", r.Direct}, {"through", r.Through}, {"added", r.Added}}
+	}{{"direct", r.Direct}, {"through", r.Through}, {"added", r.Added}, {"orders", r.Orders}}
 	for _, row := range rows {
 		_, _ = fmt.Fprintf(out, "%-8s %10.3f %10.3f %10.3f\n", row.name, row.summary.P50, row.summary.P99, row.summary.P999)
 	}
+	for _, line := range r.Failures {
+		_, _ = fmt.Fprintln(out, line)
+	}
 	for _, process := range r.Processes {
 		_, _ = fmt.Fprintf(out, "%-14s %8.0f requests/s per core, peak memory %.1f MiB\n", process.Role, process.RequestsPerCore, process.PeakMemoryMiB)
 	}
