ingress: an unread body no longer breaks the caller's connection

Cause: with full-duplex responses net/http may start its background read at the end of a body that it discards after the handler has returned, and then reads the connection twice at once; it panics and drops the connection, and the next request on it fails. The body is now read within the handler, up to 256 KiB and one second, after the answer has been sent. Expect is answered by the ingress and no longer passed on.

--- a/ingress/identify.go
+++ b/ingress/identify.go
@@ -44,6 +44,7 @@
 		return badRequest("the request has several Idempotency-Key headers", "send one")
 	}
 	httpheader.RemoveHopByHop(request.Header)
+	request.Header.Del("Expect")
 	httpheader.RemoveInternal(request.Header)
 	f.cleanTrailer(request)
 	setForwarded(request)
--- a/ingress/proxy.go
+++ b/ingress/proxy.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"io"
 	"log/slog"
 	"net/http"
 	"time"
@@ -12,6 +13,12 @@
 	"github.com/hemlockring/hemlockring/pipeline"
 )
 
+// Limits of what is read of an unread body for the sake of the connection.
+const (
+	maxDrainBytes = 256 << 10
+	maxDrainTime  = time.Second
+)
+
 // Config configures a Proxy.
 type Config struct {
 	// KeyHeader is a header besides Authorization that may carry the key. Empty
@@ -75,6 +82,8 @@
 		Outcome:   pipeline.OutcomeNotRun,
 	}
 	_ = http.NewResponseController(w).EnableFullDuplex()
+	// A caller that waits for "100 Continue" does not send its body after an answer.
+	drains := request.ProtoMajor == 1 && request.ContentLength != 0 && request.Header.Get("Expect") == ""
 	defer func() { p.config.Recorder.Record(exchange, time.Since(exchange.Received)) }()
 	if err := p.chain.Serve(exchange); err != nil && !errors.Is(err, pipeline.ErrAnswered) {
 		p.refuse(exchange, err)
@@ -82,6 +91,20 @@
 	if exchange.Truncated {
 		panic(http.ErrAbortHandler)
 	}
+	if drains {
+		drainBody(w, request)
+	}
+}
+
+// drainBody sends the answer and then reads what is left of a request's body, up to
+// limits in bytes and time. With full-duplex responses net/http may otherwise read
+// the connection twice at once after the handler has ended, and drops it. A longer
+// rest makes net/http close the connection.
+func drainBody(w http.ResponseWriter, request *http.Request) {
+	controller := http.NewResponseController(w)
+	_ = controller.Flush()
+	_ = controller.SetReadDeadline(time.Now().Add(maxDrainTime))
+	_, _ = io.CopyN(io.Discard, request.Body, maxDrainBytes)
 }
 
 // refuse sends the final answer for a request that was given up.
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -222,6 +222,8 @@
 	header.Set("X-Path", request.URL.RequestURI())
 	header.Set(pipeline.HeaderOutcome, "forged")
 	if size, err := strconv.ParseInt(request.URL.Query().Get("size"), 10, 64); err == nil && size >= 0 {
+		// The body is read first: net/http can not do so after a full-duplex answer.
+		_, _ = io.Copy(io.Discard, request.Body)
 		header.Set("Content-Length", strconv.FormatInt(size, 10))
 		if hit && fault.Kind == FaultTruncate {
 			size /= 2
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -379,3 +379,22 @@
 		must.Eq(t, 1, count, must.Sprintf("order %s", order))
 	}
 }
+
+// A refusal that leaves the request's body unread does not break the caller's
+// connection for the requests after it.
+func TestARefusalOfARequestWithABodyKeepsTheConnection(t *testing.T) {
+	t.Parallel()
+	fleet := startFleet(t, 1, emulator.Config{Slots: 8})
+	for i := range 300 {
+		body := io.MultiReader(strings.NewReader("body"), strings.NewReader(strings.Repeat("x", i*10)))
+		request, err := http.NewRequest(http.MethodPost, fleet.url(0, "/orders"), body)
+		must.NoError(t, err)
+		request.Header.Set("X-Api-Key", "wrong")
+		response, err := fleet.client.Do(request)
+		must.NoError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		must.NoError(t, err)
+		response.Body.Close()
+		must.Eq(t, http.StatusUnauthorized, response.StatusCode)
+	}
+}
