--- a/report/html.go
+++ b/report/html.go
@@ -47,7 +47,7 @@
 	pictureWidth  = 960
 	pictureHeight = 300
 	plotLeft      = 70
-	plotRight     = 950
+	plotRight     = 915
 	plotTop       = 15
 	plotBottom    = 260
 	gridLines     = 4
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -306,6 +306,7 @@
 	must.StrContains(t, row, " ms</td>")
 	must.StrContains(t, row, `<td class="orders">246</td><td class="orders">240</td><td class="orders">6</td>`)
 	must.StrContains(t, page.String(), `<polyline class="tail" points="`)
+	must.StrContains(t, page.String(), `<circle class="tail dot"`)
 	must.StrContains(t, page.String(), `<line class="ejected"`)
 	var decoded Report
 	must.NoError(t, json.Unmarshal(document.Bytes(), &decoded))
