backendproxy: a key is checked again right before the dispatch

Cause, found by reading: the key was checked when the request arrived at the backend proxy, and then it could wait for a slot for the life of its token (2 s). On an instance that is cut off, 4 s of currency and the wait together could pass the 5 s in which a withdrawn key must stop. The check now needs this instance to be current too, and is made again after the wait. Ruled out: the ingress, which refuses after 4 s, and a queue elsewhere, whose instance has newer news.

--- a/backendproxy/filters.go
+++ b/backendproxy/filters.go
@@ -28,7 +28,7 @@
 // verifyFilter checks what the ingress has sent: the deadline, the life of the
 // quota token and, a second time, that the key is still given out.
 type verifyFilter struct {
-	view   func() *fleetconfig.View
+	keys   *keyCheck
 	freeze *freeze.Detector
 	clock  quota.DispatchClock
 }
@@ -45,15 +45,7 @@
 	if err := f.readDeadline(exchange); err != nil {
 		return err
 	}
-	if exchange.KeyID == "" {
-		return nil
-	}
-	key := f.view().KeyByID(exchange.KeyID)
-	if key == nil || key.Account != exchange.Account {
-		return pipeline.NotRun(pipeline.KindKeyRejected, http.StatusUnauthorized,
-			"the key was withdrawn", "ask the operator for a new key", retryElsewhere)
-	}
-	return nil
+	return f.keys.check(exchange, now)
 }
 
 func (f *verifyFilter) readDeadline(exchange *pipeline.Exchange) error {
@@ -182,6 +174,7 @@
 // runFilter hands the request to the backend server and streams the answer back.
 type runFilter struct {
 	dispatcher *dispatcher
+	keys       *keyCheck
 	freeze     *freeze.Detector
 	watch      Watch
 	clock      quota.DispatchClock
@@ -191,7 +184,7 @@
 
 func (f *runFilter) Request(exchange *pipeline.Exchange) error {
 	now := time.Now()
-	if err := f.checkTime(exchange, now); err != nil {
+	if err := f.mayDispatch(exchange, now); err != nil {
 		return err
 	}
 	slot := slotOf(exchange).slot
@@ -260,10 +253,10 @@
 	}
 }
 
-// checkTime is the last look before the request is handed over: a request whose
+// mayDispatch is the last look before the request is handed over: a request whose
 // caller is gone, whose time is up or that was frozen with the process is not
 // dispatched.
-func (f *runFilter) checkTime(exchange *pipeline.Exchange, now time.Time) error {
+func (f *runFilter) mayDispatch(exchange *pipeline.Exchange, now time.Time) error {
 	switch {
 	case exchange.Request.Context().Err() != nil:
 		return refuseCanceled()
@@ -273,7 +266,8 @@
 	case !now.Before(exchange.DispatchBy):
 		return tokenExpired()
 	}
-	return nil
+	// The key may have been withdrawn while the request waited for its slot.
+	return f.keys.check(exchange, now)
 }
 
 func refuseFailed(exchange *pipeline.Exchange, outcome pipeline.Outcome, err error) error {
--- a/backendproxy/proxy.go
+++ b/backendproxy/proxy.go
@@ -20,6 +20,9 @@
 	Registry *Registry
 	// View returns the configuration in force.
 	View func() *fleetconfig.View
+	// Current reports whether the configuration may be acted on for requests that
+	// carry a key.
+	Current func(now time.Time) (current bool, retryAfter time.Duration)
 	// Freeze tells when the process has stood still.
 	Freeze *freeze.Detector
 	// Watch judges the backend servers.
@@ -51,11 +54,12 @@
 // New returns a proxy.
 func New(config Config) *Proxy {
 	proxy := &Proxy{clock: config.Clock}
+	keys := &keyCheck{view: config.View, current: config.Current}
 	proxy.chain = pipeline.NewChain(
-		&verifyFilter{view: config.View, freeze: config.Freeze, clock: config.Clock},
+		&verifyFilter{keys: keys, freeze: config.Freeze, clock: config.Clock},
 		&drainFilter{draining: &proxy.draining},
 		&queueFilter{registry: config.Registry},
-		&runFilter{dispatcher: newDispatcher(), freeze: config.Freeze, watch: config.Watch, clock: config.Clock},
+		&runFilter{dispatcher: newDispatcher(), keys: keys, freeze: config.Freeze, watch: config.Watch, clock: config.Clock},
 	)
 	return proxy
 }
