--- /dev/null
+++ b/backendproxy/dialect.go
@@ -0,0 +1,53 @@
+package backendproxy
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hemlockring/hemlockring/pipeline"
+)
+
+// Verdict says what a response means for the request that it came for.
+type Verdict uint8
+
+const (
+	// VerdictAnswer is the backend server's answer.
+	VerdictAnswer Verdict = iota
+	// VerdictNotRun means that the backend server states that it has not run the
+	// request.
+	VerdictNotRun
+	// VerdictElsewhere means that another backend server has the address now, and
+	// has not run the request.
+	VerdictElsewhere
+	// VerdictForeign means that the response belongs to another request.
+	VerdictForeign
+)
+
+// Dialect is how backend servers are spoken to: which headers tell them of a
+// request, and what their responses say besides the answer. It is safe for
+// concurrent use.
+type Dialect interface {
+	// Request sets what a backend server is told. remaining is the time that is left
+	// for the request.
+	Request(header http.Header, exchange *pipeline.Exchange, remaining time.Duration)
+	// Judge says what the head of a response means.
+	Judge(response *http.Response, exchange *pipeline.Exchange) Verdict
+}
+
+// OwnHeaders is the dialect of hemlockring itself.
+type OwnHeaders struct{}
+
+var _ Dialect = OwnHeaders{}
+
+// Request implements Dialect.
+func (OwnHeaders) Request(header http.Header, exchange *pipeline.Exchange, remaining time.Duration) {
+	header.Set(pipeline.HeaderRequestID, exchange.RequestID)
+	if exchange.Account != "" {
+		header.Set(pipeline.HeaderAccount, string(exchange.Account))
+	}
+	header.Set(pipeline.HeaderDeadline, strconv.FormatInt(remaining.Milliseconds(), 10))
+}
+
+// Judge implements Dialect.
+func (OwnHeaders) Judge(*http.Response, *pipeline.Exchange) Verdict { return VerdictAnswer }
--- a/backendproxy/dispatch.go
+++ b/backendproxy/dispatch.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -31,9 +30,10 @@
 // dispatcher hands requests to backend servers, each at most once.
 type dispatcher struct {
 	transport *http.Transport
+	dialect   Dialect
 }
 
-func newDispatcher() *dispatcher {
+func newDispatcher(dialect Dialect) *dispatcher {
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
@@ -42,7 +42,7 @@
 		}
 		return &trackedConn{Conn: conn}, nil
 	}
-	return &dispatcher{transport: &http.Transport{
+	return &dispatcher{dialect: dialect, transport: &http.Transport{
 		DialContext:            dial,
 		DisableCompression:     true,
 		IdleConnTimeout:        idleConnTimeout,
@@ -63,7 +63,7 @@
 			conn.Store(tracked)
 		}
 	}}
-	request := outgoingRequest(httptrace.WithClientTrace(ctx, trace), exchange, address)
+	request := d.outgoingRequest(httptrace.WithClientTrace(ctx, trace), exchange, address)
 	response, err := d.transport.RoundTrip(request)
 	used := conn.Load()
 	if err == nil {
@@ -80,17 +80,12 @@
 // body that net/http can rewind, because its Transport sends a request that has
 // an Idempotency-Key and an empty or rewindable body again by itself after a
 // connection error.
-func outgoingRequest(ctx context.Context, exchange *pipeline.Exchange, address string) *http.Request {
+func (d *dispatcher) outgoingRequest(ctx context.Context, exchange *pipeline.Exchange, address string) *http.Request {
 	incoming := exchange.Request
 	header := incoming.Header.Clone()
 	httpheader.RemoveHopByHop(header)
 	httpheader.RemoveInternal(header)
-	header.Set(pipeline.HeaderRequestID, exchange.RequestID)
-	if exchange.Account != "" {
-		header.Set(pipeline.HeaderAccount, string(exchange.Account))
-	}
-	remaining := exchange.Remaining(time.Now())
-	header.Set(pipeline.HeaderDeadline, strconv.FormatInt(remaining.Milliseconds(), 10))
+	d.dialect.Request(header, exchange, exchange.Remaining(time.Now()))
 	if _, present := header["User-Agent"]; !present {
 		// An empty value keeps net/http from adding its own.
 		header.Set("User-Agent", "")
--- a/backendproxy/filters.go
+++ b/backendproxy/filters.go
@@ -128,9 +128,8 @@
 func (*queueFilter) Name() string { return "queue" }
 
 func (f *queueFilter) Request(exchange *pipeline.Exchange) error {
-	service := fleetconfig.ServiceName(exchange.Request.Header.Get(pipeline.HeaderService))
 	item := queue.Item{Account: exchange.Account, Deadline: exchange.DispatchBy}
-	slot, refuse := f.registry.acquire(exchange.Request.Context(), exchange.BackendServer, service, item)
+	slot, refuse := f.registry.acquire(exchange.Request.Context(), exchange.BackendServer, exchange.Service, item)
 	switch {
 	case refuse != nil:
 		return refuseQueued(refuse)
@@ -202,6 +201,9 @@
 		return refuseFailed(exchange, outcome, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := f.judge(exchange, response, observation); err != nil {
+		return err
+	}
 	observation.End(resultOfResponse(response), time.Now())
 	load := slot.Load()
 	load.WeightPercent = f.watch.WeightPercent(exchange.BackendServer, time.Now())
@@ -215,6 +217,30 @@
 	return nil
 }
 
+// judge returns a refusal when the response is not the answer to the request.
+func (f *runFilter) judge(exchange *pipeline.Exchange, response *http.Response, observation Observation) error {
+	switch f.dispatcher.dialect.Judge(response, exchange) {
+	case VerdictNotRun:
+		observation.End(health.ResultShed, time.Now())
+		exchange.Outcome = pipeline.OutcomeNotRun
+		return pipeline.NotRun(pipeline.KindBusy, http.StatusServiceUnavailable,
+			"the backend server has not run the request", "send the request again", retryElsewhere)
+	case VerdictElsewhere:
+		observation.End(health.ResultCanceled, time.Now())
+		exchange.Outcome = pipeline.OutcomeNotRun
+		return pipeline.NotRun(pipeline.KindNoCapacity, http.StatusServiceUnavailable,
+			"another backend server has the address now", "send the request again", retryElsewhere)
+	case VerdictForeign:
+		observation.End(health.ResultFailed, time.Now())
+		exchange.Outcome = pipeline.OutcomeUnknown
+		return refuseFailed(exchange, pipeline.OutcomeUnknown, errForeignAnswer)
+	}
+	return nil
+}
+
+// errForeignAnswer says that the backend server answered another request.
+var errForeignAnswer = errors.New("the backend server's answer belongs to another request")
+
 // observeBreak counts an answer that the backend server broke off as one more
 // failed request. A caller that went away is no evidence.
 func (f *runFilter) observeBreak(exchange *pipeline.Exchange, cause error) {
--- a/backendproxy/proxy.go
+++ b/backendproxy/proxy.go
@@ -29,6 +29,8 @@
 	Watch Watch
 	// Clock is the clock that bounds dispatches.
 	Clock quota.DispatchClock
+	// Dialect is how backend servers are spoken to. The default is OwnHeaders.
+	Dialect Dialect
 }
 
 // Proxy serves the requests that ingresses forward to the backend servers beside
@@ -53,13 +55,16 @@
 
 // New returns a proxy.
 func New(config Config) *Proxy {
+	if config.Dialect == nil {
+		config.Dialect = OwnHeaders{}
+	}
 	proxy := &Proxy{clock: config.Clock}
 	keys := &keyCheck{view: config.View, current: config.Current}
 	proxy.chain = pipeline.NewChain(
 		&verifyFilter{keys: keys, freeze: config.Freeze, clock: config.Clock},
 		&drainFilter{draining: &proxy.draining},
 		&queueFilter{registry: config.Registry},
-		&runFilter{dispatcher: newDispatcher(), keys: keys, freeze: config.Freeze, watch: config.Watch, clock: config.Clock},
+		&runFilter{dispatcher: newDispatcher(config.Dialect), keys: keys, freeze: config.Freeze, watch: config.Watch, clock: config.Clock},
 	)
 	return proxy
 }
@@ -77,6 +82,8 @@
 		Account:       fleetconfig.AccountID(header.Get(pipeline.HeaderAccount)),
 		KeyID:         fleetconfig.KeyID(header.Get(pipeline.HeaderKeyID)),
 		BackendServer: fleetconfig.BackendServerID(header.Get(pipeline.HeaderBackendServer)),
+		Service:       fleetconfig.ServiceName(header.Get(pipeline.HeaderService)),
+		CallerService: fleetconfig.ServiceName(header.Get(pipeline.HeaderCallerService)),
 		State:         &exchangeState{},
 	}
 	err := p.chain.Serve(exchange)
@@ -100,7 +107,7 @@
 			RetryAfter: retryElsewhere,
 		}
 	}
-	refusal.Write(exchange.Writer, exchange.RequestID)
+	refusal.WriteInternal(exchange.Writer)
 }
 
 // Drain refuses new requests and waits for the running ones, or for ctx to end.
--- a/backendproxy/registry.go
+++ b/backendproxy/registry.go
@@ -20,6 +20,9 @@
 	MinLifetime = 500 * time.Millisecond
 	// MaxLifetime bounds how long a silent backend server stays known.
 	MaxLifetime = time.Minute
+	// departedMemory is how long late announcements of a backend server that has left
+	// are known as such.
+	departedMemory = time.Minute
 	// maxSlots bounds the announced slots.
 	maxSlots = 100_000
 )
@@ -38,6 +41,21 @@
 	// LifetimeMillis is how long the announcement holds without renewal, in
 	// milliseconds.
 	LifetimeMillis int64 `json:"lifetime_ms"`
+	// BornUnixMilli tells the lives of a backend server apart: the start of its
+	// process. Zero when it does not say.
+	BornUnixMilli int64 `json:"born_unix_ms,omitempty"`
+	// Sequence grows with each announcement of one life, so that a late one is known.
+	// Zero when it does not say.
+	Sequence uint64 `json:"sequence,omitempty"`
+}
+
+// follows reports whether an announcement is newer than another one of the same
+// backend server. Those without a life and sequence count as they come.
+func (a *Announcement) follows(other *Announcement) bool {
+	if a.BornUnixMilli != other.BornUnixMilli {
+		return a.BornUnixMilli > other.BornUnixMilli
+	}
+	return a.Sequence == 0 || a.Sequence > other.Sequence
 }
 
 // States of an announcement.
@@ -68,6 +86,15 @@
 
 	mu      sync.Mutex
 	servers map[fleetconfig.BackendServerID]*Server
+	// departed are the last announcements of backend servers that have left, so that
+	// a late one does not bring them back.
+	departed map[fleetconfig.BackendServerID]departure
+}
+
+// departure is the last announcement of a backend server that has left.
+type departure struct {
+	last Announcement
+	at   time.Time
 }
 
 // NewRegistry returns an empty registry. onChange is called, with the lock held,
@@ -78,6 +105,7 @@
 		onChange:    onChange,
 		queueLength: queueLength,
 		servers:     make(map[fleetconfig.BackendServerID]*Server),
+		departed:    make(map[fleetconfig.BackendServerID]departure),
 	}
 }
 
@@ -89,7 +117,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	server := r.servers[id]
+	if r.isLate(id, server, &announcement) {
+		return nil
+	}
 	changed := false
+	if server != nil && server.Announcement.BornUnixMilli < announcement.BornUnixMilli {
+		// The process has started anew under its id, and runs nothing of before.
+		server.admission.drain()
+		server = nil
+	}
 	if server == nil {
 		if len(r.servers) >= MaxServers {
 			return errors.Newf("this instance has %d backend servers already; announce to another instance", MaxServers)
@@ -98,6 +134,7 @@
 		r.servers[id] = server
 		changed = true
 	}
+	r.replaceAt(announcement.Address, id)
 	draining := announcement.State == StateDraining
 	switch {
 	case draining && !server.draining:
@@ -105,7 +142,7 @@
 	case !draining && server.draining:
 		server.admission = newAdmission(int(announcement.Slots), r.queueLength())
 	}
-	changed = changed || server.Announcement != announcement || server.draining != draining
+	changed = changed || server.Announcement.differs(&announcement) || server.draining != draining
 	server.Announcement = announcement
 	server.draining = draining
 	server.expires = now.Add(time.Duration(announcement.LifetimeMillis) * time.Millisecond)
@@ -120,18 +157,60 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if server, known := r.servers[id]; known {
+		r.departed[id] = departure{last: server.Announcement, at: time.Now()}
 		server.admission.drain()
 		delete(r.servers, id)
 		r.publish()
 	}
 }
 
+// isLate reports whether an announcement was overtaken by a newer one, by the
+// departure of its sender or by another process at its address. The caller holds
+// the lock.
+func (r *Registry) isLate(id fleetconfig.BackendServerID, known *Server, announcement *Announcement) bool {
+	if known != nil {
+		return !announcement.follows(&known.Announcement)
+	}
+	if left, found := r.departed[id]; found && announcement.Sequence > 0 && !announcement.follows(&left.last) {
+		return true
+	}
+	for _, server := range r.servers {
+		if server.Announcement.Address == announcement.Address && server.Announcement.BornUnixMilli > announcement.BornUnixMilli {
+			return true
+		}
+	}
+	return false
+}
+
+// replaceAt removes the backend servers whose address another one has taken. The
+// caller holds the lock.
+func (r *Registry) replaceAt(address string, by fleetconfig.BackendServerID) {
+	for id, server := range r.servers {
+		if id != by && server.Announcement.Address == address {
+			server.admission.drain()
+			delete(r.servers, id)
+		}
+	}
+}
+
+// differs reports whether the fleet should hear of the change from one
+// announcement to the next.
+func (a *Announcement) differs(next *Announcement) bool {
+	return a.Service != next.Service || a.Address != next.Address || a.Slots != next.Slots ||
+		a.State != next.State || a.BornUnixMilli != next.BornUnixMilli
+}
+
 // Tick removes the backend servers that have not renewed their announcement, and
 // lets time pass in the queues.
 func (r *Registry) Tick(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changed := false
+	for id, left := range r.departed {
+		if now.Sub(left.at) > departedMemory {
+			delete(r.departed, id)
+		}
+	}
 	length := r.queueLength()
 	for id, server := range r.servers {
 		if now.After(server.expires) {
--- a/configsync/depend.go
+++ b/configsync/depend.go
@@ -30,6 +30,10 @@
 	Propose(ctx context.Context, command []byte) (result []byte, err error)
 	// Leadership returns what this instance knows of the leader.
 	Leadership() Leadership
+	// ReadBarrier returns nil if the state machine shows every change that was
+	// accepted before the call. It fails with control.NotLeaderError on an instance
+	// that is not certain to lead.
+	ReadBarrier(ctx context.Context) error
 }
 
 // Leadership is what a control instance knows of the leader.
--- a/configsync/fake_test.go
+++ b/configsync/fake_test.go
@@ -50,6 +50,13 @@
 	return Leadership{Leads: !l.away.Load(), Term: 1, ConfirmedAt: time.Now()}
 }
 
+func (l *fakeLog) ReadBarrier(context.Context) error {
+	if l.away.Load() {
+		return &control.NotLeaderError{}
+	}
+	return nil
+}
+
 // fakeFleet is a network of services in one process.
 type fakeFleet struct {
 	tb        testing.TB
--- a/configsync/replica.go
+++ b/configsync/replica.go
@@ -52,6 +52,14 @@
 	return r.machine.Document()
 }
 
+// Source returns the text of the configuration in force as operators sent it, or
+// nil when they never sent one whole. It must not be changed.
+func (r *Replica) Source() []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.Source()
+}
+
 // History returns the latest accepted commands, oldest first. It must not be
 // changed.
 func (r *Replica) History() []fleetconfig.HistoryEntry {
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -228,6 +228,8 @@
 	Disk DiskID
 	// Match is up to where the log is on that disk.
 	Match uint64
+	// HeardAt is when the newest request was sent that it has answered, or zero.
+	HeardAt time.Time
 }
 
 // Status describes a node.
@@ -262,7 +264,11 @@
 	if n.role == Leader {
 		status.Progress = make(map[MemberID]Progress, len(n.progress))
 		for id, p := range n.progress {
-			status.Progress[id] = Progress{Disk: p.disk, Match: p.match}
+			progress := Progress{Disk: p.disk, Match: p.match}
+			if p.heard {
+				progress.HeardAt = n.epoch.Add(p.heardAt)
+			}
+			status.Progress[id] = progress
 		}
 	}
 	return status
--- a/control/config.go
+++ b/control/config.go
@@ -56,6 +56,9 @@
 	// log is formed once, when all of them are up and blank. Afterwards the list
 	// only helps to find the others. An instance that joins later has none.
 	Initial []Peer
+	// Group, if set, lets the control instances form their group by themselves and
+	// keep it whole. Initial is empty then.
+	Group *Group
 	// Caller sends calls to other instances.
 	Caller transport.Caller
 	// StateMachine is the application.
@@ -75,6 +78,20 @@
 	Files storage.FS
 }
 
+// Group describes a group of control instances that forms and repairs itself.
+type Group struct {
+	// Voters is how many instances the group starts with and goes back to after
+	// others have come and gone.
+	Voters int
+	// Founder lets this instance form a new log, once Voters instances with blank
+	// disks are up. One instance of a fleet may have it, and only while the whole
+	// fleet starts for the first time.
+	Founder bool
+	// Known returns the control instances that membership believes alive, this one
+	// included.
+	Known func() []Peer
+}
+
 // LeaderBeat says that this instance leads the log.
 type LeaderBeat struct {
 	// Term is the term that it leads.
@@ -91,6 +108,9 @@
 	if config.ID == "" || config.Address == "" || config.Folder == "" {
 		return nil, errors.New("a control instance needs an id, an address and a data folder; set them")
 	}
+	if config.Group != nil && len(config.Initial) > 0 {
+		return nil, errors.New("a control group either forms itself or has fixed members; leave one of both out")
+	}
 	if config.Caller == nil || config.StateMachine == nil {
 		return nil, errors.New("a control instance needs a caller and a state machine")
 	}
--- a/control/form.go
+++ b/control/form.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/hemlockring/hemlockring/consensus"
@@ -12,7 +14,7 @@
 const formPath = "/fleet/consensus/form"
 
 // formInterval is how often the first instance of a new fleet looks for the rest.
-const formInterval = 500 * time.Millisecond
+const formInterval = 200 * time.Millisecond
 
 // formRequest asks an instance for its disk. With a membership it also tells a
 // blank one to start the log with it.
@@ -41,14 +43,15 @@
 	return reply, err
 }
 
-// form starts the log of a new fleet. Only the instance with the lowest id does
-// so, and only when all instances are up and blank: an instance that lost its disk
-// finds the others in use and waits to be admitted.
+// form starts the log of a new fleet. Only one instance does so: the founder of a
+// group that forms itself, or else the one with the lowest id. It waits until all
+// instances are up and blank: an instance that lost its disk finds the others in
+// use and waits to be admitted.
 //
 // Invariant: the membership is on this instance's disk before another one hears
 // of it, so that there is never a second one with the same instances.
 func (n *Node) form(ctx context.Context) {
-	if !n.isLowest() {
+	if !n.mayForm() {
 		return
 	}
 	for {
@@ -69,7 +72,10 @@
 	}
 }
 
-func (n *Node) isLowest() bool {
+func (n *Node) mayForm() bool {
+	if n.config.Group != nil {
+		return n.config.Group.Founder
+	}
 	lowest := len(n.config.Initial) > 0
 	for _, peer := range n.config.Initial {
 		lowest = lowest && n.config.ID <= peer.ID
@@ -79,7 +85,7 @@
 
 func (n *Node) formIfAllBlank(ctx context.Context) {
 	var members []consensus.Member
-	for _, peer := range n.config.Initial {
+	for _, peer := range n.founders() {
 		reply, err := n.askDisk(ctx, peer, nil)
 		if err != nil || !reply.Blank {
 			return
@@ -91,6 +97,9 @@
 			Voter:   true,
 		})
 	}
+	if len(members) == 0 {
+		return
+	}
 	membership := consensus.NewMembership(members...)
 	if _, err := n.handleForm(ctx, n.config.ID, &formRequest{Initial: &membership}); err != nil {
 		return
@@ -98,6 +107,27 @@
 	n.spreadInitial(ctx)
 }
 
+// founders returns the instances that start a new log, or none while there are too
+// few. Those of a group that forms itself are this one and the lowest others.
+func (n *Node) founders() []Peer {
+	group := n.config.Group
+	if group == nil {
+		return n.config.Initial
+	}
+	founders := []Peer{{ID: n.config.ID, Address: n.config.Address}}
+	others := group.Known()
+	slices.SortFunc(others, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
+	for _, peer := range others {
+		if peer.ID != n.config.ID && len(founders) < group.Voters {
+			founders = append(founders, peer)
+		}
+	}
+	if len(founders) < group.Voters {
+		return nil
+	}
+	return founders
+}
+
 // spreadInitial tells the other instances the initial membership. It is that of
 // this instance as long as nothing was committed.
 func (n *Node) spreadInitial(ctx context.Context) {
@@ -106,9 +136,9 @@
 	if err != nil || len(initial.Members) == 0 {
 		return
 	}
-	for _, peer := range n.config.Initial {
-		if peer.ID != n.config.ID {
-			_, _ = n.askDisk(ctx, peer, &initial)
+	for _, member := range initial.Members {
+		if id := fleetconfig.InstanceID(member.ID); id != n.config.ID {
+			_, _ = n.askDisk(ctx, Peer{ID: id, Address: member.Address}, &initial)
 		}
 	}
 }
--- a/control/loop.go
+++ b/control/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	cryptorand "crypto/rand"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,15 +43,15 @@
 	}
 	background, cancel := context.WithCancel(context.Background())
 	l.senders = newSenders(background, n)
-	formed := make(chan struct{})
-	go func() {
-		defer close(formed)
-		n.form(background)
-	}()
+	var helpers sync.WaitGroup
+	helpers.Go(func() { n.form(background) })
+	if n.config.Group != nil {
+		helpers.Go(func() { n.repair(background) })
+	}
 	err = l.run(ctx)
 	l.senders.flush(n.config.ElectionTimeout)
 	cancel()
-	<-formed
+	helpers.Wait()
 	l.senders.wait()
 	l.waiters.failAll("this control instance stops")
 	l.refuseQueued()
--- a/fleetconfig/change.go
+++ b/fleetconfig/change.go
@@ -50,6 +50,9 @@
 	StepShard ChangeKind = "step-shard"
 	// SetHolders replaces the holders with Holders.
 	SetHolders ChangeKind = "set-holders"
+	// ReplaceAll replaces all that operators configure with Replacement. It must be
+	// the only change of its command.
+	ReplaceAll ChangeKind = "replace-all"
 )
 
 // Change is one typed change of the document.
@@ -74,6 +77,30 @@
 	Step *ShardStep `cbor:"9,keyasint,omitempty" json:"step,omitempty"`
 	// Holders is read by SetHolders.
 	Holders []InstanceAddress `cbor:"10,keyasint,omitempty" json:"holders,omitempty"`
+	// Replacement is read by ReplaceAll.
+	Replacement *Replacement `cbor:"11,keyasint,omitempty" json:"replacement,omitempty"`
+}
+
+// Replacement is a whole configuration by operators who number their versions
+// themselves. Shards and holders, which the fleet places, stay as they are.
+type Replacement struct {
+	// Declared is the operators' number of this version. It must be above the number
+	// in force.
+	Declared uint64 `cbor:"1,keyasint" json:"declared"`
+	// BaseDeclared is the number in force that the replacement was made from. It
+	// stands in place of Command.BaseVersion, which moves with every placement.
+	BaseDeclared uint64 `cbor:"2,keyasint" json:"base_declared"`
+	// Accounts, Keys, Routes and Services are the whole tables, in any order.
+	Accounts []Account `cbor:"3,keyasint,omitempty" json:"accounts"`
+	Keys     []Key     `cbor:"4,keyasint,omitempty" json:"keys"`
+	Routes   []Route   `cbor:"5,keyasint,omitempty" json:"routes"`
+	Services []Service `cbor:"6,keyasint,omitempty" json:"services"`
+	// Preset is created or updated and put in force.
+	Preset Preset `cbor:"7,keyasint" json:"preset"`
+	// CallerLimits replace those in force.
+	CallerLimits CallerLimits `cbor:"8,keyasint" json:"caller_limits"`
+	// Source is the text that the operator sent, kept to be read back as it was.
+	Source []byte `cbor:"9,keyasint,omitempty" json:"-"`
 }
 
 // ShardStep changes the replicas of one shard. One step adds one replica,
@@ -91,6 +118,8 @@
 // Subject returns what the change is about, for people.
 func (c *Change) Subject() string {
 	switch {
+	case c.Replacement != nil:
+		return fmt.Sprintf("configuration %d", c.Replacement.Declared)
 	case c.Account != nil:
 		return "account " + string(c.Account.ID)
 	case c.Key != nil:
--- a/fleetconfig/delta.go
+++ b/fleetconfig/delta.go
@@ -26,6 +26,10 @@
 	// Holders are the holders of To, nil when neither they nor the former ones
 	// changed.
 	Holders *HolderDelta `cbor:"10,keyasint,omitempty"`
+	// Declared is the operators' number of To.
+	Declared uint64 `cbor:"11,keyasint,omitempty"`
+	// CallerLimits are the limits of To.
+	CallerLimits CallerLimits `cbor:"12,keyasint,omitempty"`
 }
 
 // TableDelta is the difference of one table.
@@ -84,17 +88,19 @@
 		From:          from.Version,
 		To:            to.Version,
 		PresetInForce: to.PresetInForce,
-		Accounts: compareTables(from.Accounts, to.Accounts, compareAccounts,
+		Accounts: compareTables(from.Accounts, to.Accounts, compareAccounts, equalItems,
 			func(a *Account) Account { return Account{ID: a.ID} }),
-		Keys: compareTables(from.Keys, to.Keys, compareKeys,
+		Keys: compareTables(from.Keys, to.Keys, compareKeys, equalItems,
 			func(k *Key) Key { return Key{Hash: k.Hash} }),
-		Routes: compareTables(from.Routes, to.Routes, compareRoutes,
+		Routes: compareTables(from.Routes, to.Routes, compareRoutes, equalRoutes,
 			func(r *Route) Route { return Route{ID: r.ID} }),
-		Services: compareTables(from.Services, to.Services, compareServices,
+		Services: compareTables(from.Services, to.Services, compareServices, equalItems,
 			func(s *Service) Service { return Service{Name: s.Name} }),
-		Presets: compareTables(from.Presets, to.Presets, comparePresets,
+		Presets: compareTables(from.Presets, to.Presets, comparePresets, equalItems,
 			func(p *Preset) Preset { return Preset{Name: p.Name} }),
-		Shards: compareShards(&from.Shards, &to.Shards),
+		Shards:       compareShards(&from.Shards, &to.Shards),
+		Declared:     to.Declared,
+		CallerLimits: to.CallerLimits,
 	}
 	if !slices.Equal(from.Holders, to.Holders) || !slices.Equal(from.FormerHolders, to.FormerHolders) {
 		delta.Holders = &HolderDelta{Holders: to.Holders, FormerHolders: to.FormerHolders}
@@ -103,7 +109,7 @@
 }
 
 // compareTables walks two ordered slices side by side.
-func compareTables[V comparable](from, to []V, compare func(a, b *V) int, identity func(*V) V) TableDelta[V] {
+func compareTables[V any](from, to []V, compare func(a, b *V) int, equal func(a, b *V) bool, identity func(*V) V) TableDelta[V] {
 	var delta TableDelta[V]
 	if sameSlice(from, to) {
 		return delta
@@ -126,7 +132,7 @@
 			delta.Put = append(delta.Put, to[0])
 			to = to[1:]
 		default:
-			if from[0] != to[0] {
+			if !equal(&from[0], &to[0]) {
 				delta.Put = append(delta.Put, to[0])
 			}
 			from, to = from[1:], to[1:]
@@ -135,6 +141,11 @@
 	return delta
 }
 
+func equalItems[V comparable](a, b *V) bool { return *a == *b }
+
+// equalRoutes compares routes, which hold a slice.
+func equalRoutes(a, b *Route) bool { return reflect.DeepEqual(a, b) }
+
 // sameSlice reports whether two slices share all their memory.
 func sameSlice[V any](a, b []V) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
--- a/fleetconfig/delta_apply.go
+++ b/fleetconfig/delta_apply.go
@@ -24,6 +24,8 @@
 		Shards:        shards,
 		Holders:       document.Holders,
 		FormerHolders: document.FormerHolders,
+		Declared:      d.Declared,
+		CallerLimits:  d.CallerLimits,
 	}
 	if d.Holders != nil {
 		next.Holders = d.Holders.Holders
@@ -73,6 +75,8 @@
 		Presets:       joinTables(d.Presets, next.Presets, comparePresets),
 		Shards:        joinShards(d.Shards, next.Shards),
 		Holders:       d.Holders,
+		Declared:      next.Declared,
+		CallerLimits:  next.CallerLimits,
 	}
 	if next.Holders != nil {
 		joined.Holders = next.Holders
--- a/fleetconfig/document.go
+++ b/fleetconfig/document.go
@@ -67,6 +67,24 @@
 	// replaces none. This version needs a majority of them too before it counts
 	// as accepted, so that no majority of the former holders misses it.
 	FormerHolders []InstanceAddress `cbor:"10,keyasint,omitempty" json:"former_holders,omitempty"`
+	// Declared is the number that operators gave to this configuration, where they
+	// replace it as a whole; see Replacement. It is 0 until they first do.
+	Declared uint64 `cbor:"11,keyasint,omitempty" json:"declared,omitempty"`
+	// CallerLimits bound what callers may send.
+	CallerLimits CallerLimits `cbor:"12,keyasint,omitempty" json:"caller_limits"`
+}
+
+// CallerLimits bound what callers may send, and how long they may take. A zero
+// leaves the limit of the instance's settings in force.
+type CallerLimits struct {
+	// HeaderBytes is the largest header of a request.
+	HeaderBytes int64 `cbor:"1,keyasint,omitempty" json:"header_bytes,omitempty"`
+	// BodyBytes is the largest body of a request.
+	BodyBytes int64 `cbor:"2,keyasint,omitempty" json:"body_bytes,omitempty"`
+	// HeaderTimeout is how long the header of a request may take.
+	HeaderTimeout time.Duration `cbor:"3,keyasint,omitempty" json:"header_timeout,omitempty"`
+	// IdleTimeout is how long a connection may stay unused.
+	IdleTimeout time.Duration `cbor:"4,keyasint,omitempty" json:"idle_timeout,omitempty"`
 }
 
 // InstanceAddress is an instance with the address of its fleet port.
@@ -88,6 +106,9 @@
 	RatePerSecond float64 `cbor:"2,keyasint" json:"rate_per_second"`
 	// Burst is how many requests the account may run at once.
 	Burst uint32 `cbor:"3,keyasint" json:"burst"`
+	// Priority is the rank of the account's requests, 1 the most urgent. 0 leaves
+	// that to the route.
+	Priority uint32 `cbor:"4,keyasint,omitempty" json:"priority,omitempty"`
 }
 
 // Key grants the use of an account.
@@ -132,6 +153,36 @@
 	// Timeout is the longest time that a request may take. Zero is
 	// DefaultRouteTimeout.
 	Timeout time.Duration `cbor:"7,keyasint" json:"timeout"`
+	// MaxAttempts is how many backend servers one request may be sent to. Zero is
+	// as many as the retry budget allows.
+	MaxAttempts uint32 `cbor:"8,keyasint,omitempty" json:"max_attempts,omitempty"`
+	// Objective is the time within which an answer is worth most to the caller.
+	// Zero is none.
+	Objective time.Duration `cbor:"9,keyasint,omitempty" json:"objective,omitempty"`
+	// Priority is the rank of the route's requests, 1 the most urgent and 0 unranked.
+	Priority uint32 `cbor:"10,keyasint,omitempty" json:"priority,omitempty"`
+	// Split divides the requests between services by weight, in place of Service.
+	Split []SplitPart `cbor:"11,keyasint,omitempty" json:"split,omitempty"`
+}
+
+// SplitPart is one service's part of a route's requests.
+type SplitPart struct {
+	// Service runs the part.
+	Service ServiceName `cbor:"1,keyasint" json:"service"`
+	// Weight is the size of the part, relative to the other parts' weights.
+	Weight uint32 `cbor:"2,keyasint" json:"weight"`
+}
+
+// Services returns the services that the route may lead to.
+func (r *Route) Services() []ServiceName {
+	if len(r.Split) == 0 {
+		return []ServiceName{r.Service}
+	}
+	services := make([]ServiceName, 0, len(r.Split))
+	for _, part := range r.Split {
+		services = append(services, part.Service)
+	}
+	return services
 }
 
 // DefaultRouteTimeout is the timeout of a route that states none.
@@ -147,6 +198,9 @@
 	// FloorPercent is the healthy share of the announced slots, in percent, that
 	// ejection never goes below. The greater of both floors holds.
 	FloorPercent uint32 `cbor:"3,keyasint" json:"floor_percent"`
+	// MaxConnections is how many connections a backend server of the service takes
+	// from all callers together. Zero is no stated limit.
+	MaxConnections uint32 `cbor:"4,keyasint,omitempty" json:"max_connections,omitempty"`
 }
 
 // Preset is a set of policies for one kind of day.
--- a/fleetconfig/edit.go
+++ b/fleetconfig/edit.go
@@ -18,6 +18,8 @@
 	inForce  string
 	shards   ShardMap
 	holders  []InstanceAddress
+	declared uint64
+	limits   CallerLimits
 }
 
 func newEditor(base *Document) *editor {
@@ -31,6 +33,8 @@
 		inForce:  base.PresetInForce,
 		shards:   base.Shards,
 		holders:  base.Holders,
+		declared: base.Declared,
+		limits:   base.CallerLimits,
 	}
 }
 
@@ -53,6 +57,8 @@
 		Presets:       e.presets.result(),
 		Shards:        e.shards,
 		Holders:       e.holders,
+		Declared:      e.declared,
+		CallerLimits:  e.limits,
 	}
 	if !slices.Equal(base.Holders, document.Holders) {
 		document.FormerHolders = base.Holders
@@ -102,6 +108,8 @@
 		e.stepShard(change)
 	case SetHolders:
 		e.holders = slices.Clone(change.Holders)
+	case ReplaceAll:
+		e.replaceAll(change)
 	default:
 		e.add("change", "kind", fmt.Sprintf("%.64q is unknown", change.Kind), "use a kind that the API lists")
 	}
--- a/fleetconfig/machine.go
+++ b/fleetconfig/machine.go
@@ -14,6 +14,8 @@
 	answers  answerTable
 	history  []HistoryEntry
 	deltas   DeltaLog
+	// source is the text of the replacement in force, see Replacement.Source.
+	source []byte
 }
 
 // NewMachine returns the machine of a new fleet.
@@ -25,6 +27,10 @@
 // replaces it with each accepted command.
 func (m *Machine) Document() *Document { return m.document }
 
+// Source returns the text of the replacement in force, or nil when there was none.
+// It must not be changed.
+func (m *Machine) Source() []byte { return m.source }
+
 // DeltaSince returns what changed since a version, or false when that is too
 // long ago or not yet known, and a snapshot of the document is needed.
 func (m *Machine) DeltaSince(version uint64) (*Delta, bool) {
@@ -104,7 +110,7 @@
 		BaseVersion: command.BaseVersion,
 		Version:     m.document.Version,
 	}
-	if command.BaseVersion != m.document.Version {
+	if !command.isBasedOn(m.document) {
 		result.Verdict = VerdictConflict
 		return result
 	}
@@ -116,6 +122,9 @@
 	}
 	m.deltas.Add(Compare(m.document, next))
 	m.document = next
+	if replacement := command.replacement(); replacement != nil {
+		m.source = replacement.Source
+	}
 	m.record(command)
 	result.Verdict = VerdictAccepted
 	result.Version = next.Version
--- a/fleetconfig/snapshot.go
+++ b/fleetconfig/snapshot.go
@@ -11,6 +11,7 @@
 	Document *Document      `cbor:"1,keyasint"`
 	Answers  []answer       `cbor:"2,keyasint"`
 	History  []HistoryEntry `cbor:"3,keyasint"`
+	Source   []byte         `cbor:"4,keyasint,omitempty"`
 }
 
 // Snapshot returns the machine's whole state: the document, the kept answers and
@@ -20,6 +21,7 @@
 		Document: m.document,
 		Answers:  m.answers.list(),
 		History:  m.history,
+		Source:   m.source,
 	})
 	return data, errors.Wrap(err, "snapshot of the configuration")
 }
@@ -38,7 +40,7 @@
 		return errors.Wrap(&InvalidError{Faults: faults}, "snapshot of the configuration")
 	}
 	shareAccountIDs(snapshot.Document.Accounts, snapshot.Document.Keys)
-	restored := Machine{document: snapshot.Document, history: snapshot.History}
+	restored := Machine{document: snapshot.Document, history: snapshot.History, source: snapshot.Source}
 	for _, kept := range snapshot.Answers {
 		if kept.Result == nil {
 			return errors.New("the snapshot has an empty answer; restore this instance from another control instance")
--- a/fleetconfig/validate_routes.go
+++ b/fleetconfig/validate_routes.go
@@ -12,6 +12,8 @@
 	maxReplicas = 7
 	// MaxHolders is the largest number of holders.
 	MaxHolders = 7
+	// maxSplitParts bounds the services that share a route's requests.
+	maxSplitParts = 64
 )
 
 // routeKey is what must be unique among routes, so that a request matches one.
@@ -28,10 +30,7 @@
 		c.host(subject, route.Host)
 		c.pathPrefix(subject, route.PathPrefix)
 		c.duration(subject, "timeout", route.Timeout, maxRouteTimeout)
-		if _, found := c.serviceNames[route.Service]; !found {
-			c.add(subject, "service", fmt.Sprintf("there is no service %q", route.Service),
-				"create the service first, or lead the route to another one")
-		}
+		c.destinations(subject, route)
 		if route.Idempotency > IdempotentNever {
 			c.add(subject, "idempotency", fmt.Sprintf("%d is unknown", route.Idempotency),
 				"use by-method, always or never")
@@ -45,6 +44,27 @@
 	}
 }
 
+// destinations checks the services that a route leads to.
+func (c *validation) destinations(subject string, route *Route) {
+	for _, service := range route.Services() {
+		if _, found := c.serviceNames[service]; !found {
+			c.add(subject, "service", fmt.Sprintf("there is no service %q", service),
+				"create the service first, or lead the route to another one")
+		}
+	}
+	total := uint64(0)
+	for _, part := range route.Split {
+		total += uint64(part.Weight)
+	}
+	if len(route.Split) > 0 && total == 0 {
+		c.add(subject, "split", "no part has a weight", "give at least one part a weight above 0")
+	}
+	if len(route.Split) > maxSplitParts {
+		c.add(subject, "split", fmt.Sprintf("%d parts are more than %d", len(route.Split), maxSplitParts), "use fewer parts")
+	}
+	c.duration(subject, "objective", route.Objective, maxRouteTimeout)
+}
+
 func (c *validation) host(subject, host string) {
 	if len(host) > maxHostBytes || host != strings.ToLower(host) || strings.ContainsAny(host, ":/ \t*@?#") {
 		c.add(subject, "host", fmt.Sprintf("%.64q is not a host name", host),
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -21,6 +21,7 @@
 type routeFilter struct {
 	configuration Configuration
 	table         atomic.Pointer[versionedTable]
+	splits        splitSequence
 }
 
 // versionedTable is the route table of one version of the configuration.
@@ -38,6 +39,9 @@
 	exchange.View = current.view
 	route := current.table.Match(exchange.Request.Host, exchange.Request.URL.Path)
 	if route == nil {
+		if err := requireCurrent(f.configuration); err != nil {
+			return err
+		}
 		return pipeline.NotRun(pipeline.KindNoRoute, http.StatusNotFound,
 			"no route serves this host and path", "check the address, or ask the operator for a route", retryKey)
 	}
@@ -46,7 +50,14 @@
 	if timeout <= 0 {
 		timeout = fleetconfig.DefaultRouteTimeout
 	}
+	if exchange.Patience > 0 {
+		timeout = min(timeout, exchange.Patience)
+	}
 	exchange.Deadline = exchange.Received.Add(timeout)
+	exchange.Service = route.Service
+	if len(route.Split) > 0 {
+		exchange.Service = routing.ChoosePart(route.Split, f.splits.next())
+	}
 	exchange.Idempotent = isIdempotent(route.Idempotency, exchange.Request.Method)
 	return nil
 }
@@ -90,12 +101,18 @@
 	if exchange.Route.OpenToAll {
 		return nil
 	}
-	current, retryAfter := f.configuration.Current(time.Now())
+	return requireCurrent(f.configuration)
+}
+
+// requireCurrent returns a refusal while nobody vouches that the configuration is
+// current.
+func requireCurrent(configuration Configuration) error {
+	current, retryAfter := configuration.Current(time.Now())
 	if current {
 		return nil
 	}
 	return pipeline.NotRun(pipeline.KindNotCurrent, http.StatusServiceUnavailable,
-		"this instance is cut off and can not tell whether the key is still valid",
+		"this instance is cut off and can not tell which routes and keys are in force",
 		"send the request to another instance, or again later", retryAfter)
 }
 
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -31,6 +31,8 @@
 	retry    RetryPolicy
 	guards   []AttemptGuard
 	clocks   *peerClocks
+
+	presentation Presentation
 }
 
 // Name implements pipeline.Filter.
@@ -77,7 +79,7 @@
 	for asked := false; ; asked = true {
 		for _, guard := range f.guards {
 			if err := guard.BeforeAttempt(exchange); err != nil {
-				f.selector.Done(&Attempt{Candidate: candidate, Service: exchange.Route.Service, Canceled: true})
+				f.selector.Done(&Attempt{Candidate: candidate, Service: exchange.Service, Canceled: true})
 				return nil, err
 			}
 		}
@@ -134,7 +136,7 @@
 	exchange.Instance = candidate.Instance
 	exchange.BackendServer = candidate.Server
 	exchange.Outcome = pipeline.OutcomeUnknown
-	result := Attempt{Candidate: candidate, Service: exchange.Route.Service}
+	result := Attempt{Candidate: candidate, Service: exchange.Service}
 	request := forwardedRequest(ctx, exchange, candidate, body, started)
 	if dispatchBy := f.clocks.dispatchBy(candidate.Instance, exchange); dispatchBy != "" {
 		request.Header.Set(pipeline.HeaderDispatchBy, dispatchBy)
@@ -172,7 +174,7 @@
 		return refusal
 	}
 	result.Status = response.StatusCode
-	deliver(exchange, response)
+	f.deliver(exchange, response)
 	return nil
 }
 
--- a/ingress/forwarded.go
+++ b/ingress/forwarded.go
@@ -21,8 +21,11 @@
 	incoming := exchange.Request
 	header := maps.Clone(incoming.Header)
 	header.Set(pipeline.HeaderRequestID, exchange.RequestID)
-	header.Set(pipeline.HeaderService, string(exchange.Route.Service))
+	header.Set(pipeline.HeaderService, string(exchange.Service))
 	header.Set(pipeline.HeaderBackendServer, string(candidate.Server))
+	if exchange.CallerService != "" {
+		header.Set(pipeline.HeaderCallerService, string(exchange.CallerService))
+	}
 	header.Set(pipeline.HeaderDeadline, strconv.FormatInt(exchange.Remaining(now).Milliseconds(), 10))
 	if exchange.Account != "" {
 		header.Set(pipeline.HeaderAccount, string(exchange.Account))
@@ -53,19 +56,12 @@
 // readRefusal returns the refusal of a backend proxy, or nil when the response is
 // a backend server's answer. Backend proxies remove these headers from answers.
 func readRefusal(status int, header http.Header) *pipeline.Refusal {
-	kind := header.Get(pipeline.HeaderRefusal)
-	if kind == "" {
+	refusal := pipeline.ReadInternal(status, header)
+	if refusal == nil {
 		return nil
 	}
-	seconds, _ := strconv.Atoi(header.Get("Retry-After"))
-	refusal := &pipeline.Refusal{
-		Kind:       pipeline.RefusalKind(kind),
-		Status:     status,
-		Detail:     "the proxy beside the backend server refused the request: " + strings.ReplaceAll(kind, "-", " "),
-		Remedy:     "send the request again",
-		RetryAfter: time.Duration(seconds) * time.Second,
-		Outcome:    pipeline.ParseOutcome(header.Get(pipeline.HeaderOutcome)),
-	}
+	refusal.Detail = "the proxy beside the backend server refused the request: " + strings.ReplaceAll(string(refusal.Kind), "-", " ")
+	refusal.Remedy = "send the request again"
 	if refusal.Outcome != pipeline.OutcomeNotRun {
 		refusal.Detail = "the backend server did not answer, and may or may not have run the request"
 		refusal.Remedy = "look whether the request took effect before sending it again, or send it with an Idempotency-Key"
@@ -74,9 +70,9 @@
 }
 
 // deliver streams an answer to the caller.
-func deliver(exchange *pipeline.Exchange, response *http.Response) {
+func (f *forwardFilter) deliver(exchange *pipeline.Exchange, response *http.Response) {
 	header := exchange.Writer.Header()
-	sendHead(exchange, response.StatusCode, response.Header)
+	f.sendHead(exchange, response.StatusCode, response.Header)
 	streamed := response.ContentLength < 0
 	if streamed {
 		_ = http.NewResponseController(exchange.Writer).Flush()
@@ -89,7 +85,7 @@
 }
 
 // sendHead sends the head of a backend server's answer.
-func sendHead(exchange *pipeline.Exchange, status int, source http.Header) {
+func (f *forwardFilter) sendHead(exchange *pipeline.Exchange, status int, source http.Header) {
 	exchange.Outcome = pipeline.OutcomeAnswered
 	exchange.Status = status
 	header := exchange.Writer.Header()
@@ -99,8 +95,7 @@
 			header[name] = values
 		}
 	}
-	header.Set(pipeline.HeaderOutcome, pipeline.OutcomeAnswered.String())
-	header.Set(pipeline.HeaderRequestID, exchange.RequestID)
+	f.presentation.Answer(header, exchange)
 	exchange.ResponseHeader = header
 	exchange.Respond()
 	exchange.Writer.WriteHeader(status)
--- a/ingress/local.go
+++ b/ingress/local.go
@@ -54,7 +54,7 @@
 	}
 	w.sent = true
 	w.result.Status = status
-	sendHead(w.exchange, status, w.header.Clone())
+	w.forward.sendHead(w.exchange, status, w.header.Clone())
 }
 
 // Write implements http.ResponseWriter.
--- /dev/null
+++ b/ingress/presentation.go
@@ -0,0 +1,50 @@
+package ingress
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/hemlockring/hemlockring/pipeline"
+)
+
+// Caller is what a request says of its caller.
+type Caller struct {
+	// RequestID identifies the request in logs and headers.
+	RequestID string
+	// Patience is how long the caller waits for the answer, zero when it does not
+	// say.
+	Patience time.Duration
+}
+
+// Presentation is how callers see the ingress: which headers say what of a request,
+// and what a refusal looks like. It decides nothing. It is safe for concurrent use.
+type Presentation interface {
+	// Read reads what the request says of its caller.
+	Read(request *http.Request) Caller
+	// Refuse sends a refusal.
+	Refuse(w http.ResponseWriter, refusal *pipeline.Refusal, requestID string)
+	// Answer adds what a backend server's answer carries besides.
+	Answer(header http.Header, exchange *pipeline.Exchange)
+}
+
+// ProblemDocuments is the presentation of hemlockring itself: refusals are problem
+// documents (RFC 9457), and each answer says its outcome.
+type ProblemDocuments struct{}
+
+var _ Presentation = ProblemDocuments{}
+
+// Read implements Presentation. The ids of requests are hemlockring's own.
+func (ProblemDocuments) Read(*http.Request) Caller { return Caller{RequestID: uuid.NewString()} }
+
+// Refuse implements Presentation.
+func (ProblemDocuments) Refuse(w http.ResponseWriter, refusal *pipeline.Refusal, requestID string) {
+	refusal.Write(w, requestID)
+}
+
+// Answer implements Presentation.
+func (ProblemDocuments) Answer(header http.Header, exchange *pipeline.Exchange) {
+	header.Set(pipeline.HeaderOutcome, pipeline.OutcomeAnswered.String())
+	header.Set(pipeline.HeaderRequestID, exchange.RequestID)
+}
--- a/ingress/proxy.go
+++ b/ingress/proxy.go
@@ -3,12 +3,12 @@
 import (
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
-
+	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/internal/freeze"
 	"github.com/hemlockring/hemlockring/pipeline"
 )
@@ -42,6 +42,10 @@
 	Retry RetryPolicy
 	// Recorder takes in each exchange.
 	Recorder Recorder
+	// Presentation is how callers see the ingress. The default is ProblemDocuments.
+	Presentation Presentation
+	// CallerService is the service on the callers' machines, told to backend servers.
+	CallerService fleetconfig.ServiceName
 	// Logger receives the messages of the ingress.
 	Logger *slog.Logger
 }
@@ -54,9 +58,12 @@
 
 // New returns the ingress of an instance.
 func New(config Config) *Proxy {
+	if config.Presentation == nil {
+		config.Presentation = ProblemDocuments{}
+	}
 	filters := []pipeline.Filter{
 		&identifyFilter{keyHeader: config.KeyHeader, freeze: config.Freeze},
-		&routeFilter{configuration: config.Configuration},
+		&routeFilter{configuration: config.Configuration, splits: splitSequence{start: rand.Float64()}},
 		&currencyFilter{configuration: config.Configuration},
 		&authenticateFilter{},
 	}
@@ -68,18 +75,23 @@
 		retry:    config.Retry,
 		guards:   config.Guards,
 		clocks:   newPeerClocks(),
+
+		presentation: config.Presentation,
 	})
 	return &Proxy{config: config, chain: pipeline.NewChain(filters...)}
 }
 
 // ServeHTTP implements http.Handler.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	caller := p.config.Presentation.Read(request)
 	exchange := &pipeline.Exchange{
-		Request:   request,
-		Writer:    w,
-		RequestID: uuid.NewString(),
-		Received:  time.Now(),
-		Outcome:   pipeline.OutcomeNotRun,
+		Request:       request,
+		Writer:        w,
+		RequestID:     caller.RequestID,
+		Received:      time.Now(),
+		Patience:      caller.Patience,
+		CallerService: p.config.CallerService,
+		Outcome:       pipeline.OutcomeNotRun,
 	}
 	_ = http.NewResponseController(w).EnableFullDuplex()
 	// A caller that waits for "100 Continue" does not send its body after an answer.
@@ -126,5 +138,5 @@
 	if refusal.Status == http.StatusUnauthorized {
 		exchange.Writer.Header().Set("WWW-Authenticate", `Bearer realm="hemlockring"`)
 	}
-	refusal.Write(exchange.Writer, exchange.RequestID)
+	p.config.Presentation.Refuse(exchange.Writer, refusal, exchange.RequestID)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"syscall"
 
 	"github.com/hemlockring/hemlockring/node"
+	"github.com/hemlockring/hemlockring/platform"
 	"github.com/hemlockring/hemlockring/settings"
 )
 
@@ -68,9 +69,21 @@
 	return ExitStopped
 }
 
+// optionsOf returns how the instance runs on the platform that its settings name.
+func optionsOf(loaded *settings.Settings, logger *slog.Logger) (node.Options, error) {
+	if loaded.Adapter == nil {
+		return node.Options{}, nil
+	}
+	return platform.Options(loaded, logger)
+}
+
 // run serves until SIGTERM or SIGINT. A second signal ends the process at once.
 func run(loaded *settings.Settings, logger *slog.Logger) error {
-	instance, err := node.New(loaded, node.Options{}, logger)
+	options, err := optionsOf(loaded, logger)
+	if err != nil {
+		return err
+	}
+	instance, err := node.New(loaded, options, logger)
 	if err != nil {
 		return err
 	}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -112,7 +112,7 @@
 		status:  exchange.Status,
 	}
 	if exchange.Route != nil {
-		key.service = exchange.Route.Service
+		key.service = exchange.Service
 	}
 	if exchange.Refusal != nil {
 		key.refusal = exchange.Refusal.Kind
--- /dev/null
+++ b/node/adapter.go
@@ -0,0 +1,38 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/hemlockring/hemlockring/backendproxy"
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+// Registry returns the backend servers beside this instance.
+func (n *Node) Registry() *backendproxy.Registry { return n.registry }
+
+// Ready reports whether the instance takes callers, and if not why.
+func (n *Node) Ready() (ready bool, reason string) {
+	current, _ := n.configuration.Current(time.Now())
+	self := n.members.Snapshot().Member(n.settings.Instance.ID)
+	switch {
+	case self.Record.Draining:
+		return false, "the instance is stopping"
+	case n.configuration.View().Version() == 0:
+		return false, "the instance has no configuration yet"
+	case !current:
+		return false, "nobody vouches that the configuration is current"
+	}
+	return true, ""
+}
+
+// Propose makes a command on the leader of control; see configsync.Service.Propose.
+func (n *Node) Propose(ctx context.Context, command *fleetconfig.Command) (*fleetconfig.Result, error) {
+	return n.forwarder.Propose(ctx, command)
+}
+
+// Source returns the text of the configuration in force as operators sent it; see
+// configsync.SourceReader.
+func (n *Node) Source(ctx context.Context) ([]byte, error) {
+	return n.sources.Source(ctx)
+}
--- a/node/admin.go
+++ b/node/admin.go
@@ -24,7 +24,7 @@
 	}
 	handler := admin.NewHandler(admin.Config{
 		Configuration: n.sync,
-		Proposer:      configsync.NewForwarder(n.sync, n.endpoint, n.fleetMux),
+		Proposer:      n.forwarder,
 		History:       replica,
 		Operators:     operators,
 		Resources: []admin.Resource{
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"path/filepath"
+	"slices"
 
 	"github.com/hemlockring/hemlockring/configsync"
 	"github.com/hemlockring/hemlockring/control"
@@ -44,6 +45,10 @@
 	}
 	n.sync = configsync.New(config, n.fleetMux)
 	n.configuration = n.sync
+	if n.control != nil {
+		n.forwarder = configsync.NewForwarder(n.sync, n.endpoint, n.fleetMux)
+		n.sources = configsync.NewSourceReader(n.sync, n.endpoint, n.fleetMux)
+	}
 	return nil
 }
 
@@ -52,12 +57,21 @@
 	for _, member := range n.settings.Control.Members {
 		initial = append(initial, control.Peer{ID: member.ID, Address: member.Address})
 	}
+	var group *control.Group
+	if n.settings.Control.Formed() {
+		group = &control.Group{
+			Voters:  n.settings.Control.Voters(),
+			Founder: n.settings.Control.Found && n.isFirstSeed(),
+			Known:   n.controlInstances,
+		}
+	}
 	var err error
 	n.control, err = control.New(control.Config{
 		ID:           n.settings.Instance.ID,
 		Address:      n.settings.Fleet.Address,
 		Folder:       filepath.Join(n.settings.Instance.DataFolder, logFolder),
 		Initial:      initial,
+		Group:        group,
 		Caller:       n.endpoint,
 		StateMachine: replica,
 		Logger:       n.logger,
@@ -65,6 +79,25 @@
 	return err
 }
 
+// isFirstSeed reports whether this instance has the lowest address of those to
+// join, which are the same for the whole fleet when it starts for the first time.
+func (n *Node) isFirstSeed() bool {
+	join := n.settings.Fleet.Join
+	return len(join) > 0 && slices.Min(join) == n.settings.Fleet.Address
+}
+
+// controlInstances returns the control instances that are believed alive, this one
+// included.
+func (n *Node) controlInstances() []control.Peer {
+	var peers []control.Peer
+	for _, member := range n.members.Snapshot().Members {
+		if member.Record.Control && member.Liveness != membership.Dead && !member.Record.Left {
+			peers = append(peers, control.Peer{ID: member.Record.ID, Address: member.Record.Address})
+		}
+	}
+	return peers
+}
+
 // buildKeeper builds what places holders and shards, on control instances.
 func (n *Node) buildKeeper() {
 	if n.control == nil {
@@ -73,7 +106,8 @@
 	n.keeper = shardkeeper.New(shardkeeper.Config{
 		Proposer: n.sync,
 		Leads:    n.control.IsLeader,
-		Alive:    n.aliveProxies,
+		Alive:    n.shardHosts,
+		Holders:  !n.settings.Control.Formed(),
 		Caller:   n.endpoint,
 		AskStatuses: func(ctx context.Context, shardMap fleetconfig.ShardMap, number int) []idempotency.Status {
 			return orders.AskStatuses(ctx, n.endpoint, shardMap, number)
@@ -85,6 +119,22 @@
 	})
 }
 
+// shardHosts returns the instances that shards may be placed on. Where the control
+// group forms itself, the control instances are set aside for shared state and
+// outlive the proxies, which come and go with their backend servers.
+func (n *Node) shardHosts() []fleetconfig.InstanceAddress {
+	if !n.settings.Control.Formed() {
+		return n.aliveProxies()
+	}
+	var hosts []fleetconfig.InstanceAddress
+	for _, member := range n.members.Snapshot().Members {
+		if member.Record.Control && !member.Record.Left && member.Liveness == membership.Alive {
+			hosts = append(hosts, addressOf(&member.Record))
+		}
+	}
+	return hosts
+}
+
 // aliveProxies returns the instances that may hold the configuration and shards:
 // those with the proxy role that live and do not stop, ordered by ID. An instance
 // set aside for control holds neither, so that the proxies go on without it.
@@ -116,6 +166,9 @@
 	return configsync.Leadership(l.node.Leadership())
 }
 
+// ReadBarrier implements configsync.Log.
+func (l replicatedLog) ReadBarrier(ctx context.Context) error { return l.node.ReadBarrier(ctx) }
+
 // memberPeers are the other members as the configuration service needs them.
 type memberPeers struct{ members *gossip.Service }
 
--- a/node/node.go
+++ b/node/node.go
@@ -50,6 +50,8 @@
 	control       *control.Node
 	replica       *configsync.Replica
 	sync          *configsync.Service
+	forwarder     *configsync.Forwarder
+	sources       *configsync.SourceReader
 	keeper        *shardkeeper.Keeper
 	collector     *report.Collector
 	sender        *report.Sender
@@ -65,6 +67,7 @@
 	callers       *httpPort
 	local         *httpPort
 	admin         *httpPort
+	extra         []*httpPort
 }
 
 // Options replace parts of a node.
@@ -73,6 +76,22 @@
 	Configuration ingress.Configuration
 	// LeaseTiming is used in place of shard.DefaultTiming.
 	LeaseTiming shard.Timing
+	// Presentation is how callers see the instance. The default is
+	// ingress.ProblemDocuments.
+	Presentation ingress.Presentation
+	// Dialect is how backend servers are spoken to. The default is
+	// backendproxy.OwnHeaders.
+	Dialect backendproxy.Dialect
+	// Ports are opened besides those of the settings.
+	Ports []Port
+}
+
+// Port is an address at which a platform's adapter serves.
+type Port struct {
+	// Address is the IP number and TCP port.
+	Address string
+	// Handler makes what is served there.
+	Handler func(node *Node) http.Handler
 }
 
 // New opens the ports of an instance. Nothing is served before Run.
@@ -113,11 +132,7 @@
 }
 
 func (n *Node) openFleetPort() error {
-	identity, err := pki.LoadIdentity(n.settings.Fleet.Certificate, n.settings.Fleet.Key, n.settings.Fleet.Authority)
-	if err != nil {
-		return err
-	}
-	gossipKey, err := pki.LoadGossipKey(n.settings.Fleet.GossipKey)
+	identity, gossipKey, err := n.fleetIdentity()
 	if err != nil {
 		return err
 	}
@@ -139,6 +154,21 @@
 	return nil
 }
 
+// fleetIdentity returns what the instance shows and believes on the fleet port.
+func (n *Node) fleetIdentity() (identity *pki.Identity, gossipKey []byte, err error) {
+	fleet := &n.settings.Fleet
+	if fleet.Trust == settings.TrustNetwork {
+		identity, err = pki.NetworkIdentity(string(n.settings.Instance.ID), time.Now())
+		return identity, pki.NetworkGossipKey(), err
+	}
+	identity, err = pki.LoadIdentity(fleet.Certificate, fleet.Key, fleet.Authority)
+	if err != nil {
+		return nil, nil, err
+	}
+	gossipKey, err = pki.LoadGossipKey(fleet.GossipKey)
+	return identity, gossipKey, err
+}
+
 func (n *Node) newMembership() *membership.State {
 	now := time.Now()
 	self := membership.Record{
@@ -185,6 +215,7 @@
 		Freeze:   n.freeze,
 		Watch:    n.ejection,
 		Clock:    quota.NewDispatchClock(rand.Uint64(), time.Now()),
+		Dialect:  n.options.Dialect,
 	})
 	tokens := ingress.NewQuotaFilter(n.quota)
 	claims := &orders.Filter{Service: n.orders, MaxBodyBytes: orders.DefaultMaxBodyBytes}
@@ -198,6 +229,8 @@
 		Local:         n.backendProxy,
 		Selector:      selection.New(selection.Config{Members: n.members.Snapshot, View: n.configuration.View}),
 		Retry:         selection.NewRetries(),
+		Presentation:  n.options.Presentation,
+		CallerService: n.settings.Callers.Service,
 		Recorder:      recorders{metrics: n.metrics, collector: n.collector},
 		Logger:        n.logger,
 	})
@@ -226,6 +259,15 @@
 	if err == nil && n.settings.Admin.Address != "" {
 		err = n.openAdminPort(n.replica)
 	}
+	for _, port := range n.options.Ports {
+		if err != nil {
+			break
+		}
+		var opened *httpPort
+		if opened, err = openPort(port.Address, port.Handler(n), n.logger); err == nil {
+			n.extra = append(n.extra, opened)
+		}
+	}
 	if err != nil {
 		n.closePorts()
 	}
@@ -233,7 +275,7 @@
 }
 
 func (n *Node) closePorts() {
-	for _, port := range []*httpPort{n.callers, n.local, n.admin} {
+	for _, port := range append([]*httpPort{n.callers, n.local, n.admin}, n.extra...) {
 		if port != nil {
 			port.close()
 		}
@@ -259,7 +301,7 @@
 	n.supervisor.Add(n.quota)
 	n.supervisor.Add(n.orders)
 	n.supervisor.Add(n.local)
-	for _, port := range []*httpPort{n.callers, n.admin} {
+	for _, port := range append([]*httpPort{n.callers, n.admin}, n.extra...) {
 		if port != nil {
 			n.supervisor.Add(port)
 		}
--- a/node/report.go
+++ b/node/report.go
@@ -39,6 +39,12 @@
 
 func (n *Node) controlAddresses() []string {
 	var addresses []string
+	if n.settings.Control.Formed() {
+		for _, peer := range n.controlInstances() {
+			addresses = append(addresses, peer.Address)
+		}
+		return addresses
+	}
 	for _, member := range n.settings.Control.Members {
 		addresses = append(addresses, member.Address)
 	}
--- a/orders/filter.go
+++ b/orders/filter.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return err
 	}
-	record := idempotency.Key{Account: exchange.Account, Service: exchange.Route.Service, Value: key}
+	record := idempotency.Key{Account: exchange.Account, Service: exchange.Service, Value: key}
 	begun, err := f.Service.Begin(exchange.Request.Context(), record, fingerprint, exchange.Deadline)
 	if err != nil {
 		return err
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -23,12 +23,20 @@
 	RequestID string
 	// Received is when the request arrived, with a monotonic reading.
 	Received time.Time
+	// Patience is how long the caller waits from Received, zero when it has not said.
+	Patience time.Duration
 	// Deadline is when the request is given up.
 	Deadline time.Time
 	// View is the configuration that the whole exchange is judged by.
 	View *fleetconfig.View
 	// Route is the matched route.
 	Route *fleetconfig.Route
+	// Service is the service that runs the request: the route's, or the part of its
+	// split that the request was given to.
+	Service fleetconfig.ServiceName
+	// CallerService is the service on the machine where the request began, empty
+	// when the settings name none.
+	CallerService fleetconfig.ServiceName
 	// Account is the client account of the key, empty on a route open to all.
 	Account fleetconfig.AccountID
 	// KeyID identifies the key that came with the request.
--- a/pipeline/headers.go
+++ b/pipeline/headers.go
@@ -20,6 +20,11 @@
 	HeaderKeyID = "Hemlock-Key-Id"
 	// HeaderService carries the service to the backend proxy.
 	HeaderService = "Hemlock-Service"
+	// HeaderCallerService carries the service on the caller's machine to the backend
+	// proxy.
+	HeaderCallerService = "Hemlock-Caller-Service"
+	// HeaderRetryAfter carries the wait of a refusal to the ingress, in milliseconds.
+	HeaderRetryAfter = "Hemlock-Retry-After-Ms"
 	// HeaderBackendServer carries the id of the chosen backend server to the
 	// backend proxy.
 	HeaderBackendServer = "Hemlock-Backend-Server"
--- a/pipeline/refusal.go
+++ b/pipeline/refusal.go
@@ -85,6 +85,32 @@
 	return int(math.Ceil(wait.Seconds()))
 }
 
+// WriteInternal sends the refusal to another instance of the fleet, without a body.
+func (r *Refusal) WriteInternal(w http.ResponseWriter) {
+	header := w.Header()
+	header.Set("Content-Length", "0")
+	header.Set(HeaderOutcome, r.Outcome.String())
+	header.Set(HeaderRefusal, string(r.Kind))
+	header.Set(HeaderRetryAfter, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
+	w.WriteHeader(r.Status)
+}
+
+// ReadInternal returns the refusal that another instance sent, or nil when the
+// response is no refusal.
+func ReadInternal(status int, header http.Header) *Refusal {
+	kind := header.Get(HeaderRefusal)
+	if kind == "" {
+		return nil
+	}
+	milliseconds, _ := strconv.ParseInt(header.Get(HeaderRetryAfter), 10, 64)
+	return &Refusal{
+		Kind:       RefusalKind(kind),
+		Status:     status,
+		RetryAfter: time.Duration(milliseconds) * time.Millisecond,
+		Outcome:    ParseOutcome(header.Get(HeaderOutcome)),
+	}
+}
+
 // problemDocument is the JSON form of RFC 9457.
 type problemDocument struct {
 	Type       string `json:"type"`
--- a/selection/retries.go
+++ b/selection/retries.go
@@ -52,7 +52,7 @@
 // budget returns the budget of the exchange's service under the preset in force.
 // The caller holds the lock.
 func (r *Retries) budget(exchange *pipeline.Exchange) *retry.Budget {
-	name := exchange.Route.Service
+	name := exchange.Service
 	preset := exchange.View.Preset()
 	found := r.services[name]
 	if found == nil {
--- a/selection/selector.go
+++ b/selection/selector.go
@@ -63,11 +63,11 @@
 
 // Pick implements ingress.Selector.
 func (s *Selector) Pick(exchange *pipeline.Exchange, tried []ingress.Candidate) (ingress.Candidate, bool) {
-	service := s.service(exchange.Route.Service)
+	service := s.service(exchange.Service)
 	service.mu.Lock()
 	defer service.mu.Unlock()
 	now := time.Now()
-	s.refresh(service, exchange.Route.Service, now)
+	s.refresh(service, exchange.Service, now)
 	var skip balance.Tried
 	for _, candidate := range tried {
 		skip.Add(backendID(candidate))
@@ -84,7 +84,7 @@
 
 // Again implements ingress.Selector.
 func (s *Selector) Again(candidate ingress.Candidate, exchange *pipeline.Exchange) {
-	service := s.service(exchange.Route.Service)
+	service := s.service(exchange.Service)
 	service.mu.Lock()
 	defer service.mu.Unlock()
 	if index, found := service.pool.Find(backendID(candidate)); found {
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -14,6 +14,7 @@
 	sectionControl  = "control"
 	sectionLimits   = "limits"
 	sectionLog      = "log"
+	sectionAdapter  = "platform"
 )
 
 // field describes one key of the settings file: it is read, checked, given its
@@ -72,24 +73,34 @@
 		set:  func(s *Settings, text string) error { return setAddresses(&s.Fleet.Join, text) },
 	},
 	{
-		section: sectionFleet, key: "certificate", required: true, example: "tls/trnava-a-1.crt",
-		help: "Certificate of the instance, made by 'hemlockctl ca issue'.",
-		set:  func(s *Settings, text string) error { return setText(&s.Fleet.Certificate, text) },
+		section: sectionFleet, key: "join_port", standard: "0",
+		help: "UDP port that replaces the ports of join, when these name another one. 0 keeps them.",
+		set:  func(s *Settings, text string) error { return setJoinPort(&s.Fleet.Join, text) },
 	},
 	{
-		section: sectionFleet, key: "key", required: true, example: "tls/trnava-a-1.key",
+		section: sectionFleet, key: "trust", standard: string(TrustCertificates),
+		help: "certificates admits instances by certificate; network admits whoever reaches the fleet port, for networks that nobody else can send to.",
+		set:  func(s *Settings, text string) error { return setTrust(&s.Fleet.Trust, text) },
+	},
+	{
+		section: sectionFleet, key: "certificate", standard: "", example: "tls/trnava-a-1.crt",
+		help: "Certificate of the instance, made by 'hemlockctl ca issue'. Needed with the trust certificates.",
+		set:  func(s *Settings, text string) error { s.Fleet.Certificate = text; return nil },
+	},
+	{
+		section: sectionFleet, key: "key", standard: "", example: "tls/trnava-a-1.key",
 		help: "Private key of the certificate.",
-		set:  func(s *Settings, text string) error { return setText(&s.Fleet.Key, text) },
+		set:  func(s *Settings, text string) error { s.Fleet.Key = text; return nil },
 	},
 	{
-		section: sectionFleet, key: "authority", required: true, example: "tls/ca.crt",
+		section: sectionFleet, key: "authority", standard: "", example: "tls/ca.crt",
 		help: "Certificate of the fleet's authority, made by 'hemlockctl ca init'.",
-		set:  func(s *Settings, text string) error { return setText(&s.Fleet.Authority, text) },
+		set:  func(s *Settings, text string) error { s.Fleet.Authority = text; return nil },
 	},
 	{
-		section: sectionFleet, key: "gossip_key", required: true, example: "tls/gossip.key",
+		section: sectionFleet, key: "gossip_key", standard: "", example: "tls/gossip.key",
 		help: "Key that seals membership datagrams, made by 'hemlockctl ca init'.",
-		set:  func(s *Settings, text string) error { return setText(&s.Fleet.GossipKey, text) },
+		set:  func(s *Settings, text string) error { s.Fleet.GossipKey = text; return nil },
 	},
 	{
 		section: sectionCallers, key: "address", standard: "",
@@ -116,6 +127,11 @@
 		help: "Largest header of a request, in bytes, from 4096 to 1048576.",
 		set:  func(s *Settings, text string) error { return setInt(&s.Callers.MaxHeaderBytes, text, 4096, 1<<20) },
 	},
+	{
+		section: sectionCallers, key: "service", standard: "",
+		help: "Service that runs on the callers' machines, told to backend servers as the origin of requests.",
+		set:  func(s *Settings, text string) error { return setOptionalName(&s.Callers.Service, text) },
+	},
 	{
 		section: sectionLocal, key: "address", required: true, example: "127.0.0.1:7401",
 		help: "IP number and TCP port for backend servers' announcements, /metrics, /healthz and /readyz.",
@@ -142,11 +158,21 @@
 		set:  func(s *Settings, text string) error { s.Admin.Operators = text; return nil },
 	},
 	{
-		section: sectionControl, key: "members", required: true,
+		section: sectionControl, key: "members", standard: "",
 		example: "trnava-a-1=127.0.0.1:7400, trnava-b-1=127.0.0.2:7400, trnava-c-1=127.0.0.3:7400",
-		help:    "The 1, 3, 5 or 7 control instances with their fleet addresses, the same on every instance.",
+		help:    "The 1, 3, 5 or 7 control instances with their fleet addresses, the same on every instance. Empty lets the group form itself from the instances with the role control.",
 		set:     func(s *Settings, text string) error { return setMembers(&s.Control.Members, text) },
 	},
+	{
+		section: sectionControl, key: "losses", standard: "1",
+		help: "How many control instances may be lost at once, from 0 to 3. A group that forms itself starts with one more than twice as many.",
+		set:  func(s *Settings, text string) error { return setInt(&s.Control.Losses, text, 0, maxLosses) },
+	},
+	{
+		section: sectionControl, key: "found", standard: "false",
+		help: "true while the whole fleet starts for the first time: instances with blank disks then found the group.",
+		set:  func(s *Settings, text string) error { return setBool(&s.Control.Found, text) },
+	},
 	{
 		section: sectionLimits, key: "stop_timeout", standard: "60s",
 		help: "How long a planned stop waits for requests in flight, from 1s to 1h.",
@@ -181,5 +207,12 @@
 	return nil
 }
 
+func setOptionalName[T name](target *T, text string) error {
+	if text == "" {
+		return nil
+	}
+	return setName(target, text)
+}
+
 // CheckInstanceID reports whether the text can name an instance.
 func CheckInstanceID(id fleetconfig.InstanceID) error { return checkName(string(id)) }
--- a/settings/load.go
+++ b/settings/load.go
@@ -52,6 +52,7 @@
 	}
 	parser := &fileParser{file: file, source: source, settings: &Settings{}}
 	parser.readFields()
+	parser.readAdapter()
 	parser.findUnknown()
 	if len(parser.faults) == 0 {
 		parser.checkTogether()
@@ -99,9 +100,21 @@
 	}
 }
 
+// readAdapter keeps the keys of the adapter's section as they are.
+func (p *fileParser) readAdapter() {
+	section, err := p.source.GetSection(sectionAdapter)
+	if err != nil {
+		return
+	}
+	p.settings.Adapter = section.KeysHash()
+}
+
 func (p *fileParser) findUnknown() {
 	for _, section := range p.source.Sections() {
 		name := section.Name()
+		if name == sectionAdapter {
+			continue
+		}
 		if !knownSection(name) {
 			if name != ini.DefaultSection || len(section.Keys()) > 0 {
 				p.fault(name, "", "the section is unknown", "use the sections that 'hemlockctl settings default' prints")
@@ -130,6 +143,7 @@
 	if settings.Instance.HasRole(RoleProxy) && settings.Callers.Address == "" {
 		p.fault(sectionCallers, "address", "the key is missing", "the role proxy needs an address for callers")
 	}
+	p.checkTrust()
 	if (settings.Callers.Certificate == "") != (settings.Callers.Key == "") {
 		p.fault(sectionCallers, "certificate", "certificate and key go together", "write both, or neither for plain HTTP")
 	}
@@ -143,6 +157,25 @@
 	}
 }
 
+// checkTrust checks that the trust certificates has its files.
+func (p *fileParser) checkTrust() {
+	fleet := &p.settings.Fleet
+	if fleet.Trust != TrustCertificates {
+		return
+	}
+	files := []struct{ key, value string }{
+		{"certificate", fleet.Certificate},
+		{"key", fleet.Key},
+		{"authority", fleet.Authority},
+		{"gossip_key", fleet.GossipKey},
+	}
+	for _, file := range files {
+		if file.value == "" {
+			p.fault(sectionFleet, file.key, "the key is missing", "name the file that 'hemlockctl ca' made, or trust the network")
+		}
+	}
+}
+
 func (p *fileParser) checkControl() {
 	settings := p.settings
 	if settings.Instance.DataFolder == "" {
@@ -151,6 +184,9 @@
 	if settings.Admin.Address != "" && settings.Admin.Operators == "" {
 		p.fault(sectionAdmin, "operators", "the key is missing", "the administration API needs the file with the operators")
 	}
+	if settings.Control.Formed() {
+		return
+	}
 	isSelf := func(m ControlMember) bool { return m.ID == settings.Instance.ID }
 	index := slices.IndexFunc(settings.Control.Members, isSelf)
 	if index < 0 {
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -19,6 +19,7 @@
 	maxStop       = time.Hour
 	minReport     = time.Second
 	maxReport     = time.Hour
+	maxLosses     = 3
 )
 
 func checkName(text string) error {
@@ -78,6 +79,42 @@
 	return nil
 }
 
+// setJoinPort replaces the ports of addresses. A port of 0 keeps them.
+func setJoinPort(addresses *[]string, text string) error {
+	port, err := strconv.ParseUint(text, 10, 16)
+	if err != nil {
+		return errors.Newf("write a UDP port from 0 to 65535, not %q", text)
+	}
+	if port == 0 {
+		return nil
+	}
+	for i, address := range *addresses {
+		parsed, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return errors.Newf("write IP numbers and ports in join, not %q", address)
+		}
+		(*addresses)[i] = netip.AddrPortFrom(parsed.Addr(), uint16(port)).String()
+	}
+	return nil
+}
+
+func setTrust(target *Trust, text string) error {
+	*target = Trust(text)
+	if *target != TrustCertificates && *target != TrustNetwork {
+		return errors.Newf("write %s or %s, not %q", TrustCertificates, TrustNetwork, text)
+	}
+	return nil
+}
+
+func setBool(target *bool, text string) error {
+	value, err := strconv.ParseBool(text)
+	if err != nil {
+		return errors.Newf("write true or false, not %q", text)
+	}
+	*target = value
+	return nil
+}
+
 func setRoles(target *[]Role, text string) error {
 	for _, part := range splitList(text) {
 		role := Role(part)
@@ -126,7 +163,11 @@
 }
 
 func setMembers(target *[]ControlMember, text string) error {
-	for _, part := range splitList(text) {
+	parts := splitList(text)
+	if len(parts) == 0 {
+		return nil
+	}
+	for _, part := range parts {
 		id, address, found := strings.Cut(part, "=")
 		id = strings.TrimSpace(id)
 		address = strings.TrimSpace(address)
--- a/settings/print.go
+++ b/settings/print.go
@@ -19,7 +19,7 @@
 			fmt.Fprintf(&out, "\n[%s]\n", section)
 		}
 		fmt.Fprintf(&out, "; %s\n", field.help)
-		if field.required {
+		if field.example != "" {
 			fmt.Fprintf(&out, "%s = %s\n", field.key, field.example)
 			continue
 		}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -35,6 +35,9 @@
 	Limits Limits
 	// Log sets the log.
 	Log Log
+	// Adapter are the keys of the section of a platform's adapter, as text. The
+	// adapter checks them. It is nil when the file has no such section.
+	Adapter map[string]string
 }
 
 // Instance says who and where an instance is.
@@ -61,6 +64,18 @@
 	return false
 }
 
+// Trust says how instances know each other.
+type Trust string
+
+const (
+	// TrustCertificates lets only instances in that show a certificate of the
+	// fleet's authority.
+	TrustCertificates Trust = "certificates"
+	// TrustNetwork lets every process in that reaches the fleet port. It is for
+	// networks that nobody else can send to.
+	TrustNetwork Trust = "network"
+)
+
 // Fleet is the port to other instances.
 type Fleet struct {
 	// Address is the IP number and UDP port that other instances reach.
@@ -69,6 +84,8 @@
 	Listen string
 	// Join are fleet addresses of a few other instances.
 	Join []string
+	// Trust says how instances know each other.
+	Trust Trust
 	// Certificate is the file with the instance's certificate.
 	Certificate string
 	// Key is the file with its private key.
@@ -91,6 +108,9 @@
 	KeyHeader string
 	// MaxHeaderBytes bounds the header of a request. Default 64 KiB.
 	MaxHeaderBytes int
+	// Service is the service that runs on the machines of the callers, empty when
+	// they have none in common.
+	Service fleetconfig.ServiceName
 }
 
 // Local is the port for what runs on the same machine.
@@ -113,10 +133,21 @@
 
 // Control is the group of control instances.
 type Control struct {
-	// Members are the control instances with their fleet addresses.
+	// Members are the control instances with their fleet addresses. Without them
+	// the group forms itself.
 	Members []ControlMember
+	// Losses is how many control instances may be lost at once.
+	Losses int
+	// Found lets this instance take part in founding the group, with a blank disk.
+	Found bool
 }
 
+// Voters returns how many instances a group that forms itself starts with.
+func (c *Control) Voters() int { return 2*c.Losses + 1 }
+
+// Formed reports whether the control group forms itself.
+func (c *Control) Formed() bool { return len(c.Members) == 0 }
+
 // ControlMember is one control instance.
 type ControlMember struct {
 	// ID is the instance.
--- a/shardkeeper/keeper.go
+++ b/shardkeeper/keeper.go
@@ -42,6 +42,9 @@
 	Leads func() bool
 	// Alive returns the instances that live and do not stop, ordered by ID.
 	Alive func() []fleetconfig.InstanceAddress
+	// Holders says whether holders of the configuration are named. Without them,
+	// only control vouches that a configuration is current.
+	Holders bool
 	// Caller calls the replicas.
 	Caller transport.Caller
 	// AskStatuses asks the replicas of a shard how far their order records are.
@@ -98,7 +101,7 @@
 	document := k.config.Proposer.View().Document()
 	settled := now.Sub(k.since) >= settleTime
 	switch {
-	case len(document.Holders) == 0:
+	case k.config.Holders && len(document.Holders) == 0:
 		if settled {
 			k.propose(ctx, document, fleetconfig.Change{Kind: fleetconfig.SetHolders, Holders: chooseHolders(k.alive)})
 		}
--- a/transport/endpoint.go
+++ b/transport/endpoint.go
@@ -140,22 +140,28 @@
 }
 
 func serverTLS(identity *pki.Identity) *tls.Config {
+	clientAuth := tls.RequireAndVerifyClientCert
+	if identity.TrustsNetwork {
+		clientAuth = tls.RequireAnyClientCert
+	}
 	return &tls.Config{
 		MinVersion:   tls.VersionTLS13,
 		Certificates: []tls.Certificate{identity.Certificate},
-		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ClientAuth:   clientAuth,
 		ClientCAs:    identity.Authority,
 		NextProtos:   []string{http3.NextProtoH3},
 	}
 }
 
-// clientTLS verifies that the peer's certificate names the IP number dialled.
+// clientTLS verifies that the peer's certificate names the IP number dialled,
+// unless the network is trusted.
 func clientTLS(identity *pki.Identity, host string) *tls.Config {
 	return &tls.Config{
-		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{identity.Certificate},
-		RootCAs:      identity.Authority,
-		ServerName:   host,
-		NextProtos:   []string{http3.NextProtoH3},
+		MinVersion:         tls.VersionTLS13,
+		Certificates:       []tls.Certificate{identity.Certificate},
+		RootCAs:            identity.Authority,
+		ServerName:         host,
+		NextProtos:         []string{http3.NextProtoH3},
+		InsecureSkipVerify: identity.TrustsNetwork,
 	}
 }
