Breaker beside each backend server; attempts that reach no server cost no retry

Cause: servers in a failing phase answer 500 within a millisecond and look idle, so that two choices by load sent them half of a service's requests. The CUSUM of package health asks for a permit and never convicted within a phase. The proxy beside a server now keeps the belief that it is in a failing phase (hidden Markov filter), sends orders elsewhere while in doubt, and lets single repeatable requests try. An answer 5xx to a repeatable request is passed over within the retry budget.

SIGHUP no longer ends the process; logs go to stdout, bounded.

--- a/backendproxy/filters.go
+++ b/backendproxy/filters.go
@@ -108,10 +108,36 @@
 type Watch interface {
 	// Begin records that a request is about to be sent to a backend server. It
 	// returns false when the server is ejected and takes no request now.
-	Begin(server fleetconfig.BackendServerID, account fleetconfig.AccountID, deadline, now time.Time) (Observation, bool)
+	Begin(server fleetconfig.BackendServerID, arrival Arrival, now time.Time) (Observation, bool)
+	// Welcomes reports whether Begin would admit a request now.
+	Welcomes(server fleetconfig.BackendServerID, arrival Arrival, now time.Time) bool
 	// WeightPercent returns the share of its full load that a backend server should
 	// get now.
 	WeightPercent(server fleetconfig.BackendServerID, now time.Time) int
+	// DoubtPercent returns how likely it is that the backend server fails most
+	// requests now.
+	DoubtPercent(server fleetconfig.BackendServerID, now time.Time) int
+}
+
+// Arrival is a request that is about to be sent to a backend server.
+type Arrival struct {
+	// Account is its client account.
+	Account fleetconfig.AccountID
+	// Deadline is when it is given up.
+	Deadline time.Time
+	// Idempotent says that it can be repeated elsewhere.
+	Idempotent bool
+	// LastResort says that no other backend server is left for it.
+	LastResort bool
+}
+
+func arrivalOf(exchange *pipeline.Exchange) Arrival {
+	return Arrival{
+		Account:    exchange.Account,
+		Deadline:   exchange.Deadline,
+		Idempotent: exchange.Idempotent,
+		LastResort: exchange.LastResort,
+	}
 }
 
 // Observation is one request that a Watch has begun.
@@ -120,6 +146,26 @@
 	End(result health.Result, now time.Time)
 }
 
+// doubtFilter sends a request elsewhere before it waits for a slot, when the
+// backend server would not be tried with it anyway.
+type doubtFilter struct {
+	watch Watch
+}
+
+func (*doubtFilter) Name() string { return "doubt" }
+
+func (f *doubtFilter) Request(exchange *pipeline.Exchange) error {
+	if f.watch.Welcomes(exchange.BackendServer, arrivalOf(exchange), time.Now()) {
+		return nil
+	}
+	return refuseDoubtful()
+}
+
+func refuseDoubtful() *pipeline.Refusal {
+	return pipeline.NotRun(pipeline.KindDoubtful, http.StatusServiceUnavailable,
+		"the backend server fails requests now", "send the request to another one", retryElsewhere)
+}
+
 // queueFilter holds a slot of the backend server for the length of the exchange.
 type queueFilter struct {
 	registry *Registry
@@ -176,6 +222,7 @@
 	keys       *keyCheck
 	freeze     *freeze.Detector
 	watch      Watch
+	load       *loadReporter
 	clock      quota.DispatchClock
 }
 
@@ -187,10 +234,9 @@
 		return err
 	}
 	slot := slotOf(exchange).slot
-	observation, admitted := f.watch.Begin(exchange.BackendServer, exchange.Account, exchange.Deadline, now)
+	observation, admitted := f.watch.Begin(exchange.BackendServer, arrivalOf(exchange), now)
 	if !admitted {
-		return pipeline.NotRun(pipeline.KindNoCapacity, http.StatusServiceUnavailable,
-			"the backend server is out of service for now", "send the request again", retryElsewhere)
+		return refuseDoubtful()
 	}
 	ctx, cancel := context.WithDeadline(exchange.Request.Context(), exchange.Deadline)
 	defer cancel()
@@ -205,10 +251,8 @@
 		return err
 	}
 	observation.End(resultOfResponse(response), time.Now())
-	load := slot.Load()
-	load.WeightPercent = f.watch.WeightPercent(exchange.BackendServer, time.Now())
+	f.load.report(exchange)
 	header := exchange.Writer.Header()
-	header.Set(HeaderLoad, load.String())
 	header.Set(pipeline.HeaderDispatchedAgo, strconv.FormatInt(exchange.DispatchedAgo.Microseconds(), 10))
 	header.Set(pipeline.HeaderClock, FormatReading(f.clock.Reading(time.Now())))
 	if cause := writeAnswer(exchange, response); cause != nil {
@@ -223,13 +267,13 @@
 	case VerdictNotRun:
 		observation.End(health.ResultShed, time.Now())
 		exchange.Outcome = pipeline.OutcomeNotRun
-		return pipeline.NotRun(pipeline.KindBusy, http.StatusServiceUnavailable,
-			"the backend server has not run the request", "send the request again", retryElsewhere)
+		return reached(pipeline.NotRun(pipeline.KindBusy, http.StatusServiceUnavailable,
+			"the backend server has not run the request", "send the request again", retryElsewhere))
 	case VerdictElsewhere:
 		observation.End(health.ResultCanceled, time.Now())
 		exchange.Outcome = pipeline.OutcomeNotRun
-		return pipeline.NotRun(pipeline.KindNoCapacity, http.StatusServiceUnavailable,
-			"another backend server has the address now", "send the request again", retryElsewhere)
+		return reached(pipeline.NotRun(pipeline.KindNoCapacity, http.StatusServiceUnavailable,
+			"another backend server has the address now", "send the request again", retryElsewhere))
 	case VerdictForeign:
 		observation.End(health.ResultFailed, time.Now())
 		exchange.Outcome = pipeline.OutcomeUnknown
@@ -238,6 +282,12 @@
 	return nil
 }
 
+// reached marks a refusal of a request that the backend server has seen.
+func reached(refusal *pipeline.Refusal) *pipeline.Refusal {
+	refusal.Reached = true
+	return refusal
+}
+
 // errForeignAnswer says that the backend server answered another request.
 var errForeignAnswer = errors.New("the backend server's answer belongs to another request")
 
@@ -248,7 +298,7 @@
 		return
 	}
 	now := time.Now()
-	if observation, admitted := f.watch.Begin(exchange.BackendServer, exchange.Account, exchange.Deadline, now); admitted {
+	if observation, admitted := f.watch.Begin(exchange.BackendServer, Arrival{Account: exchange.Account, Deadline: exchange.Deadline, LastResort: true}, now); admitted {
 		observation.End(health.ResultFailed, now)
 	}
 }
@@ -310,6 +360,7 @@
 	}
 	return &pipeline.Refusal{
 		Kind:       pipeline.KindOutcomeUnknown,
+		Reached:    true,
 		Status:     status,
 		Detail:     "the backend server did not answer, and may or may not have run the request",
 		Remedy:     "look whether the request took effect before sending it again, or send it with an Idempotency-Key",
--- a/backendproxy/load.go
+++ b/backendproxy/load.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"time"
+
+	"github.com/hemlockring/hemlockring/pipeline"
 )
 
 // HeaderLoad carries the load of the backend server back to the ingress.
@@ -9,12 +12,30 @@
 
 // String returns the load as it is written in HeaderLoad.
 func (l Load) String() string {
-	return fmt.Sprintf("%d/%d/%d/%d", l.Running, l.Queued, l.Slots, l.WeightPercent)
+	return fmt.Sprintf("%d/%d/%d/%d/%d", l.Running, l.Queued, l.Slots, l.WeightPercent, l.DoubtPercent)
 }
 
 // ParseLoad reads a value of HeaderLoad.
 func ParseLoad(text string) (load Load, ok bool) {
-	const fields = 4
-	n, err := fmt.Sscanf(text, "%d/%d/%d/%d", &load.Running, &load.Queued, &load.Slots, &load.WeightPercent)
+	const fields = 5
+	n, err := fmt.Sscanf(text, "%d/%d/%d/%d/%d",
+		&load.Running, &load.Queued, &load.Slots, &load.WeightPercent, &load.DoubtPercent)
 	return load, err == nil && n == fields
 }
+
+// loadReporter tells the ingress with each response how the backend server fares.
+type loadReporter struct {
+	registry *Registry
+	watch    Watch
+}
+
+func (r *loadReporter) report(exchange *pipeline.Exchange) {
+	load, known := r.registry.loadOf(exchange.BackendServer)
+	if !known {
+		return
+	}
+	now := time.Now()
+	load.WeightPercent = r.watch.WeightPercent(exchange.BackendServer, now)
+	load.DoubtPercent = r.watch.DoubtPercent(exchange.BackendServer, now)
+	exchange.Writer.Header().Set(HeaderLoad, load.String())
+}
--- a/backendproxy/proxy.go
+++ b/backendproxy/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,9 @@
 	Watch Watch
 	// Clock is the clock that bounds dispatches.
 	Clock quota.DispatchClock
+	// Logger receives a line for each request that failed or was refused. Nil means
+	// none.
+	Logger *slog.Logger
 	// Dialect is how backend servers are spoken to. The default is OwnHeaders.
 	Dialect Dialect
 }
@@ -39,6 +43,8 @@
 	chain    *pipeline.Chain
 	draining atomic.Bool
 	running  tracker
+	load     *loadReporter
+	log      *slog.Logger
 	clock    quota.DispatchClock
 }
 
@@ -58,13 +64,15 @@
 	if config.Dialect == nil {
 		config.Dialect = OwnHeaders{}
 	}
-	proxy := &Proxy{clock: config.Clock}
+	proxy := &Proxy{clock: config.Clock, log: config.Logger}
+	proxy.load = &loadReporter{registry: config.Registry, watch: config.Watch}
 	keys := &keyCheck{view: config.View, current: config.Current}
 	proxy.chain = pipeline.NewChain(
 		&verifyFilter{keys: keys, freeze: config.Freeze, clock: config.Clock},
 		&drainFilter{draining: &proxy.draining},
+		&doubtFilter{watch: config.Watch},
 		&queueFilter{registry: config.Registry},
-		&runFilter{dispatcher: newDispatcher(config.Dialect), keys: keys, freeze: config.Freeze, watch: config.Watch, clock: config.Clock},
+		&runFilter{dispatcher: newDispatcher(config.Dialect), keys: keys, freeze: config.Freeze, watch: config.Watch, load: proxy.load, clock: config.Clock},
 	)
 	return proxy
 }
@@ -84,18 +92,48 @@
 		BackendServer: fleetconfig.BackendServerID(header.Get(pipeline.HeaderBackendServer)),
 		Service:       fleetconfig.ServiceName(header.Get(pipeline.HeaderService)),
 		CallerService: fleetconfig.ServiceName(header.Get(pipeline.HeaderCallerService)),
+		Idempotent:    header.Get(pipeline.HeaderIdempotent) != "",
+		LastResort:    header.Get(pipeline.HeaderLastResort) != "",
 		State:         &exchangeState{},
 	}
 	err := p.chain.Serve(exchange)
 	if err != nil {
 		w.Header().Set(pipeline.HeaderClock, FormatReading(p.clock.Reading(time.Now())))
+		p.load.report(exchange)
 		writeRefusal(exchange, err)
 	}
+	p.recordEnd(exchange)
 	if exchange.Truncated {
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// recordEnd logs what became of a request that was not simply answered.
+func (p *Proxy) recordEnd(exchange *pipeline.Exchange) {
+	if p.log == nil {
+		return
+	}
+	failed := exchange.Refusal != nil || exchange.Truncated || exchange.Status >= http.StatusInternalServerError
+	if !failed {
+		return
+	}
+	refusal, detail := "", ""
+	if exchange.Refusal != nil {
+		refusal, detail = string(exchange.Refusal.Kind), exchange.Refusal.Detail
+	}
+	p.log.Info("request at the backend server",
+		"request", exchange.RequestID,
+		"backend_server", string(exchange.BackendServer),
+		"service", string(exchange.Service),
+		"outcome", exchange.Outcome.String(),
+		"status", exchange.Status,
+		"refusal", refusal,
+		"detail", detail,
+		"truncated", exchange.Truncated,
+		"load", exchange.Writer.Header().Get(HeaderLoad),
+		"took_ms", time.Since(exchange.Received).Milliseconds())
+}
+
 func writeRefusal(exchange *pipeline.Exchange, err error) {
 	var refusal *pipeline.Refusal
 	if !errors.As(err, &refusal) {
@@ -107,6 +145,9 @@
 			RetryAfter: retryElsewhere,
 		}
 	}
+	exchange.Refusal = refusal
+	exchange.Outcome = refusal.Outcome
+	exchange.Status = refusal.Status
 	refusal.WriteInternal(exchange.Writer)
 }
 
--- a/backendproxy/slots.go
+++ b/backendproxy/slots.go
@@ -17,14 +17,6 @@
 	item      queue.ItemID
 }
 
-// Load returns how busy the backend server is.
-func (s *Slot) Load() Load {
-	if s.admission == nil {
-		return Load{}
-	}
-	return s.admission.load()
-}
-
 // Release gives the slot back.
 func (s *Slot) Release() {
 	if s.admission == nil {
@@ -44,6 +36,19 @@
 	Slots int
 	// WeightPercent is the share of its full load that it should get.
 	WeightPercent int
+	// DoubtPercent is how likely it is that it fails most requests now.
+	DoubtPercent int
+}
+
+// loadOf returns how busy a backend server is, and whether it is known.
+func (r *Registry) loadOf(id fleetconfig.BackendServerID) (Load, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	server := r.servers[id]
+	if server == nil {
+		return Load{}, false
+	}
+	return server.admission.load(), true
 }
 
 // find returns the backend server if it serves the service now.
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -14,6 +14,9 @@
 	maxSamples = 8
 	// noBackend is the index of no backend server.
 	noBackend = -1
+	// doubtCost is the load that a certain failure weighs as much as. A backend server
+	// that fails at once looks idle, so its doubt must outweigh a full queue elsewhere.
+	doubtCost = 4.0
 )
 
 // Tier says how far away a backend server is.
@@ -65,6 +68,8 @@
 	Weight float64
 	// Excluded holds the reasons for which it is not selected; zero selects it.
 	Excluded Exclusion
+	// Doubt is how likely it is that it fails most requests now, from 0 to 1.
+	Doubt float64
 
 	inFlight         uint32
 	inFlightAtReport uint32
@@ -80,6 +85,13 @@
 	return float64(requests) / float64(max(1, b.Slots))
 }
 
+// cost compares backend servers: the load, and what a failed request costs in terms
+// of load.
+func (b *Backend) cost() float64 { return b.load() + doubtCost*b.Doubt }
+
+// share is the probability with which a draw takes the backend server.
+func (b *Backend) share() float64 { return b.Weight * (1 - b.Doubt) }
+
 // Tried lists the backend servers that a request has already been sent to.
 type Tried struct {
 	ids   [MaxTried]BackendID
@@ -148,6 +160,7 @@
 	for i, backend := range backends {
 		backend.inFlight = former[backend.ID].inFlight
 		backend.inFlightAtReport = backend.inFlight
+		backend.Doubt = former[backend.ID].Doubt
 		p.backends[i] = backend
 	}
 	p.rebuild()
@@ -177,6 +190,9 @@
 	backend.Weight = weight
 }
 
+// SetDoubt sets how likely it is that a backend server fails most requests now.
+func (p *Pool) SetDoubt(index int, doubt float64) { p.backends[index].Doubt = doubt }
+
 // Exclude sets the reasons for which a backend server is not selected.
 func (p *Pool) Exclude(index int, reasons Exclusion) {
 	if p.backends[index].Excluded == reasons {
@@ -219,10 +235,10 @@
 		if choice == noBackend {
 			continue
 		}
-		if best == noBackend || p.backends[choice].load() < p.backends[best].load() {
+		if best == noBackend || p.backends[choice].cost() < p.backends[best].cost() {
 			best = choice
 		}
-		if p.backends[best].load() < p.policy.SpillLoad {
+		if p.backends[best].cost() < p.policy.SpillLoad {
 			break
 		}
 	}
@@ -237,7 +253,7 @@
 	}
 	for range p.policy.Choices - 1 {
 		other := p.sample(usable, rng, tried, best)
-		if other != noBackend && p.backends[other].load() < p.backends[best].load() {
+		if other != noBackend && p.backends[other].cost() < p.backends[best].cost() {
 			best = other
 		}
 	}
@@ -257,7 +273,7 @@
 		if index == except || tried.contains(backend.ID) {
 			continue
 		}
-		if backend.Weight >= 1 || rng.Float64() < backend.Weight {
+		if share := backend.share(); share >= 1 || rng.Float64() < share {
 			return index
 		}
 	}
--- a/ejection/service.go
+++ b/ejection/service.go
@@ -126,6 +126,7 @@
 		found.mu.Lock()
 		found.monitor.SetPolicy(policy)
 		actions := found.monitor.Tick(now)
+		found.breaker.Tick(now)
 		took, detected := found.noteSuspicion(now)
 		found.mu.Unlock()
 		if detected {
--- a/ejection/watch.go
+++ b/ejection/watch.go
@@ -17,6 +17,7 @@
 
 	mu      sync.Mutex
 	monitor *health.Monitor
+	breaker *health.Breaker
 	// suspectSince is when the present suspicion began, zero without one.
 	suspectSince time.Time
 	detected     bool
@@ -46,7 +47,7 @@
 }
 
 // Begin implements backendproxy.Watch.
-func (s *Service) Begin(server fleetconfig.BackendServerID, account fleetconfig.AccountID, deadline, now time.Time) (backendproxy.Observation, bool) {
+func (s *Service) Begin(server fleetconfig.BackendServerID, arrival backendproxy.Arrival, now time.Time) (backendproxy.Observation, bool) {
 	s.mu.Lock()
 	found := s.servers[server]
 	s.mu.Unlock()
@@ -55,10 +56,46 @@
 	}
 	found.mu.Lock()
 	defer found.mu.Unlock()
-	if !found.monitor.Admits() {
+	if !found.monitor.Admits() && !arrival.LastResort {
 		return nil, false
 	}
-	return &observation{watched: found, token: found.monitor.Begin(account, deadline, now)}, true
+	visit := found.breaker.Enter(wishOf(arrival), now)
+	if visit == nil {
+		return nil, false
+	}
+	token := found.monitor.Begin(arrival.Account, arrival.Deadline, now)
+	return &observation{watched: found, token: token, visit: visit}, true
+}
+
+// Welcomes implements backendproxy.Watch.
+func (s *Service) Welcomes(server fleetconfig.BackendServerID, arrival backendproxy.Arrival, now time.Time) bool {
+	s.mu.Lock()
+	found := s.servers[server]
+	s.mu.Unlock()
+	if found == nil || arrival.LastResort {
+		return true
+	}
+	found.mu.Lock()
+	defer found.mu.Unlock()
+	return found.monitor.Admits() && found.breaker.Welcomes(wishOf(arrival), now)
+}
+
+func wishOf(arrival backendproxy.Arrival) health.Wish {
+	return health.Wish{Idempotent: arrival.Idempotent, LastResort: arrival.LastResort}
+}
+
+// DoubtPercent implements backendproxy.Watch.
+func (s *Service) DoubtPercent(server fleetconfig.BackendServerID, now time.Time) int {
+	const full = 100
+	s.mu.Lock()
+	found := s.servers[server]
+	s.mu.Unlock()
+	if found == nil {
+		return 0
+	}
+	found.mu.Lock()
+	defer found.mu.Unlock()
+	return int(full * found.breaker.Doubt(now))
 }
 
 // WeightPercent implements backendproxy.Watch.
@@ -79,6 +116,7 @@
 type observation struct {
 	watched *watched
 	token   health.Token
+	visit   *health.Visit
 	ended   bool
 }
 
@@ -91,6 +129,7 @@
 	o.watched.mu.Lock()
 	defer o.watched.mu.Unlock()
 	o.watched.monitor.End(o.token, result, now)
+	o.watched.breaker.Leave(o.visit, result, now)
 }
 
 // noObservation stands for a request of a backend server that nobody watches.
@@ -111,7 +150,7 @@
 		if found == nil || found.service != server.Service {
 			policy := health.PolicyOf(s.view().Preset())
 			monitor := health.NewMonitor(s.self, server.ID, server.Slots, policy, rand.Uint64(), now)
-			found = &watched{service: server.Service, monitor: monitor}
+			found = &watched{service: server.Service, monitor: monitor, breaker: health.NewBreaker(now)}
 			s.servers[server.ID] = found
 		}
 		found.mu.Lock()
--- a/gossip/service.go
+++ b/gossip/service.go
@@ -94,6 +94,14 @@
 	})
 }
 
+// SetSeeds replaces the addresses that are asked while no other member is known.
+func (s *Service) SetSeeds(seeds []string) {
+	s.update(func(state *membership.State) []membership.Envelope {
+		state.SetSeeds(seeds)
+		return nil
+	})
+}
+
 // SetDraining tells the fleet that this instance is stopping.
 func (s *Service) SetDraining() {
 	s.update(func(state *membership.State) []membership.Envelope {
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -22,6 +23,9 @@
 	MayRetry(exchange *pipeline.Exchange, outcome pipeline.Outcome) bool
 }
 
+// maxHops bounds how many instances one request is sent to.
+const maxHops = 10
+
 // forwardFilter chooses backend servers and sends the request to the proxies
 // beside them until one has answered, or the outcome forbids another attempt.
 type forwardFilter struct {
@@ -45,33 +49,67 @@
 	defer cancel()
 
 	f.retry.Started(exchange)
-	var tried []Candidate
-	var last *pipeline.Refusal
+	attempts := &attemptList{}
 	for {
-		candidate, ok := f.selector.Pick(exchange, tried)
+		candidate, ok := f.selector.Pick(exchange, attempts.tried)
+		if !ok && attempts.mayInsist(exchange) {
+			continue
+		}
 		if !ok {
-			return noCandidate(last)
+			return noCandidate(attempts.last)
 		}
-		tried = append(tried, candidate)
 		refusal, err := f.tryCandidate(ctx, exchange, candidate, body)
 		if err != nil {
-			return refusedBefore(err, last)
+			return refusedBefore(err, attempts.last)
 		}
 		if refusal == nil {
 			return nil
 		}
-		if last != nil && last.Outcome != pipeline.OutcomeNotRun {
-			// An earlier attempt may have run, whatever happened to this one.
-			refusal.Outcome = last.Outcome
-			exchange.Outcome = last.Outcome
-		}
-		last = refusal
+		attempts.add(exchange, candidate, refusal)
 		if !f.mayTryAgain(ctx, exchange, refusal, body) {
 			return refusal
 		}
 	}
 }
 
+// attemptList is what has become of the attempts of an exchange so far.
+type attemptList struct {
+	tried []Candidate
+	// reached are those of tried that may have seen the request.
+	reached []Candidate
+	last    *pipeline.Refusal
+	// doubtful says that a backend server was passed over only for its failures.
+	doubtful bool
+}
+
+func (l *attemptList) add(exchange *pipeline.Exchange, candidate Candidate, refusal *pipeline.Refusal) {
+	if l.last != nil && l.last.Outcome != pipeline.OutcomeNotRun && refusal.Outcome == pipeline.OutcomeNotRun {
+		// An earlier attempt may have run, whatever happened to this one.
+		refusal.Outcome = l.last.Outcome
+		refusal.Status = l.last.Status
+		exchange.Outcome = l.last.Outcome
+	}
+	l.last = refusal
+	l.tried = append(l.tried, candidate)
+	l.doubtful = l.doubtful || refusal.Kind == pipeline.KindDoubtful
+	if refusal.Reached {
+		l.reached = append(l.reached, candidate)
+		exchange.Reached++
+	}
+}
+
+// mayInsist permits one more round over the backend servers that have not seen the
+// request when all that is left was passed over for its failures: a doubtful server
+// is better than none.
+func (l *attemptList) mayInsist(exchange *pipeline.Exchange) bool {
+	if !l.doubtful || exchange.LastResort {
+		return false
+	}
+	exchange.LastResort = true
+	l.tried = slices.Clone(l.reached)
+	return true
+}
+
 // tryCandidate sends the request to one candidate. The first request to an
 // instance, and the first after its restart, only fetches the reading of its
 // clock and is sent once more.
@@ -95,7 +133,8 @@
 }
 
 // mayTryAgain permits another attempt only after a proved NotRun, or for an
-// idempotent request.
+// idempotent request. An attempt that no backend server has seen costs the retry
+// budget nothing.
 func (f *forwardFilter) mayTryAgain(ctx context.Context, exchange *pipeline.Exchange, refusal *pipeline.Refusal, body *replayBody) bool {
 	switch {
 	case ctx.Err() != nil:
@@ -106,8 +145,43 @@
 		return false
 	case !body.rewindable():
 		return false
+	case refusal.Kind == pipeline.KindServerError:
+		// It was paid for when the answer was passed over.
+		return true
+	case !refusal.Reached:
+		return exchange.Attempts < maxHops
+	}
+	return attemptsLeft(exchange, 0) && f.retry.MayRetry(exchange, refusal.Outcome)
+}
+
+// attemptsLeft reports whether the route lets the request reach one more backend
+// server, besides those that are not counted yet.
+func attemptsLeft(exchange *pipeline.Exchange, uncounted int) bool {
+	most := int(exchange.Route.MaxAttempts)
+	return most == 0 || exchange.Reached+uncounted < most
+}
+
+// passOver reports whether an answer is passed over in favour of another attempt:
+// the backend server failed, the request can be repeated, and the retry budget pays.
+func (f *forwardFilter) passOver(exchange *pipeline.Exchange, status int, body *replayBody) bool {
+	return status >= http.StatusInternalServerError &&
+		exchange.Idempotent &&
+		body.rewindable() &&
+		exchange.Remaining(time.Now()) > 0 &&
+		attemptsLeft(exchange, 1) &&
+		f.retry.MayRetry(exchange, pipeline.OutcomeAnswered)
+}
+
+func refuseServerError(status int) *pipeline.Refusal {
+	return &pipeline.Refusal{
+		Kind:       pipeline.KindServerError,
+		Status:     http.StatusBadGateway,
+		Detail:     "the backend server failed with status " + strconv.Itoa(status),
+		Remedy:     "send the request again",
+		RetryAfter: retrySoon,
+		Outcome:    pipeline.OutcomeUnknown,
+		Reached:    true,
 	}
-	return f.retry.MayRetry(exchange, refusal.Outcome)
 }
 
 func noCandidate(last *pipeline.Refusal) *pipeline.Refusal {
@@ -144,9 +218,9 @@
 
 	var refusal *pipeline.Refusal
 	if candidate.Address == "" {
-		refusal = f.serveLocal(exchange, request, &result, started)
+		refusal = f.serveLocal(exchange, request, body, &result, started)
 	} else {
-		refusal = f.serveRemote(exchange, candidate, request, &result, started)
+		refusal = f.serveRemote(exchange, candidate, request, body, &result, started)
 	}
 	if refusal != nil {
 		exchange.Outcome = refusal.Outcome
@@ -158,10 +232,18 @@
 	result.Outcome = exchange.Outcome
 	result.Canceled = exchange.Request.Context().Err() != nil
 	f.selector.Done(&result)
+	exchange.Trail = append(exchange.Trail, pipeline.Step{
+		Instance:      candidate.Instance,
+		BackendServer: candidate.Server,
+		Outcome:       result.Outcome,
+		Status:        result.Status,
+		Refusal:       result.Refusal,
+		Took:          time.Since(started),
+	})
 	return refusal
 }
 
-func (f *forwardFilter) serveRemote(exchange *pipeline.Exchange, candidate Candidate, request *http.Request, result *Attempt, started time.Time) *pipeline.Refusal {
+func (f *forwardFilter) serveRemote(exchange *pipeline.Exchange, candidate Candidate, request *http.Request, body *replayBody, result *Attempt, started time.Time) *pipeline.Refusal {
 	response, err := f.remote.RoundTrip(candidate.Address, request)
 	if err != nil {
 		result.PathFailed = request.Context().Err() == nil
@@ -174,6 +256,9 @@
 		return refusal
 	}
 	result.Status = response.StatusCode
+	if f.passOver(exchange, response.StatusCode, body) {
+		return refuseServerError(response.StatusCode)
+	}
 	f.deliver(exchange, response)
 	return nil
 }
@@ -193,6 +278,7 @@
 	}
 	refusal := &pipeline.Refusal{
 		Kind:       pipeline.KindOutcomeUnknown,
+		Reached:    true,
 		Status:     http.StatusBadGateway,
 		Detail:     "the instance beside the backend server stopped answering, and the request may or may not have run",
 		Remedy:     "look whether the request took effect before sending it again, or send it with an Idempotency-Key",
--- a/ingress/forwarded.go
+++ b/ingress/forwarded.go
@@ -23,6 +23,12 @@
 	header.Set(pipeline.HeaderRequestID, exchange.RequestID)
 	header.Set(pipeline.HeaderService, string(exchange.Service))
 	header.Set(pipeline.HeaderBackendServer, string(candidate.Server))
+	if exchange.Idempotent {
+		header.Set(pipeline.HeaderIdempotent, "1")
+	}
+	if exchange.LastResort {
+		header.Set(pipeline.HeaderLastResort, "1")
+	}
 	if exchange.CallerService != "" {
 		header.Set(pipeline.HeaderCallerService, string(exchange.CallerService))
 	}
--- a/ingress/local.go
+++ b/ingress/local.go
@@ -9,8 +9,8 @@
 
 // serveLocal hands the request to this instance's own backend proxy, by a
 // function call in place of a hop.
-func (f *forwardFilter) serveLocal(exchange *pipeline.Exchange, request *http.Request, result *Attempt, started time.Time) (refusal *pipeline.Refusal) {
-	writer := &localWriter{forward: f, exchange: exchange, header: make(http.Header), result: result, started: started}
+func (f *forwardFilter) serveLocal(exchange *pipeline.Exchange, request *http.Request, body *replayBody, result *Attempt, started time.Time) (refusal *pipeline.Refusal) {
+	writer := &localWriter{forward: f, exchange: exchange, body: body, header: make(http.Header), result: result, started: started}
 	defer func() {
 		switch recovered := recover(); recovered {
 		case nil:
@@ -32,6 +32,7 @@
 type localWriter struct {
 	forward  *forwardFilter
 	exchange *pipeline.Exchange
+	body     *replayBody
 	header   http.Header
 	result   *Attempt
 	started  time.Time
@@ -52,8 +53,12 @@
 	if w.refusal = readRefusal(status, w.header); w.refusal != nil {
 		return
 	}
-	w.sent = true
 	w.result.Status = status
+	if w.forward.passOver(w.exchange, status, w.body) {
+		w.refusal = refuseServerError(status)
+		return
+	}
+	w.sent = true
 	w.forward.sendHead(w.exchange, status, w.header.Clone())
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/hemlockring/hemlockring/internal/logwriter"
 	"github.com/hemlockring/hemlockring/node"
 	"github.com/hemlockring/hemlockring/platform"
 	"github.com/hemlockring/hemlockring/settings"
@@ -61,9 +62,13 @@
 	}
 	debug.SetGCPercent(collectorPercent)
 	debug.SetMemoryLimit(memoryLimit)
-	logger := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: loaded.Log.Level}))
-	if err := run(loaded, logger); err != nil {
-		logger.Error("hemlockd ends", "error", err)
+	lines := logwriter.New(os.Stdout, logwriter.DefaultBufferBytes)
+	defer lines.Close()
+	level := new(slog.LevelVar)
+	level.Set(loaded.Log.Level)
+	logger := slog.New(slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: level}))
+	if err := run(arguments.Settings, loaded, level, logger); err != nil {
+		logger.Error("hemlockd ends", "error", err.Error())
 		return ExitFailure
 	}
 	return ExitStopped
@@ -78,7 +83,11 @@
 }
 
 // run serves until SIGTERM or SIGINT. A second signal ends the process at once.
-func run(loaded *settings.Settings, logger *slog.Logger) error {
+func run(file string, loaded *settings.Settings, level *slog.LevelVar, logger *slog.Logger) error {
+	// From here on SIGHUP does not end the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	options, err := optionsOf(loaded, logger)
 	if err != nil {
 		return err
@@ -89,5 +98,8 @@
 	}
 	ctx, restoreSignals := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	context.AfterFunc(ctx, restoreSignals)
+	reloading, stopReloading := context.WithCancel(context.Background())
+	defer stopReloading()
+	go (&reloader{file: file, level: level, instance: instance, logger: logger}).watch(reloading, hangups)
 	return instance.Run(ctx)
 }
--- /dev/null
+++ b/internal/logwriter/writer_test.go
@@ -0,0 +1,53 @@
+package logwriter
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// blockedWriter holds every write up until it is released.
+type blockedWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	written bytes.Buffer
+}
+
+func (b *blockedWriter) Write(data []byte) (int, error) {
+	<-b.release
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.written.Write(data)
+}
+
+// A log that nobody reads costs lines, which are counted, and never time.
+func TestABlockedLogDropsAndCountsLines(t *testing.T) {
+	out := &blockedWriter{release: make(chan struct{})}
+	writer := New(out, 64)
+	line := strings.Repeat("x", 15) + "\n"
+	const lines = 100
+	for range lines {
+		n, err := writer.Write([]byte(line))
+		must.NoError(t, err)
+		must.Eq(t, len(line), n)
+	}
+	must.Greater(t, uint64(lines/2), writer.Dropped())
+	close(out.release)
+	writer.Close()
+	text := out.written.String()
+	kept := strings.Count(text, line)
+	must.Eq(t, lines, kept+int(writer.Dropped()))
+	must.StrContains(t, text, `"msg":"log lines dropped"`)
+}
+
+// Close passes on what was written before it.
+func TestCloseFlushes(t *testing.T) {
+	var out bytes.Buffer
+	writer := New(&out, DefaultBufferBytes)
+	_, _ = writer.Write([]byte("one\n"))
+	writer.Close()
+	must.Eq(t, "one\n", out.String())
+}
--- a/membership/state.go
+++ b/membership/state.go
@@ -97,6 +97,9 @@
 	return state
 }
 
+// SetSeeds replaces the addresses of peers to join.
+func (s *State) SetSeeds(seeds []string) { s.seeds = slices.Clone(seeds) }
+
 // Self returns this instance's own record.
 func (s *State) Self() Record { return s.members[s.self].Record }
 
--- a/node/adapter.go
+++ b/node/adapter.go
@@ -6,6 +6,7 @@
 
 	"github.com/hemlockring/hemlockring/backendproxy"
 	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/settings"
 )
 
 // Registry returns the backend servers beside this instance.
@@ -26,6 +27,12 @@
 	return true, ""
 }
 
+// Reload takes over the settings that can change while the instance serves: the
+// addresses to join.
+func (n *Node) Reload(loaded *settings.Settings) {
+	n.members.SetSeeds(loaded.Fleet.Join)
+}
+
 // Propose makes a command on the leader of control; see configsync.Service.Propose.
 func (n *Node) Propose(ctx context.Context, command *fleetconfig.Command) (*fleetconfig.Result, error) {
 	return n.forwarder.Propose(ctx, command)
--- a/node/node.go
+++ b/node/node.go
@@ -216,6 +216,7 @@
 		Watch:    n.ejection,
 		Clock:    quota.NewDispatchClock(rand.Uint64(), time.Now()),
 		Dialect:  n.options.Dialect,
+		Logger:   n.logger,
 	})
 	tokens := ingress.NewQuotaFilter(n.quota)
 	claims := &orders.Filter{Service: n.orders, MaxBodyBytes: orders.DefaultMaxBodyBytes}
@@ -231,7 +232,7 @@
 		Retry:         selection.NewRetries(),
 		Presentation:  n.options.Presentation,
 		CallerService: n.settings.Callers.Service,
-		Recorder:      recorders{metrics: n.metrics, collector: n.collector},
+		Recorder:      recorders{metrics: n.metrics, collector: n.collector, lines: &requestLog{logger: n.logger}},
 		Logger:        n.logger,
 	})
 }
--- a/node/report.go
+++ b/node/report.go
@@ -86,6 +86,7 @@
 type recorders struct {
 	metrics   *metrics.Metrics
 	collector *report.Collector
+	lines     *requestLog
 }
 
 var _ ingress.Recorder = recorders{}
@@ -94,4 +95,5 @@
 func (r recorders) Record(exchange *pipeline.Exchange, elapsed time.Duration) {
 	r.metrics.Record(exchange, elapsed)
 	r.collector.Record(exchange, elapsed)
+	r.lines.Record(exchange, elapsed)
 }
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -46,6 +46,10 @@
 	Key string
 	// Idempotent says that the request may be run more than once.
 	Idempotent bool
+	// LastResort says that every other backend server has refused the request.
+	LastResort bool
+	// Reached counts the attempts that may have reached a backend server.
+	Reached int
 	// TokenExpires is when the quota token of the request runs out; zero when the
 	// request needs no token.
 	TokenExpires time.Time
@@ -67,6 +71,8 @@
 	BackendServer fleetconfig.BackendServerID
 	// Instance is the instance of the last attempt.
 	Instance fleetconfig.InstanceID
+	// Trail is where the attempts went and how each ended, oldest first.
+	Trail []Step
 	// Truncated says that the answer broke off after its head was sent. The server
 	// must end the connection or stream, so that the caller sees the break.
 	Truncated bool
@@ -78,6 +84,21 @@
 	respond func()
 }
 
+// Step is one attempt of an exchange.
+type Step struct {
+	// Instance and BackendServer are where the attempt went.
+	Instance      fleetconfig.InstanceID
+	BackendServer fleetconfig.BackendServerID
+	// Outcome is how it ended.
+	Outcome Outcome
+	// Status is the status of the answer, 0 without one.
+	Status int
+	// Refusal is the kind of refusal, empty without one.
+	Refusal RefusalKind
+	// Took is how long it took.
+	Took time.Duration
+}
+
 // Respond runs the response halves of the filters entered so far. The forwarding
 // filter calls it once, with ResponseHeader set, before it sends the head.
 func (e *Exchange) Respond() {
--- a/pipeline/headers.go
+++ b/pipeline/headers.go
@@ -30,6 +30,13 @@
 	HeaderBackendServer = "Hemlock-Backend-Server"
 	// HeaderDeadline carries the time left for the request, in milliseconds.
 	HeaderDeadline = "Hemlock-Deadline-Ms"
+	// HeaderIdempotent tells the backend proxy that the request can be repeated.
+	HeaderIdempotent = "Hemlock-Idempotent"
+	// HeaderLastResort tells the backend proxy that no other backend server is left.
+	HeaderLastResort = "Hemlock-Last-Resort"
+	// HeaderReached tells the ingress that a refused request reached the backend
+	// server.
+	HeaderReached = "Hemlock-Reached"
 	// HeaderDispatchBy carries the reading of the backend proxy's clock by which the
 	// request must have been dispatched.
 	HeaderDispatchBy = "Hemlock-Dispatch-By"
--- a/pipeline/refusal.go
+++ b/pipeline/refusal.go
@@ -24,6 +24,7 @@
 	KindQuotaUnavailable  RefusalKind = "quota-unavailable"
 	KindNoCapacity        RefusalKind = "no-capacity"
 	KindBusy              RefusalKind = "busy"
+	KindDoubtful          RefusalKind = "backend-server-doubtful"
 	KindDraining          RefusalKind = "draining"
 	KindDeadline          RefusalKind = "deadline-passed"
 	KindCanceled          RefusalKind = "canceled"
@@ -32,6 +33,9 @@
 	KindKeyReused         RefusalKind = "idempotency-key-reused"
 	KindOrdersUnavailable RefusalKind = "idempotency-unavailable"
 	KindOutcomeUnknown    RefusalKind = "outcome-unknown"
+	// KindServerError is seen inside the ingress only: the backend server's answer was
+	// passed over in favour of another attempt.
+	KindServerError RefusalKind = "backend-server-error"
 	// KindClockUnknown is seen by ingresses only: the backend proxy has restarted, or
 	// the ingress has not yet read its clock.
 	KindClockUnknown RefusalKind = "clock-unknown"
@@ -60,6 +64,8 @@
 	RetryAfter time.Duration
 	// Outcome says what is known about whether the request ran.
 	Outcome Outcome
+	// Reached says that the request reached a backend server, run or not.
+	Reached bool
 }
 
 // NotRun returns a refusal for a request that no backend server saw.
@@ -92,6 +98,9 @@
 	header.Set(HeaderOutcome, r.Outcome.String())
 	header.Set(HeaderRefusal, string(r.Kind))
 	header.Set(HeaderRetryAfter, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
+	if r.Reached {
+		header.Set(HeaderReached, "1")
+	}
 	w.WriteHeader(r.Status)
 }
 
@@ -108,6 +117,7 @@
 		Status:     status,
 		RetryAfter: time.Duration(milliseconds) * time.Millisecond,
 		Outcome:    ParseOutcome(header.Get(HeaderOutcome)),
+		Reached:    header.Get(HeaderReached) != "",
 	}
 }
 
--- a/selection/retries.go
+++ b/selection/retries.go
@@ -43,7 +43,8 @@
 		Account:    exchange.Account,
 		Idempotent: exchange.Idempotent,
 		Outcome:    outcome,
-		Attempts:   exchange.Attempts,
+		Failed:     true,
+		Attempts:   exchange.Reached,
 		Remaining:  exchange.Remaining(now),
 	}, now)
 	return verdict == retry.VerdictRetry
--- a/selection/selector.go
+++ b/selection/selector.go
@@ -11,6 +11,7 @@
 	"github.com/hemlockring/hemlockring/balance"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/gossip"
+	"github.com/hemlockring/hemlockring/health"
 	"github.com/hemlockring/hemlockring/ingress"
 	"github.com/hemlockring/hemlockring/membership"
 	"github.com/hemlockring/hemlockring/pipeline"
@@ -49,9 +50,16 @@
 	placed    []gossip.Placed
 	snapshot  *gossip.Snapshot
 	refreshed time.Time
+	doubts    map[balance.BackendID]doubt
 	random    *rand.Rand
 }
 
+// doubt is how likely it was that a backend server fails, when it last said so.
+type doubt struct {
+	value float64
+	at    time.Time
+}
+
 // New returns a selector.
 func New(config Config) *Selector {
 	return &Selector{
@@ -103,6 +111,9 @@
 		if load, ok := backendproxy.ParseLoad(attempt.Load); ok {
 			inFlight := uint32(max(load.Running+load.Queued, 0))
 			service.pool.Report(index, inFlight, float64(load.WeightPercent)/percent)
+			reported := doubt{value: float64(load.DoubtPercent) / percent, at: now}
+			service.doubts[backendID(attempt.Candidate)] = reported
+			service.pool.SetDoubt(index, reported.value)
 		}
 	}
 	if attempt.Candidate.Address == "" || attempt.Canceled {
@@ -122,7 +133,11 @@
 	found := s.services[name]
 	if found == nil {
 		random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-		found = &servicePool{pool: balance.NewPool(balance.DefaultPolicy()), random: random}
+		found = &servicePool{
+			pool:   balance.NewPool(balance.DefaultPolicy()),
+			random: random,
+			doubts: make(map[balance.BackendID]doubt),
+		}
 		s.services[name] = found
 	}
 	return found
@@ -143,6 +158,22 @@
 	for i, placed := range service.placed {
 		service.pool.Exclude(i, s.exclusions(placed, snapshot.Self, now))
 	}
+	service.refreshDoubts(now)
+}
+
+// refreshDoubts lets the doubts fade that no report has renewed.
+func (p *servicePool) refreshDoubts(now time.Time) {
+	for i := range p.pool.Len() {
+		id := p.pool.Backend(i).ID
+		if known, found := p.doubts[id]; found {
+			p.pool.SetDoubt(i, health.DoubtAfter(known.value, now.Sub(known.at)))
+		}
+	}
+	for id := range p.doubts {
+		if _, found := p.pool.Find(id); !found {
+			delete(p.doubts, id)
+		}
+	}
 }
 
 func (s *Selector) exclusions(placed gossip.Placed, self fleetconfig.InstanceID, now time.Time) balance.Exclusion {
