HTTP/2 over TCP where the network is trusted; retries by a floor that the proxies share

QUIC with mutual TLS stays the default of fleets with certificates. Shards are placed as soon as their hosts are there, not four seconds later.

--- a/fleetconfig/document.go
+++ b/fleetconfig/document.go
@@ -209,6 +209,13 @@
 	Name string `cbor:"1,keyasint" json:"name"`
 	// RetryBudgetPercent is how many retries are allowed, in percent of requests.
 	RetryBudgetPercent uint32 `cbor:"2,keyasint" json:"retry_budget_percent"`
+	// RetryFloorPerSecond is how many retries a second of each service the whole fleet
+	// may make besides the percentage. The proxies share it evenly.
+	RetryFloorPerSecond float64 `cbor:"7,keyasint,omitempty" json:"retry_floor_per_second,omitempty"`
+	// RetryBurst is how many retries of each service the whole fleet may save up, of
+	// which each proxy has an even share and at least one. Zero bounds only what one
+	// proxy saves up.
+	RetryBurst float64 `cbor:"8,keyasint,omitempty" json:"retry_burst,omitempty"`
 	// HedgeAfter is how long an idempotent request waits before a second attempt
 	// starts. Zero turns hedging off.
 	HedgeAfter time.Duration `cbor:"3,keyasint" json:"hedge_after"`
--- a/fleetconfig/validate.go
+++ b/fleetconfig/validate.go
@@ -181,6 +181,10 @@
 		c.percent(subject, "retry_budget_percent", preset.RetryBudgetPercent)
 		c.duration(subject, "hedge_after", preset.HedgeAfter, maxHedgeAfter)
 		c.duration(subject, "slow_start", preset.SlowStart, maxSlowStart)
+		if !(preset.RetryFloorPerSecond >= 0 && preset.RetryFloorPerSecond <= maxRatePerSecond) {
+			c.add(subject, "retry_floor_per_second", fmt.Sprintf("%g is out of range", preset.RetryFloorPerSecond),
+				fmt.Sprintf("give 0 to %d retries a second", maxRatePerSecond))
+		}
 		if preset.QueueLength > maxQueueLength {
 			c.add(subject, "queue_length", fmt.Sprintf("%d is out of range", preset.QueueLength),
 				fmt.Sprintf("give 0 to %d requests", maxQueueLength))
--- a/gossip/snapshot.go
+++ b/gossip/snapshot.go
@@ -19,6 +19,8 @@
 	Self fleetconfig.InstanceID
 	// Members are all known instances, ordered by ID.
 	Members []membership.Member
+	// Proxies is how many of them have the proxy role and are not dead or gone.
+	Proxies int
 
 	services map[fleetconfig.ServiceName][]Placed
 	byID     map[fleetconfig.InstanceID]*membership.Member
@@ -37,6 +39,9 @@
 		if member.Liveness == membership.Dead || member.Record.Left {
 			continue
 		}
+		if member.Record.Proxy {
+			snapshot.Proxies++
+		}
 		for _, server := range member.Record.Servers {
 			snapshot.services[server.Service] = append(snapshot.services[server.Service], Placed{Server: server, Member: member})
 		}
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -108,6 +108,7 @@
 		Leads:    n.control.IsLeader,
 		Alive:    n.shardHosts,
 		Holders:  !n.settings.Control.Formed(),
+		Hosts:    n.setAsideHosts(),
 		Caller:   n.endpoint,
 		AskStatuses: func(ctx context.Context, shardMap fleetconfig.ShardMap, number int) []idempotency.Status {
 			return orders.AskStatuses(ctx, n.endpoint, shardMap, number)
@@ -119,6 +120,15 @@
 	})
 }
 
+// setAsideHosts returns how many instances are set aside to hold shards, 0 when any
+// proxy may.
+func (n *Node) setAsideHosts() int {
+	if !n.settings.Control.Formed() {
+		return 0
+	}
+	return n.settings.Control.Voters()
+}
+
 // shardHosts returns the instances that shards may be placed on. Where the control
 // group forms itself, the control instances are set aside for shared state and
 // outlive the proxies, which come and go with their backend servers.
@@ -149,6 +159,10 @@
 	return alive
 }
 
+// countProxies returns how many proxies the fleet has as far as is known, this one
+// included.
+func (n *Node) countProxies() int { return n.members.Snapshot().Proxies }
+
 func addressOf(record *membership.Record) fleetconfig.InstanceAddress {
 	return fleetconfig.InstanceAddress{ID: record.ID, Address: record.Address, FailureDomain: record.FailureDomain}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -138,6 +138,7 @@
 	}
 	n.endpoint, err = transport.Listen(transport.EndpointConfig{
 		Address:  cmp.Or(n.settings.Fleet.Listen, n.settings.Fleet.Address),
+		ID:       n.settings.Instance.ID,
 		Identity: identity,
 		Handler:  http.HandlerFunc(n.serveFleet),
 		Logger:   n.logger,
@@ -154,12 +155,12 @@
 	return nil
 }
 
-// fleetIdentity returns what the instance shows and believes on the fleet port.
+// fleetIdentity returns what the instance shows on the fleet port. The identity is
+// nil where the network is trusted.
 func (n *Node) fleetIdentity() (identity *pki.Identity, gossipKey []byte, err error) {
 	fleet := &n.settings.Fleet
 	if fleet.Trust == settings.TrustNetwork {
-		identity, err = pki.NetworkIdentity(string(n.settings.Instance.ID), time.Now())
-		return identity, pki.NetworkGossipKey(), err
+		return nil, pki.NetworkGossipKey(), nil
 	}
 	identity, err = pki.LoadIdentity(fleet.Certificate, fleet.Key, fleet.Authority)
 	if err != nil {
@@ -229,7 +230,7 @@
 		Remote:        n.endpoint,
 		Local:         n.backendProxy,
 		Selector:      selection.New(selection.Config{Members: n.members.Snapshot, View: n.configuration.View}),
-		Retry:         selection.NewRetries(),
+		Retry:         selection.NewRetries(n.countProxies),
 		Presentation:  n.options.Presentation,
 		CallerService: n.settings.Callers.Service,
 		Recorder:      recorders{metrics: n.metrics, collector: n.collector, lines: &requestLog{logger: n.logger}},
--- a/pki/pki.go
+++ b/pki/pki.go
@@ -55,8 +55,6 @@
 	Certificate tls.Certificate
 	// Authority verifies the certificates of peers.
 	Authority *x509.CertPool
-	// TrustsNetwork admits peers whatever their certificate says.
-	TrustsNetwork bool
 }
 
 // IssueRequest describes a certificate to issue.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -50,17 +50,47 @@
 // each account together with those that share its bucket.
 type Budget struct {
 	share    float64
+	limits   limits
 	service  bucket
 	accounts []bucket
 }
 
 // NewBudget returns a budget under a preset.
 func NewBudget(preset *fleetconfig.Preset) *Budget {
-	budget := &Budget{}
+	budget := &Budget{limits: ownLimits}
 	budget.SetPreset(preset)
 	return budget
 }
 
+// limits bound what is saved up, in retries, and the least rates, in retries a
+// second.
+type limits struct {
+	serviceRate, accountRate   float64
+	serviceLimit, accountLimit float64
+}
+
+// ownLimits hold where a preset sets no limits for the whole fleet.
+var ownLimits = limits{
+	serviceRate:  minServiceRate,
+	accountRate:  minAccountRate,
+	serviceLimit: maxServiceBalance,
+	accountLimit: maxAccountBalance,
+}
+
+// Divide takes this ingress's part of the limits that a preset sets for the whole
+// fleet, which has the given number of proxies. The parts together stay within the
+// limits as long as the number is right, but for the one retry that each proxy may
+// always save up.
+func (b *Budget) Divide(preset *fleetconfig.Preset, proxies int) {
+	if preset.RetryBurst <= 0 {
+		b.limits = ownLimits
+		return
+	}
+	rate := preset.RetryFloorPerSecond / float64(max(proxies, 1))
+	most := max(1, preset.RetryBurst/float64(max(proxies, 1)))
+	b.limits = limits{serviceRate: rate, accountRate: rate, serviceLimit: most, accountLimit: most}
+}
+
 // SetPreset changes the percentage while requests run. What was saved up stays,
 // unless the percentage is zero.
 func (b *Budget) SetPreset(preset *fleetconfig.Preset) {
@@ -79,8 +109,8 @@
 	}
 	own := b.account(account)
 	b.fill(own, now)
-	b.service.balance = min(maxServiceBalance, b.service.balance+b.share)
-	own.balance = min(maxAccountBalance, own.balance+b.share)
+	b.service.balance = min(b.limits.serviceLimit, b.service.balance+b.share)
+	own.balance = min(b.limits.accountLimit, own.balance+b.share)
 }
 
 // Take takes one retry from the budget. It reports whether there was one.
@@ -99,8 +129,8 @@
 }
 
 func (b *Budget) fill(own *bucket, now time.Time) {
-	b.service.fill(minServiceRate, maxServiceBalance, now)
-	own.fill(minAccountRate, maxAccountBalance, now)
+	b.service.fill(b.limits.serviceRate, b.limits.serviceLimit, now)
+	own.fill(b.limits.accountRate, b.limits.accountLimit, now)
 }
 
 func (b *Budget) account(account fleetconfig.AccountID) *bucket {
--- a/selection/retries.go
+++ b/selection/retries.go
@@ -12,19 +12,23 @@
 // Retries keeps the retry budgets of this ingress, one for each service. It is
 // safe for concurrent use.
 type Retries struct {
+	proxies func() int
+
 	mu       sync.Mutex
 	services map[fleetconfig.ServiceName]*serviceBudget
 }
 
 // serviceBudget is the budget of one service with the preset that it follows.
 type serviceBudget struct {
-	budget *retry.Budget
-	preset *fleetconfig.Preset
+	budget  *retry.Budget
+	preset  *fleetconfig.Preset
+	proxies int
 }
 
-// NewRetries returns budgets without requests.
-func NewRetries() *Retries {
-	return &Retries{services: make(map[fleetconfig.ServiceName]*serviceBudget)}
+// NewRetries returns budgets without requests. proxies returns how many proxies the
+// fleet has.
+func NewRetries(proxies func() int) *Retries {
+	return &Retries{proxies: proxies, services: make(map[fleetconfig.ServiceName]*serviceBudget)}
 }
 
 // Started implements ingress.RetryPolicy.
@@ -60,6 +64,10 @@
 		found = &serviceBudget{budget: retry.NewBudget(preset), preset: preset}
 		r.services[name] = found
 	}
+	if proxies := r.proxies(); found.preset != preset || found.proxies != proxies {
+		found.budget.Divide(preset, proxies)
+		found.proxies = proxies
+	}
 	if found.preset != preset {
 		found.budget.SetPreset(preset)
 		found.preset = preset
--- a/shardkeeper/keeper.go
+++ b/shardkeeper/keeper.go
@@ -16,7 +16,7 @@
 
 const (
 	// interval is how often the keeper looks for something to do.
-	interval = time.Second
+	interval = 250 * time.Millisecond
 	// settleTime is how long the members of a new fleet must stay the same before
 	// holders and shards are placed on them.
 	settleTime = 4 * time.Second
@@ -45,6 +45,8 @@
 	// Holders says whether holders of the configuration are named. Without them,
 	// only control vouches that a configuration is current.
 	Holders bool
+	// Hosts is how many instances are set aside to hold shards, 0 when any may.
+	Hosts int
 	// Caller calls the replicas.
 	Caller transport.Caller
 	// AskStatuses asks the replicas of a shard how far their order records are.
@@ -99,7 +101,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	document := k.config.Proposer.View().Document()
-	settled := now.Sub(k.since) >= settleTime
+	settled := now.Sub(k.since) >= k.settleTime()
 	switch {
 	case k.config.Holders && len(document.Holders) == 0:
 		if settled {
@@ -119,6 +121,15 @@
 	}
 }
 
+// settleTime returns how long the members must stay the same before the first
+// placement. Hosts whose number is known need not be waited for once they are there.
+func (k *Keeper) settleTime() time.Duration {
+	if k.config.Hosts > 0 && len(k.alive) >= k.config.Hosts {
+		return 0
+	}
+	return settleTime
+}
+
 func (k *Keeper) propose(ctx context.Context, document *fleetconfig.Document, change fleetconfig.Change) {
 	command := &fleetconfig.Command{
 		ChangeID:    uuid.NewString(),
--- a/transport/call.go
+++ b/transport/call.go
@@ -47,9 +47,13 @@
 	})
 }
 
-// PeerID returns the instance that sent the request, from its certificate.
+// PeerID returns the instance that sent the request: from its certificate, or in a
+// trusted network by what it says.
 func PeerID(r *http.Request) fleetconfig.InstanceID {
-	if r.TLS == nil || len(r.TLS.PeerCertificates) == 0 {
+	if r.TLS == nil {
+		return fleetconfig.InstanceID(r.Header.Get(headerFrom))
+	}
+	if len(r.TLS.PeerCertificates) == 0 {
 		return ""
 	}
 	return fleetconfig.InstanceID(r.TLS.PeerCertificates[0].Subject.CommonName)
--- a/transport/client.go
+++ b/transport/client.go
@@ -21,9 +21,7 @@
 // it a second time. An error that is ErrNotSent (errors.Is) proves that no byte
 // left; after any other error the request may have been handled.
 func (e *Endpoint) RoundTrip(address string, request *http.Request) (*http.Response, error) {
-	request.URL.Scheme = "https"
-	request.URL.Host = address
-	return e.pool.roundTrip(address, request)
+	return e.carrier.roundTrip(address, request)
 }
 
 // Call implements Caller.
@@ -40,25 +38,27 @@
 		Body:          io.NopCloser(bytes.NewReader(data)),
 		ContentLength: int64(len(data)),
 	}
-	response, err := e.pool.roundTrip(address, httpRequest.WithContext(ctx))
+	response, err := e.carrier.roundTrip(address, httpRequest.WithContext(ctx))
 	if err != nil {
 		return errors.Wrapf(err, "call %s at %s", path, address)
 	}
 	defer func() { _ = response.Body.Close() }()
-	return readCallReply(response, path, reply)
+	received, err := readCallReply(response, path, reply)
+	e.calls.add(path, len(data), received)
+	return err
 }
 
-func readCallReply(response *http.Response, path string, reply any) error {
+func readCallReply(response *http.Response, path string, reply any) (size int, err error) {
 	if response.StatusCode != http.StatusOK {
 		text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorText))
-		return errors.Newf("call %s: status %d: %s", path, response.StatusCode, text)
+		return len(text), errors.Newf("call %s: status %d: %s", path, response.StatusCode, text)
 	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, MaxCallBytes+1))
 	if err != nil {
-		return errors.Wrapf(err, "read the reply of %s", path)
+		return len(data), errors.Wrapf(err, "read the reply of %s", path)
 	}
 	if len(data) > MaxCallBytes {
-		return errors.Newf("the reply of %s is larger than %d bytes", path, MaxCallBytes)
+		return len(data), errors.Newf("the reply of %s is larger than %d bytes", path, MaxCallBytes)
 	}
-	return codec.Unmarshal(data, reply)
+	return len(data), codec.Unmarshal(data, reply)
 }
--- a/transport/datagram.go
+++ b/transport/datagram.go
@@ -51,15 +51,14 @@
 	}
 	packet := append(make([]byte, 0, receiveBufferBytes), datagramMark)
 	packet = d.seal.Seal(packet, nil, payload, packet[:1])
-	_, err = d.endpoint.transport.WriteTo(packet, remote)
-	return errors.Wrap(err, "send the datagram")
+	return errors.Wrap(d.endpoint.carrier.sendDatagram(packet, remote), "send the datagram")
 }
 
 // Receive waits for the next datagram whose seal is right. Others are dropped.
 func (d *Datagrams) Receive(ctx context.Context) (payload []byte, from net.Addr, err error) {
 	buffer := make([]byte, receiveBufferBytes)
 	for {
-		n, from, err := d.endpoint.transport.ReadNonQUICPacket(ctx, buffer)
+		n, from, err := d.endpoint.carrier.receiveDatagram(ctx, buffer)
 		if err != nil {
 			return nil, nil, errors.Wrap(err, "receive datagrams")
 		}
--- a/transport/endpoint.go
+++ b/transport/endpoint.go
@@ -2,45 +2,34 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"log/slog"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/quic-go/quic-go"
-	"github.com/quic-go/quic-go/http3"
 
+	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/pki"
 )
 
 const (
-	// maxIdleTimeout closes a connection whose peer is silent, which also bounds
-	// how late the bytes of a frozen peer can arrive.
-	maxIdleTimeout = 5 * time.Second
-	// keepAlivePeriod keeps a connection in use open.
-	keepAlivePeriod = 2 * time.Second
-	// handshakeTimeout bounds the setup of a connection.
-	handshakeTimeout = 2 * time.Second
-	// maxStreams is how many requests one peer may have open on a connection.
-	maxStreams = 4096
-	// Flow control windows, in bytes.
-	streamWindow        = 512 << 10
-	maxStreamWindow     = 6 << 20
-	connectionWindow    = 1 << 20
-	maxConnectionWindow = 15 << 20
 	// socketBufferBytes is the size asked for each UDP socket buffer.
 	socketBufferBytes = 4 << 20
 	// maxHeaderBytes bounds the header of a forwarded request.
 	maxHeaderBytes = 256 << 10
+	// maxStreams is how many requests one peer may have open on a connection.
+	maxStreams = 4096
 )
 
 // EndpointConfig configures an Endpoint.
 type EndpointConfig struct {
-	// Address is the IP number and UDP port to listen on.
+	// Address is the IP number and port to listen on: UDP, and TCP too where the
+	// network is trusted.
 	Address string
-	// Identity is the certificate of the instance and the fleet's authority.
+	// ID is the instance. Peers in a trusted network believe it.
+	ID fleetconfig.InstanceID
+	// Identity is the certificate of the instance and the fleet's authority. Nil
+	// means that the network is trusted.
 	Identity *pki.Identity
 	// Handler serves the requests and calls of other instances.
 	Handler http.Handler
@@ -48,15 +37,29 @@
 	Logger *slog.Logger
 }
 
-// Endpoint is the fleet port of an instance: one UDP socket that serves requests
-// of other instances and opens connections to them. It is a suture service.
+// Endpoint is the fleet port of an instance: it serves requests of other instances,
+// opens connections to them and carries datagrams. It is a suture service.
 type Endpoint struct {
-	config    EndpointConfig
-	socket    *countedSocket
-	transport *quic.Transport
-	listener  *quic.Listener
-	server    *http3.Server
-	pool      *pool
+	config  EndpointConfig
+	socket  *countedSocket
+	carrier carrier
+	calls   callStats
+}
+
+// carrier moves requests between instances.
+type carrier interface {
+	// roundTrip sends the request to the peer, never twice. The error is marked
+	// ErrNotSent when no byte of the request left.
+	roundTrip(address string, request *http.Request) (*http.Response, error)
+	// serve handles the requests of peers until ctx ends.
+	serve(ctx context.Context) error
+	// shutdown takes no new requests and waits for those in flight.
+	shutdown(ctx context.Context) error
+	// close ends every connection.
+	close()
+	// sendDatagram and receiveDatagram carry packets that are no request.
+	sendDatagram(packet []byte, to net.Addr) error
+	receiveDatagram(ctx context.Context, buffer []byte) (int, net.Addr, error)
 }
 
 // Listen opens the fleet port.
@@ -72,19 +75,15 @@
 	socket := newCountedSocket(bound)
 	_ = socket.SetReadBuffer(socketBufferBytes)
 	_ = socket.SetWriteBuffer(socketBufferBytes)
-
-	resetKey := quic.StatelessResetKey(config.Identity.ResetKey())
-	endpoint := &Endpoint{
-		config:    config,
-		socket:    socket,
-		transport: &quic.Transport{Conn: socket, StatelessResetKey: &resetKey},
-		server:    &http3.Server{Handler: config.Handler, MaxHeaderBytes: maxHeaderBytes},
+	endpoint := &Endpoint{config: config, socket: socket}
+	if config.Identity == nil {
+		endpoint.carrier, err = newTCPCarrier(config, socket)
+	} else {
+		endpoint.carrier, err = newQUICCarrier(config, socket)
 	}
-	endpoint.pool = newPool(endpoint.transport, config.Identity)
-	endpoint.listener, err = endpoint.transport.Listen(serverTLS(config.Identity), quicConfig())
 	if err != nil {
 		_ = socket.Close()
-		return nil, errors.Wrap(err, "listen for QUIC connections")
+		return nil, err
 	}
 	return endpoint, nil
 }
@@ -96,72 +95,17 @@
 func (e *Endpoint) Traffic() Traffic { return e.socket.traffic() }
 
 // Serve accepts connections of other instances until ctx ends.
-func (e *Endpoint) Serve(ctx context.Context) error {
-	go e.pool.closeIdle(ctx)
-	for {
-		conn, err := e.listener.Accept(ctx)
-		if err != nil {
-			if ctx.Err() != nil {
-				return ctx.Err()
-			}
-			return errors.Wrap(err, "accept QUIC connections")
-		}
-		go func() { _ = e.server.ServeQUICConn(conn) }()
-	}
-}
+func (e *Endpoint) Serve(ctx context.Context) error { return e.carrier.serve(ctx) }
 
 // Shutdown takes no new requests of other instances and waits until those in
 // flight have been answered and the answers have arrived: the other instances
 // close their connections then.
 func (e *Endpoint) Shutdown(ctx context.Context) error {
-	return errors.Wrap(e.server.Shutdown(ctx), "other instances keep their connections open")
+	return errors.Wrap(e.carrier.shutdown(ctx), "other instances keep their connections open")
 }
 
 // Close ends every connection and frees the port.
 func (e *Endpoint) Close() {
-	e.pool.close()
-	_ = e.server.Close()
-	_ = e.listener.Close()
-	_ = e.transport.Close()
+	e.carrier.close()
 	_ = e.socket.Close()
 }
-
-func quicConfig() *quic.Config {
-	return &quic.Config{
-		HandshakeIdleTimeout:           handshakeTimeout,
-		MaxIdleTimeout:                 maxIdleTimeout,
-		KeepAlivePeriod:                keepAlivePeriod,
-		MaxIncomingStreams:             maxStreams,
-		InitialStreamReceiveWindow:     streamWindow,
-		MaxStreamReceiveWindow:         maxStreamWindow,
-		InitialConnectionReceiveWindow: connectionWindow,
-		MaxConnectionReceiveWindow:     maxConnectionWindow,
-	}
-}
-
-func serverTLS(identity *pki.Identity) *tls.Config {
-	clientAuth := tls.RequireAndVerifyClientCert
-	if identity.TrustsNetwork {
-		clientAuth = tls.RequireAnyClientCert
-	}
-	return &tls.Config{
-		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{identity.Certificate},
-		ClientAuth:   clientAuth,
-		ClientCAs:    identity.Authority,
-		NextProtos:   []string{http3.NextProtoH3},
-	}
-}
-
-// clientTLS verifies that the peer's certificate names the IP number dialled,
-// unless the network is trusted.
-func clientTLS(identity *pki.Identity, host string) *tls.Config {
-	return &tls.Config{
-		MinVersion:         tls.VersionTLS13,
-		Certificates:       []tls.Certificate{identity.Certificate},
-		RootCAs:            identity.Authority,
-		ServerName:         host,
-		NextProtos:         []string{http3.NextProtoH3},
-		InsecureSkipVerify: identity.TrustsNetwork,
-	}
-}
