--- a/backendproxy/filters.go
+++ b/backendproxy/filters.go
@@ -45,7 +45,7 @@
 	if err := f.readDeadline(exchange); err != nil {
 		return err
 	}
-	return f.keys.check(exchange, now)
+	return f.keys.check(exchange)
 }
 
 func (f *verifyFilter) readDeadline(exchange *pipeline.Exchange) error {
@@ -343,7 +343,7 @@
 		return tokenExpired()
 	}
 	// The key may have been withdrawn while the request waited for its slot.
-	return f.keys.check(exchange, now)
+	return f.keys.check(exchange)
 }
 
 func refuseFailed(exchange *pipeline.Exchange, outcome pipeline.Outcome, err error) error {
--- a/backendproxy/proxy.go
+++ b/backendproxy/proxy.go
@@ -4,8 +4,8 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"sync/atomic"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -22,9 +22,6 @@
 	Registry *Registry
 	// View returns the configuration in force.
 	View func() *fleetconfig.View
-	// Current reports whether the configuration may be acted on for requests that
-	// carry a key.
-	Current func(now time.Time) (current bool, retryAfter time.Duration)
 	// Freeze tells when the process has stood still.
 	Freeze *freeze.Detector
 	// Watch judges the backend servers.
@@ -67,7 +64,7 @@
 	}
 	proxy := &Proxy{clock: config.Clock, log: config.Logger}
 	proxy.load = &loadReporter{registry: config.Registry, watch: config.Watch}
-	keys := &keyCheck{view: config.View, current: config.Current}
+	keys := &keyCheck{view: config.View}
 	proxy.chain = pipeline.NewChain(
 		&verifyFilter{keys: keys, freeze: config.Freeze, clock: config.Clock},
 		&drainFilter{draining: &proxy.draining},
@@ -97,6 +94,7 @@
 		LastResort:    header.Get(pipeline.HeaderLastResort) != "",
 		State:         &exchangeState{},
 	}
+	exchange.JudgedBy, _ = strconv.ParseUint(header.Get(pipeline.HeaderJudgedBy), 10, 64)
 	err := p.chain.Serve(exchange)
 	if err != nil {
 		w.Header().Set(pipeline.HeaderClock, FormatReading(p.clock.Reading(clock.Now())))
--- a/configsync/service.go
+++ b/configsync/service.go
@@ -119,6 +119,16 @@
 	return true, 0
 }
 
+// CurrentUntil returns until when the view may be acted on for requests that carry a
+// key, as far as is known now. It is the zero time before it was ever current.
+func (s *Service) CurrentUntil() time.Time {
+	asOf := s.asOf.Load()
+	if asOf == nil {
+		return time.Time{}
+	}
+	return asOf.Add(currency.Limit)
+}
+
 // Changed returns a channel that is closed when View returns another version.
 func (s *Service) Changed() <-chan struct{} {
 	s.mu.Lock()
--- a/health/path.go
+++ b/health/path.go
@@ -12,7 +12,7 @@
 	pathFaultLoss = 0.5
 	pathBoundNats = 11.0
 	pathFirstHold = 2 * time.Second
-	pathMaxHold   = time.Minute
+	pathMaxHold   = 10 * time.Second
 	heardLife     = 3 * time.Second
 )
 
@@ -70,6 +70,14 @@
 	}
 }
 
+// Unreached records that the instance could not be reached at all within a time
+// that is many round trips long. It convicts the path at once: each further attempt
+// would hold its request up for as long.
+func (p *PathMonitor) Unreached(now time.Time) {
+	p.sum = max(p.sum, pathBoundNats)
+	p.Lost(now)
+}
+
 // Heard records any other message from the instance, such as gossip.
 func (p *PathMonitor) Heard(now time.Time) { p.heardAt = now }
 
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -102,7 +102,11 @@
 	if exchange.Route.OpenToAll {
 		return nil
 	}
-	return requireCurrent(f.configuration)
+	if err := requireCurrent(f.configuration); err != nil {
+		return err
+	}
+	exchange.CurrentUntil = f.configuration.CurrentUntil()
+	return nil
 }
 
 // requireCurrent returns a refusal while nobody vouches that the configuration is
--- a/ingress/clocks.go
+++ b/ingress/clocks.go
@@ -61,11 +61,16 @@
 }
 
 // dispatchLimit is when the exchange must have been dispatched, by this instance's
-// clock: at its deadline, or when its token expires.
+// clock: at its deadline, when its token expires, or when this instance can no
+// longer vouch for its key. The backend proxy need not be current itself then, so
+// that it serves on while it is cut off from control.
 func dispatchLimit(exchange *pipeline.Exchange) time.Time {
 	limit := exchange.Deadline
 	if !exchange.TokenExpires.IsZero() && exchange.TokenExpires.Before(limit) {
 		limit = exchange.TokenExpires
 	}
+	if !exchange.CurrentUntil.IsZero() && exchange.CurrentUntil.Before(limit) {
+		limit = exchange.CurrentUntil
+	}
 	return limit
 }
--- a/ingress/depend.go
+++ b/ingress/depend.go
@@ -15,6 +15,8 @@
 	// Current reports whether that configuration may be acted on for requests that
 	// carry a key. If not, retryAfter says when to ask again.
 	Current(now time.Time) (current bool, retryAfter time.Duration)
+	// CurrentUntil returns until when that holds as far as is known, or the zero time.
+	CurrentUntil() time.Time
 }
 
 // Remote sends requests to the backend proxies of other instances.
@@ -53,6 +55,8 @@
 	// PathFailed says that the instance beside the backend server could not be
 	// reached.
 	PathFailed bool
+	// Unreached says that no connection to the instance could be set up.
+	Unreached bool
 	// Canceled says that the caller gave the request up.
 	Canceled bool
 }
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -260,6 +260,7 @@
 	response, err := f.remote.RoundTrip(candidate.Address, request)
 	if err != nil {
 		result.PathFailed = request.Context().Err() == nil
+		result.Unreached = errors.Is(err, transport.ErrNotSent)
 		return refuseUnreached(exchange, request, err)
 	}
 	defer func() { _ = response.Body.Close() }()
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -64,6 +64,8 @@
 
 func (c *oneRoute) Current(time.Time) (bool, time.Duration) { return !c.outdated, time.Second }
 
+func (c *oneRoute) CurrentUntil() time.Time { return time.Now().Add(time.Minute) }
+
 func answer(status int) func(*http.Request) (*http.Response, error) {
 	return func(*http.Request) (*http.Response, error) {
 		return &http.Response{StatusCode: status, Header: make(http.Header), Body: io.NopCloser(strings.NewReader("body"))}, nil
@@ -170,6 +172,18 @@
 	must.Len(t, maxDoubtful+1, many.asked)
 }
 
+// No request is dispatched after the time until which this instance vouches for its
+// key, wherever it waits.
+func TestTheDispatchIsBoundByTheCurrencyOfTheKey(t *testing.T) {
+	now := time.Now()
+	exchange := &pipeline.Exchange{Deadline: now.Add(time.Minute), TokenExpires: now.Add(2 * time.Second), CurrentUntil: now.Add(time.Second)}
+	must.Eq(t, exchange.CurrentUntil, dispatchLimit(exchange))
+	exchange.CurrentUntil = now.Add(3 * time.Second)
+	must.Eq(t, exchange.TokenExpires, dispatchLimit(exchange))
+	exchange.CurrentUntil, exchange.TokenExpires = time.Time{}, time.Time{}
+	must.Eq(t, exchange.Deadline, dispatchLimit(exchange))
+}
+
 // An instance that cannot tell whether its configuration is current never says that
 // there is no such route.
 func TestAnOutdatedInstanceDeniesNothing(t *testing.T) {
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -41,6 +41,8 @@
 
 func (*testConfiguration) Current(time.Time) (bool, time.Duration) { return true, 0 }
 
+func (*testConfiguration) CurrentUntil() time.Time { return time.Now().Add(time.Minute) }
+
 // set changes the configuration of every node.
 func (c *testConfiguration) set(change func(document *fleetconfig.Document)) {
 	document := testDocument()
--- a/node/node.go
+++ b/node/node.go
@@ -212,7 +212,6 @@
 	n.backendProxy = backendproxy.New(backendproxy.Config{
 		Registry: n.registry,
 		View:     n.configuration.View,
-		Current:  n.configuration.Current,
 		Freeze:   n.freeze,
 		Watch:    n.ejection,
 		Clock:    quota.NewDispatchClock(rand.Uint64(), clock.Now()),
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -41,6 +41,9 @@
 	Account fleetconfig.AccountID
 	// KeyID identifies the key that came with the request.
 	KeyID fleetconfig.KeyID
+	// JudgedBy is the version of the configuration by which the ingress let the request
+	// in.
+	JudgedBy uint64
 	// Key is the presented key. It is cleared once authenticated and never leaves
 	// the ingress.
 	Key string
@@ -53,6 +56,9 @@
 	// TokenExpires is when the quota token of the request runs out; zero when the
 	// request needs no token.
 	TokenExpires time.Time
+	// CurrentUntil is when the key of the request is no longer vouched for; zero when
+	// the request needs no key.
+	CurrentUntil time.Time
 	// DispatchBy is when a backend proxy must have dispatched the request, by its own
 	// clock.
 	DispatchBy time.Time
--- a/quota/borrower.go
+++ b/quota/borrower.go
@@ -86,12 +86,14 @@
 		return &refusal
 	}
 	if out, ok := b.outages[id]; ok {
-		if now.Before(out.until) {
-			return &Refusal{Account: account, Cause: out.cause, RetryAfter: out.retryAfter}
+		if !now.Before(out.until) {
+			// Look for the owner again, without a request that waits for it.
+			out.until = now.Add(AskTimeout)
+			b.outages[id] = out
+			p.probes = true
+			b.enqueue(p)
 		}
-		// One request looks for the owner; the others do not wait for it.
-		out.until = now.Add(AskTimeout)
-		b.outages[id] = out
+		return &Refusal{Account: account, Cause: out.cause, RetryAfter: out.retryAfter}
 	}
 	if len(p.waiters) >= maxWaiters || len(p.batches) >= maxBatches {
 		return &Refusal{Account: account, Cause: CauseIngressFull, RetryAfter: time.Second}
@@ -194,6 +196,10 @@
 	if target, free := p.target(now), p.free(now); target > free {
 		ahead = target - free
 	}
+	if p.probes {
+		p.probes = false
+		want = max(want, 1)
+	}
 	if want+ahead == 0 {
 		return Ask{}, false
 	}
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -90,6 +90,8 @@
 	canceled     []GrantID
 	canceledAt   time.Time
 
+	// probes asks for a token that no request waits for, to find the owner again.
+	probes   bool
 	queued   bool // in the borrower's list of accounts to send for
 	reportAt time.Time
 }
--- a/quota/route.go
+++ b/quota/route.go
@@ -10,9 +10,9 @@
 const (
 	// AskTimeout is how long an ingress looks for the owner of a shard before it
 	// refuses.
-	AskTimeout = 500 * time.Millisecond
+	AskTimeout = 300 * time.Millisecond
 	// AttemptTimeout is how long one instance may take to answer.
-	AttemptTimeout = 200 * time.Millisecond
+	AttemptTimeout = 120 * time.Millisecond
 	// MaxAttempts is how many times an ingress asks for one message.
 	MaxAttempts = 5
 	// suspicion is how long an instance that has not answered is passed over.
--- a/selection/paths.go
+++ b/selection/paths.go
@@ -7,6 +7,7 @@
 	"github.com/hemlockring/hemlockring/balance"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/health"
+	"github.com/hemlockring/hemlockring/ingress"
 	"github.com/hemlockring/hemlockring/membership"
 )
 
@@ -68,11 +69,16 @@
 
 // lost records an attempt without any sign of life, and avoids the path when that
 // leaves the service its floor in this ingress's own view.
-func (p *paths) lost(instance fleetconfig.InstanceID, service *fleetconfig.Service, pool *servicePool, now time.Time) {
+func (p *paths) lost(attempt *ingress.Attempt, service *fleetconfig.Service, pool *servicePool, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	instance := attempt.Candidate.Instance
 	found := p.monitor(instance)
-	found.Lost(now)
+	if attempt.Unreached {
+		found.Unreached(now)
+	} else {
+		found.Lost(now)
+	}
 	if !found.Convicted() || service == nil {
 		return
 	}
--- a/selection/selector.go
+++ b/selection/selector.go
@@ -121,7 +121,7 @@
 		return
 	}
 	if attempt.PathFailed {
-		s.paths.lost(attempt.Candidate.Instance, s.config.View().Service(attempt.Service), service, now)
+		s.paths.lost(attempt, s.config.View().Service(attempt.Service), service, now)
 		service.refreshed = time.Time{}
 		return
 	}
@@ -185,7 +185,8 @@
 	if placed.Server.Ejected {
 		reasons |= balance.ExcludedEjected
 	}
-	if placed.Member.Record.ID != self && !s.paths.usable(placed.Member, now) {
+	doubted := placed.Member.Liveness == membership.Suspect
+	if placed.Member.Record.ID != self && (doubted || !s.paths.usable(placed.Member, now)) {
 		reasons |= balance.ExcludedPath
 	}
 	return reasons
--- a/shardkeeper/keeper.go
+++ b/shardkeeper/keeper.go
@@ -23,10 +23,16 @@
 	settleTime = 4 * time.Second
 	// callTimeout bounds the questions to all replicas.
 	callTimeout = 5 * time.Second
+	// maxSteps bounds the shards that one command changes.
+	maxSteps = 16
 	// operator is the keeper's name in the history of changes.
 	operator = "hemlockd"
 )
 
+// setAsideTiming is how soon replicas move between hosts that are set aside: there
+// is no spare one, so that a successor is only there because another one is gone.
+var setAsideTiming = shard.PlannerTiming{GoneAfter: time.Second, StableAfter: time.Second}
+
 // Proposer reads and changes the configuration.
 type Proposer interface {
 	// View returns the accepted configuration.
@@ -70,7 +76,11 @@
 
 // New returns a keeper without history.
 func New(config Config) *Keeper {
-	return &Keeper{config: config, planner: shard.NewPlanner(shard.DefaultPlannerTiming())}
+	timing := shard.DefaultPlannerTiming()
+	if config.Hosts > 0 {
+		timing = setAsideTiming
+	}
+	return &Keeper{config: config, planner: shard.NewPlanner(timing)}
 }
 
 // Serve keeps holders and shards placed until ctx ends.
@@ -121,7 +131,7 @@
 			k.propose(ctx, document, fleetconfig.Change{Kind: fleetconfig.OpenShards})
 		}
 	default:
-		k.moveReplica(ctx, document, now)
+		k.moveReplicas(ctx, document, now)
 	}
 }
 
@@ -134,23 +144,23 @@
 	return settleTime
 }
 
-func (k *Keeper) propose(ctx context.Context, document *fleetconfig.Document, change fleetconfig.Change) {
+func (k *Keeper) propose(ctx context.Context, document *fleetconfig.Document, changes ...fleetconfig.Change) {
 	command := &fleetconfig.Command{
 		ChangeID:    uuid.NewString(),
 		BaseVersion: document.Version,
 		Operator:    operator,
 		At:          clock.Now(),
-		Changes:     []fleetconfig.Change{change},
+		Changes:     changes,
 	}
 	result, err := k.config.Proposer.Propose(ctx, command)
 	if err == nil {
 		err = result.Err()
 	}
 	if err != nil {
-		k.config.Logger.Warn("placement not changed, will be tried again", "change", change.Summary(), "error", err)
+		k.config.Logger.Warn("placement not changed, will be tried again", "change", changes[0].Summary(), "changes", len(changes), "error", err)
 		return
 	}
-	k.config.Logger.Info("placement changed", "change", change.Summary(), "version", result.Version)
+	k.config.Logger.Info("placement changed", "change", changes[0].Summary(), "changes", len(changes), "version", result.Version)
 }
 
 // foundingConfirmed reports whether every replica of every shard has taken up the
@@ -170,8 +180,9 @@
 	return true
 }
 
-// moveReplica makes the planner's next step of one shard.
-func (k *Keeper) moveReplica(ctx context.Context, document *fleetconfig.Document, now time.Time) {
+// moveReplicas makes the planner's next step of each shard that permits one: shards
+// are independent of each other, and each changes by one replica at a time.
+func (k *Keeper) moveReplicas(ctx context.Context, document *fleetconfig.Document, now time.Time) {
 	// First see whether there is anything to move, before all replicas are asked.
 	if _, wanted := k.planner.Next(&document.Shards, assumeConfirmed(&document.Shards), now); !wanted {
 		return
@@ -181,6 +192,7 @@
 	if !wanted {
 		return
 	}
+	var steps []fleetconfig.Change
 	for number := range next.Shards {
 		if slices.Equal(next.Shards[number].Replicas, document.Shards.Shards[number].Replicas) {
 			continue
@@ -189,11 +201,17 @@
 		if !stepAllowed(document.Shards, next, number, statuses) {
 			continue
 		}
-		k.propose(ctx, document, fleetconfig.Change{Kind: fleetconfig.StepShard, Step: &fleetconfig.ShardStep{
+		// Each step raises the epoch by one, also within a command.
+		steps = append(steps, fleetconfig.Change{Kind: fleetconfig.StepShard, Step: &fleetconfig.ShardStep{
 			Shard:    uint32(number),
-			Epoch:    document.Shards.Epoch + 1,
+			Epoch:    document.Shards.Epoch + uint64(len(steps)) + 1,
 			Replicas: next.Shards[number].Replicas,
 		}})
-		return
+		if len(steps) == maxSteps {
+			break
+		}
+	}
+	if len(steps) > 0 {
+		k.propose(ctx, document, steps...)
 	}
 }
--- a/transport/tcp.go
+++ b/transport/tcp.go
@@ -5,8 +5,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,8 +16,8 @@
 
 const (
 	// tcpDialTimeout bounds the setup of a connection. A peer that is up answers
-	// within a round trip, so that one that does not is taken for gone.
-	tcpDialTimeout = 400 * time.Millisecond
+	// within a round trip of a few milliseconds.
+	tcpDialTimeout = 150 * time.Millisecond
 	// tcpUserTimeout is how long sent bytes may stay unacknowledged.
 	tcpUserTimeout = 1500 * time.Millisecond
 	// pingAfter is how long a connection may be silent until it is asked for a sign
@@ -28,21 +26,22 @@
 	pingTimeout = time.Second
 	// tcpIdleClose is how long an unused connection stays open.
 	tcpIdleClose = 8 * time.Second
+	// freshFor is how long after a sign of life a request is sent without asking for
+	// another one.
+	freshFor = 250 * time.Millisecond
+	// aliveTimeout bounds the question for a sign of life.
+	aliveTimeout = 150 * time.Millisecond
 )
 
-// headerFrom carries the id of the calling instance in a trusted network, where no
-// certificate does.
-const headerFrom = "Hemlock-From"
-
 // tcpCarrier carries requests by HTTP/2 without TLS, for a trusted network. It
 // needs a fraction of the bytes and the processor time of QUIC: no certificates, no
 // encryption, no acknowledgements in user space; see docs/decisions/platform.md.
 type tcpCarrier struct {
-	id        fleetconfig.InstanceID
-	transport *http.Transport
-	server    *http.Server
-	listener  net.Listener
-	socket    *countedSocket
+	id       fleetconfig.InstanceID
+	peers    *tcpPeers
+	server   *http.Server
+	listener net.Listener
+	socket   *countedSocket
 }
 
 func newTCPCarrier(config EndpointConfig, socket *countedSocket) (*tcpCarrier, error) {
@@ -57,21 +56,13 @@
 		SendPingTimeout:      pingAfter,
 		PingTimeout:          pingTimeout,
 	}
-	dialer := &net.Dialer{Timeout: tcpDialTimeout, Control: setUserTimeout}
 	return &tcpCarrier{
 		id:       config.ID,
 		listener: listener,
 		socket:   socket,
-		transport: &http.Transport{
-			DialContext:            dialer.DialContext,
-			Protocols:              protocols,
-			HTTP2:                  http2,
-			DisableCompression:     true,
-			IdleConnTimeout:        tcpIdleClose,
-			MaxResponseHeaderBytes: maxHeaderBytes,
-		},
+		peers:    newTCPPeers(config.ID, protocols, http2),
 		server: &http.Server{
-			Handler:        config.Handler,
+			Handler:        answerAlive(config.Handler),
 			Protocols:      protocols,
 			HTTP2:          http2,
 			MaxHeaderBytes: maxHeaderBytes,
@@ -90,20 +81,11 @@
 }
 
 func (c *tcpCarrier) roundTrip(address string, request *http.Request) (*http.Response, error) {
-	request.URL.Scheme = "http"
-	request.URL.Host = address
-	request.Header.Set(headerFrom, string(c.id))
-	if request.Body == nil {
-		// A body that can not be rewound keeps the transport from sending twice.
-		request.Body = http.NoBody
-	}
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	response, err := c.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
-	if err != nil && !connected.Load() {
+	peer, err := c.peers.reach(request.Context(), address)
+	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
-	return response, err
+	return peer.roundTrip(address, request)
 }
 
 func (c *tcpCarrier) serve(ctx context.Context) error {
@@ -120,7 +102,7 @@
 func (c *tcpCarrier) shutdown(ctx context.Context) error { return c.server.Shutdown(ctx) }
 
 func (c *tcpCarrier) close() {
-	c.transport.CloseIdleConnections()
+	c.peers.close()
 	_ = c.server.Close()
 	_ = c.listener.Close()
 }
