The leader of control owns quota and ejection permits where control is set aside

Cause: shards on the control group needed a majority of replicas each. Ruled out: the OwnerTable, which asks every replica; the bridge, which worked for its four seconds. The leadership of the replicated log is one lease that moves in about a second. A new owner lends at once, with half of the burst while tokens of the former one may be out, where the preset bridges.

--- a/configsync/poll.go
+++ b/configsync/poll.go
@@ -20,7 +20,7 @@
 	defer s.mu.Unlock()
 	near := findNeighbours(s.config.Self, s.config.Replica != nil, s.held.Holders, peers)
 	if _, serving := s.node.Serving(); !serving {
-		near.parents = nearest(s.config.Self, peers)
+		near.parents = nearest(s.config.Self, peers, s.config.ControlFirst)
 	}
 	s.spread(ctx, near.children)
 	targets := s.probes()
--- a/configsync/topology.go
+++ b/configsync/topology.go
@@ -81,11 +81,13 @@
 }
 
 // nearest returns whom an instance polls that starts and knows no tree yet: all
-// others, those of its failure domain first, control last. Within each it begins
+// others, those of its failure domain first, control last, or first if wanted. Within each it begins
 // after its own ID, so that instances that start together ask different ones.
-func nearest(self fleetconfig.InstanceAddress, peers []Peer) []fleetconfig.InstanceAddress {
+func nearest(self fleetconfig.InstanceAddress, peers []Peer, controlFirst bool) []fleetconfig.InstanceAddress {
 	distance := func(peer Peer) int {
 		switch {
+		case peer.Control && controlFirst:
+			return -1
 		case peer.Control:
 			return 2
 		case peer.FailureDomain != self.FailureDomain:
--- a/control/node.go
+++ b/control/node.go
@@ -123,6 +123,13 @@
 	return clock.Now().Before(n.view.Load().leaseEnd)
 }
 
+// CertainTerm returns the term in which this instance is certain to be the only
+// leader now, or false.
+func (n *Node) CertainTerm() (term uint64, certain bool) {
+	current := n.view.Load()
+	return current.status.Term, clock.Now().Before(current.leaseEnd)
+}
+
 // Leader returns the leader and its address as far as this instance knows; ok is
 // false if it knows none.
 func (n *Node) Leader() (id fleetconfig.InstanceID, address string, ok bool) {
--- a/gossip/snapshot.go
+++ b/gossip/snapshot.go
@@ -19,6 +19,9 @@
 	Self fleetconfig.InstanceID
 	// Members are all known instances, ordered by ID.
 	Members []membership.Member
+	// Control are the instances with the control role that are not dead and have not
+	// left, ordered by ID.
+	Control []fleetconfig.InstanceAddress
 	// Proxies is how many of them have the proxy role and are not dead or gone.
 	Proxies int
 
@@ -42,6 +45,11 @@
 		if member.Record.Proxy {
 			snapshot.Proxies++
 		}
+		if record := &member.Record; record.Control {
+			snapshot.Control = append(snapshot.Control, fleetconfig.InstanceAddress{
+				ID: record.ID, Address: record.Address, FailureDomain: record.FailureDomain,
+			})
+		}
 		for _, server := range member.Record.Servers {
 			snapshot.services[server.Service] = append(snapshot.services[server.Service], Placed{Server: server, Member: member})
 		}
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -37,6 +37,8 @@
 		Peers:       memberPeers{n.members},
 		Caller:      n.endpoint,
 		Logger:      n.logger,
+
+		ControlFirst: n.settings.Control.Formed(),
 	}
 	if n.settings.Instance.HasRole(settings.RoleControl) {
 		n.replica = configsync.NewReplica()
--- a/node/shared.go
+++ b/node/shared.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hemlockring/hemlockring/clock"
+	"github.com/hemlockring/hemlockring/control"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/idempotency"
 	"github.com/hemlockring/hemlockring/orders"
@@ -29,6 +30,7 @@
 		View:    n.configuration.View,
 		MapRead: read.done,
 		Timing:  n.leaseTiming(),
+		Control: n.quotaControl(),
 		Logger:  n.logger,
 	})
 	if err != nil {
@@ -52,6 +54,33 @@
 	return err
 }
 
+// quotaControl returns how the leader of control owns quota, nil where proxies do.
+func (n *Node) quotaControl() *quotadriver.Control {
+	if !n.settings.Control.Formed() {
+		return nil
+	}
+	owner := &quotadriver.Control{Hosts: n.controlHosts}
+	if n.control != nil {
+		owner.Leader = controlLeader{n.control}
+	}
+	return owner
+}
+
+// controlHosts returns the control instances that are not known to have left.
+func (n *Node) controlHosts() []fleetconfig.InstanceAddress { return n.members.Snapshot().Control }
+
+// controlLeader is the leadership of control as the quota needs it.
+type controlLeader struct{ node *control.Node }
+
+// Leads implements quotadriver.Leader.
+func (l controlLeader) Leads() (term uint64, certain bool) { return l.node.CertainTerm() }
+
+// Known implements quotadriver.Leader.
+func (l controlLeader) Known() fleetconfig.InstanceID {
+	id, _, _ := l.node.Leader()
+	return id
+}
+
 // leaseTiming returns the timing of shard leases.
 func (n *Node) leaseTiming() shard.Timing {
 	if n.options.LeaseTiming != (shard.Timing{}) {
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -12,11 +12,17 @@
 type tenureLedger struct {
 	holder shard.Holder
 	ledger *Ledger
+	// clear is when nothing is left that an earlier tenure lent out.
+	clear time.Time
 }
 
 // Lender is one instance's ledgers for all shards that it owns. It is not safe for
 // concurrent use.
 type Lender struct {
+	// OneShard says that all accounts belong to one shard, whatever the map of the
+	// configuration says.
+	OneShard bool
+
 	view    *fleetconfig.View
 	ledgers map[shard.ID]*tenureLedger
 }
@@ -62,7 +68,12 @@
 	}
 }
 
-func (l *Lender) shards() int { return len(l.view.Document().Shards.Shards) }
+func (l *Lender) shards() int {
+	if l.OneShard {
+		return 1
+	}
+	return len(l.view.Document().Shards.Shards)
+}
 
 // Hold tells the Lender which leases the instance holds now. The ledger of a
 // lease that it does not hold any more is dropped; a new tenure gets a new one.
@@ -79,17 +90,19 @@
 	}
 }
 
-func (l *Lender) tenure(lease shard.Lease, now time.Time) *Ledger {
+func (l *Lender) tenure(lease shard.Lease, now time.Time) *tenureLedger {
 	tenure := l.ledgers[lease.Shard]
 	if tenure == nil || tenure.holder != lease.Holder {
-		tenure = &tenureLedger{holder: lease.Holder, ledger: l.begin(lease, now)}
+		tenure = &tenureLedger{holder: lease.Holder, ledger: l.begin(lease, now), clear: lease.Clear}
 		l.ledgers[lease.Shard] = tenure
 	}
-	return tenure.ledger
+	return tenure
 }
 
 // begin returns the first ledger of a tenure. Without the state of the tenure
-// before, it lends nothing until that tenure's lease would have run out.
+// before, it lends nothing until that tenure's tokens have run out, unless the
+// preset in force lets accounts go on while they have no owner: then it lends at
+// once, with half of the burst until that time.
 func (l *Lender) begin(lease shard.Lease, now time.Time) *Ledger {
 	if lease.Inherited != nil {
 		snapshot := new(Snapshot)
@@ -97,7 +110,8 @@
 			return Restore(snapshot, l.view, now)
 		}
 	}
-	if lease.Clear.After(now) {
+	bridged := l.view != nil && l.view.Preset().QuotaBridge > 0
+	if lease.Clear.After(now) && !bridged {
 		return NewLedger(lease.Clear)
 	}
 	return NewLedger(now)
@@ -108,7 +122,8 @@
 	if l.view == nil {
 		return &BorrowReply{Shard: request.Shard}
 	}
-	ledger := l.tenure(lease, now)
+	tenure := l.tenure(lease, now)
+	ledger := tenure.ledger
 	for i := range request.Reports {
 		ledger.Report(from, &request.Reports[i], now)
 	}
@@ -116,6 +131,10 @@
 	for i := range request.Asks {
 		ask := &request.Asks[i]
 		limits := LimitsOf(l.view, ask.Account)
+		if now.Before(tenure.clear) && limits.Burst > 1 {
+			// Tokens of the former tenure may still be out.
+			limits.Burst /= 2
+		}
 		if limits.Burst == 0 || shard.ForAccount(ask.Account, l.shards()) != request.Shard {
 			reply.Loans = append(reply.Loans, Loan{Account: ask.Account, Grant: ask.Grant, Wait: maxWait})
 			continue
--- a/quotadriver/acquire.go
+++ b/quotadriver/acquire.go
@@ -125,10 +125,10 @@
 // await waits for the owner's answer.
 func (s *Service) await(ctx context.Context, st *stripe, account fleetconfig.AccountID) (quota.Token, error) {
 	view := s.config.View()
-	if view == nil || len(view.Document().Shards.Shards) == 0 {
+	if view == nil || len(s.shardMap(view).Shards) == 0 {
 		return quota.Token{}, &quota.Refusal{Account: account, Cause: quota.CauseOwnerUnknown, RetryAfter: s.config.Timing.Lease}
 	}
-	id := shard.ForAccount(account, len(view.Document().Shards.Shards))
+	id := shard.ForAccount(account, len(s.shardMap(view).Shards))
 	ch := make(chan quota.Settlement, 1)
 	st.mu.Lock()
 	st.next++
--- /dev/null
+++ b/quotadriver/leader.go
@@ -0,0 +1,135 @@
+package quotadriver
+
+import (
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/shard"
+)
+
+// leaderTokenLife is how long a token of a leader of control lasts, and so how long
+// after a change of leader tokens of the former one may be left.
+const leaderTokenLife = time.Second
+
+// Leader is the leadership of the control group, on control instances.
+type Leader interface {
+	// Leads returns the term in which this instance is certain to lead now, or false.
+	Leads() (term uint64, certain bool)
+	// Known returns the leader as far as this instance knows, or "".
+	Known() fleetconfig.InstanceID
+}
+
+// Control makes the leader of control the owner of every account and service, in
+// place of the owners of shards. It is for fleets whose control instances are set
+// aside: keyed requests stop without control anyway, and one owner that moves with
+// the leadership is back sooner than a majority of replicas for each shard.
+type Control struct {
+	// Hosts returns the control instances, the same ones in the same order as long as
+	// they stay.
+	Hosts func() []fleetconfig.InstanceAddress
+	// Leader is set on control instances.
+	Leader Leader
+}
+
+// leaderOwner decides what this instance owns as the leader of control.
+type leaderOwner struct {
+	self        fleetconfig.InstanceID
+	incarnation uint64
+	leader      Leader
+	// term is the newest term in which this instance led, since when it is known.
+	term  uint64
+	since time.Time
+}
+
+// Held returns the lease on everything while this instance leads.
+func (o *leaderOwner) Held(id shard.ID, now time.Time) (shard.Lease, bool) {
+	if o.leader == nil {
+		return shard.Lease{}, false
+	}
+	term, certain := o.leader.Leads()
+	if !certain {
+		return shard.Lease{}, false
+	}
+	if term != o.term {
+		o.term, o.since = term, now
+	}
+	return shard.Lease{
+		Shard:  id,
+		Holder: shard.Holder{Instance: o.self, Incarnation: o.incarnation, Term: term},
+		Until:  now.Add(leaderTokenLife),
+		Clear:  o.since.Add(leaderTokenLife),
+	}, true
+}
+
+// Leases returns what is held now.
+func (o *leaderOwner) Leases(now time.Time) []shard.Lease {
+	if lease, held := o.Held(0, now); held {
+		return []shard.Lease{lease}
+	}
+	return nil
+}
+
+// KnownHolder returns the leader as far as is known.
+func (o *leaderOwner) KnownHolder(shard.ID, time.Time) (fleetconfig.InstanceID, time.Duration) {
+	if o.leader == nil {
+		return "", 0
+	}
+	return o.leader.Known(), 0
+}
+
+// Adopt, Tick, Handle, HandleReply, Confirmations and Stop have nothing to do: the
+// replicated log elects the leader.
+
+// Adopt implements ownership.
+func (*leaderOwner) Adopt(*fleetconfig.ShardMap, bool, time.Time) []shard.Envelope { return nil }
+
+// Tick implements ownership.
+func (*leaderOwner) Tick(time.Time) []shard.Envelope { return nil }
+
+// Handle implements ownership.
+func (*leaderOwner) Handle(fleetconfig.InstanceID, *shard.Message, time.Time) *shard.Message {
+	return nil
+}
+
+// HandleReply implements ownership.
+func (*leaderOwner) HandleReply(fleetconfig.InstanceID, *shard.Message, time.Time) []shard.Envelope {
+	return nil
+}
+
+// Confirmations implements ownership.
+func (*leaderOwner) Confirmations(time.Time) []shard.Confirmation { return nil }
+
+// Stop implements ownership.
+func (*leaderOwner) Stop(time.Time) []shard.Envelope { return nil }
+
+// ownership decides which shards this instance owns. It is implemented by
+// shard.Group and by leaderOwner.
+type ownership interface {
+	Adopt(shardMap *fleetconfig.ShardMap, mapRead bool, now time.Time) []shard.Envelope
+	Tick(now time.Time) []shard.Envelope
+	Handle(from fleetconfig.InstanceID, message *shard.Message, now time.Time) *shard.Message
+	HandleReply(from fleetconfig.InstanceID, reply *shard.Message, now time.Time) []shard.Envelope
+	Held(id shard.ID, now time.Time) (shard.Lease, bool)
+	Leases(now time.Time) []shard.Lease
+	KnownHolder(id shard.ID, now time.Time) (fleetconfig.InstanceID, time.Duration)
+	Confirmations(now time.Time) []shard.Confirmation
+	Stop(now time.Time) []shard.Envelope
+}
+
+var (
+	_ ownership = (*shard.Group)(nil)
+	_ ownership = (*leaderOwner)(nil)
+)
+
+// shardMap returns the map by which owners are found: that of the configuration, or
+// one shard on the control instances.
+func (s *Service) shardMap(view *fleetconfig.View) *fleetconfig.ShardMap {
+	if s.config.Control == nil {
+		return &view.Document().Shards
+	}
+	hosts := s.config.Control.Hosts()
+	if len(hosts) == 0 {
+		return &fleetconfig.ShardMap{}
+	}
+	return &fleetconfig.ShardMap{Epoch: 1, Shards: []fleetconfig.ShardPlacement{{Replicas: hosts}}}
+}
--- a/quotadriver/peers.go
+++ b/quotadriver/peers.go
@@ -127,7 +127,7 @@
 		return
 	}
 	s.routeMu.Lock()
-	to, ok := s.routes.Target(id, &view.Document().Shards, job.attempt, clock.Now())
+	to, ok := s.routes.Target(id, s.shardMap(view), job.attempt, clock.Now())
 	s.routeMu.Unlock()
 	if !ok {
 		s.fail(job, quota.CauseOwnerUnknown, s.config.Timing.Lease)
--- a/quotadriver/service.go
+++ b/quotadriver/service.go
@@ -45,6 +45,8 @@
 	// Timing is the timing of leases, the same on all instances. The zero value
 	// means shard.DefaultTiming.
 	Timing shard.Timing
+	// Control, if set, makes the leader of control the owner of everything.
+	Control *Control
 	// MaxAccounts bounds, to an eighth, the accounts that the ingress holds tokens
 	// of. Zero means DefaultMaxAccounts.
 	MaxAccounts int
@@ -64,7 +66,7 @@
 	// mu guards the fields below it. The time is read after it is taken, so that
 	// nothing is decided by a time from before a wait.
 	mu     sync.Mutex
-	group  *shard.Group
+	group  ownership
 	lender *quota.Lender
 	view   *fleetconfig.View
 	held   map[shard.ID]shard.Holder
@@ -89,7 +91,6 @@
 		config: config,
 		log:    config.Logger,
 		wake:   make(chan struct{}, 1),
-		group:  shard.NewGroup(config.Self.ID, rand.Uint64(), config.Timing),
 		lender: quota.NewLender(),
 		routes: quota.NewOwnerTable(),
 		held:   make(map[shard.ID]shard.Holder),
@@ -97,13 +98,24 @@
 	if s.log == nil {
 		s.log = slog.Default()
 	}
-	s.group.Export = s.lender.Export
+	s.group = s.newOwnership()
 	for i := range s.stripes {
 		s.stripes[i].init(stripeAccounts(config.MaxAccounts))
 	}
 	return s, nil
 }
 
+// newOwnership returns what decides on the shards that this instance owns.
+func (s *Service) newOwnership() ownership {
+	if s.config.Control != nil {
+		s.lender.OneShard = true
+		return &leaderOwner{self: s.config.Self.ID, incarnation: rand.Uint64(), leader: s.config.Control.Leader}
+	}
+	group := shard.NewGroup(s.config.Self.ID, rand.Uint64(), s.config.Timing)
+	group.Export = s.lender.Export
+	return group
+}
+
 // String names the service for its supervisor.
 func (s *Service) String() string { return "quota" }
 
--- a/quotadriver/services.go
+++ b/quotadriver/services.go
@@ -32,7 +32,7 @@
 	if !ok {
 		return nil
 	}
-	placement := shard.PlacementOf(&s.view.Document().Shards, id)
+	placement := shard.PlacementOf(s.shardMap(s.view), id)
 	owner, _ := s.group.KnownHolder(id, clock.Now())
 	replicas := make([]fleetconfig.InstanceAddress, 0, len(placement.Replicas))
 	for _, replica := range placement.Replicas {
@@ -47,8 +47,12 @@
 
 // serviceShard returns the shard of a service. The caller holds mu.
 func (s *Service) serviceShard(service fleetconfig.ServiceName) (shard.ID, bool) {
-	if s.view == nil || len(s.view.Document().Shards.Shards) == 0 {
+	if s.view == nil {
 		return 0, false
 	}
-	return shard.ForService(service, len(s.view.Document().Shards.Shards)), true
+	shards := len(s.shardMap(s.view).Shards)
+	if shards == 0 {
+		return 0, false
+	}
+	return shard.ForService(service, shards), true
 }
