Load reports within a failure domain; doubt without evidence costs nothing

Cause: the doubt of a server that nobody has tried lately (0.21) weighed as much as a full server, so that every choice spilled into other zones; and with four requests a second at each ingress what it knows of a server's load was seconds old. A planned stop lingers for callers (stop_linger) and keeps its last steps within the platform's grace time.

--- a/backendproxy/load.go
+++ b/backendproxy/load.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/hemlockring/hemlockring/clock"
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/membership"
 	"github.com/hemlockring/hemlockring/pipeline"
 )
 
@@ -23,6 +26,16 @@
 	return load, err == nil && n == fields
 }
 
+// Report returns the load in the form that spreads.
+func (l Load) Report(server fleetconfig.BackendServerID) membership.ServerLoad {
+	return membership.ServerLoad{
+		Server:        server,
+		InFlight:      uint32(max(l.Running+l.Queued, 0)),
+		WeightPercent: uint8(min(max(l.WeightPercent, 0), 100)),
+		DoubtPercent:  uint8(min(max(l.DoubtPercent, 0), 100)),
+	}
+}
+
 // loadReporter tells the ingress with each response how the backend server fares.
 type loadReporter struct {
 	registry *Registry
@@ -35,7 +48,23 @@
 		return
 	}
 	now := clock.Now()
-	load.WeightPercent = r.watch.WeightPercent(exchange.BackendServer, now)
-	load.DoubtPercent = r.watch.DoubtPercent(exchange.BackendServer, now)
+	load = r.judged(exchange.BackendServer, load, now)
 	exchange.Writer.Header().Set(HeaderLoad, load.String())
 }
+
+// judged adds what the watch says of the backend server.
+func (r *loadReporter) judged(server fleetconfig.BackendServerID, load Load, now time.Time) Load {
+	load.WeightPercent = r.watch.WeightPercent(server, now)
+	load.DoubtPercent = r.watch.DoubtPercent(server, now)
+	return load
+}
+
+// Loads returns how the backend servers beside this instance fare.
+func (p *Proxy) Loads() []membership.ServerLoad {
+	now := clock.Now()
+	var loads []membership.ServerLoad
+	for server, load := range p.load.registry.loads() {
+		loads = append(loads, p.load.judged(server, load, now).Report(server))
+	}
+	return loads
+}
--- a/backendproxy/slots.go
+++ b/backendproxy/slots.go
@@ -52,6 +52,17 @@
 	return server.admission.load(), true
 }
 
+// loads returns how busy each backend server is.
+func (r *Registry) loads() map[fleetconfig.BackendServerID]Load {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	loads := make(map[fleetconfig.BackendServerID]Load, len(r.servers))
+	for id, server := range r.servers {
+		loads[id] = server.admission.load()
+	}
+	return loads
+}
+
 // find returns the backend server if it serves the service now.
 func (r *Registry) find(id fleetconfig.BackendServerID, service fleetconfig.ServiceName, now time.Time) (*admission, string) {
 	r.mu.Lock()
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -68,7 +68,8 @@
 	Weight float64
 	// Excluded holds the reasons for which it is not selected; zero selects it.
 	Excluded Exclusion
-	// Doubt is how likely it is that it fails most requests now, from 0 to 1.
+	// Doubt is how likely it is by evidence that it fails most requests now, from 0 to
+	// 1.
 	Doubt float64
 
 	inFlight         uint32
--- a/gossip/service.go
+++ b/gossip/service.go
@@ -21,12 +21,18 @@
 const (
 	// tickInterval is how often the state is ticked.
 	tickInterval = 100 * time.Millisecond
+	// loadInterval is how often load reports are sent. A few requests a second come to
+	// each ingress, so that answers alone tell too little.
+	loadInterval = 200 * time.Millisecond
 	// digestInterval is how often this instance compares digests with another.
 	digestInterval = 10 * time.Second
 	// digestTimeout bounds one digest exchange.
 	digestTimeout = 3 * time.Second
-	// joinRetryInterval is how often an instance without peers asks its seeds.
-	joinRetryInterval = time.Second
+	// joinInterval is how often an instance compares digests that has just started,
+	// for joinTime, or that knows no other one. After a restart of the whole fleet
+	// everyone knows little at first.
+	joinInterval = 500 * time.Millisecond
+	joinTime     = 5 * time.Second
 
 	digestPath = "/fleet/membership/digest"
 )
@@ -49,6 +55,11 @@
 	onChange []func(*Snapshot)
 
 	snapshot atomic.Pointer[Snapshot]
+
+	// loads returns how the backend servers beside this instance fare, and onLoad
+	// takes what others say of theirs. Both may be nil.
+	loads  func() []membership.ServerLoad
+	onLoad func(from fleetconfig.InstanceID, loads []membership.ServerLoad)
 }
 
 // New returns the service and registers its calls on mux.
@@ -66,6 +77,12 @@
 	observe(s.Snapshot())
 }
 
+// ShareLoads lets the instance tell others how the backend servers beside it fare,
+// and hear of theirs. It must be called before Serve.
+func (s *Service) ShareLoads(own func() []membership.ServerLoad, hear func(from fleetconfig.InstanceID, loads []membership.ServerLoad)) {
+	s.loads, s.onLoad = own, hear
+}
+
 // Snapshot returns the newest view of the members.
 func (s *Service) Snapshot() *Snapshot { return s.snapshot.Load() }
 
@@ -77,16 +94,31 @@
 	go s.exchangeDigests(ctx)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	reports := time.NewTicker(loadInterval)
+	defer reports.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-reports.C:
+			s.reportLoads()
 		case <-ticker.C:
 			s.update(func(state *membership.State) []membership.Envelope { return state.Tick(clock.Now()) })
 		}
 	}
 }
 
+// reportLoads tells others how the backend servers beside this instance fare.
+func (s *Service) reportLoads() {
+	if s.loads == nil {
+		return
+	}
+	// The loads are read before the lock of the members is taken: the registry
+	// publishes under its own lock.
+	loads := s.loads()
+	s.update(func(state *membership.State) []membership.Envelope { return state.ReportLoads(loads) })
+}
+
 // SetServers publishes the backend servers beside this instance.
 func (s *Service) SetServers(servers []membership.Server) {
 	s.update(func(state *membership.State) []membership.Envelope {
@@ -159,15 +191,22 @@
 			s.logger.Warn("membership datagram not understood", "error", err)
 			continue
 		}
+		if message.Kind == membership.LoadReport {
+			if s.onLoad != nil {
+				s.onLoad(message.From, message.Loads)
+			}
+			continue
+		}
 		s.update(func(state *membership.State) []membership.Envelope { return state.Step(&message, clock.Now()) })
 	}
 }
 
 func (s *Service) exchangeDigests(ctx context.Context) {
+	started := clock.Now()
 	for ctx.Err() == nil {
 		wait := digestInterval
-		if len(s.Snapshot().Members) <= 1 {
-			wait = joinRetryInterval
+		if len(s.Snapshot().Members) <= 1 || clock.Since(started) < joinTime {
+			wait = joinInterval
 		}
 		if err := s.exchangeDigest(ctx); err != nil {
 			s.logger.Debug("digest exchange failed", "error", err)
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -224,10 +224,8 @@
 	exchange.BackendServer = candidate.Server
 	exchange.Outcome = pipeline.OutcomeUnknown
 	result := Attempt{Candidate: candidate, Service: exchange.Service}
-	request := forwardedRequest(ctx, exchange, candidate, body, started)
-	if dispatchBy := f.clocks.dispatchBy(candidate.Instance, exchange); dispatchBy != "" {
-		request.Header.Set(pipeline.HeaderDispatchBy, dispatchBy)
-	}
+	dispatchBy := f.clocks.dispatchBy(candidate.Instance, exchange)
+	request := forwardedRequest(ctx, exchange, candidate, body, dispatchBy, started)
 
 	var refusal *pipeline.Refusal
 	if candidate.Address == "" {
--- a/ingress/forwarded.go
+++ b/ingress/forwarded.go
@@ -16,8 +16,9 @@
 
 const headerLoad = backendproxy.HeaderLoad
 
-// forwardedRequest builds the request to the backend proxy of a candidate.
-func forwardedRequest(ctx context.Context, exchange *pipeline.Exchange, candidate Candidate, body *replayBody, now time.Time) *http.Request {
+// forwardedRequest builds the request to the backend proxy of a candidate, which
+// dispatches it by a reading of its own clock.
+func forwardedRequest(ctx context.Context, exchange *pipeline.Exchange, candidate Candidate, body *replayBody, dispatchBy string, now time.Time) *http.Request {
 	incoming := exchange.Request
 	header := maps.Clone(incoming.Header)
 	header.Set(pipeline.HeaderRequestID, exchange.RequestID)
@@ -54,6 +55,12 @@
 		Header:        header,
 		ContentLength: incoming.ContentLength,
 	}
+	if dispatchBy == "" {
+		// Without a reading of its clock the instance only tells it: spare the body.
+		request.ContentLength = 0
+		return request.WithContext(ctx)
+	}
+	header.Set(pipeline.HeaderDispatchBy, dispatchBy)
 	if incoming.ContentLength != 0 {
 		request.Body, request.Trailer = body.open()
 	}
--- a/membership/message.go
+++ b/membership/message.go
@@ -16,6 +16,9 @@
 	PingRequest
 	// IndirectAck answers a PingRequest.
 	IndirectAck
+	// LoadReport tells how the backend servers beside the sender fare. It needs no
+	// answer.
+	LoadReport
 )
 
 // Message is one datagram. Updates ride on every message.
@@ -35,6 +38,8 @@
 	ReplyAddress string `cbor:"6,keyasint,omitempty"`
 	// Updates are records and suspicions that spread.
 	Updates []Update `cbor:"7,keyasint,omitempty"`
+	// Loads are set in a LoadReport.
+	Loads []ServerLoad `cbor:"8,keyasint,omitempty"`
 }
 
 // Update spreads one instance's record or a doubt about it.
--- a/node/node.go
+++ b/node/node.go
@@ -220,6 +220,8 @@
 	})
 	tokens := ingress.NewQuotaFilter(n.quota)
 	claims := &orders.Filter{Service: n.orders, MaxBodyBytes: orders.DefaultMaxBodyBytes}
+	selector := selection.New(selection.Config{Members: n.members.Snapshot, View: n.configuration.View})
+	n.members.ShareLoads(n.backendProxy.Loads, selector.HearLoads)
 	n.ingress = ingress.New(ingress.Config{
 		KeyHeader:     n.settings.Callers.KeyHeader,
 		Configuration: n.configuration,
@@ -228,7 +230,7 @@
 		Guards:        []ingress.AttemptGuard{tokens, claims},
 		Remote:        n.endpoint,
 		Local:         n.backendProxy,
-		Selector:      selection.New(selection.Config{Members: n.members.Snapshot, View: n.configuration.View}),
+		Selector:      selector,
 		Retry:         selection.NewRetries(n.countProxies),
 		Presentation:  n.options.Presentation,
 		CallerService: n.settings.Callers.Service,
--- a/node/stop.go
+++ b/node/stop.go
@@ -8,19 +8,25 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// handOverTimeout bounds how long leases, order records and the leadership of the
-// replicated log may take to be handed over.
-const handOverTimeout = 3 * time.Second
+const (
+	// maxHandOver bounds how long leases, order records and the leadership of the
+	// replicated log may take to be handed over, and how long the last answers may
+	// take to arrive at the other instances.
+	maxHandOver = 3 * time.Second
+	// handOverPart is the part of the stop timeout that each of both may take.
+	handOverPart = 8
+)
 
-// fleetShutdownTimeout bounds how long the last answers may take to arrive at the
-// other instances.
-const fleetShutdownTimeout = 3 * time.Second
+// handOverTimeout returns how long each of the two last steps of a stop may take.
+func (n *Node) handOverTimeout() time.Duration {
+	return min(maxHandOver, n.settings.Limits.StopTimeout/handOverPart)
+}
 
 // shutDownFleetPort lets the last answers arrive at the other instances. Closing
 // the port at once would lose what the handlers have written but nobody has
 // received yet.
 func (n *Node) shutDownFleetPort() {
-	ctx, cancel := context.WithTimeout(context.Background(), fleetShutdownTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), n.handOverTimeout())
 	defer cancel()
 	if err := n.endpoint.Shutdown(ctx); err != nil {
 		n.logger.Warn("fleet port did not shut down in time", "error", err)
@@ -39,7 +45,7 @@
 	var group errgroup.Group
 	group.Go(func() error { return n.backendProxy.Drain(ctx) })
 	if n.callers != nil {
-		group.Go(func() error { return n.callers.shutdown(ctx) })
+		group.Go(func() error { return n.stopCallers(ctx) })
 	}
 	err := group.Wait()
 	n.handOver()
@@ -52,10 +58,22 @@
 	return nil
 }
 
+// stopCallers takes callers for a last while, then closes their port and waits for
+// their requests.
+func (n *Node) stopCallers(ctx context.Context) error {
+	linger := time.NewTimer(n.settings.Limits.StopLinger)
+	defer linger.Stop()
+	select {
+	case <-linger.C:
+	case <-ctx.Done():
+	}
+	return n.callers.shutdown(ctx)
+}
+
 // handOver gives to others what this instance holds for the fleet. What does not
 // succeed in time is recovered by the others as after a crash.
 func (n *Node) handOver() {
-	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), n.handOverTimeout())
 	defer cancel()
 	if err := n.orders.Drain(ctx); err != nil {
 		n.logger.Warn("order records", "error", err)
@@ -63,13 +81,13 @@
 	if err := n.quota.HandOver(ctx); err != nil {
 		n.logger.Warn("leases", "error", err)
 	}
-	if err := n.supervisor.RemoveAndWait(n.senderToken, handOverTimeout); err == nil {
+	if err := n.supervisor.RemoveAndWait(n.senderToken, n.handOverTimeout()); err == nil {
 		n.sender.Finish(ctx)
 	}
 	if n.control == nil {
 		return
 	}
-	if err := n.supervisor.RemoveAndWait(n.controlToken, handOverTimeout); err != nil {
+	if err := n.supervisor.RemoveAndWait(n.controlToken, n.handOverTimeout()); err != nil {
 		n.logger.Warn("leadership of the replicated log", "error", err)
 	}
 }
--- a/selection/selector.go
+++ b/selection/selector.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -110,11 +111,8 @@
 	if index, found := service.pool.Find(backendID(attempt.Candidate)); found {
 		service.pool.Ended(index)
 		if load, ok := backendproxy.ParseLoad(attempt.Load); ok {
-			inFlight := uint32(max(load.Running+load.Queued, 0))
-			service.pool.Report(index, inFlight, float64(load.WeightPercent)/percent)
-			reported := doubt{value: float64(load.DoubtPercent) / percent, at: now}
-			service.doubts[backendID(attempt.Candidate)] = reported
-			service.pool.SetDoubt(index, reported.value)
+			reported := load.Report(attempt.Candidate.Server)
+			service.hear(backendID(attempt.Candidate), &reported, now)
 		}
 	}
 	if attempt.Candidate.Address == "" || attempt.Canceled {
@@ -128,6 +126,34 @@
 	s.paths.answered(attempt.Candidate.Instance, now)
 }
 
+// HearLoads takes in how the backend servers beside another instance fare.
+func (s *Selector) HearLoads(from fleetconfig.InstanceID, loads []membership.ServerLoad) {
+	now := clock.Now()
+	s.mu.Lock()
+	services := slices.Collect(maps.Values(s.services))
+	s.mu.Unlock()
+	for _, service := range services {
+		service.mu.Lock()
+		for i := range loads {
+			service.hear(balance.BackendID{Instance: from, Server: loads[i].Server}, &loads[i], now)
+		}
+		service.mu.Unlock()
+	}
+}
+
+// hear takes in what the proxy beside a backend server says of it. The caller holds
+// the pool's lock.
+func (p *servicePool) hear(id balance.BackendID, load *membership.ServerLoad, now time.Time) {
+	index, found := p.pool.Find(id)
+	if !found {
+		return
+	}
+	p.pool.Report(index, load.InFlight, float64(load.WeightPercent)/percent)
+	reported := doubt{value: float64(load.DoubtPercent) / percent, at: now}
+	p.doubts[id] = reported
+	p.pool.SetDoubt(index, health.ExcessDoubt(reported.value))
+}
+
 func (s *Selector) service(name fleetconfig.ServiceName) *servicePool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -167,7 +193,7 @@
 	for i := range p.pool.Len() {
 		id := p.pool.Backend(i).ID
 		if known, found := p.doubts[id]; found {
-			p.pool.SetDoubt(i, health.DoubtAfter(known.value, now.Sub(known.at)))
+			p.pool.SetDoubt(i, health.ExcessDoubt(health.DoubtAfter(known.value, now.Sub(known.at))))
 		}
 	}
 	for id := range p.doubts {
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -194,6 +194,13 @@
 			return setDuration(&s.Limits.StopTimeout, text, minStop, maxStop)
 		},
 	},
+	{
+		section: sectionLimits, key: "stop_linger", standard: "0s",
+		help: "How long a planned stop still takes callers while the instance is not ready, from 0s to 1h. It counts towards stop_timeout.",
+		set: func(s *Settings, text string) error {
+			return setDuration(&s.Limits.StopLinger, text, 0, maxStop)
+		},
+	},
 	{
 		section: sectionLimits, key: "report_interval", standard: "1m",
 		help: "How often a summary for the weekly report goes to the control instances, from 1s to 1h.",
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -165,6 +165,9 @@
 	// StopTimeout is how long a planned stop waits for requests in flight. Default
 	// 60 s.
 	StopTimeout time.Duration
+	// StopLinger is how long a planned stop still takes callers, so that whoever sends
+	// them hears that the instance is not ready. It counts towards StopTimeout. Default 0.
+	StopLinger time.Duration
 	// ReportInterval is how often a summary goes to the control instances. Default
 	// 1 minute.
 	ReportInterval time.Duration
