--- a/balance/pool.go
+++ b/balance/pool.go
@@ -124,13 +124,14 @@
 	// SpillLoad is the load for each slot from which a farther tier is looked at
 	// too.
 	SpillLoad float64
-	// Choices is how many random backend servers are compared, one or two.
+	// Choices is how many random backend servers are compared. Two suffice where their
+	// loads are all that differs; a third one is for doubtful ones among them.
 	Choices int
 }
 
 // DefaultPolicy returns the usual parameters.
 func DefaultPolicy() Policy {
-	return Policy{SpillLoad: 0.8, Choices: 2}
+	return Policy{SpillLoad: 0.8, Choices: 3}
 }
 
 // Pool is the backend servers of one service as one ingress sees them. Its state
@@ -246,6 +247,33 @@
 	return best, best != noBackend
 }
 
+// PickBest selects the backend server of the least cost, of those that are neither
+// excluded nor tried, a nearer one when it is not loaded. It is for requests that
+// have failed once already: they have no further attempt to lose.
+func (p *Pool) PickBest(rng *rand.Rand, tried *Tried) (int, bool) {
+	best := noBackend
+	for tier := range p.usable {
+		usable := p.usable[tier]
+		if len(usable) == 0 {
+			continue
+		}
+		start := rng.IntN(len(usable))
+		for i := range usable {
+			index := int(usable[(start+i)%len(usable)])
+			if tried.contains(p.backends[index].ID) {
+				continue
+			}
+			if best == noBackend || p.backends[index].cost() < p.backends[best].cost() {
+				best = index
+			}
+		}
+		if best != noBackend && p.backends[best].cost() < p.policy.SpillLoad {
+			break
+		}
+	}
+	return best, best != noBackend
+}
+
 // pickTier compares random candidates of one tier.
 func (p *Pool) pickTier(usable []int32, rng *rand.Rand, tried *Tried) int {
 	best := p.sample(usable, rng, tried, noBackend)
--- a/selection/selector.go
+++ b/selection/selector.go
@@ -82,7 +82,11 @@
 	for _, candidate := range tried {
 		skip.Add(backendID(candidate))
 	}
-	index, ok := service.pool.Pick(service.random, &skip)
+	pick := service.pool.Pick
+	if exchange.Reached > 0 {
+		pick = service.pool.PickBest
+	}
+	index, ok := pick(service.random, &skip)
 	if !ok {
 		return ingress.Candidate{}, false
 	}
