--- a/fleetconfig/document.go
+++ b/fleetconfig/document.go
@@ -220,6 +220,9 @@
 	// rate while the account's owner can not be reached. Zero refuses the account's
 	// requests meanwhile. What is bridged comes on top of what was granted before.
 	QuotaBridge time.Duration `cbor:"9,keyasint,omitempty" json:"quota_bridge,omitempty"`
+	// QuotaSlack is by how many requests an account may exceed its burst while earlier
+	// ones are under way. Without it, slow answers keep an account under its rate.
+	QuotaSlack uint32 `cbor:"10,keyasint,omitempty" json:"quota_slack,omitempty"`
 	// HedgeAfter is how long an idempotent request waits before a second attempt
 	// starts. Zero turns hedging off.
 	HedgeAfter time.Duration `cbor:"3,keyasint" json:"hedge_after"`
--- a/fleetconfig/validate.go
+++ b/fleetconfig/validate.go
@@ -187,6 +187,10 @@
 			c.add(subject, "retry_floor_per_second", fmt.Sprintf("%g is out of range", preset.RetryFloorPerSecond),
 				fmt.Sprintf("give 0 to %d retries a second", maxRatePerSecond))
 		}
+		if preset.QuotaSlack > maxBurst {
+			c.add(subject, "quota_slack", fmt.Sprintf("%d is out of range", preset.QuotaSlack),
+				fmt.Sprintf("give 0 to %d requests", maxBurst))
+		}
 		if preset.QueueLength > maxQueueLength {
 			c.add(subject, "queue_length", fmt.Sprintf("%d is out of range", preset.QueueLength),
 				fmt.Sprintf("give 0 to %d requests", maxQueueLength))
--- a/node/stop.go
+++ b/node/stop.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/hemlockring/hemlockring/transport"
 )
 
 const (
@@ -54,10 +59,24 @@
 	if err != nil {
 		return errors.Wrap(err, "stop")
 	}
-	n.logger.Info("instance stopped, no request was cut off")
+	n.logger.Info("instance stopped, no request was cut off", "traffic", trafficLog(n.endpoint.CallTraffic()))
 	return nil
 }
 
+// trafficLog lists the calls to other instances by path, and their bytes.
+type trafficLog map[string]transport.CallTraffic
+
+// LogValue implements slog.LogValuer.
+func (t trafficLog) LogValue() slog.Value {
+	attrs := make([]slog.Attr, 0, len(t))
+	for _, path := range slices.Sorted(maps.Keys(t)) {
+		traffic := t[path]
+		attrs = append(attrs, slog.Group(path,
+			"calls", traffic.Calls, "sent_bytes", traffic.SentBytes, "received_bytes", traffic.ReceivedBytes))
+	}
+	return slog.GroupValue(attrs...)
+}
+
 // stopCallers takes callers for a last while, then closes their port and waits for
 // their requests.
 func (n *Node) stopCallers(ctx context.Context) error {
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -31,9 +31,9 @@
 
 // bucket is the token bucket of one client account.
 //
-// Invariant: level + lent ≤ burst, unless the burst was lowered, and then level
-// is 0 until the lent tokens are back under it. lent is the sum of open() over
-// all grants.
+// Invariant: level + lent ≤ burst + slack and level ≤ burst, unless the limits were
+// lowered, and then level is 0 until the lent tokens are back under them. lent is
+// the sum of open() over all grants.
 type bucket struct {
 	limits Limits
 	level  float64
@@ -53,7 +53,12 @@
 }
 
 func (b *bucket) room() float64 {
-	return float64(b.limits.Burst) - float64(b.lent) - b.level
+	return b.highest() - b.level
+}
+
+// highest is what the level may be while the lent tokens are out.
+func (b *bucket) highest() float64 {
+	return float64(b.limits.Burst) - b.limits.place(b.lent)
 }
 
 // fill lets the bucket gain tokens up to now.
@@ -117,7 +122,7 @@
 	if b.at.Before(now) {
 		b.at = now
 	}
-	b.level = max(0, min(b.level, float64(limits.Burst)-float64(b.lent)))
+	b.level = max(0, min(b.level, b.highest()))
 }
 
 // find returns the grant, or nil.
@@ -146,7 +151,7 @@
 		n := min(report.Returned-g.returned, g.open())
 		g.returned += n
 		b.lent -= n
-		b.level = min(b.level+float64(n), max(0, float64(b.limits.Burst)-float64(b.lent)))
+		b.level = min(b.level+float64(n), max(0, b.highest()))
 	}
 	b.dropClosed()
 	b.fill(now)
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -124,7 +124,7 @@
 			b.grants = append(b.grants, g)
 			b.lent += g.open()
 		}
-		b.level = max(0, min(state.Level, float64(b.limits.Burst)-float64(b.lent)))
+		b.level = max(0, min(state.Level, b.highest()))
 		l.buckets[state.Account] = b
 	}
 	return l
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -134,6 +134,7 @@
 		if now.Before(tenure.clear) && limits.Burst > 1 {
 			// Tokens of the former tenure may still be out.
 			limits.Burst /= 2
+			limits.Slack = 0
 		}
 		if limits.Burst == 0 || shard.ForAccount(ask.Account, l.shards()) != request.Shard {
 			reply.Loans = append(reply.Loans, Loan{Account: ask.Account, Grant: ask.Grant, Wait: maxWait})
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -10,8 +10,19 @@
 type Limits struct {
 	// RatePerSecond is how many tokens a second the bucket gains.
 	RatePerSecond float64
-	// Burst is the most tokens that may be in the bucket or lent.
+	// Burst is the most tokens that may be in the bucket.
 	Burst uint32
+	// Slack is how many lent tokens take no place in the burst. It comes from the
+	// preset in force (Preset.QuotaSlack).
+	Slack uint32
+}
+
+// place returns how much of the burst lent tokens take.
+func (l Limits) place(lent uint32) float64 {
+	if lent <= l.Slack {
+		return 0
+	}
+	return float64(lent - l.Slack)
 }
 
 // LimitsOf returns the limits of an account; an unknown one may run nothing.
@@ -23,7 +34,11 @@
 	if account == nil {
 		return Limits{}
 	}
-	return Limits{RatePerSecond: max(account.RatePerSecond, 0), Burst: account.Burst}
+	limits := Limits{RatePerSecond: max(account.RatePerSecond, 0), Burst: account.Burst}
+	if preset := view.Preset(); preset != nil {
+		limits.Slack = preset.QuotaSlack
+	}
+	return limits
 }
 
 // Durations of the protocol between borrowers and owners.
