--- a/ingress/quota.go
+++ b/ingress/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -63,7 +64,7 @@
 	defer cancel()
 	token, err := f.source.Acquire(ctx, exchange.Account)
 	if err != nil {
-		return refuseQuota(err)
+		return refuseQuota(exchange, err)
 	}
 	*tokenOf(exchange) = heldToken{token: token, held: true}
 	exchange.TokenExpires = token.Expires
@@ -113,15 +114,17 @@
 	}
 }
 
-func refuseQuota(err error) error {
+func refuseQuota(exchange *pipeline.Exchange, err error) error {
 	var refusal *quota.Refusal
 	if !errors.As(err, &refusal) {
 		return pipeline.NotRun(pipeline.KindCanceled, http.StatusServiceUnavailable,
 			"the request's time ran out while it waited for its share of the account's rate", "send the request again", retrySoon)
 	}
 	if refusal.Cause == quota.CauseOverRate {
+		limits := quota.LimitsOf(exchange.View, exchange.Account)
 		return pipeline.NotRun(pipeline.KindOverRate, http.StatusTooManyRequests,
-			"the client account is over its rate", "wait as Retry-After says, or ask the operator for a higher rate", refusal.RetryAfter)
+			fmt.Sprintf("the client account is over its rate of %g requests/s with a burst of %d", limits.RatePerSecond, limits.Burst),
+			"wait as Retry-After says, or ask the operator for a higher rate", refusal.RetryAfter)
 	}
 	return pipeline.NotRun(pipeline.KindQuotaUnavailable, http.StatusServiceUnavailable,
 		"the client account's rate can not be counted now: "+refusal.Cause.String(), "send the request again", refusal.RetryAfter)
