The owner keeps rate for ingresses out of reach; no margin for accounts at their limit

Cause: an account that presses on both sides of a cut got its whole rate from the owner on one side and its own former rate from the bridges on the other.

--- a/quota/bridge.go
+++ b/quota/bridge.go
@@ -14,7 +14,7 @@
 	// an account do not pass for a high rate.
 	leastMeasured = time.Second
 	// bridgeMargin lets an ingress go on somewhat faster than it did, since a few
-	// requests a second come unevenly.
+	// requests a second come unevenly. An account that was at its limit gets none.
 	bridgeMargin = 1.3
 	// maxBridged bounds the accounts whose use is remembered; 100 bytes each.
 	maxBridged = 80_000
@@ -27,8 +27,9 @@
 //
 // What all ingresses bridge together is what the owners granted them lately, so it
 // never exceeds the account's rate and a part of its burst; but it comes on top of
-// what was granted right before. It is therefore an allowance that operators turn
-// on (Preset.QuotaBridge). It is not safe for concurrent use.
+// what was granted right before, and of what an owner that only some have lost grants
+// the others until it misses them (see Lender). It is therefore an allowance that
+// operators turn on (Preset.QuotaBridge). It is not safe for concurrent use.
 type Bridge struct {
 	accounts map[fleetconfig.AccountID]*bridged
 }
@@ -44,6 +45,8 @@
 	older, newer uint32
 	// granted is when the last token of the owner was used.
 	granted time.Time
+	// refused is when the owner refused one last.
+	refused time.Time
 	// opened is since when the owner is missed, or zero.
 	opened time.Time
 	level  float64
@@ -72,6 +75,13 @@
 	a.newer++
 }
 
+// Refused records that the owner refused a request of the account as over its rate.
+func (b *Bridge) Refused(account fleetconfig.AccountID, now time.Time) {
+	if a := b.accounts[account]; a != nil {
+		a.refused = now
+	}
+}
+
 // Take reports whether a request of the account may run without its owner. span is
 // how long that may go on.
 func (b *Bridge) Take(account fleetconfig.AccountID, limits Limits, span time.Duration, now time.Time) bool {
@@ -88,7 +98,11 @@
 	if now.Sub(a.opened) > span {
 		return false
 	}
-	rate := min(bridgeMargin*a.rate(a.opened), limits.RatePerSecond)
+	margin := bridgeMargin
+	if !a.refused.IsZero() && a.opened.Sub(a.refused) < bridgeWindow {
+		margin = 1
+	}
+	rate := min(margin*a.rate(a.opened), limits.RatePerSecond)
 	if limits.RatePerSecond < a.limits.RatePerSecond && a.limits.RatePerSecond > 0 {
 		rate *= limits.RatePerSecond / a.limits.RatePerSecond
 	}
--- /dev/null
+++ b/quota/contacts_test.go
@@ -0,0 +1,143 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/internal/soup"
+	"github.com/hemlockring/hemlockring/shard"
+)
+
+// cutFleet is one owner and its ingresses, some of which lose it. Requests of one
+// account come at random ingresses.
+type cutFleet struct {
+	random    *rand.Rand
+	now       time.Time
+	view      *fleetconfig.View
+	lender    *Lender
+	bridges   []*Bridge
+	cut       int // this many ingresses, from the first one, can not reach the owner
+	nextGrant GrantID
+	contacted time.Time
+}
+
+const cutBridge = 3 * time.Second
+
+func newCutFleet(ingresses int, limits Limits) *cutFleet {
+	document := &fleetconfig.Document{
+		Version:       1,
+		Accounts:      []fleetconfig.Account{{ID: "acme", RatePerSecond: limits.RatePerSecond, Burst: limits.Burst}},
+		Presets:       []fleetconfig.Preset{{Name: "bridged", QuotaBridge: cutBridge, QuotaSlack: limits.Slack}},
+		PresetInForce: "bridged",
+	}
+	f := &cutFleet{random: rand.New(rand.NewPCG(3, 4)), now: soup.Start, view: fleetconfig.NewView(document), lender: NewLender()}
+	f.lender.OneShard = true
+	f.lender.Adopt(f.view, f.now)
+	for range ingresses {
+		f.bridges = append(f.bridges, NewBridge())
+	}
+	return f
+}
+
+func (f *cutFleet) call(ingress int, request *BorrowRequest) *BorrowReply {
+	lease := shard.Lease{Holder: shard.Holder{Instance: "owner", Term: 1}, Until: f.now.Add(time.Hour)}
+	return f.lender.Borrow(lease, fleetconfig.InstanceID(fmt.Sprint(ingress)), request, f.now)
+}
+
+// admit reports whether a request at an ingress may run.
+func (f *cutFleet) admit(ingress int) bool {
+	limits := LimitsOf(f.view, "acme")
+	if ingress < f.cut {
+		return f.bridges[ingress].Take("acme", limits, cutBridge, f.now)
+	}
+	f.nextGrant++
+	reply := f.call(ingress, &BorrowRequest{Asks: []Ask{{Account: "acme", Grant: f.nextGrant, Want: 1}}})
+	if reply.Loans[0].Count == 0 {
+		f.bridges[ingress].Refused("acme", f.now)
+		return false
+	}
+	f.bridges[ingress].Granted("acme", limits, f.now)
+	f.call(ingress, &BorrowRequest{Reports: []Report{{Account: "acme", Grant: f.nextGrant, Spent: 1}}})
+	return true
+}
+
+// run lets requests come at a rate for a time and returns when those were that ran.
+func (f *cutFleet) run(perSecond float64, length time.Duration) []time.Time {
+	var ran []time.Time
+	end := f.now.Add(length)
+	for f.now.Before(end) {
+		f.now = f.now.Add(time.Duration(f.random.ExpFloat64() / perSecond * float64(time.Second)))
+		if f.now.Sub(f.contacted) >= ContactInterval {
+			f.contacted = f.now
+			for i := f.cut; i < len(f.bridges); i++ {
+				f.call(i, &BorrowRequest{})
+			}
+		}
+		if f.admit(f.random.IntN(len(f.bridges))) {
+			ran = append(ran, f.now)
+		}
+	}
+	return ran
+}
+
+// mostWithin returns the most events in any interval of a length.
+func mostWithin(events []time.Time, length time.Duration) int {
+	most, first := 0, 0
+	for i, at := range events {
+		for at.Sub(events[first]) > length {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// An account that presses on both sides of a cut stays within its limit, a tenth and
+// twenty requests, over any five seconds.
+func TestAnAccountThatPressesOnBothSidesOfACutStaysWithinItsLimit(t *testing.T) {
+	const window = 5 * time.Second
+	for _, rate := range []float64{7, 34, 64, 100} {
+		for _, cut := range []int{4, 10, 20, 30, 38} {
+			limits := Limits{RatePerSecond: rate, Burst: uint32(rate), Slack: 8}
+			fleet := newCutFleet(40, limits)
+			fleet.run(rate/1.6, 20*time.Second)
+			ran := fleet.run(8*rate, 3*time.Second)
+			fleet.cut = cut
+			ran = append(ran, fleet.run(8*rate, 6*time.Second)...)
+			allowed := 1.1*(rate*window.Seconds()+rate) + 20
+			if most := mostWithin(ran, window); float64(most) > allowed {
+				t.Errorf("rate %g, %d of 40 ingresses cut off: %d ran in 5 s, allowed %.0f", rate, cut, most, allowed)
+			}
+		}
+	}
+}
+
+// Ingresses that are idle, or whose owner is new, keep nothing from the others, and
+// what was kept comes back when a bridge can last no longer.
+func TestOnlySilentIngressesKeepAPartOfTheRate(t *testing.T) {
+	now := soup.Start
+	known := newContacts()
+	must.Zero(t, known.reserve(cutBridge, now))
+	for i := range 10 {
+		known.hear(fleetconfig.InstanceID(fmt.Sprint(i)), now)
+	}
+	now = now.Add(contactLimit)
+	must.Zero(t, known.reserve(cutBridge, now))
+	known.hear("0", now)
+	now = now.Add(contactLimit)
+	must.Eq(t, maxReserved, known.reserve(cutBridge, now))
+	for i := range 8 {
+		known.hear(fleetconfig.InstanceID(fmt.Sprint(i)), now)
+	}
+	now = now.Add(reserveInterval)
+	must.Eq(t, 0.2, known.reserve(cutBridge, now))
+	for i := range 8 {
+		known.hear(fleetconfig.InstanceID(fmt.Sprint(i)), now.Add(cutBridge))
+	}
+	must.Zero(t, known.reserve(cutBridge, now.Add(cutBridge)))
+}
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -23,13 +23,14 @@
 	// configuration says.
 	OneShard bool
 
-	view    *fleetconfig.View
-	ledgers map[shard.ID]*tenureLedger
+	view     *fleetconfig.View
+	ledgers  map[shard.ID]*tenureLedger
+	contacts contacts
 }
 
 // NewLender returns a Lender that owns nothing and knows no configuration.
 func NewLender() *Lender {
-	return &Lender{ledgers: make(map[shard.ID]*tenureLedger)}
+	return &Lender{ledgers: make(map[shard.ID]*tenureLedger), contacts: newContacts()}
 }
 
 // Adopt takes a newer configuration. Accounts whose limits differ change from now
@@ -124,6 +125,8 @@
 	}
 	tenure := l.tenure(lease, now)
 	ledger := tenure.ledger
+	l.contacts.hear(from, now)
+	reserved := l.reserved(now)
 	for i := range request.Reports {
 		ledger.Report(from, &request.Reports[i], now)
 	}
@@ -131,6 +134,10 @@
 	for i := range request.Asks {
 		ask := &request.Asks[i]
 		limits := LimitsOf(l.view, ask.Account)
+		if reserved > 0 {
+			limits.RatePerSecond *= 1 - reserved
+			limits.Slack = 0
+		}
 		if now.Before(tenure.clear) && limits.Burst > 1 {
 			// Tokens of the former tenure may still be out.
 			limits.Burst /= 2
@@ -145,6 +152,16 @@
 	return reply
 }
 
+// reserved returns the part of each rate that is kept for ingresses out of reach. They
+// are told from idle ones only where all of them call one owner.
+func (l *Lender) reserved(now time.Time) float64 {
+	bridge := l.view.Preset().QuotaBridge
+	if !l.OneShard || bridge == 0 {
+		return 0
+	}
+	return l.contacts.reserve(bridge, now)
+}
+
 // Export ends the ledger of a tenure that is handed over and returns its encoded
 // snapshot, nil when there is none.
 func (l *Lender) Export(id shard.ID, ended shard.Holder, now time.Time) []byte {
--- a/quotadriver/acquire.go
+++ b/quotadriver/acquire.go
@@ -88,18 +88,30 @@
 			return s.bridge(st, account, err)
 		}
 	}
+	now := clock.Now()
+	s.used.Store(now.UnixNano())
 	st.mu.Lock()
-	st.bridge.Granted(account, quota.LimitsOf(s.config.View(), account), clock.Now())
+	st.bridge.Granted(account, quota.LimitsOf(s.config.View(), account), now)
 	st.mu.Unlock()
 	return token, nil
 }
 
 // bridge returns a token of this ingress's own when the account's owner can not be
-// reached and the preset in force lets ingresses go on for a while. The token
+// reached and the preset in force lets ingresses go on for a while. It remembers the
+// accounts that are at their limit. The token
 // belongs to no grant: whatever becomes of it, the owner hears nothing.
 func (s *Service) bridge(st *stripe, account fleetconfig.AccountID, cause error) (quota.Token, error) {
 	var refusal *quota.Refusal
-	if !errors.As(cause, &refusal) || (refusal.Cause != quota.CauseOwnerUnknown && refusal.Cause != quota.CauseOwnerUnreachable) {
+	if !errors.As(cause, &refusal) {
+		return quota.Token{}, cause
+	}
+	if refusal.Cause == quota.CauseOverRate {
+		st.mu.Lock()
+		st.bridge.Refused(account, clock.Now())
+		st.mu.Unlock()
+		return quota.Token{}, cause
+	}
+	if refusal.Cause != quota.CauseOwnerUnknown && refusal.Cause != quota.CauseOwnerUnreachable {
 		return quota.Token{}, cause
 	}
 	view := s.config.View()
--- a/quotadriver/peers.go
+++ b/quotadriver/peers.go
@@ -18,6 +18,9 @@
 	// maxBorrowCalls is how many borrow calls may be under way to one instance.
 	// What comes meanwhile waits and travels together.
 	maxBorrowCalls = 2
+	// contactFor is how long after its last token an ingress keeps contact with the
+	// owner: as long as it remembers its use of the accounts.
+	contactFor = 10 * time.Second
 )
 
 // borrowJob is a request on its way to an owner.
@@ -118,6 +121,25 @@
 	}
 }
 
+// keepContact lets the leader of control hear of this ingress while it uses tokens, so
+// that silence means that it can not be reached.
+func (s *Service) keepContact(ctx context.Context) {
+	now := clock.Now()
+	idle := now.UnixNano()-s.used.Load() > contactFor.Nanoseconds()
+	if s.config.Control == nil || idle {
+		return
+	}
+	s.routeMu.Lock()
+	due := now.Sub(s.contacted) >= quota.ContactInterval
+	if due {
+		s.contacted = now
+	}
+	s.routeMu.Unlock()
+	if due {
+		s.sendBorrow(ctx, borrowJob{outgoing: &quota.Outgoing{Since: now}})
+	}
+}
+
 // sendBorrow queues a job for the instance that is believed to own its shard.
 func (s *Service) sendBorrow(ctx context.Context, job borrowJob) {
 	id := job.outgoing.Request.Shard
@@ -200,6 +222,9 @@
 	job.attempt++
 	switch {
 	case verdict == quota.RouteAnswered:
+		s.routeMu.Lock()
+		s.contacted = now
+		s.routeMu.Unlock()
 		s.settle(reply)
 	case verdict == quota.RouteAgain && job.mayRetry(now):
 		s.sendBorrow(ctx, job)
--- a/quotadriver/service.go
+++ b/quotadriver/service.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -73,6 +74,12 @@
 
 	routeMu sync.Mutex
 	routes  *quota.OwnerTable
+	// contacted is when the owner of everything was asked last; it is used with
+	// Control only.
+	contacted time.Time
+
+	// used is when a token was used last, as nanoseconds of the clock.
+	used atomic.Int64
 }
 
 // New returns a Service that owns nothing. Register its handlers and start it
@@ -148,6 +155,7 @@
 		s.stripes[i].tick()
 	}
 	s.flush(ctx)
+	s.keepContact(ctx)
 }
 
 func (s *Service) tickGroup() []shard.Envelope {
