Callers are kept within the configuration's limits; libraries log JSON lines

The limits of the configuration were stored and not enforced. Sizes are checked by a filter (431, 413, never run), times by a timer for each connection, since those of an http.Server can not change while it serves; they follow each change at once.

--- a/ingress/proxy.go
+++ b/ingress/proxy.go
@@ -63,6 +63,7 @@
 		config.Presentation = ProblemDocuments{}
 	}
 	filters := []pipeline.Filter{
+		&limitFilter{configuration: config.Configuration},
 		&identifyFilter{keyHeader: config.KeyHeader, freeze: config.Freeze},
 		&routeFilter{configuration: config.Configuration, splits: splitSequence{start: rand.Float64()}},
 		&currencyFilter{configuration: config.Configuration},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,6 +67,7 @@
 	level := new(slog.LevelVar)
 	level.Set(loaded.Log.Level)
 	logger := slog.New(slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: level}))
+	slog.SetDefault(logger) // Libraries that use package log write JSON lines too.
 	if err := run(arguments.Settings, loaded, level, logger); err != nil {
 		logger.Error("hemlockd ends", "error", err.Error())
 		return ExitFailure
--- a/node/ports.go
+++ b/node/ports.go
@@ -14,9 +14,11 @@
 )
 
 const (
-	// headerTimeout bounds how long a caller may take to send a request's header.
+	// headerTimeout bounds how long a caller may take to send a request's header, unless
+	// the configuration says so.
 	headerTimeout = 10 * time.Second
-	// callerIdleTimeout closes unused connections of callers.
+	// callerIdleTimeout closes unused connections of callers, unless the configuration
+	// says when.
 	callerIdleTimeout = 2 * time.Minute
 	// maxConcurrentStreams bounds the requests on one HTTP/2 connection.
 	maxConcurrentStreams = 1000
@@ -30,12 +32,13 @@
 
 // openCallerPort opens the port for callers: HTTP/1.1 and HTTP/2, with TLS when a
 // certificate is set.
-func openCallerPort(callers *settings.Callers, handler http.Handler, logger *slog.Logger) (*httpPort, error) {
+func openCallerPort(callers *settings.Callers, handler http.Handler, conns *callerConns, logger *slog.Logger) (*httpPort, error) {
 	port, err := openPort(callers.Address, handler, logger)
 	if err != nil {
 		return nil, err
 	}
 	port.server.MaxHeaderBytes = callers.MaxHeaderBytes
+	conns.watch(port.server)
 	port.server.Protocols.SetUnencryptedHTTP2(true)
 	if callers.Certificate == "" {
 		return port, nil
--- a/pipeline/refusal.go
+++ b/pipeline/refusal.go
@@ -16,6 +16,7 @@
 // The kinds of refusal that a caller can see.
 const (
 	KindBadRequest        RefusalKind = "bad-request"
+	KindTooLarge          RefusalKind = "too-large"
 	KindNoRoute           RefusalKind = "no-route"
 	KindKeyMissing        RefusalKind = "key-missing"
 	KindKeyRejected       RefusalKind = "key-rejected"
