--- a/configsync/service.go
+++ b/configsync/service.go
@@ -148,9 +148,11 @@
 	if s.config.Replica != nil {
 		committed = s.config.Replica.changed
 	}
+	wasCurrent := false
 	for {
 		s.lead(ctx)
 		s.poll(ctx)
+		wasCurrent = s.logCurrency(wasCurrent)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -162,6 +164,24 @@
 	}
 }
 
+// logCurrency writes a line when the proof that the configuration is in force has run
+// out or is back, and returns whether it is there.
+func (s *Service) logCurrency(was bool) bool {
+	now := clock.Now()
+	current, _ := s.Current(now)
+	if current == was {
+		return current
+	}
+	version := s.View().Version()
+	if current {
+		s.config.Logger.Info("configuration is proved current", "version", version)
+		return true
+	}
+	s.config.Logger.Warn("configuration is no longer proved current, keyed requests are refused",
+		"version", version, "proved_ms_ago", now.Sub(*s.asOf.Load()).Milliseconds())
+	return false
+}
+
 func (s *Service) pollInterval() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/ejection/service.go
+++ b/ejection/service.go
@@ -129,7 +129,12 @@
 		actions := found.monitor.Tick(now)
 		found.breaker.Tick(now)
 		took, detected := found.noteSuspicion(now)
+		doubted, changed := found.doubtChanged(now)
+		doubt := found.breaker.Doubt(now)
 		found.mu.Unlock()
+		if changed {
+			s.logger.Info("doubt about a backend server", "server", id, "service", found.service, "doubted", doubted, "doubt", doubt)
+		}
 		if detected {
 			s.detected(found.service, id, took)
 		}
--- a/ejection/watch.go
+++ b/ejection/watch.go
@@ -22,6 +22,17 @@
 	// suspectSince is when the present suspicion began, zero without one.
 	suspectSince time.Time
 	detected     bool
+	// doubted says that the latest line about the breaker was of doubt.
+	doubted bool
+}
+
+// doubtChanged reports whether the breaker has come to doubt the server, or has
+// stopped to, since the last call. The caller holds mu.
+func (w *watched) doubtChanged(now time.Time) (doubted, changed bool) {
+	doubted = !w.breaker.Welcomes(health.Wish{}, now)
+	changed = doubted != w.doubted
+	w.doubted = doubted
+	return doubted, changed
 }
 
 // noteSuspicion follows the suspicion of the monitor. It reports true when the
--- a/quotadriver/peers.go
+++ b/quotadriver/peers.go
@@ -222,9 +222,7 @@
 	job.attempt++
 	switch {
 	case verdict == quota.RouteAnswered:
-		s.routeMu.Lock()
-		s.contacted = now
-		s.routeMu.Unlock()
+		s.noteAnswer(job.outgoing.Request.Shard, to.ID, now)
 		s.settle(reply)
 	case verdict == quota.RouteAgain && job.mayRetry(now):
 		s.sendBorrow(ctx, job)
@@ -235,6 +233,18 @@
 	}
 }
 
+// noteAnswer records that the owner of a shard has answered.
+func (s *Service) noteAnswer(id shard.ID, owner fleetconfig.InstanceID, now time.Time) {
+	s.routeMu.Lock()
+	s.contacted = now
+	since, lost := s.lost[id]
+	delete(s.lost, id)
+	s.routeMu.Unlock()
+	if lost {
+		s.log.Info("quota owner answers again", "shard", id, "owner", owner, "away_ms", now.Sub(since).Milliseconds())
+	}
+}
+
 // mayRetry reports whether there is time to ask another instance.
 func (j *borrowJob) mayRetry(now time.Time) bool {
 	early := j.outgoing.Since.IsZero() || now.Sub(j.outgoing.Since) < quota.AskTimeout
@@ -245,7 +255,14 @@
 	now := clock.Now()
 	s.routeMu.Lock()
 	s.routes.Suspect(job.outgoing.Request.Shard, to.ID, now)
+	_, known := s.lost[job.outgoing.Request.Shard]
+	if !known {
+		s.lost[job.outgoing.Request.Shard] = now
+	}
 	s.routeMu.Unlock()
+	if !known {
+		s.log.Warn("quota owner does not answer", "shard", job.outgoing.Request.Shard, "owner", to.ID, "attempt", job.attempt)
+	}
 	job.attempt++
 	if ctx.Err() == nil && job.mayRetry(now) {
 		s.sendBorrow(ctx, job)
--- a/quotadriver/service.go
+++ b/quotadriver/service.go
@@ -77,6 +77,8 @@
 	// contacted is when the owner of everything was asked last; it is used with
 	// Control only.
 	contacted time.Time
+	// lost is since when the owners of shards do not answer.
+	lost map[shard.ID]time.Time
 
 	// used is when a token was used last, as nanoseconds of the clock.
 	used atomic.Int64
@@ -101,6 +103,7 @@
 		lender: quota.NewLender(),
 		routes: quota.NewOwnerTable(),
 		held:   make(map[shard.ID]shard.Holder),
+		lost:   make(map[shard.ID]time.Time),
 	}
 	if s.log == nil {
 		s.log = slog.Default()
