--- a/backendproxy/proxy.go
+++ b/backendproxy/proxy.go
@@ -12,6 +12,7 @@
 	"github.com/hemlockring/hemlockring/clock"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/internal/freeze"
+	"github.com/hemlockring/hemlockring/internal/linelimit"
 	"github.com/hemlockring/hemlockring/pipeline"
 	"github.com/hemlockring/hemlockring/quota"
 )
@@ -43,6 +44,7 @@
 	running  tracker
 	load     *loadReporter
 	log      *slog.Logger
+	lines    *linelimit.Limiter
 	clock    quota.DispatchClock
 }
 
@@ -62,7 +64,7 @@
 	if config.Dialect == nil {
 		config.Dialect = OwnHeaders{}
 	}
-	proxy := &Proxy{clock: config.Clock, log: config.Logger}
+	proxy := &Proxy{clock: config.Clock, log: config.Logger, lines: linelimit.New(maxLines)}
 	proxy.load = &loadReporter{registry: config.Registry, watch: config.Watch}
 	keys := &keyCheck{view: config.View}
 	proxy.chain = pipeline.NewChain(
@@ -107,6 +109,9 @@
 	}
 }
 
+// maxLines is how many lines a second are written about requests that failed here.
+const maxLines = 100
+
 // recordEnd logs what became of a request that was not simply answered.
 func (p *Proxy) recordEnd(exchange *pipeline.Exchange) {
 	if p.log == nil {
@@ -116,6 +121,13 @@
 	if !failed {
 		return
 	}
+	permitted, omitted := p.lines.Permit(clock.Now())
+	if omitted > 0 {
+		p.log.Info("request lines omitted", "lines", omitted)
+	}
+	if !permitted {
+		return
+	}
 	refusal, detail := "", ""
 	if exchange.Refusal != nil {
 		refusal, detail = string(exchange.Refusal.Kind), exchange.Refusal.Detail
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -6,7 +6,6 @@
 	"os"
 	"time"
 
-	"github.com/hemlockring/hemlockring/node"
 	"github.com/hemlockring/hemlockring/settings"
 )
 
@@ -19,11 +18,16 @@
 type reloader struct {
 	file     string
 	level    *slog.LevelVar
-	instance *node.Node
+	instance reloadable
 	logger   *slog.Logger
 	seen     fileState
 }
 
+// reloadable is an instance that takes changed settings over.
+type reloadable interface {
+	Reload(loaded *settings.Settings)
+}
+
 // fileState tells one content of a file from another without reading it.
 type fileState struct {
 	modified time.Time
--- /dev/null
+++ b/internal/linelimit/linelimit_test.go
@@ -0,0 +1,24 @@
+package linelimit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestLinesAreBoundedAndOmissionsToldOnce(t *testing.T) {
+	const most = 3
+	limiter := New(most)
+	now := time.Unix(1000, 0)
+	for i := range 10 {
+		permitted, omitted := limiter.Permit(now.Add(time.Duration(i) * time.Millisecond))
+		must.Eq(t, i < most, permitted)
+		must.Zero(t, omitted)
+	}
+	permitted, omitted := limiter.Permit(now.Add(time.Second))
+	must.True(t, permitted)
+	must.Eq(t, 10-most, omitted)
+	_, omitted = limiter.Permit(now.Add(2 * time.Second))
+	must.Zero(t, omitted)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -234,7 +234,7 @@
 		Retry:         selection.NewRetries(n.countProxies),
 		Presentation:  n.options.Presentation,
 		CallerService: n.settings.Callers.Service,
-		Recorder:      recorders{metrics: n.metrics, collector: n.collector, lines: &requestLog{logger: n.logger}},
+		Recorder:      recorders{metrics: n.metrics, collector: n.collector, lines: newRequestLog(n.logger)},
 		Logger:        n.logger,
 	})
 }
--- a/node/requestlog.go
+++ b/node/requestlog.go
@@ -5,10 +5,10 @@
 	"log/slog"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/hemlockring/hemlockring/ingress"
+	"github.com/hemlockring/hemlockring/internal/linelimit"
 	"github.com/hemlockring/hemlockring/pipeline"
 )
 
@@ -21,13 +21,13 @@
 
 // requestLog writes a line for each exchange of the ingress, within bounds.
 type requestLog struct {
-	logger *slog.Logger
+	logger    *slog.Logger
+	successes *linelimit.Limiter
+	failures  *linelimit.Limiter
+}
 
-	mu        sync.Mutex
-	second    time.Time
-	successes int
-	failures  int
-	omitted   int
+func newRequestLog(logger *slog.Logger) *requestLog {
+	return &requestLog{logger: logger, successes: linelimit.New(maxSuccessLines), failures: linelimit.New(maxFailureLines)}
 }
 
 var _ ingress.Recorder = (*requestLog)(nil)
@@ -83,23 +83,13 @@
 
 // permit counts a line against the bounds of the present second.
 func (l *requestLog) permit(failed bool, now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now.Sub(l.second) >= time.Second || now.Before(l.second) {
-		if l.omitted > 0 {
-			l.logger.Info("request lines omitted", "lines", l.omitted)
-		}
-		l.second = now
-		l.successes, l.failures, l.omitted = 0, 0, 0
-	}
-	count, most := &l.successes, maxSuccessLines
+	limiter := l.successes
 	if failed {
-		count, most = &l.failures, maxFailureLines
+		limiter = l.failures
 	}
-	if *count >= most {
-		l.omitted++
-		return false
+	permitted, omitted := limiter.Permit(now)
+	if omitted > 0 {
+		l.logger.Info("request lines omitted", "lines", omitted, "failed", failed)
 	}
-	*count++
-	return true
+	return permitted
 }
