--- a/gossip/changelog_test.go
+++ b/gossip/changelog_test.go
@@ -19,7 +19,7 @@
 		id := fleetconfig.InstanceID(fmt.Sprintf("i%03d", i))
 		members = append(members, membership.Member{Record: membership.Record{ID: id}, Liveness: liveness})
 	}
-	return newSnapshot("i000", members)
+	return NewSnapshot("i000", members)
 }
 
 func TestEachChangeOfAMemberIsLoggedOnceWithinBounds(t *testing.T) {
--- a/gossip/service.go
+++ b/gossip/service.go
@@ -163,7 +163,7 @@
 }
 
 func (s *Service) publish() {
-	snapshot := newSnapshot(s.state.Self().ID, s.state.Members())
+	snapshot := NewSnapshot(s.state.Self().ID, s.state.Members())
 	logChanges(s.logger, s.snapshot.Load(), snapshot)
 	s.snapshot.Store(snapshot)
 	for _, observe := range s.onChange {
--- a/gossip/snapshot.go
+++ b/gossip/snapshot.go
@@ -29,7 +29,8 @@
 	byID     map[fleetconfig.InstanceID]*membership.Member
 }
 
-func newSnapshot(self fleetconfig.InstanceID, members []membership.Member) *Snapshot {
+// NewSnapshot returns the view of the members that self has.
+func NewSnapshot(self fleetconfig.InstanceID, members []membership.Member) *Snapshot {
 	snapshot := &Snapshot{
 		Self:     self,
 		Members:  members,
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -14,6 +15,7 @@
 	"github.com/hemlockring/hemlockring/internal/emulator"
 	"github.com/hemlockring/hemlockring/pipeline"
 	"github.com/hemlockring/hemlockring/pki"
+	"github.com/hemlockring/hemlockring/settings"
 	"github.com/hemlockring/hemlockring/transport"
 )
 
@@ -99,3 +101,40 @@
 
 	must.ErrorContains(t, pki.InitAuthority(folder, time.Now()), "already holds an authority")
 }
+
+// A planned stop goes on taking callers that have not heard of it for the time of the
+// settings, and then closes their port.
+func TestAPlannedStopTakesCallersForALastWhile(t *testing.T) {
+	t.Parallel()
+	const linger = 500 * time.Millisecond
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	port, err := openPort("127.0.0.1:0", handler, slog.New(slog.DiscardHandler))
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = port.Serve(ctx)
+	}()
+	n := &Node{settings: &settings.Settings{Limits: settings.Limits{StopLinger: linger}}, callers: port}
+	began := time.Now()
+	stopped := make(chan error, 1)
+	go func() { stopped <- n.stopCallers(t.Context()) }()
+	answered := time.Time{}
+	for {
+		// Each caller comes on a connection of its own.
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+		asked := time.Now()
+		response, err := client.Get("http://" + port.listener.Addr().String())
+		if err != nil {
+			break
+		}
+		must.NoError(t, response.Body.Close())
+		answered = asked
+	}
+	must.NoError(t, <-stopped)
+	must.GreaterEq(t, linger, time.Since(began))
+	must.GreaterEq(t, linger/2, answered.Sub(began))
+	cancel()
+	<-served
+}
