--- a/pipeline/headers.go
+++ b/pipeline/headers.go
@@ -25,7 +25,7 @@
 	HeaderService = "Hemlock-Service"
 	// HeaderCallerService carries the service on the caller's machine to the backend
 	// proxy.
-	HeaderCallerService = "Hemlock-Caller-Service"
+	HeaderCallerService = "Hemlock-Calling-Service"
 	// HeaderRetryAfter carries the wait of a refusal to the ingress, in milliseconds.
 	HeaderRetryAfter = "Hemlock-Retry-After-Ms"
 	// HeaderBackendServer carries the id of the chosen backend server to the
