Idle and stopping ingresses tell the owner; errors of the settings file are logged

An ingress that used no token for ten seconds, or stopped as planned, fell silent and counted as one out of reach for up to 3.7 s, so that the others lost its part of each rate. A comment of the test claimed the opposite. Each borrow request now says whether its ingress is idle. Also: a settings file that can not be looked at was passed over without a line; the preset is never nil; bridge() did two things.

--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -36,7 +36,7 @@
 
 // watch reloads on each SIGHUP and when the file has changed, until ctx ends.
 func (r *reloader) watch(ctx context.Context, hangups <-chan os.Signal) {
-	r.seen, _ = stateOf(r.file)
+	r.seen = stateOf(r.file)
 	ticker := time.NewTicker(fileCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -46,23 +46,25 @@
 		case <-hangups:
 			r.reload("signal")
 		case <-ticker.C:
-			if present, err := stateOf(r.file); err == nil && present != r.seen {
+			if stateOf(r.file) != r.seen {
 				r.reload("file changed")
 			}
 		}
 	}
 }
 
-func stateOf(file string) (fileState, error) {
+// stateOf returns the zero state for a file that can not be looked at: reading it then
+// says why.
+func stateOf(file string) fileState {
 	info, err := os.Stat(file)
 	if err != nil {
-		return fileState{}, err
+		return fileState{}
 	}
-	return fileState{modified: info.ModTime(), size: info.Size()}, nil
+	return fileState{modified: info.ModTime(), size: info.Size()}
 }
 
 func (r *reloader) reload(cause string) {
-	r.seen, _ = stateOf(r.file)
+	r.seen = stateOf(r.file)
 	loaded, err := settings.Load(r.file)
 	if err != nil {
 		r.logger.Warn("settings not reloaded, the former ones stay in force", "cause", cause, "error", err.Error())
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -87,6 +87,10 @@
 	<-log.written
 	must.StrContains(t, log.String(), "not reloaded")
 	must.Eq(t, slog.LevelWarn, level.Level())
+
+	must.NoError(t, os.Remove(file))
+	<-log.written
+	must.StrContains(t, log.String(), "no such file")
 	stop()
 	done.Wait()
 	must.Eq(t, 0, len(taken))
--- a/quota/contacts.go
+++ b/quota/contacts.go
@@ -8,10 +8,10 @@
 
 const (
 	// ContactInterval is how often an ingress that uses tokens calls the owner at
-	// least.
+	// least: a third of contactLimit, so that one lost call proves nothing.
 	ContactInterval = 250 * time.Millisecond
 	// contactLimit is the silence after which an ingress is believed to be out of
-	// reach: two of its calls in a row are missing.
+	// reach: two of its calls in a row are missing, and the next is late.
 	contactLimit = 700 * time.Millisecond
 	// maxReserved is the part of a rate that may be kept for ingresses out of reach;
 	// the rest lets the others go on.
@@ -37,6 +37,9 @@
 	return contacts{heard: make(map[fleetconfig.InstanceID]time.Time)}
 }
 
+// forget takes out an ingress that bridges nothing when it falls silent.
+func (c *contacts) forget(from fleetconfig.InstanceID) { delete(c.heard, from) }
+
 // hear records a call of an ingress.
 func (c *contacts) hear(from fleetconfig.InstanceID, now time.Time) { c.heard[from] = now }
 
--- a/quota/contacts_test.go
+++ b/quota/contacts_test.go
@@ -117,8 +117,8 @@
 	}
 }
 
-// Ingresses that are idle, or whose owner is new, keep nothing from the others, and
-// what was kept comes back when a bridge can last no longer.
+// Where nobody was heard yet nothing is kept, and what was kept comes back when a
+// bridge can last no longer.
 func TestOnlySilentIngressesKeepAPartOfTheRate(t *testing.T) {
 	now := soup.Start
 	known := newContacts()
@@ -141,3 +141,22 @@
 	}
 	must.Zero(t, known.reserve(cutBridge, now.Add(cutBridge)))
 }
+
+// An ingress that says that it is idle keeps nothing from the others when it falls
+// silent, and counts again when it calls.
+func TestIdleIngressesKeepNothing(t *testing.T) {
+	fleet := newCutFleet(4, Limits{RatePerSecond: 10, Burst: 10})
+	for i := range 4 {
+		fleet.call(i, &BorrowRequest{Idle: i < 2})
+	}
+	fleet.now = fleet.now.Add(2 * contactLimit)
+	fleet.call(3, &BorrowRequest{})
+	must.Eq(t, 0.5, fleet.lender.reserved(fleet.now)) // Ingress 2 of 2 and 3.
+	fleet.call(0, &BorrowRequest{})
+	fleet.call(2, &BorrowRequest{})
+	fleet.now = fleet.now.Add(2 * contactLimit)
+	fleet.call(2, &BorrowRequest{})
+	fleet.call(3, &BorrowRequest{})
+	fleet.now = fleet.now.Add(reserveInterval)
+	must.Eq(t, 1.0/3, fleet.lender.reserved(fleet.now))
+}
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -126,6 +126,9 @@
 	tenure := l.tenure(lease, now)
 	ledger := tenure.ledger
 	l.contacts.hear(from, now)
+	if request.Idle {
+		l.contacts.forget(from)
+	}
 	reserved := l.reserved(now)
 	for i := range request.Reports {
 		ledger.Report(from, &request.Reports[i], now)
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -34,11 +34,7 @@
 	if account == nil {
 		return Limits{}
 	}
-	limits := Limits{RatePerSecond: max(account.RatePerSecond, 0), Burst: account.Burst}
-	if preset := view.Preset(); preset != nil {
-		limits.Slack = preset.QuotaSlack
-	}
-	return limits
+	return Limits{RatePerSecond: max(account.RatePerSecond, 0), Burst: account.Burst, Slack: view.Preset().QuotaSlack}
 }
 
 // Durations of the protocol between borrowers and owners.
--- a/quota/messages.go
+++ b/quota/messages.go
@@ -51,6 +51,9 @@
 	Reports []Report `cbor:"2,keyasint,omitempty"`
 	// Asks are the accounts that need tokens.
 	Asks []Ask `cbor:"3,keyasint,omitempty"`
+	// Idle says that the ingress has used no token lately and bridges nothing when it
+	// falls silent.
+	Idle bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Loan answers one Ask.
--- a/quotadriver/acquire.go
+++ b/quotadriver/acquire.go
@@ -85,7 +85,7 @@
 	if !ok {
 		var err error
 		if token, err = s.await(ctx, st, account); err != nil {
-			return s.bridge(st, account, err)
+			return s.withoutOwner(st, account, err)
 		}
 	}
 	now := clock.Now()
@@ -96,11 +96,11 @@
 	return token, nil
 }
 
-// bridge returns a token of this ingress's own when the account's owner can not be
-// reached and the preset in force lets ingresses go on for a while. It remembers the
-// accounts that are at their limit. The token
-// belongs to no grant: whatever becomes of it, the owner hears nothing.
-func (s *Service) bridge(st *stripe, account fleetconfig.AccountID, cause error) (quota.Token, error) {
+// withoutOwner decides on a request for which the owner has granted nothing. It bridges
+// when the owner can not be reached and the preset in force lets ingresses go on for a
+// while, and remembers the accounts that the owner refuses. A bridged token belongs to
+// no grant: whatever becomes of it, the owner hears nothing.
+func (s *Service) withoutOwner(st *stripe, account fleetconfig.AccountID, cause error) (quota.Token, error) {
 	var refusal *quota.Refusal
 	if !errors.As(cause, &refusal) {
 		return quota.Token{}, cause
--- a/quotadriver/leader_test.go
+++ b/quotadriver/leader_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/quota"
+	"github.com/hemlockring/hemlockring/transport"
 )
 
 // election is a control group of which at most one instance leads.
@@ -140,3 +141,30 @@
 	}
 	must.Positive(t, passed)
 }
+
+// The leader hears of an ingress while that uses tokens and once more, as idle, when it
+// stops.
+func TestTheLeaderHearsOfIngressesThatUseTokens(t *testing.T) {
+	votes, f := newLedFleet(t, time.Minute)
+	ingress := f.services[3]
+	votes.elect("control-0")
+	untilGranted(t, ingress)
+	calls := make(chan bool, 1000)
+	mux := http.NewServeMux()
+	transport.HandleCall(mux, pathBorrow, func(_ context.Context, _ fleetconfig.InstanceID, batch *BorrowBatch) (*BorrowReplies, error) {
+		for i := range batch.Requests {
+			calls <- batch.Requests[i].Idle
+		}
+		return f.services[0].borrow("ingress", batch), nil
+	})
+	f.network.mu.Lock()
+	f.network.muxes[f.services[0].config.Self.Address] = mux
+	f.network.mu.Unlock()
+	for range 3 {
+		must.False(t, <-calls) // Nobody acquires: these keep contact.
+	}
+	must.NoError(t, ingress.HandOver(context.Background()))
+	for idle := false; !idle; {
+		idle = <-calls
+	}
+}
--- a/quotadriver/peers.go
+++ b/quotadriver/peers.go
@@ -122,15 +122,16 @@
 }
 
 // keepContact lets the leader of control hear of this ingress while it uses tokens, so
-// that silence means that it can not be reached.
+// that silence means that it can not be reached, and tells it once when it stops.
 func (s *Service) keepContact(ctx context.Context) {
-	now := clock.Now()
-	idle := now.UnixNano()-s.used.Load() > contactFor.Nanoseconds()
-	if s.config.Control == nil || idle {
+	if s.config.Control == nil {
 		return
 	}
+	now := clock.Now()
+	idle := s.idle(now)
 	s.routeMu.Lock()
-	due := now.Sub(s.contacted) >= quota.ContactInterval
+	due := !idle && now.Sub(s.contacted) >= quota.ContactInterval || idle && s.kept
+	s.kept = !idle
 	if due {
 		s.contacted = now
 	}
@@ -140,6 +141,12 @@
 	}
 }
 
+// idle reports whether this ingress has used no token for so long that it would bridge
+// nothing.
+func (s *Service) idle(now time.Time) bool {
+	return now.UnixNano()-s.used.Load() > contactFor.Nanoseconds()
+}
+
 // sendBorrow queues a job for the instance that is believed to own its shard.
 func (s *Service) sendBorrow(ctx context.Context, job borrowJob) {
 	id := job.outgoing.Request.Shard
@@ -187,7 +194,9 @@
 
 func (s *Service) callBorrow(ctx context.Context, to fleetconfig.InstanceAddress, jobs []borrowJob) {
 	batch := &BorrowBatch{}
+	idle := s.idle(clock.Now())
 	for _, job := range jobs {
+		job.outgoing.Request.Idle = idle
 		batch.Requests = append(batch.Requests, job.outgoing.Request)
 	}
 	replies, err := s.ask(ctx, to, batch)
--- a/quotadriver/service.go
+++ b/quotadriver/service.go
@@ -77,6 +77,8 @@
 	// contacted is when the owner of everything was asked last; it is used with
 	// Control only.
 	contacted time.Time
+	// kept says that the owner expects to hear of this ingress.
+	kept bool
 	// lost is since when the owners of shards do not answer.
 	lost map[shard.ID]time.Time
 
@@ -206,6 +208,7 @@
 // HandOver starts a planned stop: it hands the held leases over and returns when
 // none is left, or when the context ends. Serve must go on meanwhile.
 func (s *Service) HandOver(ctx context.Context) error {
+	s.used.Store(0) // The callers' port is closed.
 	ticker := time.NewTicker(offerInterval)
 	defer ticker.Stop()
 	for {
