A caller's broken body is no lost path, and is sent once

Found on reading: a body that its caller spoiled, or that went over the new limit, ended the attempt with an error, which counted as a lost path to the instance and was tried again elsewhere. Test first: 502 instead of 400 and 413. The header's size is worked out only where it is limited.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -156,7 +156,7 @@
 		return false
 	case refusal.Kind == pipeline.KindKeyRejected:
 		return false
-	case !body.rewindable():
+	case !body.rewindable() || body.failure() != nil:
 		return false
 	case refusal.Kind == pipeline.KindServerError:
 		// It was paid for when the answer was passed over.
@@ -241,7 +241,7 @@
 		result.Latency = clock.Since(started)
 	}
 	result.Outcome = exchange.Outcome
-	result.Canceled = exchange.Request.Context().Err() != nil
+	result.Canceled = result.Canceled || exchange.Request.Context().Err() != nil
 	f.selector.Done(&result)
 	exchange.Trail = append(exchange.Trail, pipeline.Step{
 		Instance:      candidate.Instance,
@@ -256,6 +256,10 @@
 
 func (f *forwardFilter) serveRemote(exchange *pipeline.Exchange, candidate Candidate, request *http.Request, body *replayBody, result *Attempt, started time.Time) *pipeline.Refusal {
 	response, err := f.remote.RoundTrip(candidate.Address, request)
+	if cause := body.failure(); err != nil && cause != nil {
+		result.Canceled = true
+		return refuseBody(cause)
+	}
 	if err != nil {
 		result.PathFailed = request.Context().Err() == nil
 		result.Unreached = errors.Is(err, transport.ErrNotSent)
@@ -283,6 +287,27 @@
 	f.clocks.observe(result.Candidate.Instance, header.Get(pipeline.HeaderClock), clock.Now())
 }
 
+// refuseBody answers a request whose body its caller did not send to the end. A part
+// of it may have reached the backend server.
+func refuseBody(cause error) *pipeline.Refusal {
+	refusal := &pipeline.Refusal{
+		Kind:       pipeline.KindBadRequest,
+		Status:     http.StatusBadRequest,
+		Detail:     "the body could not be read to its end: " + cause.Error(),
+		Remedy:     "send the whole body",
+		RetryAfter: retrySoon,
+		Outcome:    pipeline.OutcomeUnknown,
+		Reached:    true,
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(cause, &tooLarge) {
+		refusal.Kind = pipeline.KindTooLarge
+		refusal.Status = http.StatusRequestEntityTooLarge
+		refusal.Remedy = "send a smaller body"
+	}
+	return refusal
+}
+
 func refuseUnreached(exchange *pipeline.Exchange, request *http.Request, err error) *pipeline.Refusal {
 	if errors.Is(err, transport.ErrNotSent) {
 		return pipeline.NotRun(pipeline.KindNoCapacity, http.StatusServiceUnavailable,
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -8,14 +8,18 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
 
+	"github.com/hemlockring/hemlockring/backendproxy"
+	"github.com/hemlockring/hemlockring/clock"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/internal/freeze"
 	"github.com/hemlockring/hemlockring/pipeline"
+	"github.com/hemlockring/hemlockring/quota"
 	"github.com/hemlockring/hemlockring/transport"
 )
 
@@ -25,6 +29,7 @@
 	answers []func(request *http.Request) (*http.Response, error)
 	asked   []int
 	budget  int
+	ended   []Attempt
 }
 
 func (s *servers) RoundTrip(address string, request *http.Request) (*http.Response, error) {
@@ -44,7 +49,7 @@
 }
 
 func (*servers) Again(Candidate, *pipeline.Exchange) {}
-func (*servers) Done(*Attempt)                       {}
+func (s *servers) Done(attempt *Attempt)             { s.ended = append(s.ended, *attempt) }
 func (*servers) Started(*pipeline.Exchange)          {}
 
 func (s *servers) MayRetry(*pipeline.Exchange, pipeline.Outcome) bool {
@@ -88,9 +93,17 @@
 
 // serve sends one request through an ingress before the servers.
 func (s *servers) serve(idempotency fleetconfig.Idempotency, maxAttempts uint32, budget int) *httptest.ResponseRecorder {
-	s.asked, s.budget = nil, budget
+	return s.serveRequest(httptest.NewRequest(http.MethodGet, "http://a.example/x", nil), idempotency, maxAttempts, budget)
+}
+
+// maxTestBody is the largest body that the configuration of the tests permits.
+const maxTestBody = 100
+
+func (s *servers) serveRequest(request *http.Request, idempotency fleetconfig.Idempotency, maxAttempts uint32, budget int) *httptest.ResponseRecorder {
+	s.asked, s.ended, s.budget = nil, nil, budget
 	document := fleetconfig.NewDocument()
 	document.Version = 1
+	document.CallerLimits.BodyBytes = maxTestBody
 	document.Routes = []fleetconfig.Route{{
 		ID: "r", PathPrefix: "/", Service: "catalogue", OpenToAll: true, Idempotency: idempotency, MaxAttempts: maxAttempts,
 	}}
@@ -104,7 +117,7 @@
 		Logger:        slog.New(slog.DiscardHandler),
 	})
 	recorder := httptest.NewRecorder()
-	proxy.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "http://a.example/x", nil))
+	proxy.ServeHTTP(recorder, request)
 	return recorder
 }
 
@@ -172,6 +185,43 @@
 	must.Len(t, maxDoubtful+1, many.asked)
 }
 
+// readBody sends the body on, as a transport does, and then answers. The first request
+// to an instance comes without one.
+func readBody(request *http.Request) (*http.Response, error) {
+	if request.Body == nil {
+		response, err := refusal(pipeline.KindClockUnknown, pipeline.OutcomeNotRun, false)(request)
+		instance := quota.NewDispatchClock(1, clock.Now())
+		response.Header.Set(pipeline.HeaderClock, backendproxy.FormatReading(instance.Reading(clock.Now())))
+		return response, err
+	}
+	if _, err := io.ReadAll(request.Body); err != nil {
+		return nil, err
+	}
+	return answer(http.StatusOK)(request)
+}
+
+// A body that its caller spoils, or that is too large, is no evidence against the path
+// to an instance, and is sent to no other one.
+func TestACallersBrokenBodyIsNoLostPath(t *testing.T) {
+	for _, broken := range []struct {
+		body   io.Reader
+		status int
+	}{
+		{io.MultiReader(strings.NewReader("some"), iotest.ErrReader(errors.New("malformed chunk"))), http.StatusBadRequest},
+		{io.MultiReader(strings.NewReader(strings.Repeat("x", 2*maxTestBody))), http.StatusRequestEntityTooLarge},
+	} {
+		fleet := &servers{answers: []func(*http.Request) (*http.Response, error){readBody, readBody}}
+		request := httptest.NewRequest(http.MethodPost, "http://a.example/x", broken.body)
+		request.ContentLength = -1
+		recorder := fleet.serveRequest(request, lookup, 0, 9)
+		must.Eq(t, broken.status, recorder.Code)
+		must.Eq(t, pipeline.OutcomeUnknown.String(), recorder.Header().Get(pipeline.HeaderOutcome))
+		must.Eq(t, []int{0, 0}, fleet.asked)
+		must.False(t, fleet.ended[1].PathFailed)
+		must.True(t, fleet.ended[1].Canceled)
+	}
+}
+
 // No request is dispatched after the time until which this instance vouches for its
 // key, wherever it waits.
 func TestTheDispatchIsBoundByTheCurrencyOfTheKey(t *testing.T) {
--- a/ingress/limits.go
+++ b/ingress/limits.go
@@ -20,9 +20,11 @@
 func (f *limitFilter) Request(exchange *pipeline.Exchange) error {
 	limits := f.configuration.View().Document().CallerLimits
 	request := exchange.Request
-	if size := headerBytes(request); limits.HeaderBytes > 0 && size > limits.HeaderBytes {
-		return pipeline.NotRun(pipeline.KindTooLarge, http.StatusRequestHeaderFieldsTooLarge,
-			fmt.Sprintf("the header has %d bytes and %d are permitted", size, limits.HeaderBytes), "send a smaller header", retryKey)
+	if limits.HeaderBytes > 0 {
+		if size := headerBytes(request); size > limits.HeaderBytes {
+			return pipeline.NotRun(pipeline.KindTooLarge, http.StatusRequestHeaderFieldsTooLarge,
+				fmt.Sprintf("the header has %d bytes and %d are permitted", size, limits.HeaderBytes), "send a smaller header", retryKey)
+		}
 	}
 	if limits.BodyBytes <= 0 {
 		return nil
--- a/ingress/replaybody.go
+++ b/ingress/replaybody.go
@@ -40,6 +40,16 @@
 	return !b.overrun
 }
 
+// failure returns why the caller's body could not be read to its end, or nil.
+func (b *replayBody) failure() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if errors.Is(b.err, io.EOF) {
+		return nil
+	}
+	return b.err
+}
+
 // open returns the body for one attempt and its trailer, which is filled in at the
 // end of the body.
 func (b *replayBody) open() (body *attemptBody, trailer http.Header) {
