A starter comes back to control by turns

Cause: on the grown deployments no ingress was ready when traffic began. An instance that starts asks control first, but each unhelpful answer moves it on to the next peer. Control forms its group in 1.5 s; by then a starter had gone past the five control instances and asked 90 neighbours, one each 500 ms, which knew nothing either, until a change of the configuration reached it by offer. Ruled out by the log: control itself (first version in force 8.8 s before the traffic), processor time (0.016 of a core). On the small sites 30 neighbours hid it. Outside the platform it is worse: 820 neighbours came before control.

--- a/configsync/topology.go
+++ b/configsync/topology.go
@@ -80,17 +80,14 @@
 	return order[first:min(first+fanOut, len(order))]
 }
 
-// nearest returns whom an instance polls that starts and knows no tree yet: all
-// others, those of its failure domain first, control last, or first if wanted. Within each it begins
-// after its own ID, so that instances that start together ask different ones.
+// nearest returns whom an instance polls that starts and knows no tree yet: control
+// and its neighbours by turns, since after a restart of the whole fleet only control
+// knows anything, and neighbours help while control is out of reach. Neighbours of its
+// failure domain come first. Within each it begins after its own ID, so that instances
+// that start together ask different ones.
 func nearest(self fleetconfig.InstanceAddress, peers []Peer, controlFirst bool) []fleetconfig.InstanceAddress {
-	distance := func(peer Peer) int {
-		switch {
-		case peer.Control && controlFirst:
-			return -1
-		case peer.Control:
-			return 2
-		case peer.FailureDomain != self.FailureDomain:
+	elsewhere := func(peer Peer) int {
+		if !peer.Control && peer.FailureDomain != self.FailureDomain {
 			return 1
 		}
 		return 0
@@ -103,13 +100,33 @@
 	}
 	sorted := slices.Clone(peers)
 	slices.SortFunc(sorted, func(a, b Peer) int {
-		return cmp.Or(distance(a)-distance(b), wrapped(a)-wrapped(b), byID(a.InstanceAddress, b.InstanceAddress))
+		return cmp.Or(elsewhere(a)-elsewhere(b), wrapped(a)-wrapped(b), byID(a.InstanceAddress, b.InstanceAddress))
 	})
-	addresses := make([]fleetconfig.InstanceAddress, len(sorted))
-	for i, peer := range sorted {
-		addresses[i] = peer.InstanceAddress
+	var control, neighbours []fleetconfig.InstanceAddress
+	for _, peer := range sorted {
+		if peer.Control {
+			control = append(control, peer.InstanceAddress)
+		} else {
+			neighbours = append(neighbours, peer.InstanceAddress)
+		}
+	}
+	if controlFirst {
+		return byTurns(control, neighbours)
+	}
+	return byTurns(neighbours, control)
+}
+
+// byTurns returns an element of first and one of second by turns. The shorter one
+// begins anew until the longer one is through.
+func byTurns(first, second []fleetconfig.InstanceAddress) []fleetconfig.InstanceAddress {
+	if len(first) == 0 || len(second) == 0 {
+		return append(first, second...)
+	}
+	var turns []fleetconfig.InstanceAddress
+	for i := range max(len(first), len(second)) {
+		turns = append(turns, first[i%len(first)], second[i%len(second)])
 	}
-	return addresses
+	return turns
 }
 
 // parentsOf returns the parent of a position, and then the two instances before
--- /dev/null
+++ b/configsync/topology_test.go
@@ -0,0 +1,67 @@
+package configsync
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+// starterPeers returns the other instances of a fleet that has just been started.
+func starterPeers(controls, neighbours int) []Peer {
+	var peers []Peer
+	for i := range controls + neighbours {
+		peers = append(peers, Peer{Control: i < controls, InstanceAddress: fleetconfig.InstanceAddress{
+			ID:            fleetconfig.InstanceID(fmt.Sprintf("i%03d", i)),
+			FailureDomain: fleetconfig.FailureDomain(fmt.Sprintf("fd%d", i%4)),
+		}})
+	}
+	return peers
+}
+
+// After a restart of the whole fleet only control knows the configuration, and it
+// knows it late. However many neighbours there are, a starter is back at control by
+// the second poll, and asks each control instance in turn.
+func TestAStarterComesBackToControl(t *testing.T) {
+	const controls, neighbours = 5, 90
+	self := fleetconfig.InstanceAddress{ID: "i050", FailureDomain: "fd2"}
+	peers := starterPeers(controls, neighbours)
+	isControl := make(map[fleetconfig.InstanceID]bool)
+	for _, peer := range peers {
+		isControl[peer.ID] = peer.Control
+	}
+	for _, controlFirst := range []bool{true, false} {
+		candidates := nearest(self, peers, controlFirst)
+		asked := make(map[fleetconfig.InstanceID]int)
+		for i, candidate := range candidates {
+			must.Eq(t, (i%2 == 0) == controlFirst, isControl[candidate.ID])
+			asked[candidate.ID]++
+		}
+		must.MapLen(t, len(peers), asked)
+		for id, times := range asked {
+			if isControl[id] {
+				must.GreaterEq(t, neighbours/controls, times)
+			} else {
+				must.Eq(t, 1, times)
+			}
+		}
+	}
+}
+
+// Neighbours of the own failure domain come first.
+func TestAStarterAsksNearNeighboursFirst(t *testing.T) {
+	self := fleetconfig.InstanceAddress{ID: "i050", FailureDomain: "fd2"}
+	candidates := nearest(self, starterPeers(0, 40), false)
+	must.SliceLen(t, 40, candidates)
+	for i, candidate := range candidates {
+		must.Eq(t, i < 10, candidate.FailureDomain == "fd2")
+	}
+}
+
+// A fleet of control instances only is asked in turn.
+func TestAStarterWithoutNeighboursAsksControl(t *testing.T) {
+	must.SliceLen(t, 5, nearest(fleetconfig.InstanceAddress{ID: "i050"}, starterPeers(5, 0), true))
+	must.SliceEmpty(t, nearest(fleetconfig.InstanceAddress{ID: "i050"}, nil, true))
+}
