A doubtful backend server is tried by the ingress beside it

Cause of the red TestEjectionStopsAtTheFloor: in a pool with room the choice avoids a backend server in doubt until nearly nothing is left of the doubt, 14 s or more. The detector of the ejection got one outcome in ten seconds and needs eleven of one account. Ruled out: the permit, the floor, the baseline (all as they should be in a trace of the sums), the breaker's interval of 200 ms.

The ingress beside the server sends it, at most once a second, a request that can be repeated, once the excess doubt has faded to 0.35. The test: red (92 s) -> passes in 26, 31, 46 s of 90.

--- a/selection/selector.go
+++ b/selection/selector.go
@@ -53,6 +53,7 @@
 	snapshot  *gossip.Snapshot
 	refreshed time.Time
 	doubts    map[balance.BackendID]doubt
+	trials    trials
 	random    *rand.Rand
 }
 
@@ -78,15 +79,10 @@
 	defer service.mu.Unlock()
 	now := clock.Now()
 	s.refresh(service, exchange.Service, now)
-	var skip balance.Tried
-	for _, candidate := range tried {
-		skip.Add(backendID(candidate))
-	}
-	pick := service.pool.Pick
-	if exchange.Reached > 0 {
-		pick = service.pool.PickBest
+	index, ok := service.trial(exchange, tried, service.snapshot.Self, now)
+	if !ok {
+		index, ok = service.choose(exchange, tried)
 	}
-	index, ok := pick(service.random, &skip)
 	if !ok {
 		return ingress.Candidate{}, false
 	}
@@ -96,6 +92,19 @@
 	return candidate, true
 }
 
+// choose returns the index of the backend server for the next attempt. The caller
+// holds the pool's lock.
+func (p *servicePool) choose(exchange *pipeline.Exchange, tried []ingress.Candidate) (int, bool) {
+	var skip balance.Tried
+	for _, candidate := range tried {
+		skip.Add(backendID(candidate))
+	}
+	if exchange.Reached > 0 {
+		return p.pool.PickBest(p.random, &skip)
+	}
+	return p.pool.Pick(p.random, &skip)
+}
+
 // Again implements ingress.Selector.
 func (s *Selector) Again(candidate ingress.Candidate, exchange *pipeline.Exchange) {
 	service := s.service(exchange.Service)
@@ -203,6 +212,7 @@
 	for id := range p.doubts {
 		if _, found := p.pool.Find(id); !found {
 			delete(p.doubts, id)
+			delete(p.trials.last, id)
 		}
 	}
 }
