Requests that wait go by their rank; connections limit the slots

Priorities of accounts and routes and the connection limit of services were kept and had no effect.

The ingress tells the backend proxy the urgency; the queue gives slots to the most urgent rank that waits, but for every fourth one, and keeps a quarter of its places for less urgent ones. In the test 0.95 or more of the urgent ones run, and 0.4 to 0.6 of the others. Strict order was ruled out: urgent requests that fill a server by themselves would starve the rest.

--- a/backendproxy/proxy.go
+++ b/backendproxy/proxy.go
@@ -94,6 +94,7 @@
 		CallerService: fleetconfig.ServiceName(header.Get(pipeline.HeaderCallerService)),
 		Idempotent:    header.Get(pipeline.HeaderIdempotent) != "",
 		LastResort:    header.Get(pipeline.HeaderLastResort) != "",
+		Urgency:       readUrgency(header),
 		State:         &exchangeState{},
 	}
 	exchange.JudgedBy, _ = strconv.ParseUint(header.Get(pipeline.HeaderJudgedBy), 10, 64)
@@ -109,6 +110,16 @@
 	}
 }
 
+// readUrgency returns the urgency that the ingress has set, the least one when it has
+// set none.
+func readUrgency(header http.Header) fleetconfig.Urgency {
+	urgency, err := strconv.ParseUint(header.Get(pipeline.HeaderUrgency), 10, 64)
+	if err != nil {
+		return fleetconfig.LeastUrgent
+	}
+	return fleetconfig.Urgency(urgency)
+}
+
 // maxLines is how many lines a second are written about requests that failed here.
 const maxLines = 100
 
--- a/backendproxy/registry.go
+++ b/backendproxy/registry.go
@@ -72,6 +72,8 @@
 	// Announcement is the newest one.
 	Announcement Announcement
 
+	// slots is how many requests it runs at once.
+	slots     uint32
 	started   time.Time
 	expires   time.Time
 	draining  bool
@@ -82,8 +84,8 @@
 // Registry keeps the backend servers that have announced themselves. It is safe
 // for concurrent use.
 type Registry struct {
-	onChange    func([]membership.Server)
-	queueLength func() int
+	onChange func([]membership.Server)
+	limits   Limits
 
 	mu      sync.Mutex
 	servers map[fleetconfig.BackendServerID]*Server
@@ -98,16 +100,33 @@
 	at   time.Time
 }
 
+// Limits are the limits of backend servers by the configuration in force.
+type Limits interface {
+	// QueueLength returns how many requests may wait for each backend server.
+	QueueLength() int
+	// MaxConnections returns how many connections a backend server of the service takes
+	// at once, 0 when it has not said.
+	MaxConnections(service fleetconfig.ServiceName) uint32
+}
+
 // NewRegistry returns an empty registry. onChange is called, with the lock held,
-// whenever what the fleet should know has changed. queueLength returns how many
-// requests may wait for each backend server.
-func NewRegistry(onChange func([]membership.Server), queueLength func() int) *Registry {
+// whenever what the fleet should know has changed.
+func NewRegistry(onChange func([]membership.Server), limits Limits) *Registry {
 	return &Registry{
-		onChange:    onChange,
-		queueLength: queueLength,
-		servers:     make(map[fleetconfig.BackendServerID]*Server),
-		departed:    make(map[fleetconfig.BackendServerID]departure),
+		onChange: onChange,
+		limits:   limits,
+		servers:  make(map[fleetconfig.BackendServerID]*Server),
+		departed: make(map[fleetconfig.BackendServerID]departure),
+	}
+}
+
+// slots returns how many requests a backend server runs at once. Each has a connection
+// of its own, so that the limit of these is one of slots too.
+func (r *Registry) slots(announcement *Announcement) uint32 {
+	if limit := r.limits.MaxConnections(announcement.Service); limit > 0 {
+		return min(limit, announcement.Slots)
 	}
+	return announcement.Slots
 }
 
 // Announce takes an announcement in.
@@ -131,7 +150,7 @@
 		if len(r.servers) >= MaxServers {
 			return errors.Newf("this instance has %d backend servers already; announce to another instance", MaxServers)
 		}
-		server = &Server{ID: id, started: now, admission: newAdmission(int(announcement.Slots), r.queueLength())}
+		server = &Server{ID: id, started: now, admission: newAdmission(int(r.slots(&announcement)), r.limits.QueueLength())}
 		r.servers[id] = server
 		changed = true
 	}
@@ -141,10 +160,11 @@
 	case draining && !server.draining:
 		server.admission.drain()
 	case !draining && server.draining:
-		server.admission = newAdmission(int(announcement.Slots), r.queueLength())
+		server.admission = newAdmission(int(r.slots(&announcement)), r.limits.QueueLength())
 	}
 	changed = changed || server.Announcement.differs(&announcement) || server.draining != draining
 	server.Announcement = announcement
+	server.slots = r.slots(&announcement)
 	server.draining = draining
 	server.expires = now.Add(time.Duration(announcement.LifetimeMillis) * time.Millisecond)
 	if changed {
@@ -212,7 +232,7 @@
 			delete(r.departed, id)
 		}
 	}
-	length := r.queueLength()
+	length := r.limits.QueueLength()
 	for id, server := range r.servers {
 		if now.After(server.expires) {
 			server.admission.drain()
@@ -220,7 +240,10 @@
 			changed = true
 			continue
 		}
-		server.admission.setLimits(int(server.Announcement.Slots), length)
+		slots := r.slots(&server.Announcement)
+		changed = changed || slots != server.slots
+		server.slots = slots
+		server.admission.setLimits(int(slots), length)
 		server.admission.tick(now)
 	}
 	if changed {
@@ -253,7 +276,7 @@
 		servers = append(servers, membership.Server{
 			ID:               server.ID,
 			Service:          server.Announcement.Service,
-			Slots:            server.Announcement.Slots,
+			Slots:            server.slots,
 			State:            state,
 			Ejected:          server.ejected,
 			StartedUnixMilli: server.started.UnixMilli(),
--- a/backendproxy/registry_test.go
+++ b/backendproxy/registry_test.go
@@ -13,15 +13,25 @@
 // announced is a registry with what it last told the fleet.
 type announced struct {
 	*Registry
+	limits  testLimits
 	servers []membership.Server
 }
 
 func newAnnounced() *announced {
 	a := &announced{}
-	a.Registry = NewRegistry(func(servers []membership.Server) { a.servers = servers }, func() int { return 8 })
+	a.Registry = NewRegistry(func(servers []membership.Server) { a.servers = servers }, &a.limits)
 	return a
 }
 
+// testLimits are limits that a test sets.
+type testLimits struct {
+	maxConnections uint32
+}
+
+func (*testLimits) QueueLength() int { return 8 }
+
+func (l *testLimits) MaxConnections(fleetconfig.ServiceName) uint32 { return l.maxConnections }
+
 func (a *announced) announce(t *testing.T, id string, born int64, sequence uint64, change func(*Announcement)) {
 	t.Helper()
 	announcement := Announcement{
@@ -77,3 +87,21 @@
 	a.announce(t, "one", 300, 2, nil)
 	must.Eq(t, []fleetconfig.BackendServerID{"two"}, a.ids())
 }
+
+// A backend server that takes fewer connections than it has slots runs no more
+// requests than connections, and the fleet hears of it; the limit may change.
+func TestConnectionsLimitTheSlots(t *testing.T) {
+	registry := newAnnounced()
+	registry.limits.maxConnections = 3
+	registry.announce(t, "b1", 1, 1, nil)
+	slots := func() uint32 {
+		must.Eq(t, int(registry.servers[0].Slots), registry.loads()["b1"].Slots)
+		return registry.servers[0].Slots
+	}
+	must.Eq(t, 3, slots())
+	for limit, expected := range map[uint32]uint32{2: 2, 0: 4, 100: 4} {
+		registry.limits.maxConnections = limit
+		registry.Tick(time.Now())
+		must.Eq(t, expected, slots())
+	}
+}
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -96,6 +97,21 @@
 	return s.serveRequest(httptest.NewRequest(http.MethodGet, "http://a.example/x", nil), idempotency, maxAttempts, budget)
 }
 
+// testPriority is the rank of the route.
+const testPriority = 3
+
+// The proxy beside the backend server learns how urgent the request is.
+func TestUrgencyGoesWithTheRequest(t *testing.T) {
+	var urgency string
+	fleet := &servers{answers: []func(*http.Request) (*http.Response, error){func(request *http.Request) (*http.Response, error) {
+		urgency = request.Header.Get(pipeline.HeaderUrgency)
+		return answer(http.StatusOK)(request)
+	}}}
+	must.Eq(t, http.StatusOK, fleet.serve(fleetconfig.IdempotentAlways, 1, 0).Code)
+	expected := fleetconfig.UrgencyOf(nil, &fleetconfig.Route{Priority: testPriority})
+	must.Eq(t, strconv.FormatUint(uint64(expected), 10), urgency)
+}
+
 // maxTestBody is the largest body that the configuration of the tests permits.
 const maxTestBody = 100
 
@@ -105,7 +121,7 @@
 	document.Version = 1
 	document.CallerLimits.BodyBytes = maxTestBody
 	document.Routes = []fleetconfig.Route{{
-		ID: "r", PathPrefix: "/", Service: "catalogue", OpenToAll: true, Idempotency: idempotency, MaxAttempts: maxAttempts,
+		ID: "r", PathPrefix: "/", Service: "catalogue", OpenToAll: true, Idempotency: idempotency, MaxAttempts: maxAttempts, Priority: testPriority,
 	}}
 	proxy := New(Config{
 		Configuration: &oneRoute{view: fleetconfig.NewView(document)},
--- a/ingress/forwarded.go
+++ b/ingress/forwarded.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hemlockring/hemlockring/backendproxy"
+	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/internal/httpheader"
 	"github.com/hemlockring/hemlockring/pipeline"
 )
@@ -27,6 +28,8 @@
 	if exchange.Idempotent {
 		header.Set(pipeline.HeaderIdempotent, "1")
 	}
+	urgency := fleetconfig.UrgencyOf(exchange.View.Account(exchange.Account), exchange.Route)
+	header.Set(pipeline.HeaderUrgency, strconv.FormatUint(uint64(urgency), 10))
 	if exchange.LastResort {
 		header.Set(pipeline.HeaderLastResort, "1")
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -208,7 +208,7 @@
 	n.registry = backendproxy.NewRegistry(func(servers []membership.Server) {
 		n.ejection.SetServers(servers)
 		n.members.SetServers(servers)
-	}, n.queueLength)
+	}, serverLimits{n.configuration})
 	n.backendProxy = backendproxy.New(backendproxy.Config{
 		Registry: n.registry,
 		View:     n.configuration.View,
@@ -239,9 +239,22 @@
 	})
 }
 
-// queueLength is how many requests may wait for each backend server.
-func (n *Node) queueLength() int {
-	return int(n.configuration.View().Preset().QueueLength)
+// serverLimits reads the limits of backend servers from the configuration in force.
+type serverLimits struct {
+	configuration ingress.Configuration
+}
+
+// QueueLength implements backendproxy.Limits.
+func (l serverLimits) QueueLength() int {
+	return int(l.configuration.View().Preset().QueueLength)
+}
+
+// MaxConnections implements backendproxy.Limits.
+func (l serverLimits) MaxConnections(name fleetconfig.ServiceName) uint32 {
+	if service := l.configuration.View().Service(name); service != nil {
+		return service.MaxConnections
+	}
+	return 0
 }
 
 // serverStateChanged tells the fleet which backend servers are ejected.
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -49,6 +49,8 @@
 	Key string
 	// Idempotent says that the request may be run more than once.
 	Idempotent bool
+	// Urgency orders the request against others of its service.
+	Urgency fleetconfig.Urgency
 	// LastResort says that every other backend server has refused the request.
 	LastResort bool
 	// Reached counts the attempts that may have reached a backend server.
--- a/pipeline/headers.go
+++ b/pipeline/headers.go
@@ -35,6 +35,8 @@
 	HeaderDeadline = "Hemlock-Deadline-Ms"
 	// HeaderIdempotent tells the backend proxy that the request can be repeated.
 	HeaderIdempotent = "Hemlock-Idempotent"
+	// HeaderUrgency carries the urgency of the request to the backend proxy.
+	HeaderUrgency = "Hemlock-Urgency"
 	// HeaderLastResort tells the backend proxy that no other backend server is left.
 	HeaderLastResort = "Hemlock-Last-Resort"
 	// HeaderReached tells the ingress that a refused request reached the backend
--- a/queue/account.go
+++ b/queue/account.go
@@ -7,9 +7,16 @@
 	"github.com/hemlockring/hemlockring/fleetconfig"
 )
 
-// account is the part of one client account in the queue.
+// accountKey tells the parts of client accounts in the queue apart.
+type accountKey struct {
+	id      fleetconfig.AccountID
+	urgency fleetconfig.Urgency
+}
+
+// account is the part of one client account in the queue, with requests of one
+// urgency.
 type account struct {
-	id fleetconfig.AccountID
+	accountKey
 	// start is the start tag of the account's next request, in virtual time.
 	start   time.Duration
 	running int
@@ -57,11 +64,11 @@
 }
 
 // account returns the record of an account and makes one if there is none.
-func (q *Queue) account(id fleetconfig.AccountID) *account {
-	owner := q.accounts[id]
+func (q *Queue) account(key accountKey) *account {
+	owner := q.accounts[key]
 	if owner == nil {
-		owner = &account{id: id, start: q.virtual}
-		q.accounts[id] = owner
+		owner = &account{accountKey: key, start: q.virtual}
+		q.accounts[key] = owner
 	}
 	return owner
 }
@@ -93,11 +100,12 @@
 	}
 }
 
-// next returns the waiting account with the least start tag.
+// next returns the waiting account with the least start tag, of those whose turn it is.
 func (q *Queue) next() *account {
+	urgency, _ := q.turn()
 	var best *account
 	for _, owner := range q.backlog {
-		if best == nil || precedes(owner, best) {
+		if owner.urgency == urgency && (best == nil || precedes(owner, best)) {
 			best = owner
 		}
 	}
@@ -111,12 +119,16 @@
 	return a.id < b.id
 }
 
-// pushOut refuses the request with the latest deadline of the account that has
-// the most waiting.
+// pushOut refuses the request with the latest deadline of the account that has the
+// most waiting, of those whose urgency gives way.
 func (q *Queue) pushOut() Action {
-	largest := q.backlog[0]
-	for _, owner := range q.backlog[1:] {
-		if len(owner.items) > len(largest.items) ||
+	urgency := q.givesWay()
+	var largest *account
+	for _, owner := range q.backlog {
+		if owner.urgency != urgency {
+			continue
+		}
+		if largest == nil || len(owner.items) > len(largest.items) ||
 			(len(owner.items) == len(largest.items) && precedes(largest, owner)) {
 			largest = owner
 		}
@@ -140,9 +152,9 @@
 }
 
 func (q *Queue) dropIdle(drop func(*account) bool) {
-	for id, owner := range q.accounts {
+	for key, owner := range q.accounts {
 		if owner.idle() && owner.running == 0 && drop(owner) {
-			delete(q.accounts, id)
+			delete(q.accounts, key)
 		}
 	}
 }
--- a/queue/doc.go
+++ b/queue/doc.go
@@ -10,6 +10,9 @@
 // "Stochastic Fairness Queueing", INFOCOM 1990), so that one account at several
 // times its rate does not push out the others.
 //
+// Requests of a more urgent rank go first, but for every fourth slot, which less
+// urgent ones get while they wait. The same part of the queue is left to them.
+//
 // A request that cannot make its deadline, given the expected time in a slot, is
 // refused at once. A refused request has not run: its quota token goes back. The
 // package does no I/O; its driver carries out the returned decisions.
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -30,6 +30,8 @@
 	// Account is its client account; the requests of open routes share the empty
 	// one.
 	Account fleetconfig.AccountID
+	// Urgency orders it against the requests of other urgencies.
+	Urgency fleetconfig.Urgency
 	// Deadline is when the request is given up.
 	Deadline time.Time
 }
@@ -73,12 +75,15 @@
 // Invariants: at most slots requests run; each offered request leaves by exactly
 // one Run or Refuse; a refused request has never run.
 type Queue struct {
-	slots       int
-	length      int
-	draining    bool
-	running     map[ItemID]runningItem
-	accounts    map[fleetconfig.AccountID]*account
-	backlog     []*account
+	slots    int
+	length   int
+	draining bool
+	running  map[ItemID]runningItem
+	accounts map[accountKey]*account
+	backlog  []*account
+	// passes counts the slots that an urgency has taken in a row while less urgent
+	// requests waited.
+	passes      map[fleetconfig.Urgency]int
 	waiting     int
 	virtual     time.Duration
 	serviceTime time.Duration
@@ -98,7 +103,8 @@
 		slots:       slots,
 		length:      length,
 		running:     make(map[ItemID]runningItem),
-		accounts:    make(map[fleetconfig.AccountID]*account),
+		accounts:    make(map[accountKey]*account),
+		passes:      make(map[fleetconfig.Urgency]int),
 		serviceTime: initialServiceTime,
 	}
 }
@@ -130,7 +136,7 @@
 	if q.draining {
 		return []Action{q.refuse(item.ID, ReasonDraining)}
 	}
-	owner := q.account(item.Account)
+	owner := q.account(accountKey{id: item.Account, urgency: item.Urgency})
 	if q.tooLate(owner, item, now) {
 		q.forgetIdle()
 		return []Action{q.refuse(item.ID, ReasonDeadline)}
@@ -192,8 +198,8 @@
 	return actions
 }
 
-// dispatch gives the free slots to the accounts with the least start tag. The
-// deadline is checked once more, so that nothing runs that cannot make it.
+// dispatch gives the free slots by turns of urgency, and within one to the accounts
+// with the least start tag. The deadline is checked once more, so that nothing runs that cannot make it.
 func (q *Queue) dispatch(now time.Time, actions []Action) []Action {
 	for len(q.running) < q.slots {
 		owner := q.next()
@@ -205,6 +211,7 @@
 			actions = append(actions, q.refuse(item.ID, ReasonDeadline))
 			continue
 		}
+		q.tookTurn(owner.urgency)
 		q.virtual = max(q.virtual, owner.start)
 		owner.start += q.serviceTime
 		owner.running++
@@ -224,17 +231,13 @@
 	return max(MinRetryAfter, ahead*q.serviceTime/time.Duration(max(1, q.slots)))
 }
 
-// tooLate reports whether the request cannot make its deadline: the fair turns
-// before its own, of its account's requests with earlier deadlines and as many of
-// each other waiting account, take too long.
+// tooLate reports whether the request cannot make its deadline: the turns before its
+// own, of its account's requests with earlier deadlines, as many of each other waiting
+// account and those of other urgencies, take too long.
 func (q *Queue) tooLate(owner *account, item Item, now time.Time) bool {
 	ahead := 0
 	if len(q.running) >= q.slots {
-		own := owner.position(item.Deadline)
-		for _, other := range q.backlog {
-			ahead += min(len(other.items), own+1)
-		}
-		ahead = max(ahead, own) + 1
+		ahead = q.ahead(owner, owner.position(item.Deadline))
 	}
 	wait := time.Duration(ahead) * q.serviceTime / time.Duration(max(1, q.slots))
 	return item.Deadline.Before(now.Add(wait + q.serviceTime))
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -68,7 +68,8 @@
 				c.states[id] = stateWaiting
 				c.deadline[id] = c.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "deadline")) * time.Millisecond)
 				account := fleetconfig.AccountID(fmt.Sprintf("a%d", rapid.IntRange(0, 3).Draw(t, "account")))
-				c.apply(c.queue.Offer(Item{ID: id, Account: account, Deadline: c.deadline[id]}, c.now))
+				urgency := fleetconfig.Urgency(rapid.IntRange(0, 3).Draw(t, "urgency"))
+				c.apply(c.queue.Offer(Item{ID: id, Account: account, Urgency: urgency, Deadline: c.deadline[id]}, c.now))
 			case event < 20 && len(c.running) > 0:
 				index := rapid.IntRange(0, len(c.running)-1).Draw(t, "done")
 				done := c.running[index]
--- /dev/null
+++ b/queue/urgency_test.go
@@ -0,0 +1,123 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+// overload plays requests that come at the given intervals, one interval for each
+// urgency, to a backend server of four slots and 100 ms a request. It returns the share
+// that runs, by urgency.
+func overload(t *testing.T, intervals map[fleetconfig.Urgency]time.Duration) map[fleetconfig.Urgency]float64 {
+	t.Helper()
+	const slots, length = 4, 16
+	const served, patience, step, played = 100 * time.Millisecond, 2 * time.Second, time.Millisecond, 60 * time.Second
+	queue := New(slots, length)
+	urgencies := make(map[ItemID]fleetconfig.Urgency)
+	ends := make(map[ItemID]time.Time)
+	offered, ran := make(map[fleetconfig.Urgency]int), make(map[fleetconfig.Urgency]int)
+	now := epoch
+	take := func(actions []Action) {
+		for _, action := range actions {
+			if run, runs := action.(Run); runs {
+				ran[urgencies[run.ID]]++
+				ends[run.ID] = now.Add(served)
+			}
+		}
+	}
+	next := ItemID(0)
+	for ; now.Before(epoch.Add(played)); now = now.Add(step) {
+		for id, end := range ends {
+			if !now.Before(end) {
+				delete(ends, id)
+				take(queue.Done(id, now))
+			}
+		}
+		for urgency, interval := range intervals {
+			if now.Sub(epoch)%interval != 0 {
+				continue
+			}
+			next++
+			urgencies[next] = urgency
+			offered[urgency]++
+			take(queue.Offer(Item{ID: next, Urgency: urgency, Deadline: now.Add(patience)}, now))
+		}
+		take(queue.Tick(now))
+	}
+	shares := make(map[fleetconfig.Urgency]float64)
+	for urgency := range intervals {
+		shares[urgency] = float64(ran[urgency]) / float64(offered[urgency])
+	}
+	return shares
+}
+
+// While there is less room than requests, the more urgent ones get it.
+func TestUrgentRequestsGoFirst(t *testing.T) {
+	// 40 a second fit; 30 urgent and 20 others come.
+	shares := overload(t, map[fleetconfig.Urgency]time.Duration{1: 33 * time.Millisecond, 2: 50 * time.Millisecond})
+	must.GreaterEq(t, 0.95, shares[1])
+	must.Between(t, 0.4, shares[2], 0.6)
+}
+
+// Urgent requests that fill all slots by themselves leave a quarter to the others.
+func TestLessUrgentRequestsAreNotStarved(t *testing.T) {
+	// 40 a second fit; 100 urgent and 20 others come.
+	shares := overload(t, map[fleetconfig.Urgency]time.Duration{1: 10 * time.Millisecond, 2: 50 * time.Millisecond})
+	must.GreaterEq(t, 0.25, shares[1])
+	must.GreaterEq(t, 0.4, shares[2])
+	// Among three urgencies none is left out either.
+	shares = overload(t, map[fleetconfig.Urgency]time.Duration{1: 10 * time.Millisecond, 2: 20 * time.Millisecond, 3: 100 * time.Millisecond})
+	must.Greater(t, shares[2], shares[1])
+	must.GreaterEq(t, 0.1, shares[2])
+	must.GreaterEq(t, 0.1, shares[3])
+}
+
+// A request that comes last goes before less urgent ones that wait, and its wait is
+// estimated so.
+func TestAnUrgentRequestPassesThoseThatWait(t *testing.T) {
+	queue := New(1, 10)
+	now := epoch
+	deadline := now.Add(time.Minute)
+	must.Eq(t, []Action{Run{ID: 1}}, queue.Offer(Item{ID: 1, Urgency: 2, Deadline: deadline}, now))
+	for id := ItemID(2); id < 8; id++ {
+		account := fleetconfig.AccountID(fmt.Sprintf("a%d", id))
+		must.SliceEmpty(t, queue.Offer(Item{ID: id, Account: account, Urgency: 2, Deadline: deadline}, now))
+	}
+	// Six wait for 10 ms each: too long for one of their urgency, not for a more
+	// urgent one.
+	soon := now.Add(35 * time.Millisecond)
+	refused := queue.Offer(Item{ID: 8, Urgency: 2, Deadline: soon}, now)
+	must.Len(t, 0, queue.Offer(Item{ID: 9, Urgency: 1, Deadline: soon}, now))
+	must.Len(t, 1, refused)
+	must.Eq(t, []Action{Run{ID: 9}}, queue.Done(1, now.Add(10*time.Millisecond)))
+}
+
+// BenchmarkOfferAndDone measures the decision with a full queue of two urgencies.
+func BenchmarkOfferAndDone(b *testing.B) {
+	queue := New(4, 24)
+	deadline := epoch.Add(time.Hour)
+	id := ItemID(0)
+	var running []ItemID
+	take := func(actions []Action) {
+		for _, action := range actions {
+			if run, runs := action.(Run); runs {
+				running = append(running, run.ID)
+			}
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		id++
+		take(queue.Offer(Item{ID: id, Urgency: fleetconfig.Urgency(id % 2), Deadline: deadline}, epoch))
+		if id > 24 {
+			done := running[0]
+			running = running[:copy(running, running[1:])]
+			take(queue.Done(done, epoch))
+		}
+	}
+}
