Unrepeatable requests use no connection that has rested

The proxy kept idle connections for 10 s.

Requests that can not be repeated have connections of their own, closed after 200 ms of rest. Two pools may hold twice as many connections, so half of a service's limit of connections bounds its slots.

--- a/backendproxy/dispatch.go
+++ b/backendproxy/dispatch.go
@@ -22,19 +22,38 @@
 	// idleConnTimeout is how long an unused connection to a backend server stays
 	// open.
 	idleConnTimeout = 10 * time.Second
+	// maxRest is how long a connection may have been unused when it takes a request
+	// that can not be repeated. Operators tell of backend servers that forget a
+	// connection without a word after 300 ms of rest; what is then sent is lost, with its
+	// outcome unknown.
+	maxRest = 200 * time.Millisecond
 	// maxIdleConns bounds the unused connections for each backend server.
 	maxIdleConns = 64
 	// maxResponseHeaderBytes bounds the header of a backend server's response.
 	maxResponseHeaderBytes = 256 << 10
 )
 
+// connPools is how many pools of connections a dispatcher has to each backend server.
+const connPools = 2
+
 // dispatcher hands requests to backend servers, each at most once.
 type dispatcher struct {
-	transport *http.Transport
-	dialect   Dialect
+	// repeatable takes the requests that can be repeated, unrepeatable the others.
+	repeatable, unrepeatable *http.Transport
+	dialect                  Dialect
 }
 
 func newDispatcher(dialect Dialect) *dispatcher {
+	return &dispatcher{
+		dialect:      dialect,
+		repeatable:   newTransport(idleConnTimeout),
+		unrepeatable: newTransport(maxRest),
+	}
+}
+
+// newTransport returns a transport whose connections are closed when they have been
+// unused for the given time.
+func newTransport(idleTimeout time.Duration) *http.Transport {
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
@@ -43,14 +62,14 @@
 		}
 		return &trackedConn{Conn: conn}, nil
 	}
-	return &dispatcher{dialect: dialect, transport: &http.Transport{
+	return &http.Transport{
 		DialContext:            dial,
 		DisableCompression:     true,
-		IdleConnTimeout:        idleConnTimeout,
+		IdleConnTimeout:        idleTimeout,
 		MaxIdleConnsPerHost:    maxIdleConns,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		TLSNextProto:           make(map[string]func(string, *tls.Conn) http.RoundTripper),
-	}}
+	}
 }
 
 // dispatch sends the request to the backend server at address. The first byte
@@ -65,7 +84,11 @@
 		}
 	}}
 	request := d.outgoingRequest(httptrace.WithClientTrace(ctx, trace), exchange, address)
-	response, err := d.transport.RoundTrip(request)
+	transport := d.unrepeatable
+	if exchange.Idempotent {
+		transport = d.repeatable
+	}
+	response, err := transport.RoundTrip(request)
 	used := conn.Load()
 	if err == nil {
 		exchange.DispatchedAgo = clock.Since(used.dispatchedAt())
--- a/backendproxy/registry.go
+++ b/backendproxy/registry.go
@@ -121,10 +121,11 @@
 }
 
 // slots returns how many requests a backend server runs at once. Each has a connection
-// of its own, so that the limit of these is one of slots too.
+// of its own, and each pool may keep as many unused ones, so that the limit of
+// connections is one of slots too.
 func (r *Registry) slots(announcement *Announcement) uint32 {
 	if limit := r.limits.MaxConnections(announcement.Service); limit > 0 {
-		return min(limit, announcement.Slots)
+		return min(max(1, limit/connPools), announcement.Slots)
 	}
 	return announcement.Slots
 }
