--- a/internal/bench/command.go
+++ b/internal/bench/command.go
@@ -11,6 +11,7 @@
 
 	"github.com/hemlockring/hemlockring/internal/daemon"
 	"github.com/hemlockring/hemlockring/internal/experiment"
+	"github.com/hemlockring/hemlockring/internal/soak"
 )
 
 // ExperimentArguments is the command line of the experiment.
@@ -26,6 +27,7 @@
 	Demo       *DemoArguments       `arg:"subcommand:demo" help:"show a small fleet under load while things fail"`
 	Experiment *ExperimentArguments `arg:"subcommand:experiment" help:"compare policies over outcomes of fake backend servers"`
 	Overhead   *OverheadArguments   `arg:"subcommand:overhead" help:"measure what the fleet adds to a request"`
+	Soak       *soak.Arguments      `arg:"subcommand:soak" help:"run a fleet under random faults and check its promises"`
 	Scale      *ScaleArguments      `arg:"subcommand:scale" help:"measure fleets of several sizes at rest, under changes and after a kill"`
 }
 
@@ -53,6 +55,8 @@
 		err = runExperiment(ctx, args.Experiment)
 	case args.Overhead != nil:
 		err = Overhead(ctx, *args.Overhead, os.Stdout)
+	case args.Soak != nil:
+		err = soak.Run(ctx, *args.Soak, os.Stdout)
 	case args.Scale != nil:
 		err = Scale(ctx, *args.Scale, os.Stdout)
 	default:
--- a/internal/testbed/relay.go
+++ b/internal/testbed/relay.go
@@ -1,8 +1,11 @@
 package testbed
 
 import (
+	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -16,10 +19,20 @@
 // of cut directions. Each instance is reached at its fleet address, where the
 // relay listens, and listens itself at its listen address.
 type Relay struct {
-	mu      sync.RWMutex
-	cut     map[direction]bool
-	names   map[string]fleetconfig.InstanceID
-	sockets []*net.UDPConn
+	mu  sync.RWMutex
+	cut map[direction]bool
+	// disturbed is what happens to datagrams on their way to an instance.
+	disturbed map[fleetconfig.InstanceID]Disturbance
+	names     map[string]fleetconfig.InstanceID
+	sockets   []*net.UDPConn
+}
+
+// Disturbance is what a relay does to what reaches an instance.
+type Disturbance struct {
+	// Delay is how long each datagram is held back.
+	Delay time.Duration
+	// Loss is the share of datagrams that are dropped, from 0 to 1.
+	Loss float64
 }
 
 // direction is the way from one instance to another.
@@ -29,7 +42,11 @@
 
 // StartRelay relays for all instances of a layout made with listen addresses.
 func StartRelay(layout *Layout) (*Relay, error) {
-	relay := &Relay{cut: make(map[direction]bool), names: make(map[string]fleetconfig.InstanceID)}
+	relay := &Relay{
+		cut:       make(map[direction]bool),
+		disturbed: make(map[fleetconfig.InstanceID]Disturbance),
+		names:     make(map[string]fleetconfig.InstanceID),
+	}
 	for _, instance := range layout.Instances {
 		relay.names[instance.Listen] = instance.ID
 	}
@@ -67,6 +84,28 @@
 	}
 }
 
+// Disturb disturbs what reaches an instance, until it is called with the zero value.
+func (r *Relay) Disturb(instance fleetconfig.InstanceID, disturbance Disturbance) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.disturbed[instance] = disturbance
+}
+
+// pass hands a datagram to send, unless it is lost, at once or after its delay.
+func (r *Relay) pass(from, to fleetconfig.InstanceID, datagram []byte, send func([]byte)) {
+	r.mu.RLock()
+	cut, disturbance := r.cut[direction{from, to}], r.disturbed[to]
+	r.mu.RUnlock()
+	switch {
+	case cut || (disturbance.Loss > 0 && rand.Float64() < disturbance.Loss):
+	case disturbance.Delay > 0:
+		held := slices.Clone(datagram)
+		time.AfterFunc(disturbance.Delay, func() { send(held) })
+	default:
+		send(datagram)
+	}
+}
+
 // Close stops relaying.
 func (r *Relay) Close() {
 	r.mu.Lock()
@@ -76,12 +115,6 @@
 	}
 }
 
-func (r *Relay) isCut(from, to fleetconfig.InstanceID) bool {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.cut[direction{from, to}]
-}
-
 func (r *Relay) keep(socket *net.UDPConn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -113,9 +146,6 @@
 			return
 		}
 		from := r.names[sender.String()]
-		if r.isCut(from, instance.ID) {
-			continue
-		}
 		back := backs[sender.String()]
 		if back == nil {
 			if back = r.openBack(front, instance, from, sender); back == nil {
@@ -123,7 +153,7 @@
 			}
 			backs[sender.String()] = back
 		}
-		_, _ = back.Write(buffer[:n])
+		r.pass(from, instance.ID, buffer[:n], func(datagram []byte) { _, _ = back.Write(datagram) })
 	}
 }
 
@@ -146,8 +176,8 @@
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
-			if err == nil && !r.isCut(instance.ID, from) {
-				_, _ = front.WriteToUDP(buffer[:n], sender)
+			if err == nil {
+				r.pass(instance.ID, from, buffer[:n], func(datagram []byte) { _, _ = front.WriteToUDP(datagram, sender) })
 			}
 		}
 	}()
