A slow past leaves no slot empty; waits end when a request may start no more

The queue refuses what cannot make its time by the mean time in a slot. Besides, the queue took that dispatch limit (the life of a quota token) for the deadline of the answer, so that requests were refused a service time early. Ruled out in the trace: doubt, membership, paths, ejection.

While a slot is free, only what is over is refused. The limit to start and the deadline are two times.

--- a/backendproxy/filters.go
+++ b/backendproxy/filters.go
@@ -174,7 +174,7 @@
 func (*queueFilter) Name() string { return "queue" }
 
 func (f *queueFilter) Request(exchange *pipeline.Exchange) error {
-	item := queue.Item{Account: exchange.Account, Urgency: exchange.Urgency, Deadline: exchange.DispatchBy}
+	item := queue.Item{Account: exchange.Account, Urgency: exchange.Urgency, Deadline: exchange.Deadline, StartBy: exchange.DispatchBy}
 	slot, refuse := f.registry.acquire(exchange.Request.Context(), exchange.BackendServer, exchange.Service, item)
 	switch {
 	case refuse != nil:
--- a/queue/doc.go
+++ b/queue/doc.go
@@ -13,7 +13,8 @@
 // Requests of a more urgent rank go first, but for every fourth slot, which less
 // urgent ones get while they wait. The same part of the queue is left to them.
 //
-// A request that cannot make its deadline, given the expected time in a slot, is
-// refused at once. A refused request has not run: its quota token goes back. The
-// package does no I/O; its driver carries out the returned decisions.
+// A request that cannot start or be answered in time, given the expected times in a
+// slot, is refused at once, but never while a slot is free. A refused request has not
+// run: its quota token goes back. The package does no I/O; its driver carries out the
+// returned decisions.
 package queue
--- /dev/null
+++ b/queue/estimate_test.go
@@ -0,0 +1,68 @@
+package queue
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// runFor lets a request hold a slot for a time.
+func runFor(t *testing.T, queue *Queue, id ItemID, held time.Duration, now time.Time) time.Time {
+	t.Helper()
+	must.Eq(t, []Action{Run{ID: id}}, queue.Offer(Item{ID: id, Deadline: now.Add(time.Minute)}, now))
+	queue.Done(id, now.Add(held))
+	return now.Add(held)
+}
+
+// A backend server that has made its requests hang gets requests as soon as a slot is
+// free: that it was slow is no reason to leave it idle for ever.
+func TestASlowPastLeavesNoSlotEmpty(t *testing.T) {
+	queue := New(2, 10)
+	now := epoch
+	id := ItemID(0)
+	for range 50 {
+		id++
+		now = runFor(t, queue, id, 6*time.Second, now)
+	}
+	must.Greater(t, 5*time.Second, queue.ServiceTime())
+	id++
+	item := Item{ID: id, Deadline: now.Add(4 * time.Second), StartBy: now.Add(400 * time.Millisecond)}
+	must.Eq(t, []Action{Run{ID: id}}, queue.Offer(item, now))
+	// What is over is over.
+	late := Item{ID: id + 1, Deadline: now.Add(4 * time.Second), StartBy: now.Add(-time.Millisecond)}
+	must.Len(t, 1, queue.Offer(late, now))
+	must.Eq(t, 1, queue.Running())
+}
+
+// Until when a request may start says nothing about how long it may take: with a slot
+// soon free, it waits for it, and runs.
+func TestARequestWaitsAsLongAsItMayStart(t *testing.T) {
+	queue := New(1, 10)
+	now := epoch
+	for id := ItemID(1); id <= 50; id++ {
+		now = runFor(t, queue, id, 800*time.Millisecond, now)
+	}
+	must.Eq(t, []Action{Run{ID: 100}}, queue.Offer(Item{ID: 100, Deadline: now.Add(time.Minute)}, now))
+	now = now.Add(300 * time.Millisecond)
+	waits := Item{ID: 101, Deadline: now.Add(5 * time.Second), StartBy: now.Add(time.Second)}
+	must.SliceEmpty(t, queue.Offer(waits, now))
+	now = now.Add(700 * time.Millisecond)
+	must.SliceEmpty(t, queue.Tick(now))
+	must.Eq(t, []Action{Run{ID: 101}}, queue.Done(100, now))
+}
+
+// A few requests that hang lengthen the waits, and leave what is typical as it is.
+func TestHangingRequestsDoNotMoveTheTypicalTime(t *testing.T) {
+	queue := New(1, 10)
+	now := epoch
+	for id := ItemID(1); id <= 300; id++ {
+		held := 100 * time.Millisecond
+		if id%3 == 0 {
+			held = 6 * time.Second
+		}
+		now = runFor(t, queue, id, held, now)
+	}
+	must.Greater(t, time.Second, queue.ServiceTime())
+	must.Between(t, 50*time.Millisecond, queue.typical, 200*time.Millisecond)
+}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -11,6 +11,8 @@
 const (
 	// serviceTimeGain is the weight of a new sample in the expected time in a slot.
 	serviceTimeGain = 0.1
+	// typicalGain is the step by which the typical time in a slot follows a sample.
+	typicalGain = 0.05
 	// initialServiceTime is expected before anything has run.
 	initialServiceTime = 10 * time.Millisecond
 	// maxIdleAccounts bounds the accounts that are remembered while they have
@@ -34,6 +36,16 @@
 	Urgency fleetconfig.Urgency
 	// Deadline is when the request is given up.
 	Deadline time.Time
+	// StartBy is until when it may start; zero is until Deadline.
+	StartBy time.Time
+}
+
+// latestStart returns until when the request may start.
+func (i *Item) latestStart() time.Time {
+	if i.StartBy.IsZero() || i.Deadline.Before(i.StartBy) {
+		return i.Deadline
+	}
+	return i.StartBy
 }
 
 // Reason says why a request was refused.
@@ -83,10 +95,15 @@
 	backlog  []*account
 	// passes counts the slots that an urgency has taken in a row while less urgent
 	// requests waited.
-	passes      map[fleetconfig.Urgency]int
-	waiting     int
-	virtual     time.Duration
+	passes  map[fleetconfig.Urgency]int
+	waiting int
+	virtual time.Duration
+	// serviceTime is the mean time in a slot. Waits follow from it: a request that hangs
+	// holds its slot as long.
 	serviceTime time.Duration
+	// typical is the median time in a slot, which a few requests that hang do not move.
+	// Whether a request can be answered in time follows from it.
+	typical time.Duration
 }
 
 // runningItem is a request that holds a slot.
@@ -106,6 +123,7 @@
 		accounts:    make(map[accountKey]*account),
 		passes:      make(map[fleetconfig.Urgency]int),
 		serviceTime: initialServiceTime,
+		typical:     initialServiceTime,
 	}
 }
 
@@ -141,6 +159,9 @@
 		q.forgetIdle()
 		return []Action{q.refuse(item.ID, ReasonDeadline)}
 	}
+	if q.waiting == 0 && len(q.running) < q.slots {
+		return []Action{q.run(owner, item, now)}
+	}
 	q.insert(owner, item)
 	actions := q.dispatch(now, nil)
 	if q.waiting > q.length {
@@ -160,10 +181,23 @@
 	item.account.running--
 	held := max(0, now.Sub(item.began))
 	item.account.start += held - item.charged
-	q.serviceTime += time.Duration(serviceTimeGain * float64(held-q.serviceTime))
+	q.learn(held)
 	return q.dispatch(now, nil)
 }
 
+// learn takes in how long a request held its slot.
+func (q *Queue) learn(held time.Duration) {
+	q.serviceTime += time.Duration(serviceTimeGain * float64(held-q.serviceTime))
+	switch step := 1 + typicalGain; {
+	case q.typical == initialServiceTime:
+		q.typical = max(held, time.Microsecond)
+	case held > q.typical:
+		q.typical = min(held, time.Duration(float64(q.typical)*step))
+	default:
+		q.typical = max(held, time.Duration(float64(q.typical)/step), time.Microsecond)
+	}
+}
+
 // Cancel takes out a waiting request whose caller has gone. A running one stays
 // until Done.
 func (q *Queue) Cancel(id ItemID) []Action {
@@ -176,18 +210,26 @@
 	return nil
 }
 
-// Tick refuses the waiting requests that can no longer make their deadline.
+// Tick refuses the waiting requests that can no longer start, or be answered, in time.
 func (q *Queue) Tick(now time.Time) []Action {
-	latest := now.Add(q.serviceTime)
 	var actions []Action
 	for _, owner := range slices.Clone(q.backlog) {
-		for len(owner.items) > 0 && owner.items[0].Deadline.Before(latest) {
-			actions = append(actions, q.refuse(q.pop(owner).ID, ReasonDeadline))
+		for _, item := range slices.Clone(owner.items) {
+			if q.late(&item, now) {
+				owner.remove(item.ID)
+				q.removed(owner)
+				actions = append(actions, q.refuse(item.ID, ReasonDeadline))
+			}
 		}
 	}
 	return actions
 }
 
+// late reports whether a request that starts now starts too late.
+func (q *Queue) late(item *Item, now time.Time) bool {
+	return item.latestStart().Before(now) || item.Deadline.Before(now.Add(q.typical))
+}
+
 // Drain refuses what waits and all that is offered later. What runs goes on.
 func (q *Queue) Drain() []Action {
 	q.draining = true
@@ -207,20 +249,25 @@
 			return actions
 		}
 		item := q.pop(owner)
-		if item.Deadline.Before(now.Add(q.serviceTime)) {
+		if q.late(&item, now) {
 			actions = append(actions, q.refuse(item.ID, ReasonDeadline))
 			continue
 		}
-		q.tookTurn(owner.urgency)
-		q.virtual = max(q.virtual, owner.start)
-		owner.start += q.serviceTime
-		owner.running++
-		q.running[item.ID] = runningItem{account: owner, began: now, charged: q.serviceTime}
-		actions = append(actions, Run{ID: item.ID})
+		actions = append(actions, q.run(owner, item, now))
 	}
 	return actions
 }
 
+// run gives a slot to a request that waits no longer.
+func (q *Queue) run(owner *account, item Item, now time.Time) Run {
+	q.tookTurn(owner.urgency)
+	q.virtual = max(q.virtual, owner.start)
+	owner.start += q.serviceTime
+	owner.running++
+	q.running[item.ID] = runningItem{account: owner, began: now, charged: q.serviceTime}
+	return Run{ID: item.ID}
+}
+
 func (q *Queue) refuse(id ItemID, reason Reason) Refuse {
 	return Refuse{ID: id, Reason: reason, RetryAfter: q.retryAfter()}
 }
@@ -231,14 +278,19 @@
 	return max(MinRetryAfter, ahead*q.serviceTime/time.Duration(max(1, q.slots)))
 }
 
-// tooLate reports whether the request cannot make its deadline: the turns before its
-// own, of its account's requests with earlier deadlines, as many of each other waiting
-// account and those of other urgencies, take too long.
+// tooLate reports whether the request cannot start or be answered in time: the turns
+// before its own, of its account's requests with earlier deadlines, as many of each other
+// waiting account and those of other urgencies, take too long. While a slot is free, only
+// what is over is too late: how long earlier requests took is no reason to leave a slot
+// empty, and nothing would ever show that the backend server has become faster.
 func (q *Queue) tooLate(owner *account, item Item, now time.Time) bool {
+	if q.waiting == 0 && len(q.running) < q.slots {
+		return item.latestStart().Before(now)
+	}
 	ahead := 0
 	if len(q.running) >= q.slots {
 		ahead = q.ahead(owner, owner.position(item.Deadline))
 	}
 	wait := time.Duration(ahead) * q.serviceTime / time.Duration(max(1, q.slots))
-	return item.Deadline.Before(now.Add(wait + q.serviceTime))
+	return q.late(&item, now.Add(wait))
 }
