One late answer of a quota owner is forgiven soon

One call to the owner of a shard had taken more than 120 ms; the ingress then passed over the owner for 2 s, while every replica it asked named just that owner. Ruled out: shards that move (no lease changed hands), paths (the next call was answered in 1 to 4 ms).

The time doubles from 100 ms to 2 s with each miss.

--- a/quota/route.go
+++ b/quota/route.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"time"
 
 	"github.com/hemlockring/hemlockring/fleetconfig"
@@ -15,8 +16,16 @@
 	AttemptTimeout = 120 * time.Millisecond
 	// MaxAttempts is how many times an ingress asks for one message.
 	MaxAttempts = 5
-	// suspicion is how long an instance that has not answered is passed over.
-	suspicion = 2 * time.Second
+	// firstSuspicion is how long an instance that has not answered once is passed over.
+	// One late answer is more often a busy machine or a lost packet than a lost owner,
+	// and refuses every account of its shards meanwhile.
+	firstSuspicion = 100 * time.Millisecond
+	// maxSuspicion is how long one is passed over that goes on not answering; the time
+	// doubles with each miss. It is the lease after which another instance owns its
+	// shards.
+	maxSuspicion = 2 * time.Second
+	// forgetSuspicion is how long after a suspicion the next one counts as the first.
+	forgetSuspicion = 10 * time.Second
 )
 
 // RouteVerdict says how to go on after an answer.
@@ -36,24 +45,27 @@
 // answered lately. It is not safe for concurrent use.
 type OwnerTable struct {
 	owners   map[shard.ID]fleetconfig.InstanceID
-	suspects map[fleetconfig.InstanceID]time.Time
+	suspects map[fleetconfig.InstanceID]suspicion
+}
+
+// suspicion is until when an instance is passed over that has not answered.
+type suspicion struct {
+	until time.Time
+	// length is how long it lasts this time.
+	length time.Duration
 }
 
 // NewOwnerTable returns a table that knows no owner.
 func NewOwnerTable() *OwnerTable {
 	return &OwnerTable{
 		owners:   make(map[shard.ID]fleetconfig.InstanceID),
-		suspects: make(map[fleetconfig.InstanceID]time.Time),
+		suspects: make(map[fleetconfig.InstanceID]suspicion),
 	}
 }
 
 func (t *OwnerTable) suspected(instance fleetconfig.InstanceID, now time.Time) bool {
-	until, ok := t.suspects[instance]
-	if ok && !now.Before(until) {
-		delete(t.suspects, instance)
-		return false
-	}
-	return ok
+	found, ok := t.suspects[instance]
+	return ok && now.Before(found.until)
 }
 
 // Target returns the instance to ask for a shard: the owner if it is known and
@@ -100,9 +112,14 @@
 	}
 }
 
-// Suspect passes over an instance that has not answered.
+// Suspect passes over an instance that has not answered. Calls that were under way
+// together count as one miss.
 func (t *OwnerTable) Suspect(id shard.ID, instance fleetconfig.InstanceID, now time.Time) {
-	t.suspects[instance] = now.Add(suspicion)
+	maps.DeleteFunc(t.suspects, func(_ fleetconfig.InstanceID, s suspicion) bool { return now.Sub(s.until) > forgetSuspicion })
+	if found := t.suspects[instance]; !now.Before(found.until) {
+		length := min(max(firstSuspicion, 2*found.length), maxSuspicion)
+		t.suspects[instance] = suspicion{until: now.Add(length), length: length}
+	}
 	if t.owners[id] == instance {
 		delete(t.owners, id)
 	}
--- a/quota/route_test.go
+++ b/quota/route_test.go
@@ -24,17 +24,25 @@
 		shards := shard.InitialMap(1, instances)
 		table := NewOwnerTable()
 		silentUntil := make(map[fleetconfig.InstanceID]time.Time)
+		silentFor := make(map[fleetconfig.InstanceID]time.Duration)
 		now := soup.Start
 		for range rapid.IntRange(1, 40).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "pass")) * time.Millisecond)
 			instance := instances[rapid.IntRange(0, 4).Draw(t, "instance")].ID
 			if rapid.Bool().Draw(t, "silent") {
 				table.Suspect(0, instance, now)
-				silentUntil[instance] = now.Add(suspicion)
+				if !now.Before(silentUntil[instance]) {
+					if now.Sub(silentUntil[instance]) > forgetSuspicion {
+						silentFor[instance] = 0
+					}
+					silentFor[instance] = min(max(firstSuspicion, 2*silentFor[instance]), maxSuspicion)
+					silentUntil[instance] = now.Add(silentFor[instance])
+				}
 			} else {
 				named := instances[rapid.IntRange(0, 4).Draw(t, "named")].ID
 				table.Learn(instance, &BorrowReply{Owner: named}, now)
 				delete(silentUntil, instance)
+				delete(silentFor, instance)
 			}
 			silent := 0
 			for _, until := range silentUntil {
@@ -50,3 +58,27 @@
 		}
 	})
 }
+
+// An owner that was late once is asked again soon; one that goes on not answering is
+// passed over for longer and longer.
+func TestOneLateAnswerIsForgivenSoon(t *testing.T) {
+	instances := []fleetconfig.InstanceAddress{{ID: "i0"}, {ID: "i1"}, {ID: "i2"}}
+	shards := shard.InitialMap(1, instances)
+	table := NewOwnerTable()
+	now := soup.Start
+	named := &BorrowReply{Owner: "i1"}
+	must.Eq(t, RouteAgain, table.Learn("i0", named, now))
+	for _, expected := range []time.Duration{firstSuspicion, 2 * firstSuspicion, 4 * firstSuspicion, 8 * firstSuspicion, 16 * firstSuspicion, maxSuspicion, maxSuspicion} {
+		table.Suspect(0, "i1", now)
+		table.Suspect(0, "i1", now.Add(expected/2))
+		must.Eq(t, RouteUnreachable, table.Learn("i0", named, now.Add(expected-time.Millisecond)))
+		now = now.Add(expected)
+		must.Eq(t, RouteAgain, table.Learn("i0", named, now))
+		target, ok := table.Target(0, &shards, 0, now)
+		must.True(t, ok && target.ID == "i1")
+	}
+	// An answer ends it.
+	must.Eq(t, RouteAnswered, table.Learn("i1", &BorrowReply{IsOwner: true}, now))
+	table.Suspect(0, "i1", now)
+	must.Eq(t, RouteAgain, table.Learn("i0", named, now.Add(firstSuspicion)))
+}
