Subsets of large services prefer the own failure domain

A subset of 32 of 54 backend servers held about ten of the sixteen in the ingress's own failure domain, so that requests went to another one while near slots were free. Up to three quarters of a subset are near ones now.

--- a/selection/selector.go
+++ b/selection/selector.go
@@ -1,7 +1,6 @@
 package selection
 
 import (
-	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -20,8 +19,6 @@
 )
 
 const (
-	// subsetSize is how many backend servers of a large service one ingress uses.
-	subsetSize = 32
 	// refreshInterval is how often the exclusions of a pool are worked out anew.
 	refreshInterval = 100 * time.Millisecond
 	percent         = 100
@@ -189,7 +186,7 @@
 	snapshot := s.config.Members()
 	if snapshot != service.snapshot {
 		service.snapshot = snapshot
-		service.placed = s.subset(snapshot, name)
+		service.placed = subset(snapshot, name)
 		service.pool.Set(backendsOf(snapshot, service.placed))
 	} else if now.Sub(service.refreshed) < refreshInterval {
 		return
@@ -232,31 +229,6 @@
 	return reasons
 }
 
-// subset returns the backend servers of a service that this ingress uses.
-func (s *Selector) subset(snapshot *gossip.Snapshot, name fleetconfig.ServiceName) []gossip.Placed {
-	placed := snapshot.Servers(name)
-	if len(placed) <= subsetSize {
-		return placed
-	}
-	ids := make([]balance.BackendID, 0, len(placed))
-	byID := make(map[balance.BackendID]gossip.Placed, len(placed))
-	for _, server := range placed {
-		id := balance.BackendID{Instance: server.Member.Record.ID, Server: server.Server.ID}
-		ids = append(ids, id)
-		byID[id] = server
-	}
-	own := slices.IndexFunc(snapshot.Members, func(m membership.Member) bool { return m.Record.ID == snapshot.Self })
-	chosen := balance.Subset(name, own, ids, subsetSize)
-	result := make([]gossip.Placed, 0, len(chosen))
-	for _, id := range chosen {
-		result = append(result, byID[id])
-	}
-	slices.SortFunc(result, func(a, b gossip.Placed) int {
-		return cmp.Or(cmp.Compare(a.Member.Record.ID, b.Member.Record.ID), cmp.Compare(a.Server.ID, b.Server.ID))
-	})
-	return result
-}
-
 func backendsOf(snapshot *gossip.Snapshot, placed []gossip.Placed) []balance.Backend {
 	self := snapshot.Member(snapshot.Self)
 	backends := make([]balance.Backend, 0, len(placed))
--- /dev/null
+++ b/selection/subset_test.go
@@ -0,0 +1,60 @@
+package selection
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/gossip"
+	"github.com/hemlockring/hemlockring/membership"
+)
+
+// domainsOf returns the members of a fleet with so many backend servers in each domain.
+func domainsOf(counts ...int) []membership.Member {
+	var members []membership.Member
+	for domain, count := range counts {
+		for i := range count {
+			id := fmt.Sprintf("d%d-%03d", domain, i)
+			members = append(members, membership.Member{Record: membership.Record{
+				ID: fleetconfig.InstanceID(id), FailureDomain: fleetconfig.FailureDomain(fmt.Sprint(domain)), Proxy: true,
+				Servers: []membership.Server{{ID: fleetconfig.BackendServerID(id), Service: "catalogue", Slots: testSlots}},
+			}})
+		}
+	}
+	return members
+}
+
+// An ingress of a large service uses the backend servers of its own failure domain, up
+// to three quarters, and others for the case that the domain is lost. Over all
+// ingresses each backend server is used by many.
+func TestSubsetsPreferTheOwnDomain(t *testing.T) {
+	for _, counts := range [][]int{{16, 14, 12, 12}, {60, 50, 50}, {200, 200, 200, 200}, {300, 10}, {40}} {
+		members := domainsOf(counts...)
+		cover := make(map[fleetconfig.InstanceID]int)
+		for i := range members {
+			self := &members[i].Record
+			placed := subset(gossip.NewSnapshot(self.ID, members), "catalogue")
+			must.Len(t, subsetSize, placed)
+			near := 0
+			for _, server := range placed {
+				cover[server.Member.Record.ID]++
+				if server.Member.Record.FailureDomain == self.FailureDomain {
+					near++
+				}
+			}
+			total, own := len(members), 0
+			for _, member := range members {
+				if member.Record.FailureDomain == self.FailureDomain {
+					own++
+				}
+			}
+			must.GreaterEq(t, min(own, nearPart), near)
+			must.LessEq(t, max(nearPart, subsetSize-(total-own)), near)
+		}
+		for _, member := range members {
+			must.GreaterEq(t, subsetSize/4, cover[member.Record.ID], must.Sprintf("%v %s", counts, member.Record.ID))
+		}
+	}
+}
