Requests in flight get more of a planned stop

Ruled out: a stop that forgets requests (the same request was counted until the end of the time).

The last steps get a sixteenth of the time each, callers 5 s, and the test adds all steps up: 6.875 s before, at most 6 s now.

--- a/node/stop.go
+++ b/node/stop.go
@@ -18,8 +18,9 @@
 	// replicated log may take to be handed over, and how long the last answers may
 	// take to arrive at the other instances.
 	maxHandOver = 3 * time.Second
-	// handOverPart is the part of the stop timeout that each of both may take.
-	handOverPart = 8
+	// handOverPart is the part of the stop timeout that each of both may take. Both come
+	// after it, and callers' requests need the time more.
+	handOverPart = 16
 )
 
 // handOverTimeout returns how long each of the two last steps of a stop may take.
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"gopkg.in/ini.v1"
 
 	"github.com/hemlockring/hemlockring/internal/emulator"
 	"github.com/hemlockring/hemlockring/pipeline"
@@ -138,3 +139,20 @@
 	cancel()
 	<-served
 }
+
+// The operators of the deployments in deploy/ kill a process six seconds after they
+// have asked it to stop. All steps of a stop together must end before that, also when
+// each takes all of its time, and requests in flight get most of it.
+func TestAPlannedStopEndsWithinTheGraceTime(t *testing.T) {
+	const grace = 6 * time.Second
+	// The hand-over, the sender of summaries, the replicated log and the fleet port.
+	for file, steps := range map[string]time.Duration{"../deploy/proxy.ini": 3, "../deploy/control.ini": 4} {
+		deployed, err := ini.Load(file)
+		must.NoError(t, err)
+		timeout, err := deployed.Section("limits").Key("stop_timeout").Duration()
+		must.NoError(t, err)
+		n := &Node{settings: &settings.Settings{Limits: settings.Limits{StopTimeout: timeout}}}
+		must.LessEq(t, grace, timeout+steps*n.handOverTimeout(), must.Sprint(file))
+		must.GreaterEq(t, grace*3/4, timeout, must.Sprint(file))
+	}
+}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -101,8 +101,8 @@
 	// serviceTime is the mean time in a slot. Waits follow from it: a request that hangs
 	// holds its slot as long.
 	serviceTime time.Duration
-	// typical is the median time in a slot, which a few requests that hang do not move.
-	// Whether a request can be answered in time follows from it.
+	// typical is the median time in a slot, which a few requests that hang do not move; 0
+	// before anything has run. Whether a request can be answered in time follows from it.
 	typical time.Duration
 }
 
@@ -123,7 +123,6 @@
 		accounts:    make(map[accountKey]*account),
 		passes:      make(map[fleetconfig.Urgency]int),
 		serviceTime: initialServiceTime,
-		typical:     initialServiceTime,
 	}
 }
 
@@ -189,7 +188,7 @@
 func (q *Queue) learn(held time.Duration) {
 	q.serviceTime += time.Duration(serviceTimeGain * float64(held-q.serviceTime))
 	switch step := 1 + typicalGain; {
-	case q.typical == initialServiceTime:
+	case q.typical == 0:
 		q.typical = max(held, time.Microsecond)
 	case held > q.typical:
 		q.typical = min(held, time.Duration(float64(q.typical)*step))
