--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -50,6 +50,8 @@
 	Processes int `arg:"--processes" default:"18" help:"number of processes: daemons with a backend server each"`
 	// Folder receives the logs and the data; it is kept when a promise did not hold.
 	Folder string `arg:"--folder" help:"folder for settings, logs and data; default a temporary one"`
+	// Regressions runs the seeds that ever failed instead.
+	Regressions bool `arg:"--regressions" help:"run the seeds that ever failed, one after the other"`
 	// Keep keeps the folder in any case.
 	Keep bool `arg:"--keep" help:"keep the folder when all promises held too"`
 }
@@ -77,6 +79,13 @@
 // Run runs a soak and writes what happens to out. It returns ErrBroken when a promise
 // did not hold.
 func Run(ctx context.Context, arguments Arguments, out io.Writer) error {
+	if arguments.Regressions {
+		return runRegressions(ctx, out)
+	}
+	return runSeed(ctx, arguments, out)
+}
+
+func runSeed(ctx context.Context, arguments Arguments, out io.Writer) error {
 	if arguments.Processes < minProcesses {
 		return errors.Newf("--processes is %d; give at least %d", arguments.Processes, minProcesses)
 	}
