--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -95,7 +95,7 @@
 	defer r.callers.mu.Unlock()
 	for _, request := range r.callers.served[id] {
 		if after := request.sent.Sub(accepted); after > withdrawalBound {
-			r.findings.broke("a request with the withdrawn key of %s, sent %s after the change was accepted, was served", id, after)
+			r.once("withdrawn "+string(id), "a request with the withdrawn key of %s, sent %s after the change was accepted, was served", id, after)
 			return
 		}
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -69,7 +69,8 @@
 	leaving   []account
 	// daemons guards the processes of the instances.
 	daemons []sync.Mutex
-	// noted holds the names of what was found. The checker alone uses it.
+	// noted holds the names of what was found. The checker uses it, and the end of the
+	// run after it.
 	noted map[string]bool
 
 	mu        sync.Mutex
