One pause for soak, testbed and bench; a test waits on its condition

testbed.Pause stood three times. The test of rested connections slept for a fixed time; it waits until the backend server's connections have rested.

--- a/backendproxy/rested_test.go
+++ b/backendproxy/rested_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	"github.com/hemlockring/hemlockring/clock"
 	"github.com/hemlockring/hemlockring/fleetconfig"
@@ -24,6 +25,13 @@
 	net.Listener
 	rest  time.Duration
 	conns atomic.Int32
+	// answered is when the last answer was sent, in nanoseconds of the Unix time.
+	answered atomic.Int64
+}
+
+// rested reports whether every connection has rested for longer than it is remembered.
+func (f *forgetful) rested() bool {
+	return time.Since(time.Unix(0, f.answered.Load())) > 2*f.rest
 }
 
 func startForgetful(t *testing.T, rest time.Duration) *forgetful {
@@ -48,6 +56,7 @@
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for answered := time.Now(); ; answered = time.Now() {
+		f.answered.Store(answered.UnixNano())
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
@@ -94,7 +103,7 @@
 	}
 	must.Less(t, together/2, server.conns.Load())
 	for range apart {
-		time.Sleep(2 * server.rest)
+		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(server.rested), wait.Timeout(time.Minute), wait.Gap(10*time.Millisecond)))
 		must.Eq(t, pipeline.OutcomeAnswered, server.send(t, d, false))
 	}
 }
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
+	"github.com/hemlockring/hemlockring/internal/testbed"
 	"github.com/hemlockring/hemlockring/pipeline"
 )
 
@@ -114,14 +115,7 @@
 }
 
 func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return testbed.Pause(ctx, time.Until(at))
 }
 
 func sendOne(ctx context.Context, client *http.Client, to target) error {
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -12,6 +12,7 @@
 
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/internal/emulator"
+	"github.com/hemlockring/hemlockring/internal/testbed"
 	"github.com/hemlockring/hemlockring/pipeline"
 )
 
@@ -108,7 +109,7 @@
 func (c *callers) start(ctx context.Context, account *account) {
 	for number := range callersPerAccount {
 		c.group.Go(func() {
-			for turn := number; pause(ctx, callerPace); turn++ {
+			for turn := number; testbed.Pause(ctx, callerPace); turn++ {
 				if turn%orderEvery == 0 {
 					c.placeOrder(account, number, turn)
 				} else {
@@ -201,15 +202,3 @@
 		c.unwhole = append(c.unwhole, response.Header.Get(pipeline.HeaderRequestID))
 	}
 }
-
-// pause waits, and reports false when ctx has ended.
-func pause(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
