Test of bridging waits for time, not for requests

The bridge gives an account its recent rate, counted from the last token: nothing is due after 0.3 ms. Ruled out: the suspicions of owners, and a refusal as over the rate (the cause was owner-unknown).

The test asked for one of fifty, and now for fifty within 10 s.

--- a/quotadriver/leader_test.go
+++ b/quotadriver/leader_test.go
@@ -133,13 +133,15 @@
 	for i := range 3 {
 		f.kill(i)
 	}
+	// The ingress goes on at its recent rate, about 200 a second here, so that it takes
+	// some time and not some requests until fifty have passed.
 	passed := 0
-	for range 50 {
+	must.Wait(t, wait.InitialSuccess(wait.Timeout(10*time.Second), wait.Gap(time.Millisecond), wait.BoolFunc(func() bool {
 		if _, err := ingress.Acquire(context.Background(), "acme"); err == nil {
 			passed++
 		}
-	}
-	must.Positive(t, passed)
+		return passed >= 50
+	})))
 }
 
 // The leader hears of an ingress while that uses tokens and once more, as idle, when it
