An instance whose parent is cut off asks control at once

An instance kept a parent in the tree until its news were 2 s old, whatever its level, and then asked one other each 500 ms, which was mostly cut off as well. Ruled out: a late acceptance (holders had it at once) and lost offers (their parents never got them). Now the age that a parent's news may have follows from its level (0.7 s and 1.2 s on the first two), and once it is older two control instances and a neighbour are asked at once. The parent is asked beside the stand-in every 2 s. Holders and control poll the leader every 200 ms, since the age of their news is that of the whole tree.

--- a/configsync/fake_test.go
+++ b/configsync/fake_test.go
@@ -62,6 +62,9 @@
 	tb        testing.TB
 	mu        sync.Mutex
 	instances map[string]*fakeInstance
+	// apart says which pairs are cut from each other: their calls end with their
+	// time. Nil is none.
+	apart atomic.Pointer[func(a, b fleetconfig.InstanceID) bool]
 	// calls and bytes count what was sent.
 	calls, bytes atomic.Int64
 }
@@ -134,13 +137,17 @@
 }
 
 // Call implements transport.Caller.
-func (i *fakeInstance) Call(_ context.Context, address, path string, request, reply any) error {
+func (i *fakeInstance) Call(ctx context.Context, address, path string, request, reply any) error {
 	i.fleet.mu.Lock()
 	other := i.fleet.instances[address]
 	i.fleet.mu.Unlock()
 	if other == nil || other.cut.Load() || i.cut.Load() {
 		return errors.New("unreachable")
 	}
+	if apart := i.fleet.apart.Load(); apart != nil && (*apart)(i.peer.ID, other.peer.ID) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	data, err := codec.Marshal(request)
 	if err != nil {
 		return err
--- a/configsync/poll.go
+++ b/configsync/poll.go
@@ -9,26 +9,26 @@
 	"github.com/hemlockring/hemlockring/fleetconfig"
 )
 
-// staleAnswer is the age of an attestation from which a neighbour is no help.
-const staleAnswer = 2 * time.Second
-
-// poll starts a round of polls: one neighbour, and the holders when package
-// currency asks for them. Polls that still run are not repeated.
+// poll starts a round of polls: those that the upstream asks for, and the holders
+// when package currency asks for them. Polls that still run are not repeated.
 func (s *Service) poll(ctx context.Context) {
 	peers := s.config.Peers.Peers()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	near := findNeighbours(s.config.Self, s.config.Replica != nil, s.held.Holders, peers)
-	if _, serving := s.node.Serving(); !serving {
-		near.parents = nearest(s.config.Self, peers, s.config.ControlFirst)
-	}
 	s.spread(ctx, near.children)
 	targets := s.probes()
 	if leader, found := s.knownLeader(); found {
 		targets = append(targets, leader)
-	} else if parent, found := s.parent(near.parents); found {
-		targets = append(targets, parent)
+	} else {
+		s.upstream.place(s.candidates(&near, peers))
+		targets = append(targets, s.upstream.targets(clock.Now())...)
 	}
+	s.pollAll(ctx, targets)
+}
+
+// pollAll polls those that are not being polled. The caller holds mu.
+func (s *Service) pollAll(ctx context.Context, targets []fleetconfig.InstanceAddress) {
 	for _, target := range targets {
 		if s.polling[target.ID] {
 			continue
@@ -38,6 +38,20 @@
 	}
 }
 
+// candidates returns whom to poll, the best first, how old the news of one that helps
+// may be, and how many to ask at once when the best one stops helping. A holder takes
+// the leader that it hears offers from. The caller holds mu.
+func (s *Service) candidates(near *neighbours, peers []Peer) ([]fleetconfig.InstanceAddress, time.Duration, int) {
+	if _, serving := s.node.Serving(); !serving {
+		return nearest(s.config.Self, peers, s.config.ControlFirst), freshFor(near.level, s.config.PollInterval), 1
+	}
+	candidates := slices.Clone(near.parents)
+	if leader := slices.IndexFunc(candidates, func(a fleetconfig.InstanceAddress) bool { return a.ID == s.leaderID }); leader > 0 {
+		candidates[0], candidates[leader] = candidates[leader], candidates[0]
+	}
+	return candidates, freshFor(near.level, s.config.PollInterval), standInsAtOnce
+}
+
 // knownLeader returns the leader of control, on the other control instances.
 func (s *Service) knownLeader() (fleetconfig.InstanceAddress, bool) {
 	if s.config.Log == nil {
@@ -63,25 +77,6 @@
 	return addresses
 }
 
-// parent returns whom to poll. A holder takes the leader that it hears offers
-// from; the others keep a parent as long as it helps. The caller holds mu.
-func (s *Service) parent(candidates []fleetconfig.InstanceAddress) (fleetconfig.InstanceAddress, bool) {
-	if len(candidates) == 0 {
-		return fleetconfig.InstanceAddress{}, false
-	}
-	if now := clock.Now(); now.Sub(s.resetAt) > parentReset {
-		s.next, s.resetAt = 0, now
-	}
-	if s.next == 0 {
-		for _, candidate := range candidates {
-			if candidate.ID == s.leaderID {
-				return candidate, true
-			}
-		}
-	}
-	return candidates[s.next%len(candidates)], true
-}
-
 // pollOne polls one instance and takes in what it answers.
 func (s *Service) pollOne(ctx context.Context, target fleetconfig.InstanceAddress) {
 	defer s.pollEnded(target.ID)
@@ -95,10 +90,14 @@
 	reply := new(pollReply)
 	if err := s.config.Caller.Call(callCtx, target.Address, pathPoll, &request, reply); err != nil {
 		s.config.Logger.Debug("poll for the configuration failed", "instance", target.ID, "error", err)
-		s.helped(false)
+		s.noHelp(ctx, target.ID)
 		return
 	}
-	s.helped(reply.Answer.Attested && reply.Answer.Age < staleAnswer)
+	if reply.Answer.Attested {
+		s.heard(ctx, target.ID, reply.Answer.Age)
+	} else {
+		s.noHelp(ctx, target.ID)
+	}
 	if s.take(target.ID, reply, askedAt) {
 		s.fetchSnapshot(ctx, target, request.WantHeld)
 	}
@@ -117,14 +116,19 @@
 	delete(s.polling, id)
 }
 
-// helped notes whether a neighbour had fresh news; if not, the next poll goes to
-// another one.
-func (s *Service) helped(helped bool) {
+// heard notes how old the news of an instance are, and asks others at once when they
+// are too old.
+func (s *Service) heard(ctx context.Context, from fleetconfig.InstanceID, age time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !helped {
-		s.next++
-	}
+	s.pollAll(ctx, s.upstream.heard(from, age, clock.Now()))
+}
+
+// noHelp notes that an instance did not answer or has no news.
+func (s *Service) noHelp(ctx context.Context, from fleetconfig.InstanceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pollAll(ctx, s.upstream.noHelp(from, clock.Now()))
 }
 
 // take takes in a reply and reports whether a snapshot is needed.
@@ -152,13 +156,13 @@
 	reply := new(snapshotReply)
 	if err := s.config.Caller.Call(ctx, from.Address, pathSnapshot, &snapshotRequest{WantHeld: wantHeld}, reply); err != nil {
 		s.config.Logger.Warn("configuration snapshot not received", "instance", from.ID, "error", err)
-		s.helped(false)
+		s.noHelp(ctx, from.ID)
 		return
 	}
 	document, err := fleetconfig.DecodeDocument(reply.Document)
 	if err != nil {
 		s.config.Logger.Warn("configuration snapshot refused", "instance", from.ID, "error", err)
-		s.helped(false)
+		s.noHelp(ctx, from.ID)
 		return
 	}
 	s.mu.Lock()
--- a/configsync/service.go
+++ b/configsync/service.go
@@ -25,8 +25,9 @@
 	// maxSnapshotTransfers is how many snapshots are sent at one time. Another
 	// asker is sent to another neighbour.
 	maxSnapshotTransfers = 4
-	// parentReset is how often an instance goes back to its best parent.
-	parentReset = 30 * time.Second
+	// holderPollInterval is how often holders and control poll the leader. They are few,
+	// and the age of their news is that of the whole tree.
+	holderPollInterval = 200 * time.Millisecond
 )
 
 // Config is what the service needs.
@@ -75,11 +76,8 @@
 	heldBy map[fleetconfig.InstanceID]uint64
 	// leaderID is the leader that offers versions to this instance as a holder.
 	leaderID fleetconfig.InstanceID
-	// next counts the neighbours that did not help, to take another one. It goes
-	// back to the best one at resetAt.
-	next    int
-	resetAt time.Time
-	polling map[fleetconfig.InstanceID]bool
+	upstream upstream
+	polling  map[fleetconfig.InstanceID]bool
 	// offered is the version that was last offered to the children, or 0.
 	offered  uint64
 	changed  chan struct{}
@@ -185,7 +183,11 @@
 func (s *Service) pollInterval() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.node.PollInterval(s.config.PollInterval, clock.Now())
+	usual := s.config.PollInterval
+	if revision := s.node.Held(); s.config.Replica != nil || revision.Names(s.config.Self.ID) {
+		usual = min(usual, holderPollInterval)
+	}
+	return s.node.PollInterval(usual, clock.Now())
 }
 
 func (s *Service) wakeUp() {
--- a/configsync/service_test.go
+++ b/configsync/service_test.go
@@ -91,6 +91,29 @@
 	awaitVersion(t, 2, alone)
 }
 
+// Most instances are cut off from control and the holders, but not from each other. A
+// change that is made then reaches those that are not cut off in time, though their
+// parents in the tree know nothing of it.
+func TestAChangeDuringACutReachesTheOthers(t *testing.T) {
+	const inForceWithin = 2 * time.Second
+	fleet, leader, others := newFleet(t, 100)
+	cutOff := make(map[fleetconfig.InstanceID]bool)
+	var sound []*fakeInstance
+	for i, instance := range others {
+		// Those that remain are of the last failure domain, and so on the second level.
+		if cutOff[instance.peer.ID] = i >= 5 && i%6 != 1; !cutOff[instance.peer.ID] {
+			sound = append(sound, instance)
+		}
+	}
+	isTop := func(id fleetconfig.InstanceID) bool { return id <= others[4].peer.ID }
+	apart := func(a, b fleetconfig.InstanceID) bool { return isTop(a) && cutOff[b] || isTop(b) && cutOff[a] }
+	fleet.apart.Store(&apart)
+	result := fleet.propose(leader, "during the cut", usePreset(2))
+	acceptedAt := time.Now()
+	awaitVersion(t, result.Version, sound...)
+	must.Less(t, inForceWithin, time.Since(acceptedAt))
+}
+
 // The tree reaches every instance once, and nobody has more than fanOut children.
 func TestTreeReachesEveryInstance(t *testing.T) {
 	var all []Peer
--- a/configsync/topology.go
+++ b/configsync/topology.go
@@ -17,6 +17,8 @@
 	parents []fleetconfig.InstanceAddress
 	// children are whom to offer news, at most fanOut.
 	children []fleetconfig.InstanceAddress
+	// level is 0 for the roots and control, 1 for the children of the roots, and so on.
+	level int
 }
 
 // findNeighbours places an instance in the tree. The holders are the roots, or
@@ -42,14 +44,34 @@
 	order = append(order, others(self, roots, peers)...)
 	own := slices.IndexFunc(order, func(a fleetconfig.InstanceAddress) bool { return a.ID == self.ID })
 	found := neighbours{children: childrenOf(order, len(roots), own)}
-	if own >= len(roots) {
-		found.parents = parentsOf(order, len(roots), own)
+	control = slices.DeleteFunc(control, func(a fleetconfig.InstanceAddress) bool { return a.ID == self.ID })
+	found.level = levelOf(len(roots), own)
+	if found.level == 0 {
+		found.parents = control
+		return found
 	}
-	found.parents = append(found.parents, control...)
-	found.parents = slices.DeleteFunc(found.parents, func(a fleetconfig.InstanceAddress) bool { return a.ID == self.ID })
+	above := parentsOf(order, len(roots), own)
+	// Control is asked by turns with the neighbours of the parent: after a cut within
+	// the fleet those may know no more than the parent. Each instance begins with
+	// another control instance.
+	if len(control) > 0 {
+		first := own % len(control)
+		control = slices.Concat(control[first:], control[:first])
+	}
+	found.parents = append(above[:1:1], byTurns(control, above[1:])...)
 	return found
 }
 
+// levelOf returns the level of a position. Without roots the first position is one.
+func levelOf(roots, position int) int {
+	level := 0
+	for position >= max(1, roots) {
+		position = (position - roots) / fanOut
+		level++
+	}
+	return level
+}
+
 func byID(a, b fleetconfig.InstanceAddress) int { return cmp.Compare(a.ID, b.ID) }
 
 // others returns the instances that are no roots, in the order of the tree.
--- /dev/null
+++ b/configsync/upstream_test.go
@@ -0,0 +1,115 @@
+package configsync
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
+
+// candidatesForTest are a parent, p, and stand-ins s1, s2 and so on.
+func candidatesForTest(standIns int) []fleetconfig.InstanceAddress {
+	candidates := []fleetconfig.InstanceAddress{{ID: "p"}}
+	for i := range standIns {
+		candidates = append(candidates, fleetconfig.InstanceAddress{ID: fleetconfig.InstanceID(fmt.Sprintf("s%d", i+1))})
+	}
+	return candidates
+}
+
+func idsOf(addresses []fleetconfig.InstanceAddress) []fleetconfig.InstanceID {
+	var ids []fleetconfig.InstanceID
+	for _, address := range addresses {
+		ids = append(ids, address.ID)
+	}
+	return ids
+}
+
+// On the first two levels, which hold over a hundred instances, a stand-in has answered
+// within 1.9 s of a cut above the parent, whenever the parent and the instance polled
+// last. A change must be in force in 2 s.
+func TestAStandInAnswersSoonAfterACut(t *testing.T) {
+	const (
+		roundTrip = 100 * time.Millisecond
+		limit     = 1900 * time.Millisecond
+	)
+	start := time.Unix(1_000_000, 0)
+	for _, level := range []int{1, 2} {
+		for phase := time.Duration(0); phase < DefaultPollInterval; phase += 10 * time.Millisecond {
+			var u upstream
+			u.place(candidatesForTest(6), freshFor(level, DefaultPollInterval), standInsAtOnce)
+			answered := time.Duration(0)
+			for now := phase; answered == 0; now += DefaultPollInterval {
+				must.Less(t, time.Minute, now)
+				targets := u.targets(start.Add(now))
+				must.Eq(t, []fleetconfig.InstanceID{"p"}, idsOf(targets))
+				// The parent heard the last news just before the cut.
+				if asked := u.heard("p", now, start.Add(now+roundTrip)); len(asked) > 0 {
+					must.Eq(t, []fleetconfig.InstanceID{"s1", "s2", "s3"}, idsOf(asked))
+					answered = now + 2*roundTrip
+				}
+			}
+			must.LessEq(t, limit, answered, must.Sprintf("level %d", level))
+		}
+	}
+}
+
+// A stand-in is kept while it helps, and the parent, which is tried beside it, takes
+// over as soon as it helps again.
+func TestTheParentTakesOverAgain(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	var u upstream
+	u.place(candidatesForTest(3), time.Second, standInsAtOnce)
+	u.noHelp("p", now)
+	must.SliceEmpty(t, u.heard("s2", 0, now))
+	must.SliceEmpty(t, u.heard("s1", 0, now))
+	for range 3 {
+		must.Eq(t, []fleetconfig.InstanceID{"s2"}, idsOf(u.targets(now)))
+		now = now.Add(parentRetry)
+		must.Eq(t, []fleetconfig.InstanceID{"s2", "p"}, idsOf(u.targets(now)))
+		// One that is known not to help makes nobody ask more.
+		must.SliceEmpty(t, u.noHelp("p", now))
+	}
+	u.heard("p", 0, now)
+	must.Eq(t, []fleetconfig.InstanceID{"p"}, idsOf(u.targets(now)))
+}
+
+// While nobody knows anything new, an instance asks one stand-in in each interval, all
+// of them by turns, and the parent every other second.
+func TestAnOutageOfControlIsNotAskedMore(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	var u upstream
+	asked := make(map[fleetconfig.InstanceID]int)
+	calls := 0
+	const outage = 60 * time.Second
+	for now := start; now.Before(start.Add(outage)); now = now.Add(DefaultPollInterval) {
+		u.place(candidatesForTest(5), time.Second, standInsAtOnce)
+		pending := u.targets(now)
+		for len(pending) > 0 {
+			target := pending[0]
+			calls++
+			asked[target.ID]++
+			pending = append(pending[1:], u.heard(target.ID, 2*time.Second, now)...)
+		}
+	}
+	must.LessEq(t, int(outage/DefaultPollInterval)+int(outage/parentRetry)+standInsAtOnce, calls)
+	for i := range 5 {
+		must.GreaterEq(t, 20, asked[fleetconfig.InstanceID(fmt.Sprintf("s%d", i+1))])
+	}
+}
+
+// Another parent counts as one that helps until it is asked.
+func TestANewParentIsAskedFirst(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	var u upstream
+	must.SliceEmpty(t, u.targets(now))
+	u.place(candidatesForTest(3), time.Second, standInsAtOnce)
+	u.noHelp("p", now)
+	u.place(append([]fleetconfig.InstanceAddress{{ID: "q"}}, candidatesForTest(3)...), time.Second, standInsAtOnce)
+	must.Eq(t, []fleetconfig.InstanceID{"q"}, idsOf(u.targets(now)))
+	// An answer of the former parent says nothing about the new one.
+	u.noHelp("p", now)
+	must.Eq(t, []fleetconfig.InstanceID{"q"}, idsOf(u.targets(now)))
+}
