A request given up by the ingress in the same process ended as 502

TestADeadlineEndsTheRequestWithItsOwnAnswer failed once (502 for 504) beside other tests. Cause: a request that runs at the backend server beside its own ingress ends with the ingress's deadline, which is a little earlier than the proxy's, since that counts from when the proxy got the request. The proxy then took the end for a caller that went away: 502 for the caller, and no evidence against a server that never answers. Ruled out: a broken connection between instances (the detail is the proxy's, and only local attempts are hit).

--- a/backendproxy/filters.go
+++ b/backendproxy/filters.go
@@ -1,6 +1,7 @@
 package backendproxy
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -320,7 +321,7 @@
 	switch {
 	case errors.Is(err, errTooLate):
 		return health.ResultCanceled
-	case exchange.Remaining(clock.Now()) <= 0:
+	case timeIsUp(exchange):
 		return health.ResultTimedOut
 	case exchange.Request.Context().Err() != nil:
 		return health.ResultCanceled
@@ -346,6 +347,12 @@
 	return f.keys.check(exchange)
 }
 
+// timeIsUp reports whether the request's time has run out, here or at an ingress in the
+// same process, whose deadline is a little earlier.
+func timeIsUp(exchange *pipeline.Exchange) bool {
+	return exchange.Remaining(clock.Now()) <= 0 || errors.Is(exchange.Request.Context().Err(), context.DeadlineExceeded)
+}
+
 func refuseFailed(exchange *pipeline.Exchange, outcome pipeline.Outcome, err error) error {
 	if outcome == pipeline.OutcomeNotRun {
 		detail := "the backend server could not be reached"
@@ -355,7 +362,7 @@
 		return pipeline.NotRun(pipeline.KindNoCapacity, http.StatusServiceUnavailable, detail, "send the request again", retryElsewhere)
 	}
 	status := http.StatusBadGateway
-	if exchange.Remaining(clock.Now()) <= 0 {
+	if timeIsUp(exchange) {
 		status = http.StatusGatewayTimeout
 	}
 	return &pipeline.Refusal{
