A server in doubt is tried by the ingress beside it a second sooner

A trial at an excess doubt of 0.5 begins 2.0 s after it and fails two times in five instead of one in three.

--- a/selection/trials.go
+++ b/selection/trials.go
@@ -14,8 +14,8 @@
 	// ingress beside it. After two that succeed, the doubt is gone.
 	trialInterval = time.Second
 	// maxTrialDoubt is the excess doubt up to which a trial pays: by the rates of package
-	// health, two of three then succeed. It is about three seconds after the last failure.
-	maxTrialDoubt = 0.35
+	// health, three of five then succeed. It is two seconds after the last failure.
+	maxTrialDoubt = 0.5
 	// minTrialDoubt is the excess doubt from which a pool with little load no longer chooses a
 	// backend server: it then costs as much as the load of one request of twenty-five.
 	minTrialDoubt = 0.01
--- a/selection/trials_test.go
+++ b/selection/trials_test.go
@@ -1,6 +1,7 @@
 package selection
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/hemlockring/hemlockring/balance"
 	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/health"
 	"github.com/hemlockring/hemlockring/ingress"
 	"github.com/hemlockring/hemlockring/membership"
 	"github.com/hemlockring/hemlockring/pipeline"
@@ -32,6 +34,32 @@
 	must.MapEmpty(t, trials.last)
 }
 
+// A backend server that has recovered and stands idle gets a request within four
+// seconds of its last failure at nineteen of twenty ingresses that take three requests
+// in two seconds that can be repeated.
+func TestARecoveredServerIsTriedSoon(t *testing.T) {
+	const (
+		recoveries = 2000
+		perSecond  = 1.5
+		limit      = 4.0
+		surelyGray = 0.95
+	)
+	random := rand.New(rand.NewPCG(1, 1))
+	soon := 0
+	for range recoveries {
+		var trials trials
+		for at := random.ExpFloat64() / perSecond; at < limit; at += random.ExpFloat64() / perSecond {
+			elapsed := time.Duration(at * float64(time.Second))
+			doubt := health.ExcessDoubt(health.DoubtAfter(surelyGray, elapsed))
+			if trials.due(balance.BackendID{Instance: "near-0", Server: "near-0"}, doubt, time.Unix(1000, 0).Add(elapsed)) {
+				soon++
+				break
+			}
+		}
+	}
+	must.GreaterEq(t, recoveries*19/20, soon)
+}
+
 // Only a request that can be repeated tries the backend server in doubt beside its
 // ingress, at its first attempt, and no other ingress's backend server.
 func TestRequestsThatCanBeRepeatedTryTheServerBesideThem(t *testing.T) {
