Stand-ins of a parent are asked three at a time, and not waited for

Most of the fleet is cut off then, two of five control instances among it; those two proxies asked one after the other, and one that is cut off holds its call for a second. Ruled out: late offers (others of the same level polled the versions too), a late acceptance. While nobody helps, three stand-ins are asked in each round; a poll without an answer for 400 ms counts as no help, its answer still counts.

The bound on polls in an outage of control is now three a round instead of one; it stays a constant.

--- a/configsync/lead.go
+++ b/configsync/lead.go
@@ -35,8 +35,8 @@
 	s.node.Lead(s.leader.Attest(), s.confirmedAt, clock.Now())
 	s.publish()
 	for _, holder := range holdersOf(document) {
-		if !s.polling[holder.ID] {
-			s.polling[holder.ID] = true
+		if _, running := s.polling[holder.ID]; !running {
+			s.polling[holder.ID] = clock.Now()
 			go func() {
 				defer s.pollEnded(holder.ID)
 				s.offer(ctx, s.leaderNow(), holder)
--- a/configsync/poll.go
+++ b/configsync/poll.go
@@ -9,6 +9,10 @@
 	"github.com/hemlockring/hemlockring/fleetconfig"
 )
 
+// lateAnswer is how long a poll may be unanswered until others are asked beside it. It
+// is several round trips between regions, and less than the poll interval.
+const lateAnswer = 400 * time.Millisecond
+
 // poll starts a round of polls: those that the upstream asks for, and the holders
 // when package currency asks for them. Polls that still run are not repeated.
 func (s *Service) poll(ctx context.Context) {
@@ -27,14 +31,21 @@
 	s.pollAll(ctx, targets)
 }
 
-// pollAll polls those that are not being polled. The caller holds mu.
+// pollAll polls those that are not being polled. One that has been for long is taken
+// for one that does not help, though its answer still counts. The caller holds mu.
 func (s *Service) pollAll(ctx context.Context, targets []fleetconfig.InstanceAddress) {
-	for _, target := range targets {
-		if s.polling[target.ID] {
-			continue
+	now := clock.Now()
+	for len(targets) > 0 {
+		target := targets[0]
+		targets = targets[1:]
+		since, running := s.polling[target.ID]
+		switch {
+		case !running:
+			s.polling[target.ID] = now
+			go s.pollOne(ctx, target)
+		case now.Sub(since) >= lateAnswer:
+			targets = append(targets, s.upstream.noHelp(target.ID, now)...)
 		}
-		s.polling[target.ID] = true
-		go s.pollOne(ctx, target)
 	}
 }
 
--- a/configsync/service.go
+++ b/configsync/service.go
@@ -77,7 +77,8 @@
 	// leaderID is the leader that offers versions to this instance as a holder.
 	leaderID fleetconfig.InstanceID
 	upstream upstream
-	polling  map[fleetconfig.InstanceID]bool
+	// polling is since when instances are being polled, or are offered a version.
+	polling map[fleetconfig.InstanceID]time.Time
 	// offered is the version that was last offered to the children, or 0.
 	offered  uint64
 	changed  chan struct{}
@@ -96,7 +97,7 @@
 		node:      currency.NewNode(config.Self.ID, config.Incarnation, clock.Now()),
 		held:      fleetconfig.NewDocument(),
 		heldBy:    make(map[fleetconfig.InstanceID]uint64),
-		polling:   make(map[fleetconfig.InstanceID]bool),
+		polling:   make(map[fleetconfig.InstanceID]time.Time),
 		changed:   make(chan struct{}),
 		accepted:  make(chan struct{}),
 	}
--- a/configsync/service_test.go
+++ b/configsync/service_test.go
@@ -114,6 +114,24 @@
 	must.Less(t, inForceWithin, time.Since(acceptedAt))
 }
 
+// An instance that its parent does not answer asks others before the call has ended.
+func TestASilentParentIsNotWaitedFor(t *testing.T) {
+	fleet, leader, others := newFleet(t, 20)
+	alone := others[15].peer.ID
+	apart := func(a, b fleetconfig.InstanceID) bool {
+		isRoot := func(id fleetconfig.InstanceID) bool { return id != leader.peer.ID && id <= others[4].peer.ID }
+		return a == alone && isRoot(b) || b == alone && isRoot(a)
+	}
+	fleet.apart.Store(&apart)
+	cutAt := time.Now()
+	// A poll that began before the cut must not bring the news.
+	timer := time.NewTimer(5 * leader.service.config.PollInterval)
+	<-timer.C
+	result := fleet.propose(leader, "unheard", usePreset(2))
+	awaitVersion(t, result.Version, others[15])
+	must.Less(t, callTimeout, time.Since(cutAt))
+}
+
 // The tree reaches every instance once, and nobody has more than fanOut children.
 func TestTreeReachesEveryInstance(t *testing.T) {
 	var all []Peer
--- a/configsync/upstream.go
+++ b/configsync/upstream.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// standInsAtOnce is how many stand-ins are asked when the parent stops helping: two
+	// standInsAtOnce is how many stand-ins are asked in a round while nobody helps: two
 	// control instances, one of which may be out of reach, and a neighbour.
 	standInsAtOnce = 3
 	// parentRetry is how often a parent that stopped helping is asked beside its
@@ -38,15 +38,16 @@
 	candidates []fleetconfig.InstanceAddress
 	// fresh is the age up to which news help.
 	fresh time.Duration
-	// atOnce is how many stand-ins to ask when the parent stops helping.
+	// atOnce is how many stand-ins to ask in a round while nobody helps.
 	atOnce int
 	// lost says that the parent does not help. It was last asked at askedAt.
 	lost    bool
 	askedAt time.Time
-	// standIn is the stand-in that helps, or empty. Failed counts the answers of
-	// stand-ins that did not.
+	// standIn is the stand-in that helps, or empty. Next counts those that were asked
+	// while there was none. It moves on without waiting for answers, since one that is
+	// cut off holds its call until the time of the call is over.
 	standIn fleetconfig.InstanceID
-	failed  int
+	next    int
 }
 
 // place sets whom the instance may poll. Another parent begins as one that helps.
@@ -66,12 +67,13 @@
 	if !u.lost || len(standIns) == 0 {
 		return []fleetconfig.InstanceAddress{parent}
 	}
-	current := slices.IndexFunc(standIns, func(a fleetconfig.InstanceAddress) bool { return a.ID == u.standIn })
-	if current < 0 {
+	var targets []fleetconfig.InstanceAddress
+	if current := slices.IndexFunc(standIns, func(a fleetconfig.InstanceAddress) bool { return a.ID == u.standIn }); current >= 0 {
+		targets = append(targets, standIns[current])
+	} else {
 		u.standIn = ""
-		current = u.failed % len(standIns)
+		targets = u.nextStandIns()
 	}
-	targets := []fleetconfig.InstanceAddress{standIns[current]}
 	if now.Sub(u.askedAt) >= parentRetry {
 		u.askedAt = now
 		targets = append(targets, parent)
@@ -87,7 +89,7 @@
 	switch {
 	case len(u.candidates) == 0:
 	case from == u.candidates[0].ID:
-		u.lost, u.standIn, u.failed = false, "", 0
+		u.lost, u.standIn, u.next = false, "", 0
 	case u.lost && u.standIn == "":
 		u.standIn = from
 	}
@@ -101,13 +103,21 @@
 	case len(u.candidates) == 0:
 	case from == u.candidates[0].ID && !u.lost:
 		u.lost, u.askedAt = true, now
-		standIns := u.candidates[1:]
-		return standIns[:min(u.atOnce, len(standIns))]
-	case from != u.candidates[0].ID && u.lost:
-		if u.standIn == from {
-			u.standIn = ""
-		}
-		u.failed++
+		return u.nextStandIns()
+	case u.lost && from == u.standIn:
+		u.standIn = ""
+		return u.nextStandIns()
 	}
 	return nil
 }
+
+// nextStandIns returns the next stand-ins to ask, all of them by turns.
+func (u *upstream) nextStandIns() []fleetconfig.InstanceAddress {
+	standIns := u.candidates[1:]
+	var chosen []fleetconfig.InstanceAddress
+	for range min(u.atOnce, len(standIns)) {
+		chosen = append(chosen, standIns[u.next%len(standIns)])
+		u.next++
+	}
+	return chosen
+}
