Retries over the fleet are counted in a window, not by a bucket at each proxy

Cause: each of 21 proxies had a bucket of one retry for a service and one for each account, which fills in two to seven seconds, and failures of a gray server come together. Ruled out: the route's MaxAttempts (no repeat was made), the time left. The platform's limit is on retries in a window. Each proxy now takes its own requests' percentage and an even share of the floor in every window, which sums up to the fleet's limit exactly, and may use it all at once.

--- a/fleetconfig/document.go
+++ b/fleetconfig/document.go
@@ -212,10 +212,10 @@
 	// RetryFloorPerSecond is how many retries a second of each service the whole fleet
 	// may make besides the percentage. The proxies share it evenly.
 	RetryFloorPerSecond float64 `cbor:"7,keyasint,omitempty" json:"retry_floor_per_second,omitempty"`
-	// RetryBurst is how many retries of each service the whole fleet may save up, of
-	// which each proxy has an even share and at least one. Zero bounds only what one
-	// proxy saves up.
-	RetryBurst float64 `cbor:"8,keyasint,omitempty" json:"retry_burst,omitempty"`
+	// RetryWindow is the time in which the retries of each service over the whole fleet
+	// must stay within the percentage and the floor, however they come. Zero bounds what
+	// each proxy makes over time.
+	RetryWindow time.Duration `cbor:"11,keyasint,omitempty" json:"retry_window,omitempty"`
 	// QuotaBridge is how long an ingress may go on with an account at its own recent
 	// rate while the account's owner can not be reached. Zero refuses the account's
 	// requests meanwhile. What is bridged comes on top of what was granted before.
--- a/fleetconfig/validate.go
+++ b/fleetconfig/validate.go
@@ -29,6 +29,7 @@
 	maxHedgeAfter    = time.Minute
 	maxSlowStart     = time.Hour
 	maxQuotaBridge   = time.Minute
+	maxRetryWindow   = 10 * time.Minute
 )
 
 // Validate returns all faults of a document, up to MaxFaults and one that
@@ -183,6 +184,7 @@
 		c.duration(subject, "hedge_after", preset.HedgeAfter, maxHedgeAfter)
 		c.duration(subject, "quota_bridge", preset.QuotaBridge, maxQuotaBridge)
 		c.duration(subject, "slow_start", preset.SlowStart, maxSlowStart)
+		c.duration(subject, "retry_window", preset.RetryWindow, maxRetryWindow)
 		if !(preset.RetryFloorPerSecond >= 0 && preset.RetryFloorPerSecond <= maxRatePerSecond) {
 			c.add(subject, "retry_floor_per_second", fmt.Sprintf("%g is out of range", preset.RetryFloorPerSecond),
 				fmt.Sprintf("give 0 to %d retries a second", maxRatePerSecond))
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -47,11 +47,16 @@
 //
 // Invariant: in any time, the retries taken are at most the given percentage of
 // the requests, plus the small minimum rate, plus one; for the service, and for
-// each account together with those that share its bucket.
+// each account together with those that share its bucket. Under a preset that sets
+// limits for the whole fleet, the service's retries are counted in a window instead:
+// over all proxies they are at most the percentage of the window's requests, plus the
+// fleet's floor.
 type Budget struct {
-	share    float64
-	limits   limits
-	service  bucket
+	share   float64
+	limits  limits
+	service bucket
+	// window replaces service under a preset that limits the whole fleet.
+	window   *window
 	accounts []bucket
 }
 
@@ -67,6 +72,10 @@
 type limits struct {
 	serviceRate, accountRate   float64
 	serviceLimit, accountLimit float64
+	// window is the time in which the service's retries are counted, or zero. Floor is
+	// how many are allowed in it besides the percentage.
+	window time.Duration
+	floor  float64
 }
 
 // ownLimits hold where a preset sets no limits for the whole fleet.
@@ -79,16 +88,18 @@
 
 // Divide takes this ingress's part of the limits that a preset sets for the whole
 // fleet, which has the given number of proxies. The parts together stay within the
-// limits as long as the number is right, but for the one retry that each proxy may
-// always save up.
+// limits as long as the number is right.
 func (b *Budget) Divide(preset *fleetconfig.Preset, proxies int) {
-	if preset.RetryBurst <= 0 {
-		b.limits = ownLimits
+	if preset.RetryWindow <= 0 {
+		b.limits, b.window = ownLimits, nil
 		return
 	}
 	rate := preset.RetryFloorPerSecond / float64(max(proxies, 1))
-	most := max(1, preset.RetryBurst/float64(max(proxies, 1)))
-	b.limits = limits{serviceRate: rate, accountRate: rate, serviceLimit: most, accountLimit: most}
+	floor := rate * preset.RetryWindow.Seconds()
+	if b.window != nil && b.limits.window != preset.RetryWindow {
+		b.window = nil
+	}
+	b.limits = limits{accountRate: rate, accountLimit: max(1, floor), window: preset.RetryWindow, floor: floor}
 }
 
 // SetPreset changes the percentage while requests run. What was saved up stays,
@@ -98,7 +109,7 @@
 	if b.share > 0 {
 		return
 	}
-	b.service = bucket{}
+	b.service, b.window = bucket{}, nil
 	b.accounts = nil
 }
 
@@ -109,7 +120,11 @@
 	}
 	own := b.account(account)
 	b.fill(own, now)
-	b.service.balance = min(b.limits.serviceLimit, b.service.balance+b.share)
+	if b.window != nil {
+		b.window.request(now)
+	} else {
+		b.service.balance = min(b.limits.serviceLimit, b.service.balance+b.share)
+	}
 	own.balance = min(b.limits.accountLimit, own.balance+b.share)
 }
 
@@ -120,16 +135,32 @@
 	}
 	own := b.account(account)
 	b.fill(own, now)
-	if b.service.balance < 1 || own.balance < 1 {
+	if own.balance < 1 || !b.takeOfService(now) {
 		return false
 	}
-	b.service.balance--
 	own.balance--
 	return true
 }
 
+func (b *Budget) takeOfService(now time.Time) bool {
+	if b.window != nil {
+		return b.window.take(b.share, b.limits.floor, now)
+	}
+	if b.service.balance < 1 {
+		return false
+	}
+	b.service.balance--
+	return true
+}
+
 func (b *Budget) fill(own *bucket, now time.Time) {
-	b.service.fill(b.limits.serviceRate, b.limits.serviceLimit, now)
+	if b.limits.window > 0 {
+		if b.window == nil {
+			b.window = newWindow(b.limits.window, now)
+		}
+	} else {
+		b.service.fill(b.limits.serviceRate, b.limits.serviceLimit, now)
+	}
 	own.fill(b.limits.accountRate, b.limits.accountLimit, now)
 }
 
