--- a/configsync/poll.go
+++ b/configsync/poll.go
@@ -44,11 +44,23 @@
 			s.polling[target.ID] = now
 			go s.pollOne(ctx, target)
 		case now.Sub(since) >= lateAnswer:
-			targets = append(targets, s.upstream.noHelp(target.ID, now)...)
+			targets = append(targets, s.followUpstream(func() []fleetconfig.InstanceAddress { return s.upstream.noHelp(target.ID, now) })...)
 		}
 	}
 }
 
+// followUpstream lets the upstream take something in, logs when another instance is
+// polled for it from now on, and returns whom to ask at once. The caller holds mu.
+func (s *Service) followUpstream(takeIn func() []fleetconfig.InstanceAddress) []fleetconfig.InstanceAddress {
+	before := s.upstream.helper()
+	ask := takeIn()
+	if after := s.upstream.helper(); after != before {
+		s.config.Logger.Info("another instance is polled for the configuration",
+			"former", before, "instance", after, "version", s.View().Version())
+	}
+	return ask
+}
+
 // candidates returns whom to poll, the best first, how old the news of one that helps
 // may be, and how many to ask at once when the best one stops helping. A holder takes
 // the leader that it hears offers from. The caller holds mu.
@@ -132,14 +144,14 @@
 func (s *Service) heard(ctx context.Context, from fleetconfig.InstanceID, age time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pollAll(ctx, s.upstream.heard(from, age, clock.Now()))
+	s.pollAll(ctx, s.followUpstream(func() []fleetconfig.InstanceAddress { return s.upstream.heard(from, age, clock.Now()) }))
 }
 
 // noHelp notes that an instance did not answer or has no news.
 func (s *Service) noHelp(ctx context.Context, from fleetconfig.InstanceID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pollAll(ctx, s.upstream.noHelp(from, clock.Now()))
+	s.pollAll(ctx, s.followUpstream(func() []fleetconfig.InstanceAddress { return s.upstream.noHelp(from, clock.Now()) }))
 }
 
 // take takes in a reply and reports whether a snapshot is needed.
--- a/configsync/upstream.go
+++ b/configsync/upstream.go
@@ -58,6 +58,19 @@
 	u.candidates, u.fresh, u.atOnce = candidates, fresh, atOnce
 }
 
+// helper returns the instance that is polled because its news are fresh, or empty while
+// there is none.
+func (u *upstream) helper() fleetconfig.InstanceID {
+	switch {
+	case len(u.candidates) == 0:
+		return ""
+	case u.lost:
+		return u.standIn
+	default:
+		return u.candidates[0].ID
+	}
+}
+
 // targets returns whom to poll in this round.
 func (u *upstream) targets(now time.Time) []fleetconfig.InstanceAddress {
 	if len(u.candidates) == 0 {
--- a/configsync/upstream_test.go
+++ b/configsync/upstream_test.go
@@ -72,8 +72,10 @@
 		// One that is known not to help makes nobody ask more.
 		must.SliceEmpty(t, u.noHelp("p", now))
 	}
+	must.Eq(t, "s2", u.helper())
 	u.heard("p", 0, now)
 	must.Eq(t, []fleetconfig.InstanceID{"p"}, idsOf(u.targets(now)))
+	must.Eq(t, "p", u.helper())
 }
 
 // While nobody knows anything new, an instance asks three stand-ins in each interval,
@@ -122,6 +124,7 @@
 	// The one that helps stays, until it stops to: then others are asked at once.
 	u.heard("s7", 0, now)
 	must.Eq(t, []fleetconfig.InstanceID{"s7"}, idsOf(u.targets(now)))
+	must.Eq(t, "s7", u.helper())
 	must.SliceLen(t, standInsAtOnce, u.heard("s7", 2*time.Second, now))
 }
 
