--- /dev/null
+++ b/quota/soup_faults_test.go
@@ -0,0 +1,66 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/hemlockring/hemlockring/internal/soup"
+)
+
+func (s *quotaSoup) fault() {
+	node := s.nodes[s.draw("victim", len(s.nodes))]
+	other := s.nodes[s.draw("other", len(s.nodes))]
+	switch s.draw("fault", 10) {
+	case 0:
+		node.frozen = s.now.Add(time.Duration(s.draw("freeze", 6000)) * time.Millisecond)
+	case 1:
+		s.start(node)
+	case 2:
+		if s.draw("isolate", 2) == 0 {
+			s.isolate(node)
+		}
+		s.network.Cut[soup.Link{From: node.address.ID, To: other.address.ID}] = true
+	case 3, 4:
+		clear(s.network.Cut)
+	case 5, 6:
+		shards := s.views[0].Document().Shards
+		s.addView(&shards)
+	case 7:
+		s.loseOwner()
+	default:
+		s.loseAt = s.now.Add(time.Duration(s.draw("lose at", 1000)) * time.Millisecond)
+		s.release = s.loseAt.Add(time.Duration(s.draw("release", 2000)) * time.Millisecond)
+	}
+}
+
+// loseOwner stops, isolates, freezes or restarts the instance that owns the shard.
+func (s *quotaSoup) loseOwner() {
+	for _, node := range s.nodes {
+		now := node.clock.At(s.now)
+		if _, held := node.group.Held(0, now); !held || s.now.Before(node.frozen) {
+			continue
+		}
+		switch s.draw("loss", 5) {
+		case 0:
+			s.isolate(node)
+		case 1:
+			node.frozen = s.now.Add(time.Duration(s.draw("freeze", 6000)) * time.Millisecond)
+		case 2:
+			s.start(node)
+		default:
+			s.sendShard(node, node.group.Stop(now))
+			node.stops = s.now.Add(time.Second)
+		}
+	}
+}
+
+// isolate cuts a node off from all others, in one direction or both.
+func (s *quotaSoup) isolate(node *quotaNode) {
+	directions := s.draw("directions", 3)
+	for _, other := range s.nodes {
+		if other == node {
+			continue
+		}
+		s.network.Cut[soup.Link{From: node.address.ID, To: other.address.ID}] = directions != 0
+		s.network.Cut[soup.Link{From: other.address.ID, To: node.address.ID}] = directions != 1
+	}
+}
--- /dev/null
+++ b/selection/retries_test.go
@@ -0,0 +1,41 @@
+package selection
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/hemlockring/hemlockring/clock"
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/pipeline"
+)
+
+// An ingress divides the fleet's retries in a window by the number of proxies, and
+// follows that number. What it has used in the window still counts.
+func TestAnIngressTakesItsPartOfTheFleetsRetries(t *testing.T) {
+	preset := fleetconfig.Preset{Name: "limited", RetryBudgetPercent: 1, RetryFloorPerSecond: 2, RetryWindow: 10 * time.Second}
+	view := fleetconfig.NewView(&fleetconfig.Document{Version: 1, Presets: []fleetconfig.Preset{preset}, PresetInForce: "limited"})
+	proxies := 10
+	retries := NewRetries(func() int { return proxies })
+	allowed := func() int {
+		count := 0
+		for i := range 40 {
+			exchange := &pipeline.Exchange{
+				Service:    "catalogue",
+				Account:    fleetconfig.AccountID(rune('a' + i)),
+				View:       view,
+				Idempotent: true,
+				Reached:    1,
+				Deadline:   clock.Now().Add(time.Minute),
+			}
+			if retries.MayRetry(exchange, pipeline.OutcomeUnknown) {
+				count++
+			}
+		}
+		return count
+	}
+	must.Eq(t, 2, allowed())
+	proxies = 4
+	must.Eq(t, 3, allowed())
+}
