The route kind download: repeatable, with large answers

A route now says whether its answers are large; the platform's download is a repeatable route with large answers. hemlockctl and the INI file know it. Left: large answers are not yet treated apart.

--- a/fleetconfig/inifile/inifile_test.go
+++ b/fleetconfig/inifile/inifile_test.go
@@ -32,6 +32,7 @@
 service = stock
 idempotency = always
 timeout = 5s
+large_answers = yes
 `
 
 // accept applies changes as one command.
@@ -61,7 +62,7 @@
 	must.Eq(t, []fleetconfig.Service{{Name: "stock", FloorPercent: 60}}, document.Services)
 	must.Eq(t, []fleetconfig.Route{{
 		ID: "lookups", Host: "shop.example", PathPrefix: "/stock", Service: "stock",
-		Idempotency: fleetconfig.IdempotentAlways, Timeout: 5 * time.Second,
+		Idempotency: fleetconfig.IdempotentAlways, Timeout: 5 * time.Second, LargeAnswers: true,
 	}}, document.Routes)
 	must.SliceLen(t, 2, document.Holders)
 
--- a/internal/ctl/args.go
+++ b/internal/ctl/args.go
@@ -98,6 +98,8 @@
 	OpenToAll   *bool                    `arg:"--open-to-all" help:"true or false"`
 	Idempotency *fleetconfig.Idempotency `arg:"--idempotency" help:"by-method, always or never"`
 	Timeout     *time.Duration           `arg:"--route-timeout" help:"such as 30s"`
+
+	LargeAnswers *bool `arg:"--large-answers" help:"true or false: answers of tens of kilobytes and more"`
 }
 
 // ServiceCommand is hemlockctl service.
