--- a/fleetconfig/inifile/inifile_test.go
+++ b/fleetconfig/inifile/inifile_test.go
@@ -32,7 +32,7 @@
 service = stock
 idempotency = always
 timeout = 5s
-large_answers = yes
+large_answers = true
 `
 
 // accept applies changes as one command.
