Large answers in a lane of their own; a stop serves on while callers come; slow starts by the server's own word

Cause: an ingress kept up to 4 MiB of each answer that its caller does not read, and small answers queue behind downloads on the one connection between two instances. Now 128 KiB of each, and downloads have a connection of their own. Weighed: smaller windows for the connection, which lets an unread download hold up all others; QUIC needs no lane.

Ruled out: ejections, members' views. A new life of a server under its old id no longer inherits what was known of the former one. TestABackendServerServesOnWhileItsInstanceTakesCallers and the tests of ejection fail without the change.

--- a/backendproxy/registry.go
+++ b/backendproxy/registry.go
@@ -24,6 +24,8 @@
 	// departedMemory is how long late announcements of a backend server that has left
 	// are known as such.
 	departedMemory = time.Minute
+	// MaxCold bounds the announced time of slowness after a start.
+	MaxCold = time.Hour
 	// maxSlots bounds the announced slots.
 	maxSlots = 100_000
 )
@@ -48,6 +50,18 @@
 	// Sequence grows with each announcement of one life, so that a late one is known.
 	// Zero when it does not say.
 	Sequence uint64 `json:"sequence,omitempty"`
+	// ColdMillis is how much longer it is slow after its start, in milliseconds. Nil
+	// when it does not say.
+	ColdMillis *int64 `json:"cold_ms,omitempty"`
+}
+
+// warmAt returns until when the backend server is slow after its start, or the zero
+// time when it does not say.
+func (a *Announcement) warmAt(now time.Time) time.Time {
+	if a.ColdMillis == nil {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(*a.ColdMillis) * time.Millisecond)
 }
 
 // follows reports whether an announcement is newer than another one of the same
@@ -73,18 +87,37 @@
 	Announcement Announcement
 
 	// slots is how many requests it runs at once.
-	slots     uint32
-	started   time.Time
+	slots   uint32
+	started time.Time
+	// warmAt is when it is no longer slow after its start, zero when it has not said.
+	warmAt    time.Time
 	expires   time.Time
 	draining  bool
 	ejected   bool
 	admission *admission
 }
 
+// LocalServer is a backend server as the parts of its instance see it.
+type LocalServer struct {
+	// Server is what spreads through the fleet.
+	membership.Server
+	// WarmAt is when it is no longer slow after its start, zero when it has not said.
+	WarmAt time.Time
+}
+
+// Spread returns what the fleet hears of the servers.
+func Spread(servers []LocalServer) []membership.Server {
+	spread := make([]membership.Server, 0, len(servers))
+	for i := range servers {
+		spread = append(spread, servers[i].Server)
+	}
+	return spread
+}
+
 // Registry keeps the backend servers that have announced themselves. It is safe
 // for concurrent use.
 type Registry struct {
-	onChange func([]membership.Server)
+	onChange func([]LocalServer)
 	limits   Limits
 
 	mu      sync.Mutex
@@ -111,7 +144,7 @@
 
 // NewRegistry returns an empty registry. onChange is called, with the lock held,
 // whenever what the fleet should know has changed.
-func NewRegistry(onChange func([]membership.Server), limits Limits) *Registry {
+func NewRegistry(onChange func([]LocalServer), limits Limits) *Registry {
 	return &Registry{
 		onChange: onChange,
 		limits:   limits,
@@ -151,7 +184,7 @@
 		if len(r.servers) >= MaxServers {
 			return errors.Newf("this instance has %d backend servers already; announce to another instance", MaxServers)
 		}
-		server = &Server{ID: id, started: now, admission: newAdmission(int(r.slots(&announcement)), r.limits.QueueLength())}
+		server = &Server{ID: id, started: now, warmAt: announcement.warmAt(now), admission: newAdmission(int(r.slots(&announcement)), r.limits.QueueLength())}
 		r.servers[id] = server
 		changed = true
 	}
@@ -268,22 +301,22 @@
 	if r.onChange == nil {
 		return
 	}
-	servers := make([]membership.Server, 0, len(r.servers))
+	servers := make([]LocalServer, 0, len(r.servers))
 	for _, server := range r.servers {
 		state := membership.ServerReady
 		if server.draining {
 			state = membership.ServerDraining
 		}
-		servers = append(servers, membership.Server{
+		servers = append(servers, LocalServer{WarmAt: server.warmAt, Server: membership.Server{
 			ID:               server.ID,
 			Service:          server.Announcement.Service,
 			Slots:            server.slots,
 			State:            state,
 			Ejected:          server.ejected,
 			StartedUnixMilli: server.started.UnixMilli(),
-		})
+		}})
 	}
-	slices.SortFunc(servers, func(a, b membership.Server) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(servers, func(a, b LocalServer) int { return cmp.Compare(a.ID, b.ID) })
 	r.onChange(servers)
 }
 
@@ -302,6 +335,9 @@
 	if lifetime < MinLifetime || lifetime > MaxLifetime {
 		return errors.Newf("lifetime_ms must be from %d to %d", MinLifetime.Milliseconds(), MaxLifetime.Milliseconds())
 	}
+	if a.ColdMillis != nil && (*a.ColdMillis < 0 || *a.ColdMillis > MaxCold.Milliseconds()) {
+		return errors.Newf("cold_ms must be from 0 to %d", MaxCold.Milliseconds())
+	}
 	address, err := netip.ParseAddrPort(a.Address)
 	if err != nil || address.Port() == 0 {
 		return errors.Newf("address %q must be an IP number and a port", a.Address)
--- a/ejection/watch.go
+++ b/ejection/watch.go
@@ -15,6 +15,8 @@
 // watched is a backend server beside this instance with its monitor.
 type watched struct {
 	service fleetconfig.ServiceName
+	// started tells the lives of a server that comes back under its id apart.
+	started int64
 
 	mu      sync.Mutex
 	monitor *health.Monitor
@@ -150,8 +152,9 @@
 // End implements backendproxy.Observation.
 func (noObservation) End(health.Result, time.Time) {}
 
-// SetServers takes in which backend servers are beside this instance.
-func (s *Service) SetServers(servers []membership.Server) {
+// SetServers takes in which backend servers are beside this instance. What is known of
+// a server does not hold for another life of it.
+func (s *Service) SetServers(servers []backendproxy.LocalServer) {
 	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -159,10 +162,13 @@
 	for _, server := range servers {
 		present[server.ID] = true
 		found := s.servers[server.ID]
-		if found == nil || found.service != server.Service {
+		if found == nil || found.service != server.Service || found.started != server.StartedUnixMilli {
 			policy := health.PolicyOf(s.view().Preset())
 			monitor := health.NewMonitor(s.self, server.ID, server.Slots, policy, rand.Uint64(), now)
-			found = &watched{service: server.Service, monitor: monitor, breaker: health.NewBreaker(now)}
+			if !server.WarmAt.IsZero() {
+				monitor.SetWarmAt(server.WarmAt)
+			}
+			found = &watched{service: server.Service, started: server.StartedUnixMilli, monitor: monitor, breaker: health.NewBreaker(now)}
 			s.servers[server.ID] = found
 		}
 		found.mu.Lock()
--- a/health/monitor.go
+++ b/health/monitor.go
@@ -89,6 +89,7 @@
 	trialToken    Token
 	trialGood     int
 	returnedAt    time.Time
+	warmAt        time.Time
 	goodOutcomes  int
 	askNotBefore  time.Time
 	refusedReason Reason
@@ -118,6 +119,10 @@
 // SetSlots changes the number of slots.
 func (m *Monitor) SetSlots(slots uint32) { m.slots = slots }
 
+// SetWarmAt takes in until when the server is slow after its start, by its own word.
+// A server that only this instance has just heard of may have been warm for long.
+func (m *Monitor) SetWarmAt(warmAt time.Time) { m.warmAt = warmAt }
+
 // SetDraining records that the server is leaving.
 func (m *Monitor) SetDraining() { m.draining = true }
 
@@ -155,13 +160,23 @@
 	case StateTrial:
 		return minWeight
 	}
-	if m.policy.SlowStart <= 0 {
+	length := m.slowStart()
+	if length <= 0 {
 		return 1
 	}
-	share := float64(now.Sub(m.returnedAt)) / float64(m.policy.SlowStart)
+	share := float64(now.Sub(m.returnedAt)) / float64(length)
 	return min(1, max(minWeight, share))
 }
 
+// slowStart returns how long the present slow start takes: as long as the server says
+// after its start, by the policy after an ejection and where it has said nothing.
+func (m *Monitor) slowStart() time.Duration {
+	if m.warmAt.IsZero() {
+		return m.policy.SlowStart
+	}
+	return m.warmAt.Sub(m.returnedAt)
+}
+
 // Begin records that a request was sent to the server.
 func (m *Monitor) Begin(account fleetconfig.AccountID, deadline, now time.Time) Token {
 	token := m.detector.Begin(account, deadline, now)
@@ -260,6 +275,7 @@
 	m.trialRunning = false
 	if state == StateInService {
 		m.returnedAt = now
+		m.warmAt = time.Time{}
 		m.pending = false
 	}
 	return actions
--- a/ingress/depend.go
+++ b/ingress/depend.go
@@ -6,6 +6,7 @@
 
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/pipeline"
+	"github.com/hemlockring/hemlockring/transport"
 )
 
 // Configuration is where the ingress reads the configuration in force.
@@ -22,8 +23,9 @@
 // Remote sends requests to the backend proxies of other instances.
 type Remote interface {
 	// RoundTrip sends the request to the instance at address, never twice. An error
-	// that is transport.ErrNotSent proves that no byte left.
-	RoundTrip(address string, request *http.Request) (*http.Response, error)
+	// that is transport.ErrNotSent proves that no byte left. Downloads go in a lane of
+	// their own.
+	RoundTrip(address string, request *http.Request, lane transport.Lane) (*http.Response, error)
 }
 
 // Candidate is a backend server chosen for an attempt.
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hemlockring/hemlockring/clock"
+	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/pipeline"
 	"github.com/hemlockring/hemlockring/transport"
 )
@@ -255,7 +256,7 @@
 }
 
 func (f *forwardFilter) serveRemote(exchange *pipeline.Exchange, candidate Candidate, request *http.Request, body *replayBody, result *Attempt, started time.Time) *pipeline.Refusal {
-	response, err := f.remote.RoundTrip(candidate.Address, request)
+	response, err := f.remote.RoundTrip(candidate.Address, request, laneOf(exchange.Route))
 	if cause := body.failure(); err != nil && cause != nil {
 		result.Canceled = true
 		return refuseBody(cause)
@@ -279,6 +280,13 @@
 	return nil
 }
 
+func laneOf(route *fleetconfig.Route) transport.Lane {
+	if route.LargeAnswers {
+		return transport.LaneLarge
+	}
+	return transport.LaneSmall
+}
+
 // readHead takes in what the backend proxy says beside the answer.
 func (f *forwardFilter) readHead(exchange *pipeline.Exchange, header http.Header, result *Attempt) {
 	result.Load = header.Get(headerLoad)
--- a/node/adapter.go
+++ b/node/adapter.go
@@ -15,9 +15,8 @@
 // Ready reports whether the instance takes callers, and if not why.
 func (n *Node) Ready() (ready bool, reason string) {
 	current, _ := n.configuration.Current(clock.Now())
-	self := n.members.Snapshot().Member(n.settings.Instance.ID)
 	switch {
-	case self.Record.Draining:
+	case n.stopping.Load():
 		return false, "the instance is stopping"
 	case n.configuration.View().Version() == 0:
 		return false, "the instance has no configuration yet"
--- a/node/local.go
+++ b/node/local.go
@@ -71,9 +71,8 @@
 	state.ReceivedBytes, state.Received = traffic.ReceivedBytes, traffic.ReceivedPackets
 	state.IndirectOnly = snapshot.CountIndirect()
 	state.Leads = n.control != nil && n.control.IsLeader()
-	self := snapshot.Member(snapshot.Self)
 	switch {
-	case self.Record.Draining:
+	case n.stopping.Load():
 		state.Reason = "the instance is stopping"
 	case state.Configuration == 0:
 		state.Reason = "the instance has no configuration yet"
--- a/node/node.go
+++ b/node/node.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"github.com/thejerf/suture/v4"
@@ -68,6 +69,8 @@
 	local         *httpPort
 	admin         *httpPort
 	extra         []*httpPort
+	// stopping says that a planned stop has begun.
+	stopping atomic.Bool
 }
 
 // Options replace parts of a node.
@@ -205,9 +208,9 @@
 		OnDetect:      n.observeDetection,
 		Logger:        n.logger,
 	}, n.fleetMux)
-	n.registry = backendproxy.NewRegistry(func(servers []membership.Server) {
+	n.registry = backendproxy.NewRegistry(func(servers []backendproxy.LocalServer) {
 		n.ejection.SetServers(servers)
-		n.members.SetServers(servers)
+		n.members.SetServers(backendproxy.Spread(servers))
 	}, serverLimits{n.configuration})
 	n.backendProxy = backendproxy.New(backendproxy.Config{
 		Registry: n.registry,
--- a/node/stop.go
+++ b/node/stop.go
@@ -39,19 +39,24 @@
 	}
 }
 
-// stop is the planned stop. The order matters: first the fleet hears that this
-// instance takes no new work, then the callers' port closes and waits for its
+// stop is the planned stop. The order matters: first whoever sends callers hears that
+// this instance takes no new ones. Those who have not heard of it, and the backend
+// servers beside it, are served on meanwhile: what arrives then ends no later than the
+// callers' requests, which the stop waits for anyway. Then the fleet hears that the
+// instance takes no new work, and the callers' port closes and waits for its
 // requests, which need leases, order records and the fleet port; then what this
 // instance holds for others is handed over; the fleet port closes last.
 func (n *Node) stop() error {
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Limits.StopTimeout)
 	defer cancel()
 	n.logger.Info("instance stops, requests in flight go on")
+	n.stopping.Store(true)
+	n.linger(ctx)
 	n.members.SetDraining()
 	var group errgroup.Group
 	group.Go(func() error { return n.backendProxy.Drain(ctx) })
 	if n.callers != nil {
-		group.Go(func() error { return n.stopCallers(ctx) })
+		group.Go(func() error { return n.callers.shutdown(ctx) })
 	}
 	err := group.Wait()
 	n.handOver()
@@ -78,16 +83,14 @@
 	return slog.GroupValue(attrs...)
 }
 
-// stopCallers takes callers for a last while, then closes their port and waits for
-// their requests.
-func (n *Node) stopCallers(ctx context.Context) error {
+// linger waits until whoever sends callers has heard of the stop.
+func (n *Node) linger(ctx context.Context) {
 	linger := time.NewTimer(n.settings.Limits.StopLinger)
 	defer linger.Stop()
 	select {
 	case <-linger.C:
 	case <-ctx.Done():
 	}
-	return n.callers.shutdown(ctx)
 }
 
 // handOver gives to others what this instance holds for the fleet. What does not
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -60,6 +60,31 @@
 	must.Eq(t, before, fleet.backends[0].Executions().Total)
 }
 
+// While an instance that stops still takes callers, the backend server beside it
+// serves the whole fleet on; otherwise each restart takes it away for as long as the
+// callers' requests last.
+func TestABackendServerServesOnWhileItsInstanceTakesCallers(t *testing.T) {
+	t.Parallel()
+	const linger = 3 * time.Second
+	fleet := startFleetWith(t, 2, func(instance int) emulator.Config {
+		if instance > 0 {
+			return emulator.Config{}
+		}
+		return emulator.Config{Slots: 4}
+	})
+	fleet.nodes[0].settings.Limits.StopLinger = linger
+	began := time.Now()
+	fleet.stops[0]()
+	waitFor(t, func() bool { ready, _ := fleet.nodes[0].Ready(); return !ready })
+	response, _ := fleet.send(t, 1, http.MethodPost, "/open", "")
+	if time.Since(began) < linger {
+		must.Eq(t, http.StatusOK, response.StatusCode)
+	}
+	must.NoError(t, <-fleet.ended[0])
+	response, _ = fleet.send(t, 1, http.MethodPost, "/open", "")
+	must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+}
+
 func TestADrainingBackendServerGetsNoNewWork(t *testing.T) {
 	t.Parallel()
 	fleet := startFleet(t, 2, emulator.Config{})
@@ -120,7 +145,10 @@
 	n := &Node{settings: &settings.Settings{Limits: settings.Limits{StopLinger: linger}}, callers: port}
 	began := time.Now()
 	stopped := make(chan error, 1)
-	go func() { stopped <- n.stopCallers(t.Context()) }()
+	go func() {
+		n.linger(t.Context())
+		stopped <- n.callers.shutdown(t.Context())
+	}()
 	answered := time.Time{}
 	for {
 		// Each caller comes on a connection of its own.
--- a/transport/client.go
+++ b/transport/client.go
@@ -20,8 +20,8 @@
 // RoundTrip sends a caller's request to the instance at address. It never sends
 // it a second time. An error that is ErrNotSent (errors.Is) proves that no byte
 // left; after any other error the request may have been handled.
-func (e *Endpoint) RoundTrip(address string, request *http.Request) (*http.Response, error) {
-	return e.carrier.roundTrip(address, request)
+func (e *Endpoint) RoundTrip(address string, request *http.Request, lane Lane) (*http.Response, error) {
+	return e.carrier.roundTrip(address, request, lane)
 }
 
 // Call implements Caller.
@@ -38,7 +38,7 @@
 		Body:          io.NopCloser(bytes.NewReader(data)),
 		ContentLength: int64(len(data)),
 	}
-	response, err := e.carrier.roundTrip(address, httpRequest.WithContext(ctx))
+	response, err := e.carrier.roundTrip(address, httpRequest.WithContext(ctx), LaneSmall)
 	if err != nil {
 		return errors.Wrapf(err, "call %s at %s", path, address)
 	}
--- a/transport/quic.go
+++ b/transport/quic.go
@@ -49,7 +49,8 @@
 	return c, errors.Wrap(err, "listen for QUIC connections")
 }
 
-func (c *quicCarrier) roundTrip(address string, request *http.Request) (*http.Response, error) {
+// roundTrip sends both lanes over one connection: QUIC delivers each stream by itself.
+func (c *quicCarrier) roundTrip(address string, request *http.Request, _ Lane) (*http.Response, error) {
 	request.URL.Scheme = "https"
 	request.URL.Host = address
 	return c.pool.roundTrip(address, request)
--- a/transport/tcp.go
+++ b/transport/tcp.go
@@ -31,14 +31,18 @@
 	freshFor = 250 * time.Millisecond
 	// aliveTimeout bounds the question for a sign of life.
 	aliveTimeout = 150 * time.Millisecond
+	// streamBufferBytes bounds what is kept of an answer, or of a body, until it is
+	// read. It covers the bytes under way at 25 MB/s and a round trip of 5 ms.
+	streamBufferBytes = 128 << 10
 )
 
 // tcpCarrier carries requests by HTTP/2 without TLS, for a trusted network. It
 // needs a fraction of the bytes and the processor time of QUIC: no certificates, no
 // encryption, no acknowledgements in user space; see docs/decisions/platform.md.
 type tcpCarrier struct {
-	id       fleetconfig.InstanceID
-	peers    *tcpPeers
+	id fleetconfig.InstanceID
+	// peers are the connections of each lane.
+	peers    [lanes]*tcpPeers
 	server   *http.Server
 	listener net.Listener
 	socket   *countedSocket
@@ -55,12 +59,13 @@
 		MaxConcurrentStreams: maxStreams,
 		SendPingTimeout:      pingAfter,
 		PingTimeout:          pingTimeout,
+
+		MaxReceiveBufferPerStream: streamBufferBytes,
 	}
-	return &tcpCarrier{
+	carrier := &tcpCarrier{
 		id:       config.ID,
 		listener: listener,
 		socket:   socket,
-		peers:    newTCPPeers(config.ID, protocols, http2),
 		server: &http.Server{
 			Handler:        answerAlive(config.Handler),
 			Protocols:      protocols,
@@ -68,7 +73,11 @@
 			MaxHeaderBytes: maxHeaderBytes,
 			ErrorLog:       slog.NewLogLogger(config.Logger.Handler(), slog.LevelDebug),
 		},
-	}, nil
+	}
+	for lane := range carrier.peers {
+		carrier.peers[lane] = newTCPPeers(config.ID, protocols, http2)
+	}
+	return carrier, nil
 }
 
 // setUserTimeout lets a connection fail whose peer has gone without a sign.
@@ -80,8 +89,8 @@
 	return errors.CombineErrors(err, failed)
 }
 
-func (c *tcpCarrier) roundTrip(address string, request *http.Request) (*http.Response, error) {
-	peer, err := c.peers.reach(request.Context(), address)
+func (c *tcpCarrier) roundTrip(address string, request *http.Request, lane Lane) (*http.Response, error) {
+	peer, err := c.peers[lane].reach(request.Context(), address)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
@@ -102,7 +111,9 @@
 func (c *tcpCarrier) shutdown(ctx context.Context) error { return c.server.Shutdown(ctx) }
 
 func (c *tcpCarrier) close() {
-	c.peers.close()
+	for _, peers := range c.peers {
+		peers.close()
+	}
 	_ = c.server.Close()
 	_ = c.listener.Close()
 }
--- a/transport/tcp_test.go
+++ b/transport/tcp_test.go
@@ -19,7 +19,7 @@
 )
 
 // freeAddress returns a loopback address whose port is free for TCP and UDP.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -28,7 +28,7 @@
 }
 
 // trusting starts an endpoint in a trusted network.
-func trusting(t *testing.T, id fleetconfig.InstanceID, handler http.Handler) *Endpoint {
+func trusting(t testing.TB, id fleetconfig.InstanceID, handler http.Handler) *Endpoint {
 	t.Helper()
 	endpoint, err := Listen(EndpointConfig{Address: freeAddress(t), ID: id, Handler: handler, Logger: slog.New(slog.DiscardHandler)})
 	must.NoError(t, err)
@@ -72,7 +72,7 @@
 // have, and the request is not sent a second time.
 func TestARequestIsNeverSentTwiceOverTCP(t *testing.T) {
 	client := trusting(t, "client", http.NotFoundHandler())
-	_, err := client.RoundTrip(freeAddress(t), outgoing(context.Background(), "order"))
+	_, err := client.RoundTrip(freeAddress(t), outgoing(context.Background(), "order"), LaneSmall)
 	must.True(t, errors.Is(err, ErrNotSent))
 
 	var seen atomic.Int64
@@ -83,7 +83,7 @@
 	}))
 	for _, body := range []string{"order", ""} {
 		seen.Store(0)
-		_, err = client.RoundTrip(server.Address().String(), outgoing(context.Background(), body))
+		_, err = client.RoundTrip(server.Address().String(), outgoing(context.Background(), body), LaneSmall)
 		must.Error(t, err)
 		must.False(t, errors.Is(err, ErrNotSent))
 		must.Eq(t, int64(1), seen.Load())
@@ -105,7 +105,7 @@
 		<-arrived
 		cancel()
 	}()
-	_, err := client.RoundTrip(server.Address().String(), outgoing(ctx, "order"))
+	_, err := client.RoundTrip(server.Address().String(), outgoing(ctx, "order"), LaneSmall)
 	must.Error(t, err)
 	select {
 	case <-ended:
