Requests wait a moment for the return of their account's owner

Cause: when the leader of control is killed, the accounts have no owner for 0.6 to 1.5 s. Weighed: an allowance for each ingress while the owner is away; over 95 ingresses it either serves few or breaks the account's bound. TestARequestWaitsForTheOwnerOfItsAccount fails without the change.

--- a/ingress/quota.go
+++ b/ingress/quota.go
@@ -59,10 +59,17 @@
 	return f.acquire(exchange)
 }
 
+// ownerRetry is how often a request looks for the owner of its account while it waits
+// for one.
+const ownerRetry = 100 * time.Millisecond
+
 func (f *QuotaFilter) acquire(exchange *pipeline.Exchange) error {
 	ctx, cancel := clock.WithDeadline(exchange.Request.Context(), exchange.Deadline)
 	defer cancel()
 	token, err := f.source.Acquire(ctx, exchange.Account)
+	for ownerMissing(err) && mayWaitForOwner(exchange) && pause(ctx, ownerRetry) {
+		token, err = f.source.Acquire(ctx, exchange.Account)
+	}
 	if err != nil {
 		return refuseQuota(exchange, err)
 	}
@@ -71,6 +78,33 @@
 	return nil
 }
 
+func ownerMissing(err error) bool {
+	var refusal *quota.Refusal
+	return errors.As(err, &refusal) && refusal.OwnerMissing()
+}
+
+// mayWaitForOwner reports whether one more look for the owner is worth it: a request
+// that will not be placed in time is refused now.
+func mayWaitForOwner(exchange *pipeline.Exchange) bool {
+	if exchange.Route == nil {
+		return false
+	}
+	until := exchange.Received.Add(quota.OwnerPatience(exchange.Route.Objective))
+	return clock.Now().Add(ownerRetry).Before(until)
+}
+
+// pause waits and reports whether ctx goes on.
+func pause(ctx context.Context, length time.Duration) bool {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // BeforeAttempt implements AttemptGuard. An attempt after one that may have run
 // needs a token of its own, and so does one whose token has run out.
 func (f *QuotaFilter) BeforeAttempt(exchange *pipeline.Exchange) error {
--- a/ingress/quota_test.go
+++ b/ingress/quota_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
 
 	"github.com/hemlockring/hemlockring/fleetconfig"
@@ -18,10 +19,15 @@
 type fakeTokens struct {
 	acquired, spent, returned int
 	spentAgo                  time.Duration
+	// missing is how many times the owner can not be reached.
+	missing int
 }
 
 func (f *fakeTokens) Acquire(_ context.Context, account fleetconfig.AccountID) (quota.Token, error) {
 	f.acquired++
+	if f.acquired <= f.missing {
+		return quota.Token{}, &quota.Refusal{Account: account, Cause: quota.CauseOwnerUnreachable}
+	}
 	return quota.Token{Account: account, Expires: time.Now().Add(time.Minute)}, nil
 }
 
@@ -85,3 +91,42 @@
 	must.NoError(t, filter.BeforeAttempt(exchange))
 	must.Eq(t, 2, tokens.acquired)
 }
+
+// A request whose account has no owner for a moment is placed when the owner is back,
+// as long as its answer can still come within its objective. One that would be late is
+// refused, as not run, after a part of its objective.
+func TestARequestWaitsForTheOwnerOfItsAccount(t *testing.T) {
+	const objective = 1500 * time.Millisecond
+	cases := []struct {
+		name      string
+		objective time.Duration
+		missing   int
+		served    bool
+	}{
+		{"owner is back soon", objective, 3, true},
+		{"owner stays away", objective, 1000, false},
+		{"no objective", 0, 1, false},
+	}
+	for _, c := range cases {
+		tokens := &fakeTokens{missing: c.missing}
+		began := time.Now()
+		exchange := &pipeline.Exchange{
+			Request:  httptest.NewRequest(http.MethodGet, "/", nil),
+			Account:  "acme",
+			Route:    &fleetconfig.Route{Objective: c.objective},
+			Received: began,
+			Deadline: began.Add(time.Minute),
+		}
+		err := NewQuotaFilter(tokens).Request(exchange)
+		took := time.Since(began)
+		if c.served {
+			must.NoError(t, err, must.Sprint(c.name))
+			continue
+		}
+		var refusal *pipeline.Refusal
+		must.True(t, errors.As(err, &refusal), must.Sprint(c.name))
+		must.Eq(t, pipeline.KindQuotaUnavailable, refusal.Kind)
+		must.Eq(t, pipeline.OutcomeNotRun, refusal.Outcome)
+		must.LessEq(t, c.objective/2+100*time.Millisecond, took, must.Sprint(c.name))
+	}
+}
--- a/quotadriver/acquire.go
+++ b/quotadriver/acquire.go
@@ -111,7 +111,7 @@
 		st.mu.Unlock()
 		return quota.Token{}, cause
 	}
-	if refusal.Cause != quota.CauseOwnerUnknown && refusal.Cause != quota.CauseOwnerUnreachable {
+	if !refusal.OwnerMissing() {
 		return quota.Token{}, cause
 	}
 	view := s.config.View()
