Times of a stop, of a withdrawal, the floor and check-ins follow from the deployment's bounds; digests by parts, near first

The promise about withdrawn keys is a setting of control; the floor, the bridge of accounts and the lifetime of check-ins follow too. TestAPlannedStopEndsWithinTheGraceTime varies the time and reads the template, TestThePolicyFollowsFromTheBounds and the soup of package currency vary the others.

Membership: an instance that starts compared digests with any other one twice a second for 5 s, each with an entry for every member, most of them across failure domains. The members are now compared by 32 parts, entries go for those that differ, and seven of eight exchanges stay in the failure domain. TestAnExchangeByPartsFindsWhatDiffers, TestMostExchangesStayInTheFailureDomain. Weighed: a delta log for each peer, which costs memory for each of 400 peers.

--- a/configsync/service.go
+++ b/configsync/service.go
@@ -49,6 +49,9 @@
 	ControlFirst bool
 	// PollInterval is how often to poll. Zero is DefaultPollInterval.
 	PollInterval time.Duration
+	// Promise is how soon a withdrawn key stops everywhere. Zero is
+	// currency.DefaultPromise.
+	Promise time.Duration
 	// Logger logs.
 	Logger *slog.Logger
 }
@@ -87,6 +90,9 @@
 
 // New returns the service and registers its calls.
 func New(config Config, mux *http.ServeMux) *Service {
+	if config.Promise == 0 {
+		config.Promise = currency.DefaultPromise
+	}
 	if config.PollInterval == 0 {
 		config.PollInterval = DefaultPollInterval
 	}
@@ -94,7 +100,7 @@
 		config:    config,
 		wake:      make(chan struct{}, 1),
 		transfers: make(chan struct{}, maxSnapshotTransfers),
-		node:      currency.NewNode(config.Self.ID, config.Incarnation, clock.Now()),
+		node:      currency.NewNode(config.Self.ID, config.Incarnation, config.Promise, clock.Now()),
 		held:      fleetconfig.NewDocument(),
 		heldBy:    make(map[fleetconfig.InstanceID]uint64),
 		polling:   make(map[fleetconfig.InstanceID]time.Time),
@@ -115,8 +121,7 @@
 // Current reports whether the view may be acted on for requests that carry a key,
 // and else when a caller may come back.
 func (s *Service) Current(now time.Time) (current bool, retryAfter time.Duration) {
-	asOf := s.asOf.Load()
-	if asOf == nil || !currency.IsCurrent(*asOf, now) {
+	if now.After(s.CurrentUntil()) {
 		return false, currency.RetryAfter
 	}
 	return true, 0
@@ -129,7 +134,7 @@
 	if asOf == nil {
 		return time.Time{}
 	}
-	return asOf.Add(currency.Limit)
+	return asOf.Add(currency.LimitOf(s.config.Promise))
 }
 
 // Changed returns a channel that is closed when View returns another version.
--- a/currency/doc.go
+++ b/currency/doc.go
@@ -1,8 +1,9 @@
 // Package currency decides whether an instance's configuration is current, when
 // a version is accepted, and which version an instance may serve from.
 //
-// A withdrawn key must stop within [Promise] on every instance, one that is cut
-// off alone included, while the fleet goes on for hours without control. The
+// A withdrawn key must stop within a promised time ([DefaultPromise] unless the
+// settings say otherwise) on every instance, one that is cut off alone included,
+// while the fleet goes on for hours without control. The
 // package tells the two apart by quorums, in the manner of a quorum lease
 // (Moraru, Andersen and Kaminsky, "Paxos Quorum Leases", 2014) and of quorum
 // reads of a replicated register (Attiya, Bar-Noy and Dolev, "Sharing Memory
@@ -23,8 +24,8 @@
 // answer states: so it counts too old, never too young, however long it was on
 // its way, and no two clocks are compared.
 //
-// An instance is current for [Limit] after the time of the latest attestation
-// that the version it serves from meets.
+// An instance is current for [LimitOf] the promise after the time of the latest
+// attestation that the version it serves from meets.
 //
 // # Why nothing accepted is missed
 //
--- a/currency/node.go
+++ b/currency/node.go
@@ -20,6 +20,8 @@
 	id          fleetconfig.InstanceID
 	incarnation uint64
 	startedAt   time.Time
+	// limit is how long the instance is current after the time of an attestation.
+	limit time.Duration
 
 	// held is the newest committed revision that the instance has.
 	held Revision
@@ -49,9 +51,9 @@
 
 // NewNode returns the state of an instance that starts. The incarnation differs
 // from that of every other life of the process. The instance holds version 0,
-// which every fleet starts from.
-func NewNode(id fleetconfig.InstanceID, incarnation uint64, startedAt time.Time) *Node {
-	return &Node{id: id, incarnation: incarnation, startedAt: startedAt, heldSince: startedAt}
+// which every fleet starts from. promise is the same on every instance.
+func NewNode(id fleetconfig.InstanceID, incarnation uint64, promise time.Duration, startedAt time.Time) *Node {
+	return &Node{id: id, incarnation: incarnation, startedAt: startedAt, limit: LimitOf(promise), heldSince: startedAt}
 }
 
 // Hold takes a committed revision that the instance now has.
@@ -174,15 +176,12 @@
 // caller may come back. It must be asked again after any wait, with the time
 // after it: a process that was frozen finds its time run out.
 func (n *Node) Current(now time.Time) (current bool, retryAfter time.Duration) {
-	if n.met == nil || !IsCurrent(n.met.asOf, now) {
+	if n.met == nil || now.Sub(n.met.asOf) > n.limit {
 		return false, RetryAfter
 	}
 	return true, 0
 }
 
-// IsCurrent reports whether an instance that is current as of a time still is.
-func IsCurrent(asOf, now time.Time) bool { return now.Sub(asOf) <= Limit }
-
 // Answer returns the answer to a poll.
 func (n *Node) Answer(now time.Time) *Answer {
 	answer := &Answer{
@@ -200,11 +199,11 @@
 	return answer
 }
 
-// How old an attestation gets before an instance asks the holders themselves.
-// Holders ask sooner, since the others hear of it from them.
+// How old an attestation gets before an instance asks the holders themselves, in parts
+// of its limit. Holders ask sooner, since the others hear of it from them.
 const (
-	holderProbeAfter = time.Second
-	probeAfter       = 2500 * time.Millisecond
+	holderProbePart = 0.25
+	probePart       = 0.625
 )
 
 // urgentPolls is how many times as often an instance polls whose attestation has
@@ -223,10 +222,11 @@
 
 // probeAfter returns the age of an attestation that is old.
 func (n *Node) probeAfter() time.Duration {
+	part := probePart
 	if n.held.Names(n.id) {
-		return holderProbeAfter
+		part = holderProbePart
 	}
-	return probeAfter
+	return time.Duration(part * float64(n.limit))
 }
 
 // Probes returns the holders to poll besides the usual neighbour, if any: all
--- a/currency/soup_test.go
+++ b/currency/soup_test.go
@@ -65,6 +65,8 @@
 	cuts        map[[2]fleetconfig.InstanceID]bool
 	maxDelay    time.Duration
 	incarnation uint64
+	// promise is how soon a withdrawn key stops everywhere.
+	promise time.Duration
 
 	log     []Revision
 	offices []*office
@@ -83,6 +85,7 @@
 		now:        time.Time{}.Add(time.Hour),
 		cuts:       make(map[[2]fleetconfig.InstanceID]bool),
 		maxDelay:   tick,
+		promise:    rapid.SampledFrom([]time.Duration{3 * time.Second, DefaultPromise, 12 * time.Second}).Draw(t, "promise"),
 		log:        []Revision{{}},
 		acceptedAt: make(map[uint64]time.Time),
 		served:     make(map[fleetconfig.InstanceID]uint64),
@@ -99,7 +102,7 @@
 
 func (w *world) start(p *process) {
 	w.incarnation++
-	p.node = NewNode(p.id, w.incarnation, p.clock(w.now))
+	p.node = NewNode(p.id, w.incarnation, w.promise, p.clock(w.now))
 	p.frozen, p.stopped = false, false
 }
 
@@ -256,7 +259,7 @@
 }
 
 // check checks, on every process that runs, that it admits nothing that was
-// withdrawn longer than Promise ago, and that it never serves from an older
+// withdrawn longer than the promise ago, and that it never serves from an older
 // version than before, in this life or a former one.
 func (w *world) check() {
 	for _, p := range w.processes {
@@ -273,7 +276,7 @@
 		w.served[p.id] = version
 		if acceptedAt, accepted := w.acceptedAt[version+1]; current && accepted {
 			w.admitted++
-			must.LessEq(w.t, Promise, w.now.Sub(acceptedAt),
+			must.LessEq(w.t, w.promise, w.now.Sub(acceptedAt),
 				must.Sprint(fmt.Sprintf("%s admits by version %d", p.id, version)))
 		}
 	}
--- a/currency/types.go
+++ b/currency/types.go
@@ -7,14 +7,14 @@
 	"github.com/hemlockring/hemlockring/fleetconfig"
 )
 
-// Promise is the longest time from the acceptance of a withdrawal of a key to
-// the last request that is admitted with it.
-const Promise = 5 * time.Second
+// DefaultPromise is the longest time from the acceptance of a withdrawal of a key to
+// the last request that is admitted with it, where the settings state no other.
+const DefaultPromise = 5 * time.Second
 
-// Limit is how long an instance is current after the time of an attestation. It
-// is below Promise by a second, for clocks that run apart by up to a tenth and
-// for what an admitted request needs to leave the ingress.
-const Limit = 4 * time.Second
+// LimitOf returns how long an instance is current after the time of an attestation.
+// It is four fifths of the promise: the rest is for clocks that run apart by up to a
+// tenth and for what an admitted request needs to leave the ingress.
+func LimitOf(promise time.Duration) time.Duration { return promise * 4 / 5 }
 
 // RetryAfter is when a caller that was refused for want of currency may come
 // back.
--- a/gossip/bench_test.go
+++ b/gossip/bench_test.go
@@ -43,7 +43,7 @@
 	b.ReportMetric((heapBytes()-before)/(1<<20), "MiB-snapshot")
 	b.ReportMetric(micros(func() { snapshot = NewSnapshot("self", state.Members()) }), "µs/snapshot")
 	b.ReportMetric(micros(func() { state.Fingerprint() }), "µs/fingerprint")
-	digest, err := codec.Marshal(&membership.DigestRequest{Entries: state.Digest()})
+	digest, err := codec.Marshal(&membership.DigestRequest{Entries: state.Digest(nil)})
 	must.NoError(b, err)
 	b.ReportMetric(float64(len(digest)), "B/digest")
 	bytes := 0
--- a/gossip/service.go
+++ b/gossip/service.go
@@ -219,27 +219,30 @@
 	}
 }
 
-// exchangeDigest compares fingerprints first, and digests only when they differ.
+// exchangeDigest compares fingerprints first, and digests only of the parts of the
+// members that differ.
 func (s *Service) exchangeDigest(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, digestTimeout)
 	defer cancel()
 	s.mu.Lock()
 	address := s.state.DigestPeer()
-	request := membership.DigestRequest{Fingerprint: s.state.Fingerprint()}
-	entries := s.state.Digest()
+	request := s.state.CompareParts()
 	s.mu.Unlock()
 	if address == "" {
 		return nil
 	}
 	var reply membership.DigestReply
-	if err := s.caller.Call(ctx, address, digestPath, &request, &reply); err != nil {
+	if err := s.caller.Call(ctx, address, digestPath, request, &reply); err != nil {
 		return errors.Wrap(err, "compare fingerprints")
 	}
 	if reply.Same {
 		return nil
 	}
-	request.Entries = entries
-	if err := s.caller.Call(ctx, address, digestPath, &request, &reply); err != nil {
+	s.mu.Lock()
+	request = s.state.CompareRecords(reply.Differ)
+	s.mu.Unlock()
+	reply = membership.DigestReply{}
+	if err := s.caller.Call(ctx, address, digestPath, request, &reply); err != nil {
 		return errors.Wrap(err, "compare digests")
 	}
 	s.update(func(state *membership.State) []membership.Envelope {
--- a/membership/message.go
+++ b/membership/message.go
@@ -75,6 +75,11 @@
 type DigestRequest struct {
 	// Fingerprint is a hash over all entries.
 	Fingerprint uint64 `cbor:"1,keyasint"`
+	// PartFingerprints are the hashes over the entries of each part, in order. They are
+	// sent in place of entries.
+	PartFingerprints []uint64 `cbor:"4,keyasint,omitempty"`
+	// Parts are the parts that Entries cover, all when there are none.
+	Parts []uint8 `cbor:"5,keyasint,omitempty"`
 	// Entries are the sender's records in short.
 	Entries []DigestEntry `cbor:"2,keyasint,omitempty"`
 	// Updates are records that the receiver asked for before.
@@ -85,6 +90,8 @@
 type DigestReply struct {
 	// Same says that the fingerprints agree and there is nothing to exchange.
 	Same bool `cbor:"1,keyasint"`
+	// Differ are the parts whose fingerprints differ, when those were asked for.
+	Differ []uint8 `cbor:"4,keyasint,omitempty"`
 	// Updates are records that the sender of the request lacks.
 	Updates []Update `cbor:"2,keyasint,omitempty"`
 	// Wanted are the instances whose records the replier lacks.
--- a/membership/soup_test.go
+++ b/membership/soup_test.go
@@ -122,8 +122,11 @@
 		return
 	}
 	asker, answerer := s.states[from], s.states[to]
-	request := &DigestRequest{Fingerprint: asker.Fingerprint(), Entries: asker.Digest()}
-	reply := answerer.AnswerDigest(request, s.now)
+	reply := answerer.AnswerDigest(asker.CompareParts(), s.now)
+	if reply.Same {
+		return
+	}
+	reply = answerer.AnswerDigest(asker.CompareRecords(reply.Differ), s.now)
 	asker.MergeAll(reply.Updates, s.now)
 	answerer.AnswerDigest(&DigestRequest{Updates: asker.UpdatesFor(reply.Wanted)}, s.now)
 }
--- a/membership/spread.go
+++ b/membership/spread.go
@@ -2,11 +2,7 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"slices"
-	"time"
-
-	"github.com/cespare/xxhash/v2"
 
 	"github.com/hemlockring/hemlockring/fleetconfig"
 )
@@ -18,8 +14,6 @@
 	// its servers and of one server.
 	recordBytes = 110
 	serverBytes = 40
-	// seedDigestChance is one in how many digest exchanges that goes to a seed.
-	seedDigestChance = 8
 	// retransmitFactor is how often each update is spread, times the number of
 	// digits of the fleet's size.
 	retransmitFactor = 4
@@ -91,115 +85,3 @@
 	}
 	return 0
 }
-
-// Fingerprint returns a hash over all records and views, for the digest
-// exchange.
-func (s *State) Fingerprint() uint64 {
-	hash := xxhash.New()
-	var buffer [17]byte
-	for _, entry := range s.Digest() {
-		_, _ = hash.WriteString(string(entry.ID))
-		binary.LittleEndian.PutUint64(buffer[0:], entry.Incarnation)
-		binary.LittleEndian.PutUint64(buffer[8:], entry.Sequence)
-		buffer[16] = byte(entry.Liveness)
-		_, _ = hash.Write(buffer[:])
-	}
-	return hash.Sum64()
-}
-
-// Digest returns the records in short, ordered by ID.
-func (s *State) Digest() []DigestEntry {
-	entries := make([]DigestEntry, 0, len(s.members))
-	for _, member := range s.Members() {
-		entries = append(entries, DigestEntry{
-			ID:          member.Record.ID,
-			Incarnation: member.Record.Incarnation,
-			Sequence:    member.Record.Sequence,
-			Liveness:    member.Liveness,
-		})
-	}
-	return entries
-}
-
-// AnswerDigest takes the updates of a digest request in and returns the reply.
-func (s *State) AnswerDigest(request *DigestRequest, now time.Time) *DigestReply {
-	s.MergeAll(request.Updates, now)
-	if request.Fingerprint == s.Fingerprint() {
-		return &DigestReply{Same: true}
-	}
-	reply := &DigestReply{}
-	if len(request.Entries) == 0 {
-		return reply
-	}
-	theirs := make(map[fleetconfig.InstanceID]DigestEntry, len(request.Entries))
-	for _, entry := range request.Entries {
-		theirs[entry.ID] = entry
-		if s.lacks(entry) {
-			reply.Wanted = append(reply.Wanted, entry.ID)
-		}
-	}
-	for _, member := range s.Members() {
-		entry, known := theirs[member.Record.ID]
-		if !known || isAhead(&member, entry) {
-			reply.Updates = append(reply.Updates, Update{Record: member.Record, Liveness: member.Liveness})
-		}
-	}
-	return reply
-}
-
-// lacks reports whether the entry names something newer than what is known.
-func (s *State) lacks(entry DigestEntry) bool {
-	member := s.members[entry.ID]
-	if member == nil {
-		return entry.Liveness != Dead
-	}
-	record := Record{Incarnation: entry.Incarnation, Sequence: entry.Sequence}
-	if record.newerThan(&member.Record) {
-		return true
-	}
-	return !member.Record.newerThan(&record) && entry.Liveness > member.Liveness
-}
-
-func isAhead(member *Member, entry DigestEntry) bool {
-	record := Record{Incarnation: entry.Incarnation, Sequence: entry.Sequence}
-	if member.Record.newerThan(&record) {
-		return true
-	}
-	return !record.newerThan(&member.Record) && member.Liveness > entry.Liveness
-}
-
-// MergeAll takes updates in.
-func (s *State) MergeAll(updates []Update, now time.Time) {
-	for _, update := range updates {
-		s.merge(update, now)
-	}
-}
-
-// UpdatesFor returns the records of the given instances.
-func (s *State) UpdatesFor(ids []fleetconfig.InstanceID) []Update {
-	var updates []Update
-	for _, id := range ids {
-		if member := s.members[id]; member != nil {
-			updates = append(updates, Update{Record: member.Record, Liveness: member.Liveness})
-		}
-	}
-	return updates
-}
-
-// DigestPeer returns the address of a random live member for the next digest
-// exchange, or of a seed: while there is no member, and now and then, for parts of
-// the fleet whose records are too large for datagrams. Empty means that there is
-// nobody.
-func (s *State) DigestPeer() string {
-	if len(s.seeds) > 0 && s.random.IntN(seedDigestChance) == 0 {
-		return s.seeds[s.random.IntN(len(s.seeds))]
-	}
-	peers := s.pick(1, func(m *Member) bool { return m.Liveness != Dead && !m.Record.Left })
-	if len(peers) == 1 {
-		return peers[0].Record.Address
-	}
-	if len(s.seeds) == 0 {
-		return ""
-	}
-	return s.seeds[s.random.IntN(len(s.seeds))]
-}
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -37,6 +37,7 @@
 		Peers:       memberPeers{n.members},
 		Caller:      n.endpoint,
 		Logger:      n.logger,
+		Promise:     n.settings.Control.Withdrawal,
 
 		ControlFirst: n.settings.Control.Formed(),
 	}
--- a/node/stop.go
+++ b/node/stop.go
@@ -18,12 +18,12 @@
 	// replicated log may take to be handed over, and how long the last answers may
 	// take to arrive at the other instances.
 	maxHandOver = 3 * time.Second
-	// handOverPart is the part of the stop timeout that each of both may take. Both come
-	// after it, and callers' requests need the time more.
-	handOverPart = 16
+	// handOverPart is the part of the stop timeout that each of these steps may take: a
+	// quarter of what requests in flight leave of it.
+	handOverPart = 24
 )
 
-// handOverTimeout returns how long each of the two last steps of a stop may take.
+// handOverTimeout returns how long each of the last steps of a stop may take.
 func (n *Node) handOverTimeout() time.Duration {
 	return min(maxHandOver, n.settings.Limits.StopTimeout/handOverPart)
 }
@@ -47,7 +47,7 @@
 // requests, which need leases, order records and the fleet port; then what this
 // instance holds for others is handed over; the fleet port closes last.
 func (n *Node) stop() error {
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Limits.StopTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Limits.RequestsTimeout())
 	defer cancel()
 	n.logger.Info("instance stops, requests in flight go on")
 	n.stopping.Store(true)
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -168,19 +168,25 @@
 	<-served
 }
 
-// The operators of the deployments in deploy/ kill a process six seconds after they
-// have asked it to stop. All steps of a stop together must end before that, also when
-// each takes all of its time, and requests in flight get most of it.
+// Whoever stops a process kills it after a time that differs from deployment to
+// deployment. All steps of a stop together end before that, also when each takes all of
+// its time, and requests in flight get most of it.
 func TestAPlannedStopEndsWithinTheGraceTime(t *testing.T) {
-	const grace = 6 * time.Second
+	const statedByDeployment = "{{Bounds.GraceS}}s"
 	// The hand-over, the sender of summaries, the replicated log and the fleet port.
 	for file, steps := range map[string]time.Duration{"../deploy/proxy.ini": 3, "../deploy/control.ini": 4} {
-		deployed, err := ini.Load(file)
+		deployed, err := ini.LoadSources(ini.LoadOptions{SkipUnrecognizableLines: true}, file)
 		must.NoError(t, err)
-		timeout, err := deployed.Section("limits").Key("stop_timeout").Duration()
-		must.NoError(t, err)
-		n := &Node{settings: &settings.Settings{Limits: settings.Limits{StopTimeout: timeout}}}
-		must.LessEq(t, grace, timeout+steps*n.handOverTimeout(), must.Sprint(file))
-		must.GreaterEq(t, grace*3/4, timeout, must.Sprint(file))
+		limits := deployed.Section("limits")
+		must.Eq(t, statedByDeployment, limits.Key("stop_timeout").String(), must.Sprint(file))
+		for _, grace := range []time.Duration{4 * time.Second, 6 * time.Second, 10 * time.Second, 30 * time.Second} {
+			n := &Node{settings: &settings.Settings{Limits: settings.Limits{StopTimeout: grace}}}
+			requests := n.settings.Limits.RequestsTimeout()
+			must.LessEq(t, grace, requests+steps*n.handOverTimeout(), must.Sprint(file, grace))
+			must.GreaterEq(t, grace*3/4, requests, must.Sprint(file, grace))
+			if linger := limits.Key("stop_linger").MustDuration(0); linger >= requests {
+				t.Fatalf("%s: callers may come for %s of %s", file, linger, requests)
+			}
+		}
 	}
 }
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -182,6 +182,13 @@
 			return setDuration(&s.Control.ShardLease, text, minLease, maxLease)
 		},
 	},
+	{
+		section: sectionControl, key: "withdrawal", standard: "5s",
+		help: "How soon a withdrawn key stops on every instance, from 2s to 1m. The same on every instance. An instance that nobody vouches for refuses keyed requests after four fifths of it.",
+		set: func(s *Settings, text string) error {
+			return setDuration(&s.Control.Withdrawal, text, minWithdrawal, maxWithdrawal)
+		},
+	},
 	{
 		section: sectionControl, key: "found", standard: "false",
 		help: "true while the whole fleet starts for the first time: instances with blank disks then found the group.",
@@ -189,14 +196,14 @@
 	},
 	{
 		section: sectionLimits, key: "stop_timeout", standard: "60s",
-		help: "How long a planned stop waits for requests in flight, from 1s to 1h.",
+		help: "How long a planned stop takes at most, from 1s to 1h: the time after which whoever stops the process kills it. Requests in flight get five sixths of it.",
 		set: func(s *Settings, text string) error {
 			return setDuration(&s.Limits.StopTimeout, text, minStop, maxStop)
 		},
 	},
 	{
 		section: sectionLimits, key: "stop_linger", standard: "0s",
-		help: "How long a planned stop still takes callers while the instance is not ready, from 0s to 1h. It counts towards stop_timeout.",
+		help: "How long a planned stop still takes callers while the instance is not ready, from 0s to 1h. It counts towards the time of requests in flight.",
 		set: func(s *Settings, text string) error {
 			return setDuration(&s.Limits.StopLinger, text, 0, maxStop)
 		},
--- a/settings/load.go
+++ b/settings/load.go
@@ -144,8 +144,8 @@
 		p.fault(sectionCallers, "address", "the key is missing", "the role proxy needs an address for callers")
 	}
 	p.checkTrust()
-	if settings.Limits.StopLinger >= settings.Limits.StopTimeout {
-		p.fault(sectionLimits, "stop_linger", "it is not shorter than stop_timeout", "leave the requests in flight some time to end")
+	if settings.Limits.StopLinger >= settings.Limits.RequestsTimeout() {
+		p.fault(sectionLimits, "stop_linger", "it is not shorter than five sixths of stop_timeout", "leave the requests in flight some time to end")
 	}
 	if (settings.Callers.Certificate == "") != (settings.Callers.Key == "") {
 		p.fault(sectionCallers, "certificate", "certificate and key go together", "write both, or neither for plain HTTP")
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -24,6 +24,8 @@
 	maxElection   = time.Minute
 	minLease      = 500 * time.Millisecond
 	maxLease      = time.Minute
+	minWithdrawal = 2 * time.Second
+	maxWithdrawal = time.Minute
 )
 
 func checkName(text string) error {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -142,6 +142,8 @@
 	ElectionTimeout time.Duration
 	// ShardLease is how long the owner of a shard keeps it in silence. Default 2 s.
 	ShardLease time.Duration
+	// Withdrawal is how soon a withdrawn key stops everywhere. Default 5 s.
+	Withdrawal time.Duration
 	// Found lets this instance take part in founding the group, with a blank disk.
 	Found bool
 }
@@ -160,13 +162,21 @@
 	Address string
 }
 
+// stopReservePart is the part of a planned stop that is kept for its last steps: what
+// the instance holds for the fleet is handed over, and the last answers arrive.
+const stopReservePart = 6
+
+// RequestsTimeout returns how long a planned stop waits for requests in flight.
+func (l *Limits) RequestsTimeout() time.Duration {
+	return l.StopTimeout - l.StopTimeout/stopReservePart
+}
+
 // Limits bound time and size.
 type Limits struct {
-	// StopTimeout is how long a planned stop waits for requests in flight. Default
-	// 60 s.
+	// StopTimeout is how long a planned stop takes at most. Default 60 s.
 	StopTimeout time.Duration
 	// StopLinger is how long a planned stop still takes callers, so that whoever sends
-	// them hears that the instance is not ready. It counts towards StopTimeout. Default 0.
+	// them hears that the instance is not ready. It counts towards RequestsTimeout. Default 0.
 	StopLinger time.Duration
 	// ReportInterval is how often a summary goes to the control instances. Default
 	// 1 minute.
