--- a/node/path_test.go
+++ b/node/path_test.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/hemlockring/hemlockring/backendproxy"
+	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/internal/emulator"
 	"github.com/hemlockring/hemlockring/pipeline"
 )
@@ -405,3 +406,30 @@
 		must.Eq(t, http.StatusUnauthorized, response.StatusCode)
 	}
 }
+
+// What a part of a split has no room for is refused as not run, and not moved to
+// another part.
+func TestAPartWithoutRoomIsNotServedByAnother(t *testing.T) {
+	t.Parallel()
+	const requests = 100
+	fleet := startFleet(t, 2, emulator.Config{Slots: 20})
+	fleet.config.set(func(document *fleetconfig.Document) {
+		document.Services = append(document.Services, fleetconfig.Service{Name: "empty"})
+		document.Routes = append(document.Routes, fleetconfig.Route{
+			ID: "divided", PathPrefix: "/divided", OpenToAll: true, Service: "catalogue",
+			Split: []fleetconfig.SplitPart{{Service: "catalogue", Weight: 60}, {Service: "empty", Weight: 40}},
+		})
+	})
+	statuses := make(map[int]int)
+	for i := range requests {
+		response, _ := fleet.send(t, i%2, http.MethodPost, "/divided", "")
+		statuses[response.StatusCode]++
+		if response.StatusCode != http.StatusOK {
+			must.Eq(t, "not-run", response.Header.Get(pipeline.HeaderOutcome))
+		}
+	}
+	must.Between(t, requests*5/10, statuses[http.StatusOK], requests*7/10)
+	must.Eq(t, requests-statuses[http.StatusOK], statuses[http.StatusServiceUnavailable])
+	total, _, _ := fleet.executions()
+	must.Eq(t, statuses[http.StatusOK], int(total))
+}
