--- /dev/null
+++ b/node/hostile_test.go
@@ -0,0 +1,140 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/hemlockring/hemlockring/internal/emulator"
+	"github.com/hemlockring/hemlockring/pipeline"
+)
+
+// A backend server in trouble may send bytes that are no answer without end, until its
+// connection is closed. The caller hears the truth long before its time is up, the
+// connection is closed after a bounded number of bytes, and an order runs once.
+func TestBytesWithoutEndAreCutOff(t *testing.T) {
+	t.Parallel()
+	const (
+		answered = "HTTP/1.1 200 OK\r\n"
+		// soon is far below the time of the route.
+		soon = 10 * time.Second
+		// mostBytes bounds what is read of a server. The kernel's buffers at both ends come
+		// on top of what the proxy takes.
+		mostBytes = 16 << 20
+	)
+	cases := []struct {
+		name, head, endless string
+		// whole says that the caller gets a whole answer all the same.
+		whole bool
+		// begins says that the head of an answer is there, so that the caller sees it break.
+		begins bool
+	}{
+		{name: "no HTTP", endless: "garbage "},
+		{name: "status line", head: "HTTP/1.1 200 ", endless: "x"},
+		{name: "header line", head: answered + "X-Long: ", endless: "x"},
+		{name: "header fields", head: answered, endless: "X-More: y\r\n"},
+		{name: "informational answers", endless: "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"},
+		{name: "chunk size", head: answered + "Transfer-Encoding: chunked\r\n\r\n", endless: "0", begins: true},
+		{name: "chunk extension", head: answered + "Transfer-Encoding: chunked\r\n\r\n5;", endless: "x", begins: true},
+		{name: "trailer", head: answered + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", endless: "X-More: y\r\n", begins: true},
+		{name: "beyond the length", head: answered + "Content-Length: 2\r\n\r\nok", endless: "x", whole: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			fleet := startFleet(t, 2, emulator.Config{})
+			var sent atomic.Int64
+			closed := make(chan struct{})
+			backend, address := startRawBackend(t, func(_ int32, w io.Writer) bool {
+				defer close(closed)
+				_, _ = io.WriteString(w, c.head)
+				piece := bytes.Repeat([]byte(c.endless), 1+4096/len(c.endless))
+				for {
+					n, err := w.Write(piece)
+					sent.Add(int64(n))
+					if err != nil || sent.Load() > mostBytes {
+						return false
+					}
+				}
+			})
+			fleet.announceRaw(t, 0, address)
+			ctx, cancel := context.WithTimeout(t.Context(), soon)
+			defer cancel()
+			request, err := http.NewRequestWithContext(ctx, http.MethodPost, fleet.url(1, "/open"), strings.NewReader("order"))
+			must.NoError(t, err)
+			response, err := fleet.client.Do(request)
+			switch {
+			case err != nil:
+				// The break came before the head had left the ingress.
+				must.True(t, c.begins)
+				must.NoError(t, ctx.Err())
+			case c.whole:
+				must.Eq(t, http.StatusOK, response.StatusCode)
+				body, err := io.ReadAll(response.Body)
+				must.NoError(t, err)
+				must.Eq(t, "ok", string(body))
+			case response.StatusCode == http.StatusOK:
+				must.True(t, c.begins)
+				_, err := io.ReadAll(response.Body)
+				must.Error(t, err)
+				must.NoError(t, ctx.Err())
+			default:
+				must.Eq(t, http.StatusBadGateway, response.StatusCode)
+				must.Eq(t, pipeline.OutcomeUnknown.String(), response.Header.Get(pipeline.HeaderOutcome))
+			}
+			if response != nil {
+				_ = response.Body.Close()
+			}
+			select {
+			case <-closed:
+			case <-time.After(soon):
+				t.Fatal("the connection is still open")
+			}
+			must.LessEq(t, mostBytes, sent.Load())
+			must.Eq(t, 1, backend.runs.Load())
+		})
+	}
+}
+
+// A caller that leaves in the middle of a download stops the transfer at the backend
+// server.
+func TestACallerThatLeavesStopsItsDownload(t *testing.T) {
+	t.Parallel()
+	const stopsWithin = 500 * time.Millisecond
+	fleet := startFleet(t, 2, emulator.Config{})
+	stopped := make(chan time.Time, 1)
+	_, address := startRawBackend(t, func(_ int32, w io.Writer) bool {
+		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n")
+		piece := make([]byte, 16<<10)
+		for {
+			if _, err := w.Write(piece); err != nil {
+				stopped <- time.Now()
+				return false
+			}
+		}
+	})
+	fleet.announceRaw(t, 0, address)
+	ctx, cancel := context.WithCancel(t.Context())
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fleet.url(1, "/open"), nil)
+	must.NoError(t, err)
+	response, err := fleet.client.Do(request)
+	must.NoError(t, err)
+	_, err = io.CopyN(io.Discard, response.Body, 1<<20)
+	must.NoError(t, err)
+	left := time.Now()
+	cancel()
+	_ = response.Body.Close()
+	select {
+	case at := <-stopped:
+		must.LessEq(t, stopsWithin, at.Sub(left))
+	case <-time.After(10 * time.Second):
+		t.Fatal("the backend server still sends")
+	}
+}
