Trials of a failing backend server become rarer while they fail

The time between trials now doubles with each that fails, up to 800 ms, which keeps a server that has recovered within the 2 s in which it is to be found. TestAFailingPhaseCostsFewTrials failed before (20 lost trials of 8 allowed).

--- a/health/breaker.go
+++ b/health/breaker.go
@@ -12,8 +12,12 @@
 	maxStalled = 5 * time.Second
 	// typicalGain is the weight of a new sample in the typical time.
 	typicalGain = 0.1
-	// trialInterval is the least time between two trials of a doubtful server.
-	trialInterval = 200 * time.Millisecond
+	// trialInterval is the least time between two trials of a doubtful server. It doubles
+	// with each trial that fails, up to maxTrialInterval: a failing phase lasts seconds, each
+	// trial in it fails and costs the service a retry, and a server that has recovered is
+	// found within that time all the same.
+	trialInterval    = 200 * time.Millisecond
+	maxTrialInterval = 800 * time.Millisecond
 )
 
 // Wish is what a Breaker needs to know of a request that wants a server.
@@ -42,11 +46,13 @@
 	open    map[*Visit]struct{}
 	trials  int
 	triedAt time.Time
+	// trialGap is the present time between trials.
+	trialGap time.Duration
 }
 
 // NewBreaker returns the breaker of a server of which nothing is known.
 func NewBreaker(now time.Time) *Breaker {
-	return &Breaker{phase: NewPhase(now), open: make(map[*Visit]struct{})}
+	return &Breaker{phase: NewPhase(now), open: make(map[*Visit]struct{}), trialGap: trialInterval}
 }
 
 // Enter admits a request, or returns nil when it should go to another server.
@@ -69,7 +75,7 @@
 	if wish.LastResort || !b.phase.Doubtful(now) {
 		return true
 	}
-	return wish.Idempotent && b.trials == 0 && now.Sub(b.triedAt) >= trialInterval
+	return wish.Idempotent && b.trials == 0 && now.Sub(b.triedAt) >= b.trialGap
 }
 
 // Leave records how a request ended. Shedding counts as a failure: the proxy never
@@ -84,6 +90,7 @@
 	}
 	switch result {
 	case ResultOK:
+		b.trialGap = trialInterval
 		b.phase.Observe(false, now)
 		b.learn(now.Sub(visit.began))
 	case ResultFailed, ResultShed:
@@ -109,9 +116,13 @@
 func (b *Breaker) Doubt(now time.Time) float64 { return b.phase.Doubt(now) }
 
 func (b *Breaker) judge(visit *Visit, now time.Time) {
-	if !visit.judged {
-		visit.judged = true
-		b.phase.Observe(true, now)
+	if visit.judged {
+		return
+	}
+	visit.judged = true
+	b.phase.Observe(true, now)
+	if visit.trial {
+		b.trialGap = min(2*b.trialGap, maxTrialInterval)
 	}
 }
 
--- a/health/breaker_test.go
+++ b/health/breaker_test.go
@@ -39,6 +39,47 @@
 	must.Less(t, doubtLimit, breaker.Doubt(now.Add(10*time.Second)))
 }
 
+// A server that fails for some seconds costs few of the requests that can be repeated,
+// since each takes a retry of its service, and is back soon after it has recovered. The
+// load is one lookup and one order every 10 ms.
+func TestAFailingPhaseCostsFewTrials(t *testing.T) {
+	const (
+		phase    = 4 * time.Second
+		gap      = 10 * time.Millisecond
+		mostLost = 8
+		backIn   = 2 * time.Second
+	)
+	breaker := NewBreaker(breakerEpoch)
+	lost := 0
+	var found, back time.Duration
+	for at := time.Duration(0); at < phase+2*backIn; at += gap {
+		now := breakerEpoch.Add(at)
+		result := ResultOK
+		if at < phase {
+			result = ResultFailed
+		}
+		for _, wish := range []Wish{{Idempotent: true}, {}} {
+			visit := breaker.Enter(wish, now)
+			switch {
+			case visit == nil:
+				continue
+			case at < phase:
+				lost++
+			case found == 0:
+				found = at - phase
+			}
+			if at >= phase && back == 0 && !wish.Idempotent {
+				back = at - phase
+			}
+			breaker.Leave(visit, result, now)
+		}
+	}
+	must.LessEq(t, mostLost, lost)
+	must.LessEq(t, maxTrialInterval, found)
+	must.Positive(t, back)
+	must.LessEq(t, backIn, back)
+}
+
 // A server that takes requests and never answers is in doubt before the first of
 // them has ended.
 func TestABreakerJudgesOpenRequests(t *testing.T) {
