--- a/node/hostile_test.go
+++ b/node/hostile_test.go
@@ -46,10 +46,9 @@
 		{name: "trailer", head: answered + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", endless: "X-More: y\r\n", begins: true},
 		{name: "beyond the length", head: answered + "Content-Length: 2\r\n\r\nok", endless: "x", whole: true},
 	}
+	fleet := startFleet(t, 2, emulator.Config{})
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			t.Parallel()
-			fleet := startFleet(t, 2, emulator.Config{})
 			var sent atomic.Int64
 			closed := make(chan struct{})
 			backend, address := startRawBackend(t, func(_ int32, w io.Writer) bool {
