--- a/settings/parse.go
+++ b/settings/parse.go
@@ -24,8 +24,8 @@
 	maxElection   = time.Minute
 	minLease      = 500 * time.Millisecond
 	maxLease      = time.Minute
-	minWithdrawal = 2 * time.Second
-	maxWithdrawal = time.Minute
+	minWithdrawal = time.Second
+	maxWithdrawal = time.Hour
 )
 
 func checkName(text string) error {
