--- a/node/path_test.go
+++ b/node/path_test.go
@@ -431,5 +431,5 @@
 	must.Between(t, requests*5/10, statuses[http.StatusOK], requests*7/10)
 	must.Eq(t, requests-statuses[http.StatusOK], statuses[http.StatusServiceUnavailable])
 	total, _, _ := fleet.executions()
-	must.Eq(t, statuses[http.StatusOK], int(total))
+	must.Eq(t, statuses[http.StatusOK], total)
 }
--- a/transport/lanes_test.go
+++ b/transport/lanes_test.go
@@ -135,7 +135,7 @@
 func TestSmallRequestsDoNotWaitBehindADownload(t *testing.T) {
 	connections := make(map[string]string)
 	var mu sync.Mutex
-	server := trusting(t, "server", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := trusting(t, "server", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		mu.Lock()
 		defer mu.Unlock()
 		connections[r.URL.Path] = r.RemoteAddr
