quarantine, backendproxy: log the fingerprint and the cause of requests that did not succeed

A fingerprint is a keyed digest of service, account, method, host, path and body. Only the log uses it so far.

--- a/backendproxy/dispatch.go
+++ b/backendproxy/dispatch.go
@@ -14,6 +14,7 @@
 	"github.com/hemlockring/hemlockring/clock"
 	"github.com/hemlockring/hemlockring/internal/httpheader"
 	"github.com/hemlockring/hemlockring/pipeline"
+	"github.com/hemlockring/hemlockring/quarantine"
 )
 
 const (
@@ -136,7 +137,7 @@
 		Header:        header,
 		ContentLength: incoming.ContentLength,
 	}
-	outgoing.Body = &nonRewindableBody{source: incoming, target: outgoing}
+	outgoing.Body = &nonRewindableBody{source: incoming, target: outgoing, hasher: exchange.Hasher}
 	if incoming.ContentLength == 0 {
 		outgoing.Body = &nonRewindableBody{}
 	}
@@ -163,6 +164,8 @@
 type nonRewindableBody struct {
 	source *http.Request
 	target *http.Request
+	// hasher receives the bytes that are read, unless it is nil.
+	hasher *quarantine.Hasher
 }
 
 // Read implements io.Reader. At the end of the body it copies the values of the trailer
@@ -172,7 +175,11 @@
 		return 0, io.EOF
 	}
 	n, err := b.source.Body.Read(buffer)
+	if b.hasher != nil {
+		_, _ = b.hasher.Write(buffer[:n])
+	}
 	if err == io.EOF {
+		b.hashEnd()
 		for name := range b.target.Trailer {
 			b.target.Trailer[name] = b.source.Trailer[name]
 		}
@@ -180,6 +187,12 @@
 	return n, err
 }
 
+func (b *nonRewindableBody) hashEnd() {
+	if b.hasher != nil {
+		b.hasher.End()
+	}
+}
+
 // Close implements io.Closer.
 func (b *nonRewindableBody) Close() error {
 	if b.source == nil {
--- a/backendproxy/proxy.go
+++ b/backendproxy/proxy.go
@@ -15,6 +15,7 @@
 	"github.com/hemlockring/hemlockring/internal/linelimit"
 	"github.com/hemlockring/hemlockring/internal/processpause"
 	"github.com/hemlockring/hemlockring/pipeline"
+	"github.com/hemlockring/hemlockring/quarantine"
 	"github.com/hemlockring/hemlockring/quota"
 )
 
@@ -38,6 +39,8 @@
 	// Dialect defines the headers exchanged with backend servers. The default is
 	// DefaultDialect.
 	Dialect Dialect
+	// FingerprintKey is the fleet's secret for fingerprints of requests.
+	FingerprintKey quarantine.Key
 }
 
 // Proxy handles the requests that ingresses forward to the backend servers beside this
@@ -56,6 +59,8 @@
 // exchangeState holds what the filters keep for one exchange.
 type exchangeState struct {
 	slot *Slot
+	// cause is the error with which the dispatch failed, or nil.
+	cause error
 }
 
 func stateOf(exchange *pipeline.Exchange) *exchangeState {
@@ -77,7 +82,7 @@
 		&drainFilter{draining: &proxy.draining},
 		&healthFilter{monitor: config.HealthMonitor},
 		&queueFilter{registry: config.Registry, status: proxy.status},
-		&runFilter{dispatcher: newDispatcher(config.Dialect), keys: keys, pauseDetector: config.PauseDetector, monitor: config.HealthMonitor, loadReporter: proxy.loadReporter, status: proxy.status, clock: config.Clock},
+		&runFilter{dispatcher: newDispatcher(config.Dialect), fingerprintKey: config.FingerprintKey, keys: keys, pauseDetector: config.PauseDetector, monitor: config.HealthMonitor, loadReporter: proxy.loadReporter, status: proxy.status, clock: config.Clock},
 	)
 	return proxy
 }
@@ -176,7 +181,7 @@
 	if exchange.Refusal != nil {
 		refusal, detail = string(exchange.Refusal.Kind), exchange.Refusal.Detail
 	}
-	p.log.Info("backend request did not succeed",
+	attributes := []any{
 		"request", exchange.RequestID,
 		"backend_server", string(exchange.BackendServer),
 		"service", string(exchange.Service),
@@ -186,7 +191,15 @@
 		"detail", detail,
 		"truncated", exchange.Truncated,
 		"load", exchange.Writer.Header().Get(HeaderLoad),
-		"took_ms", clock.Since(exchange.Received).Milliseconds())
+		"took_ms", clock.Since(exchange.Received).Milliseconds(),
+	}
+	if fingerprint, known := exchange.Fingerprint(); known {
+		attributes = append(attributes, "fingerprint", fingerprint.String())
+	}
+	if cause := stateOf(exchange).cause; cause != nil {
+		attributes = append(attributes, "cause", cause.Error())
+	}
+	p.log.Info("backend request did not succeed", attributes...)
 }
 
 func writeRefusal(exchange *pipeline.Exchange, err error) {
--- a/backendproxy/run.go
+++ b/backendproxy/run.go
@@ -12,18 +12,20 @@
 	"github.com/hemlockring/hemlockring/internal/httpheader"
 	"github.com/hemlockring/hemlockring/internal/processpause"
 	"github.com/hemlockring/hemlockring/pipeline"
+	"github.com/hemlockring/hemlockring/quarantine"
 	"github.com/hemlockring/hemlockring/quota"
 )
 
 // runFilter sends the request to the backend server and streams the response back.
 type runFilter struct {
-	dispatcher    *dispatcher
-	keys          *keyChecker
-	pauseDetector *processpause.Detector
-	monitor       HealthMonitor
-	loadReporter  *loadReporter
-	status        *statusObserver
-	clock         quota.DispatchClock
+	dispatcher     *dispatcher
+	fingerprintKey quarantine.Key
+	keys           *keyChecker
+	pauseDetector  *processpause.Detector
+	monitor        HealthMonitor
+	loadReporter   *loadReporter
+	status         *statusObserver
+	clock          quota.DispatchClock
 }
 
 func (*runFilter) Name() string { return "run" }
@@ -40,9 +42,11 @@
 	}
 	ctx, cancel := clock.WithDeadline(exchange.Request.Context(), exchange.Deadline)
 	defer cancel()
+	exchange.Hasher = f.newHasher(exchange)
 	response, outcome, err := f.dispatcher.dispatch(ctx, exchange, slot.Address, exchange.DispatchBy)
 	exchange.Outcome = outcome
 	if err != nil {
+		stateOf(exchange).cause = err
 		observation.End(resultOfError(exchange, err), clock.Now())
 		return refuseFailedDispatch(exchange, outcome, err)
 	}
@@ -65,6 +69,18 @@
 	return nil
 }
 
+func (f *runFilter) newHasher(exchange *pipeline.Exchange) *quarantine.Hasher {
+	request := exchange.Request
+	return f.fingerprintKey.NewHasher(quarantine.Content{
+		Service:        exchange.Service,
+		Account:        exchange.Account,
+		Method:         request.Method,
+		Host:           request.Host,
+		Target:         request.URL.RequestURI(),
+		DeclaredLength: request.ContentLength,
+	})
+}
+
 // checkResponse returns nil when the response is the backend server's answer to the
 // request. Otherwise it records the result of the request and returns a refusal.
 func (f *runFilter) checkResponse(exchange *pipeline.Exchange, verdict Verdict, header http.Header, observation Observation) error {
--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/hemlockring/hemlockring/orders"
 	"github.com/hemlockring/hemlockring/pipeline"
 	"github.com/hemlockring/hemlockring/pki"
+	"github.com/hemlockring/hemlockring/quarantine"
 	"github.com/hemlockring/hemlockring/quota"
 	"github.com/hemlockring/hemlockring/quotadriver"
 	"github.com/hemlockring/hemlockring/report"
@@ -46,6 +47,7 @@
 	pauseDetector     *processpause.Detector
 	endpoint          *transport.Endpoint
 	fleetMux          *http.ServeMux
+	fingerprintKey    quarantine.Key
 	members           *gossip.Service
 	registry          *backendproxy.Registry
 	ejection          *ejection.Service
@@ -141,6 +143,7 @@
 	if err != nil {
 		return err
 	}
+	n.fingerprintKey = quarantine.DeriveKey(gossipKey)
 	n.endpoint, err = transport.Listen(transport.EndpointConfig{
 		Address:  cmp.Or(n.settings.Fleet.Listen, n.settings.Fleet.Address),
 		ID:       n.settings.Instance.ID,
@@ -218,13 +221,14 @@
 		n.members.SetServers(backendproxy.MembershipServers(servers))
 	}, serverLimits{n.configuration})
 	n.backendProxy = backendproxy.New(backendproxy.Config{
-		Registry:      n.registry,
-		View:          n.configuration.View,
-		PauseDetector: n.pauseDetector,
-		HealthMonitor: n.ejection,
-		Clock:         quota.NewDispatchClock(rand.Uint64(), clock.Now()),
-		Dialect:       n.options.Dialect,
-		Logger:        n.logger,
+		Registry:       n.registry,
+		View:           n.configuration.View,
+		PauseDetector:  n.pauseDetector,
+		HealthMonitor:  n.ejection,
+		Clock:          quota.NewDispatchClock(rand.Uint64(), clock.Now()),
+		Dialect:        n.options.Dialect,
+		FingerprintKey: n.fingerprintKey,
+		Logger:         n.logger,
 	})
 	n.registerBackendMetrics()
 	quotaFilter := ingress.NewQuotaFilter(n.quota)
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/quarantine"
 )
 
 // ErrAnswered is returned by a filter that has sent the whole response itself.
@@ -102,6 +103,9 @@
 	// The HTTP server must then abort the connection or stream, so that the caller
 	// detects the truncation.
 	Truncated bool
+	// Hasher computes the fingerprint of the request as the body is read. It is nil if
+	// none is needed.
+	Hasher *quarantine.Hasher
 	// State holds the private data of the chain that created the exchange.
 	State any
 	// Refusal is the refusal sent to the caller, or nil if there was none.
@@ -144,6 +148,15 @@
 	return e.Service
 }
 
+// Fingerprint returns the fingerprint of the request. It returns false if none is computed or
+// too little of the body has been read.
+func (e *Exchange) Fingerprint() (quarantine.Fingerprint, bool) {
+	if e.Hasher == nil {
+		return quarantine.Fingerprint{}, false
+	}
+	return e.Hasher.Sum()
+}
+
 // Remaining returns the time left until the deadline.
 func (e *Exchange) Remaining(now time.Time) time.Duration {
 	return e.Deadline.Sub(now)
