node: reproduce a request that crashes server after server

The emulated backend server crashes on a request with the query parameter crash: its connections break, nothing listens for 2 s, then a new process does.

--- a/internal/bench/backend.go
+++ b/internal/bench/backend.go
@@ -63,7 +63,7 @@
 		<-ctx.Done()
 		return nil
 	}
-	announcer := &emulator.Announcer{LocalAddress: arguments.Local, ID: arguments.ID, ProcessStart: server.ProcessStart, Announcement: backendproxy.Announcement{
+	announcer := &emulator.Announcer{LocalAddress: arguments.Local, ID: arguments.ID, ProcessStart: server.ProcessStart, Down: server.Down, Announcement: backendproxy.Announcement{
 		Service:        fleetconfig.ServiceName(arguments.Service),
 		Address:        address,
 		Slots:          uint32(arguments.Slots),
--- a/internal/emulator/announcer.go
+++ b/internal/emulator/announcer.go
@@ -29,6 +29,9 @@
 	Announcement backendproxy.Announcement
 	// ProcessStart returns the start time to announce. Nil means that none is announced.
 	ProcessStart func() time.Time
+	// Down reports whether the server is down and announces nothing. Nil means that it is
+	// always up.
+	Down func() bool
 }
 
 // Run announces the backend server and renews the announcement until ctx ends. Then it
@@ -37,7 +40,9 @@
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
 	for {
-		_ = a.Announce(ctx)
+		if a.Down == nil || !a.Down() {
+			_ = a.Announce(ctx)
+		}
 		select {
 		case <-ctx.Done():
 			leave, cancel := context.WithTimeout(context.Background(), announceTimeout)
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -1,18 +1,14 @@
 package emulator
 
 import (
-	"context"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/hemlockring/hemlockring/backendproxy"
 	"github.com/hemlockring/hemlockring/pipeline"
 )
@@ -52,6 +48,9 @@
 	ColdFactor float64
 	// IgnoreCancel makes it finish requests that were canceled.
 	IgnoreCancel bool
+	// Downtime is how long the server is down after a crash. The default is
+	// DefaultDowntime.
+	Downtime time.Duration
 }
 
 // Executions counts the requests that a server has run.
@@ -68,6 +67,9 @@
 	// OverRate is the largest number of requests above what RateTolerance allows that ran
 	// in a RateWindow while the server named a rate.
 	OverRate int `json:"over_rate"`
+	// Crashes counts the crashes, and CrashRuns the requests that crash servers.
+	Crashes   int `json:"crashes"`
+	CrashRuns int `json:"crash_runs"`
 	// AfterLeaving counts the requests that ran later than LeavingGrace after the server
 	// had first stated that it is leaving.
 	AfterLeaving int `json:"after_leaving"`
@@ -78,8 +80,8 @@
 type Server struct {
 	config  Config
 	started time.Time
-	// processStart is when the current emulated process started. A server whose exit has
-	// ended comes back as a new process.
+	// processStart is when the current emulated process started. A server comes back as a new
+	// process after a crash, and when its exit has ended.
 	processStart time.Time
 	slots        chan struct{}
 
@@ -87,6 +89,9 @@
 	fault      Fault
 	executions Executions
 	rate       rateRecord
+	listening  listening
+	// down says that the server is down after a crash.
+	down bool
 }
 
 // New returns an emulated backend server.
@@ -191,6 +196,10 @@
 	if err := s.simulateServiceTime(request, fault, faultApplies); err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	if crashes(request) {
+		s.crash()
+		panic(http.ErrAbortHandler)
+	}
 	s.respond(w, request, fault, faultApplies)
 }
 
@@ -200,6 +209,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.executions.Total++
+	if crashes(request) {
+		s.executions.CrashRuns++
+	}
 	s.rate.recordArrival(time.Now())
 	increment(s.executions.Requests, request.Header.Get(pipeline.HeaderRequestID))
 	increment(s.executions.Orders, request.Header.Get(HeaderOrder))
@@ -315,16 +327,3 @@
 	clear(buffer)
 	return len(buffer), nil
 }
-
-// Listen starts to serve on the address until ctx ends. The returned address contains the
-// actual port.
-func (s *Server) Listen(ctx context.Context, address string) (string, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return "", errors.Wrap(err, "listen on the address of the emulated backend server")
-	}
-	server := &http.Server{Handler: s, ReadHeaderTimeout: time.Second}
-	go func() { _ = server.Serve(listener) }()
-	context.AfterFunc(ctx, func() { _ = server.Close() })
-	return listener.Addr().String(), nil
-}
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -303,6 +303,8 @@
 		}
 		total.Total += part.Total
 		total.WithCredentials += part.WithCredentials
+		total.Crashes += part.Crashes
+		total.CrashRuns += part.CrashRuns
 		for id, count := range part.Requests {
 			total.Requests[id] += count
 		}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -148,7 +148,7 @@
 	t.Cleanup(cancel)
 	address, err := server.Listen(ctx, "127.0.0.1:0")
 	must.NoError(t, err)
-	announcer := &emulator.Announcer{LocalAddress: instance.LocalAddress, ID: "b1", Announcement: backendproxy.Announcement{
+	announcer := &emulator.Announcer{LocalAddress: instance.LocalAddress, ID: "b1", ProcessStart: server.ProcessStart, Down: server.Down, Announcement: backendproxy.Announcement{
 		Service: "catalogue", Address: address, Slots: uint32(config.Slots), State: backendproxy.StateReady, LifetimeMillis: 3000,
 	}}
 	go announcer.Run(ctx)
