--- a/node/quarantine_test.go
+++ b/node/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,9 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/hemlockring/hemlockring/internal/emulator"
+	"github.com/hemlockring/hemlockring/internal/testbed"
+	"github.com/hemlockring/hemlockring/pipeline"
+	"github.com/hemlockring/hemlockring/quarantine"
 )
 
 const (
@@ -105,3 +109,148 @@
 		})
 	}
 }
+
+// innocentLoad sends requests of which half are the same word for word, and counts those that
+// were refused as quarantined.
+type innocentLoad struct {
+	answered, failed, quarantined atomic.Int64
+}
+
+func (f *testFleet) sendInnocents(ctx context.Context, perSecond int) *innocentLoad {
+	load := &innocentLoad{}
+	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+	defer ticker.Stop()
+	var pending sync.WaitGroup
+	defer pending.Wait()
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return load
+		case <-ticker.C:
+		}
+		pending.Go(func() {
+			path := "/open/popular"
+			if i%2 == 0 {
+				path = fmt.Sprintf("/open/item/%d", i)
+			}
+			response, err := f.client.Get(f.url(i/2%len(f.nodes), path))
+			if err != nil {
+				load.failed.Add(1)
+				return
+			}
+			response.Body.Close()
+			switch {
+			case response.StatusCode == http.StatusOK:
+				load.answered.Add(1)
+			case response.Header.Get(pipeline.HeaderRefusal) == string(pipeline.KindQuarantined):
+				load.quarantined.Add(1)
+			default:
+				load.failed.Add(1)
+			}
+		})
+	}
+}
+
+func TestRequestsBesideQueriesOfDeathAreServed(t *testing.T) {
+	t.Parallel()
+	fleet := startFleet(t, 9, emulator.Config{Slots: 4, ServiceTime: 30 * time.Millisecond})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	var loads sync.WaitGroup
+	loads.Go(func() { fleet.sendPath(ctx, http.MethodGet, crashPath, 6) })
+	loads.Go(func() { fleet.sendPath(ctx, http.MethodPost, "/open/other?"+emulator.CrashParameter, 6) })
+	innocents := fleet.sendInnocents(ctx, 100)
+	loads.Wait()
+	crashes, runs := fleet.crashes()
+	answered, failed := innocents.answered.Load(), innocents.failed.Load()
+	t.Logf("%d crashes, %d runs, %d requests answered, %d failed", crashes, runs, answered, failed)
+	must.Zero(t, innocents.quarantined.Load())
+	// Two requests crash at most three servers each, with a copy under way at each of two more.
+	must.LessEq(t, 10, crashes)
+	must.Greater(t, 19*failed, answered)
+}
+
+// quarantine crashes servers with crashPath until every instance refuses it.
+func (f *testFleet) quarantineCrashPath(t *testing.T) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go f.sendPath(ctx, http.MethodGet, crashPath, 10)
+	waitFor(t, func() bool {
+		for _, node := range f.nodes {
+			if !node.quarantine.AnyQuarantined() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestRestartedInstanceRefusesQuarantinedRequest(t *testing.T) {
+	t.Parallel()
+	fleet := startFleet(t, 4, emulator.Config{Slots: 4, ServiceTime: 30 * time.Millisecond})
+	fleet.quarantineCrashPath(t)
+	_, before := fleet.crashes()
+	fleet.restart(t, 0)
+	waitFor(t, fleet.nodes[0].quarantine.AnyQuarantined)
+	response, err := fleet.client.Get(fleet.url(0, crashPath))
+	must.NoError(t, err)
+	response.Body.Close()
+	must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+	must.Eq(t, string(pipeline.KindQuarantined), response.Header.Get(pipeline.HeaderRefusal))
+	must.Eq(t, pipeline.OutcomeNotRun.String(), response.Header.Get(pipeline.HeaderOutcome))
+	_, after := fleet.crashes()
+	must.Eq(t, before, after)
+}
+
+// A request with the same head and another body is another request.
+func TestRequestWithOtherBodyIsNotQuarantined(t *testing.T) {
+	t.Parallel()
+	fleet := startFleet(t, 3, emulator.Config{Slots: 4, ServiceTime: 10 * time.Millisecond})
+	fingerprint := func(body string) quarantine.Request {
+		hasher := fleet.nodes[0].fingerprintKey.NewHasher(quarantine.Content{
+			Service: "catalogue", Account: "acme", Method: http.MethodPut, Target: "/orders/1", DeclaredLength: int64(len(body)),
+		})
+		_, _ = hasher.Write([]byte(body))
+		sum, known := hasher.Sum()
+		must.True(t, known)
+		return quarantine.Request{Fingerprint: sum, Account: "acme", Service: "catalogue"}
+	}
+	for id := range quarantine.CrashID(2) {
+		fleet.nodes[1].quarantine.WitnessCrash(id, []quarantine.Request{fingerprint("bad")}, 0)
+	}
+	waitFor(t, fleet.nodes[0].quarantine.AnyQuarantined)
+	response, _ := fleet.send(t, 0, http.MethodPut, "/orders/1", "bad")
+	must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+	response, body := fleet.send(t, 0, http.MethodPut, "/orders/1", "good")
+	must.Eq(t, http.StatusOK, response.StatusCode)
+	must.Eq(t, "good", body)
+}
+
+// The witness of a crash is cut off at the moment of the crash, and the fleet learns of it from
+// the others alone; then it learns what the others know.
+func TestQuarantineReachesInstanceThatWasCutOff(t *testing.T) {
+	t.Parallel()
+	layout, err := testbed.CreateRelayed(t.TempDir(), testbed.Specs(5, 1, 5))
+	must.NoError(t, err)
+	relay, err := testbed.StartRelay(layout)
+	must.NoError(t, err)
+	t.Cleanup(relay.Close)
+	fleet := startFleetOf(t, layout, func(int) emulator.Config { return emulator.Config{Slots: 4, ServiceTime: 30 * time.Millisecond} })
+	cutOff := layout.Instances[4].ID
+	waitFor(t, func() bool {
+		response, err := fleet.client.Get(fleet.url(4, crashPath))
+		if err == nil {
+			response.Body.Close()
+		}
+		return fleet.backends[4].Executions().Crashes > 0
+	})
+	relay.Isolate(cutOff, true)
+	others := *fleet
+	others.nodes = fleet.nodes[:4]
+	others.quarantineCrashPath(t)
+	crashes, _ := fleet.crashes()
+	must.LessEq(t, 8, crashes)
+	relay.Isolate(cutOff, false)
+	waitFor(t, fleet.nodes[4].quarantine.AnyQuarantined)
+}
