hemlockbench: simulate requests that crash servers, at several sizes

No protection, a table for each instance alone, and the fleet's tables with messages that take time and may be lost.

--- a/internal/bench/command.go
+++ b/internal/bench/command.go
@@ -9,6 +9,7 @@
 
 	"github.com/alexflint/go-arg"
 
+	"github.com/hemlockring/hemlockring/internal/crashexperiment"
 	"github.com/hemlockring/hemlockring/internal/daemon"
 	"github.com/hemlockring/hemlockring/internal/experiment"
 	"github.com/hemlockring/hemlockring/internal/soak"
@@ -22,13 +23,14 @@
 
 // arguments is the command line of hemlockbench.
 type arguments struct {
-	Backend    *BackendArguments    `arg:"subcommand:backend" help:"run an emulated backend server"`
-	Daemon     *daemon.Arguments    `arg:"subcommand:daemon" help:"run the daemon from this executable"`
-	Demo       *DemoArguments       `arg:"subcommand:demo" help:"run a small fleet under load, inject faults and check its guarantees"`
-	Experiment *ExperimentArguments `arg:"subcommand:experiment" help:"compare policies on simulated backend servers"`
-	Overhead   *OverheadArguments   `arg:"subcommand:overhead" help:"measure the latency that the fleet adds to a request"`
-	Soak       *soak.Arguments      `arg:"subcommand:soak" help:"run a fleet under random faults and check its guarantees"`
-	Scale      *ScaleArguments      `arg:"subcommand:scale" help:"measure fleets of several sizes: idle, during changes and after an instance is killed"`
+	Backend    *BackendArguments          `arg:"subcommand:backend" help:"run an emulated backend server"`
+	Daemon     *daemon.Arguments          `arg:"subcommand:daemon" help:"run the daemon from this executable"`
+	Demo       *DemoArguments             `arg:"subcommand:demo" help:"run a small fleet under load, inject faults and check its guarantees"`
+	Experiment *ExperimentArguments       `arg:"subcommand:experiment" help:"compare policies on simulated backend servers"`
+	Crashes    *crashexperiment.Arguments `arg:"subcommand:crashes" help:"compare protections against requests that crash backend servers, on simulated fleets"`
+	Overhead   *OverheadArguments         `arg:"subcommand:overhead" help:"measure the latency that the fleet adds to a request"`
+	Soak       *soak.Arguments            `arg:"subcommand:soak" help:"run a fleet under random faults and check its guarantees"`
+	Scale      *ScaleArguments            `arg:"subcommand:scale" help:"measure fleets of several sizes: idle, during changes and after an instance is killed"`
 }
 
 // Description implements arg.Described.
@@ -53,6 +55,8 @@
 		err = Demo(ctx, *args.Demo, os.Stdout)
 	case args.Experiment != nil:
 		err = runExperiment(ctx, args.Experiment)
+	case args.Crashes != nil:
+		err = crashexperiment.Run(*args.Crashes, os.Stdout)
 	case args.Overhead != nil:
 		err = Overhead(ctx, *args.Overhead, os.Stdout)
 	case args.Soak != nil:
