--- a/internal/emulator/crash.go
+++ b/internal/emulator/crash.go
@@ -95,5 +95,7 @@
 	s.listening = listening{address: listener.Addr().String(), server: server, ctx: ctx}
 	s.down = false
 	s.processStart = time.Now()
+	// A new process has stated nothing yet.
+	s.rate.setFault(&s.fault)
 	return s.listening.address, nil
 }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -70,6 +70,9 @@
 	// corrupted holds the ids of requests whose response was complete but did not echo
 	// the request's body.
 	corrupted []string
+	// quarantined holds the ids of requests that were refused as ones that crash servers. None
+	// of these requests does.
+	quarantined []string
 }
 
 // interruptedRequest is a request whose connection failed before a response.
@@ -201,6 +204,9 @@
 	if response.Header.Get(pipeline.HeaderOutcome) == pipeline.OutcomeNotRun.String() {
 		c.notRun[response.Header.Get(pipeline.HeaderRequestID)] = true
 	}
+	if response.Header.Get(pipeline.HeaderRefusal) == string(pipeline.KindQuarantined) {
+		c.quarantined = append(c.quarantined, response.Header.Get(pipeline.HeaderRequestID))
+	}
 	if response.StatusCode != http.StatusOK {
 		return
 	}
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -29,6 +29,9 @@
 	if executions.WithCredentials > 0 {
 		r.reportOnce("keys", "%d requests reached a backend server with a key", executions.WithCredentials)
 	}
+	for _, id := range r.callers.quarantined {
+		r.reportOnce("quarantined "+id, "request %s, which crashes no server, was refused as one that does", id)
+	}
 	for _, id := range r.callers.corrupted {
 		r.reportOnce("corrupted "+id, "the response to request %s was complete but corrupted", id)
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -79,6 +79,8 @@
 		return r.failBackend(ctx, event, grayFaults[event.Variant])
 	case Statement:
 		return r.stateStatus(ctx, event)
+	case QueryOfDeath:
+		return r.repeatQueryOfDeath(ctx, event)
 	case RaceChanges:
 		r.operators.raceChanges(ctx)
 		return nil
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -43,6 +43,8 @@
 	GrayFailure FaultKind = "gray"
 	// Statement makes a backend server advertise a rate or state its exit in its responses.
 	Statement FaultKind = "state"
+	// QueryOfDeath repeats a request that crashes the backend server that runs it.
+	QueryOfDeath FaultKind = "query-of-death"
 	// RaceChanges makes two concurrent configuration changes with the same base version.
 	RaceChanges FaultKind = "change"
 	// WithdrawKey withdraws a key that is in use.
@@ -108,6 +110,7 @@
 // one statement; all other faults may overlap.
 func Plan(seed uint64, duration time.Duration, instances int) []Event {
 	events := append(planFaults(seed, duration, instances), planStatements(seed, duration, instances)...)
+	events = append(events, planCrashes(seed, duration, instances)...)
 	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.Start, b.Start) })
 	return events
 }
@@ -183,3 +186,9 @@
 func (k FaultKind) affectsProcess() bool {
 	return slices.Contains([]FaultKind{Kill, TornWrite, Stop, Pause, Reload}, k)
 }
+
+// affectsInstance reports whether the fault acts on the daemon's process or on the network of
+// its instance.
+func (k FaultKind) affectsInstance() bool {
+	return k.affectsProcess() || slices.Contains([]FaultKind{Isolate, OneWayPartition, Delay, Loss}, k)
+}
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -283,22 +283,38 @@
 	if err != nil {
 		return errors.Wrap(err, "encode the fault")
 	}
-	return postJSON(f.httpClient, "http://"+f.BackendAddresses[backend]+emulator.FaultPath, body)
+	return retryWhileDown(func() error {
+		return postJSON(f.httpClient, "http://"+f.BackendAddresses[backend]+emulator.FaultPath, body)
+	})
+}
+
+// retryWhileDown repeats a call to a backend server that may be down after a crash.
+func retryWhileDown(call func() error) error {
+	ended := time.Now().Add(2 * emulator.DefaultDowntime)
+	for {
+		err := call()
+		if err == nil || time.Now().After(ended) {
+			return err
+		}
+		time.Sleep(pollInterval)
+	}
 }
 
 // BackendExecutions returns the executions on a backend server, by its index in Backends.
 func (f *Fleet) BackendExecutions(backend int) (*emulator.Executions, error) {
 	executions := &emulator.Executions{}
-	err := getJSON(f.httpClient, "http://"+f.BackendAddresses[backend]+emulator.ExecutionsPath, executions)
+	err := retryWhileDown(func() error {
+		return getJSON(f.httpClient, "http://"+f.BackendAddresses[backend]+emulator.ExecutionsPath, executions)
+	})
 	return executions, err
 }
 
 // Executions returns the sum of the executions on all backend servers.
 func (f *Fleet) Executions() (*emulator.Executions, error) {
 	total := &emulator.Executions{Requests: make(map[string]int), Orders: make(map[string]int)}
-	for _, address := range f.BackendAddresses {
-		var part emulator.Executions
-		if err := getJSON(f.httpClient, "http://"+address+emulator.ExecutionsPath, &part); err != nil {
+	for i := range f.BackendAddresses {
+		part, err := f.BackendExecutions(i)
+		if err != nil {
 			return nil, err
 		}
 		total.Total += part.Total
