--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -45,9 +45,19 @@
 	}
 }
 
+// undisturbedQueryOfDeath returns an event after all others, when every instance is undisturbed.
+func (r *run) undisturbedQueryOfDeath() Event {
+	return Event{
+		Start:    r.arguments.Duration + recoveryBound,
+		Kind:     QueryOfDeath,
+		Duration: maxCrashDuration,
+		Variant:  int(r.arguments.Seed % variantCount),
+	}
+}
+
 // repeatQueryOfDeath sends a request that crashes the server that runs it to all instances in
 // turn. The variant decides whether it is idempotent.
-func (r *run) repeatQueryOfDeath(ctx context.Context, event Event) error {
+func (r *run) repeatQueryOfDeath(ctx context.Context, event Event) {
 	method := http.MethodGet
 	if event.Variant%2 == 1 {
 		method = http.MethodPost
@@ -77,7 +87,6 @@
 	if late > maxLateCrashes {
 		r.findings.violated("request %s crashed servers %d times more than %s after its third crash", id, late, quarantineDelay)
 	}
-	return nil
 }
 
 // sendQueryOfDeath sends one copy and reports whether a server crashed under it.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -80,7 +80,8 @@
 	case Statement:
 		return r.stateStatus(ctx, event)
 	case QueryOfDeath:
-		return r.repeatQueryOfDeath(ctx, event)
+		r.repeatQueryOfDeath(ctx, event)
+		return nil
 	case RaceChanges:
 		r.operators.raceChanges(ctx)
 		return nil
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -138,6 +138,7 @@
 	checker.Go(func() { r.checkPeriodically(checkerCtx) })
 	r.runEvents(ctx)
 	r.awaitRecovery(ctx)
+	r.repeatQueryOfDeath(ctx, r.undisturbedQueryOfDeath())
 	stopLoad()
 	r.callers.group.Wait()
 	stopChecker()
