--- a/backendproxy/admission.go
+++ b/backendproxy/admission.go
@@ -20,6 +20,8 @@
 	slots       int
 	queueLength int
 	lastID      queue.ItemID
+	// leaving says that the server has announced that its process will end.
+	leaving bool
 	// waiting holds a channel for each request that the queue has not decided on.
 	waiting map[queue.ItemID]chan queue.Action
 }
@@ -92,6 +94,21 @@
 	a.deliver(a.queue.Tick(now))
 }
 
+// leave drains the queue of a server that has announced that its process will end.
+func (a *admissionQueue) leave() {
+	a.mu.Lock()
+	a.leaving = true
+	a.mu.Unlock()
+	a.drain()
+}
+
+// isLeaving reports whether the end of the server's process was announced.
+func (a *admissionQueue) isLeaving() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.leaving
+}
+
 // drain refuses all waiting and future requests.
 func (a *admissionQueue) drain() {
 	a.mu.Lock()
--- a/backendproxy/registry.go
+++ b/backendproxy/registry.go
@@ -228,7 +228,7 @@
 	draining := server.drainsWith(&announcement, now)
 	switch {
 	case draining && !server.draining:
-		server.admission.drain()
+		server.admission.leave()
 	case !draining && server.draining:
 		server.admission = newAdmissionQueue(int(r.effectiveSlots(&announcement)), r.limits.QueueLength())
 	}
@@ -272,25 +272,25 @@
 	defer r.mu.Unlock()
 	if server, known := r.servers[id]; known {
 		r.departed[id] = departure{lastAnnouncement: server.Announcement, leftAt: clock.Now()}
-		server.admission.drain()
+		server.admission.leave()
 		delete(r.servers, id)
 		r.publish()
 	}
 }
 
-// markCrashed removes a backend server whose process has crashed. It returns false, and leaves
-// the server as it is, if it was draining, so that its process was expected to end.
+// markCrashed removes a backend server whose process has ended. It returns false if the process
+// had announced that it would.
 func (r *Registry) markCrashed(id fleetconfig.BackendServerID, process *admissionQueue, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if process.isLeaving() {
+		return false
+	}
 	server := r.servers[id]
 	if server == nil || server.admission != process {
-		// A successor has been announced already.
+		// The server is gone or has been succeeded already.
 		return true
 	}
-	if server.draining {
-		return false
-	}
 	r.departed[id] = departure{lastAnnouncement: server.Announcement, leftAt: now, crashed: true}
 	server.admission.drain()
 	delete(r.servers, id)
--- a/backendproxy/status.go
+++ b/backendproxy/status.go
@@ -101,7 +101,7 @@
 	}
 	if change.leaving && !server.draining {
 		server.draining = true
-		server.admission.drain()
+		server.admission.leave()
 	}
 	if change.leaving || (change.rate && server.rateChangedSincePublished()) {
 		r.publish()
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -325,9 +325,15 @@
 }
 
 // MayRetry reports whether a request that was under way in a crash may be sent to another
-// server at once: it shared the crash with others and was in no earlier one.
+// server at once, which it may after a single crash. If it causes crashes, that shows sooner and
+// costs no server more in the end; if it does not, the caller gets an answer.
 func (t *Table) MayRetry(fingerprint Fingerprint) bool {
-	return t.points(fingerprint) <= sharedPoints
+	known := t.entries[fingerprint]
+	if known == nil {
+		return true
+	}
+	_, crashes := known.points()
+	return crashes <= 1
 }
 
 // Tick forgets entries that have expired.
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -48,8 +48,9 @@
 	table := NewTable()
 	deadly := requestNumber(1)
 	crash(table, 1, start, deadly)
-	must.False(t, table.MayRetry(deadly.Fingerprint))
+	must.True(t, table.MayRetry(deadly.Fingerprint))
 	crash(table, 2, start, deadly)
+	must.False(t, table.MayRetry(deadly.Fingerprint))
 	must.Eq(t, Refuse, decisionOf(table, deadly, start))
 }
 
--- a/quarantinedriver/service.go
+++ b/quarantinedriver/service.go
@@ -14,8 +14,13 @@
 )
 
 const (
-	// compareInterval is the interval between two comparisons with another instance.
-	compareInterval = 500 * time.Millisecond
+	// compareInterval is the interval between two comparisons with another instance while
+	// there is something to compare, and idleCompareInterval while there is not. An instance
+	// that has just started compares every joinCompareInterval for joinDuration.
+	compareInterval     = 500 * time.Millisecond
+	idleCompareInterval = 2 * time.Second
+	joinCompareInterval = 200 * time.Millisecond
+	joinDuration        = 3 * time.Second
 	// maxLinesPerSecond bounds the log messages about requests.
 	maxLinesPerSecond = 20
 )
@@ -67,19 +72,30 @@
 // Serve forgets expired entries and compares the table with those of other instances, one
 // after the other, until ctx ends.
 func (s *Service) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(compareInterval)
-	defer ticker.Stop()
+	started := clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-ticker.C:
-			s.mu.Lock()
-			s.table.Tick(clock.Now())
-			s.anyQuarantined.Store(s.table.AnyQuarantined())
-			s.mu.Unlock()
-			s.compare()
+		case <-time.After(s.untilComparison(started)):
 		}
+		s.mu.Lock()
+		s.table.Tick(clock.Now())
+		s.anyQuarantined.Store(s.table.AnyQuarantined())
+		s.mu.Unlock()
+		s.compare()
+	}
+}
+
+// untilComparison returns the time until the next comparison.
+func (s *Service) untilComparison(started time.Time) time.Duration {
+	switch {
+	case clock.Since(started) < joinDuration:
+		return joinCompareInterval
+	case s.digest() == 0:
+		return idleCompareInterval
+	default:
+		return compareInterval
 	}
 }
 
--- a/quarantinedriver/spread.go
+++ b/quarantinedriver/spread.go
@@ -26,6 +26,9 @@
 	maxEntriesPerMessage = 2
 	// maxComparedEntries bounds the entries that are sent after a comparison.
 	maxComparedEntries = 32
+	// comparisonsPerDistant makes one in this many comparisons one with an instance of any
+	// failure domain, so that most of them cause no traffic between domains.
+	comparisonsPerDistant = 3
 	// sourcePeer is the source of changes that another instance has sent.
 	sourcePeer = "peer"
 )
@@ -86,9 +89,20 @@
 	s.config.Send(address, payload)
 }
 
-// compare asks one random instance to compare tables.
+// compare asks one random instance to compare tables, mostly one of the own failure domain.
 func (s *Service) compare() {
-	if receiver := randomMember(s.config.Members(), func(*membership.Member) bool { return true }); receiver != nil {
+	snapshot := s.config.Members()
+	self := snapshot.Member(snapshot.Self)
+	var receiver *membership.Member
+	if self != nil && rand.IntN(comparisonsPerDistant) != 0 {
+		receiver = randomMember(snapshot, func(member *membership.Member) bool {
+			return member.Record.FailureDomain == self.Record.FailureDomain
+		})
+	}
+	if receiver == nil {
+		receiver = randomMember(snapshot, func(*membership.Member) bool { return true })
+	}
+	if receiver != nil {
 		s.send(receiver.Record.Address, &message{Compare: true, Digest: s.digest()})
 	}
 }
