--- a/node/node.go
+++ b/node/node.go
@@ -223,9 +223,10 @@
 		n.members.SetServers(backendproxy.MembershipServers(servers))
 	}, serverLimits{n.configuration})
 	n.quarantine = quarantinedriver.New(quarantinedriver.Config{
-		Members: n.members.Snapshot,
-		Send:    n.members.SendPayload,
-		Logger:  n.logger,
+		Members:      n.members.Snapshot,
+		Send:         n.members.SendPayload,
+		OnQuarantine: n.recordQuarantine,
+		Logger:       n.logger,
 	})
 	n.members.HandlePayloads(n.quarantine.HandleMessage)
 	n.backendProxy = backendproxy.New(backendproxy.Config{
--- a/node/report.go
+++ b/node/report.go
@@ -9,6 +9,7 @@
 	"github.com/hemlockring/hemlockring/ingress"
 	"github.com/hemlockring/hemlockring/metrics"
 	"github.com/hemlockring/hemlockring/pipeline"
+	"github.com/hemlockring/hemlockring/quarantine"
 	"github.com/hemlockring/hemlockring/report"
 	"github.com/hemlockring/hemlockring/settings"
 	"github.com/hemlockring/hemlockring/storage"
@@ -85,6 +86,19 @@
 	})
 }
 
+// recordQuarantine adds to the report that the fleet refuses a request that crashes backend
+// servers.
+func (n *Node) recordQuarantine(request quarantine.Request) {
+	n.collector.RecordEvent(report.Event{
+		At:          time.Now(),
+		Kind:        report.EventQuarantined,
+		Service:     request.Service,
+		Instance:    n.settings.Instance.ID,
+		Fingerprint: request.Fingerprint.String(),
+		Account:     request.Account,
+	})
+}
+
 // recorders passes each exchange to the metrics, the report and the request log.
 type recorders struct {
 	metrics    *metrics.Metrics
--- a/quarantinedriver/service.go
+++ b/quarantinedriver/service.go
@@ -32,6 +32,9 @@
 	// Send sends a datagram of at most MaxMessageBytes to the fleet address of another
 	// instance.
 	Send func(address string, payload []byte)
+	// OnQuarantine, unless it is nil, is called with each request that the fleet starts to
+	// refuse, on one instance.
+	OnQuarantine func(request quarantine.Request)
 	// Logger receives a message for each change of what is thought of a request.
 	Logger *slog.Logger
 }
@@ -233,10 +236,19 @@
 	s.mu.Unlock()
 	for i := range changes {
 		s.logChange(&changes[i], source)
+		s.reportQuarantine(&changes[i])
 	}
 	s.spread(changes)
 }
 
+// reportQuarantine calls OnQuarantine on the instance that makes the trial runs of the request.
+func (s *Service) reportQuarantine(change *quarantine.Change) {
+	starts := change.Before != quarantine.StateQuarantined && change.After == quarantine.StateQuarantined
+	if starts && s.config.OnQuarantine != nil && s.makesTrialsOf(change.Entry.Fingerprint) {
+		s.config.OnQuarantine(quarantine.Request{Fingerprint: change.Entry.Fingerprint, Account: change.Entry.Account, Service: change.Entry.Service})
+	}
+}
+
 // logChange logs a change. What other instances find is logged only if it decides whether the
 // request is refused.
 func (s *Service) logChange(change *quarantine.Change, source string) {
--- a/quarantinedriver/service_test.go
+++ b/quarantinedriver/service_test.go
@@ -31,10 +31,12 @@
 
 	mu     sync.Mutex
 	cutOff map[string]bool
+	// reported counts the calls of OnQuarantine.
+	reported map[quarantine.Fingerprint]int
 }
 
 func newNetwork(t *testing.T, instances int, loss float64) (*network, []*Service) {
-	n := &network{t: t, loss: loss, services: make(map[string]*Service), ids: make(map[*Service]fleetconfig.InstanceID), cutOff: make(map[string]bool)}
+	n := &network{t: t, loss: loss, services: make(map[string]*Service), ids: make(map[*Service]fleetconfig.InstanceID), cutOff: make(map[string]bool), reported: make(map[quarantine.Fingerprint]int)}
 	var members []membership.Member
 	for i := range instances {
 		id := fmt.Sprintf("i%03d", i)
@@ -49,7 +51,12 @@
 		service := New(Config{
 			Members: func() *gossip.Snapshot { return snapshot },
 			Send:    func(address string, payload []byte) { n.send(record.Address, record.ID, address, payload) },
-			Logger:  slog.New(slog.DiscardHandler),
+			OnQuarantine: func(request quarantine.Request) {
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				n.reported[request.Fingerprint]++
+			},
+			Logger: slog.New(slog.DiscardHandler),
 		})
 		n.services[record.Address] = service
 		services = append(services, service)
@@ -125,12 +132,15 @@
 
 func TestReleaseReachesAllInstances(t *testing.T) {
 	t.Parallel()
-	_, services := newNetwork(t, 20, 0.2)
+	network, services := newNetwork(t, 20, 0.2)
 	serve(t, services)
 	request := deadlyRequest("acme")
 	services[0].WitnessCrash(1, []quarantine.Request{request}, 0)
 	services[1].WitnessCrash(2, []quarantine.Request{request}, 0)
 	waitForQuarantine(t, services, request.Fingerprint)
+	network.mu.Lock()
+	must.Eq(t, 1, network.reported[request.Fingerprint])
+	network.mu.Unlock()
 	must.True(t, services[2].Release(request.Fingerprint))
 	must.Wait(t, wait.InitialSuccess(wait.Timeout(10*time.Second), wait.Gap(5*time.Millisecond), wait.BoolFunc(func() bool {
 		for _, service := range services {
--- a/report/html.go
+++ b/report/html.go
@@ -104,7 +104,7 @@
 		}
 	}
 	for _, event := range r.Events[:min(len(r.Events), maxMarks)] {
-		title := formatTime(event.At) + " " + string(event.Kind) + " " + string(event.Server) + " of " + string(event.Service)
+		title := formatTime(event.At) + " " + string(event.Kind) + " " + event.Subject() + " of " + string(event.Service)
 		p.Events = append(p.Events, mark{X: r.timeToX(event.At), Class: string(event.Kind), Title: title})
 	}
 	for i := range gridLines + 1 {
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -363,3 +363,11 @@
 	}
 	b.ReportMetric(float64(bytes), "wire-B/interval")
 }
+
+func TestQuarantinedRequestIsNamedWithItsAccount(t *testing.T) {
+	event := Event{Kind: EventQuarantined, Fingerprint: "0f", Account: "acme"}
+	must.Eq(t, "request 0f of account acme", event.Subject())
+	event.Account = ""
+	must.Eq(t, "request 0f", event.Subject())
+	must.Eq(t, "b1", Event{Kind: EventEjected, Server: "b1"}.Subject())
+}
--- a/report/summary.go
+++ b/report/summary.go
@@ -118,7 +118,7 @@
 	return true
 }
 
-// EventKind is what happened to a backend server.
+// EventKind is what happened to a backend server or a request.
 type EventKind string
 
 const (
@@ -128,9 +128,11 @@
 	EventEjected EventKind = "ejected"
 	// EventReturned means that the backend server was returned to selection.
 	EventReturned EventKind = "returned"
+	// EventQuarantined means that a request is refused because it crashes backend servers.
+	EventQuarantined EventKind = "quarantined"
 )
 
-// Event is a change in the health state of a backend server.
+// Event is a change in the health state of a backend server, or a request that was quarantined.
 type Event struct {
 	// At is the time of the event.
 	At   time.Time `cbor:"1,keyasint" json:"at"`
@@ -145,6 +147,21 @@
 	DetectionTime time.Duration `cbor:"6,keyasint,omitempty" json:"took_ns"`
 	// FalsePositive reports whether an ejection turned out to be wrong.
 	FalsePositive bool `cbor:"7,keyasint,omitempty" json:"false"`
+	// Fingerprint and Account are those of a quarantined request.
+	Fingerprint string                `cbor:"8,keyasint,omitempty" json:"fingerprint,omitempty"`
+	Account     fleetconfig.AccountID `cbor:"9,keyasint,omitempty" json:"account,omitempty"`
+}
+
+// Subject returns the backend server of the event, or the request and its account.
+func (e Event) Subject() string {
+	switch {
+	case e.Kind != EventQuarantined:
+		return string(e.Server)
+	case e.Account == "":
+		return "request " + e.Fingerprint
+	default:
+		return "request " + e.Fingerprint + " of account " + string(e.Account)
+	}
 }
 
 func (e *Event) compare(other *Event) int {
@@ -156,6 +173,7 @@
 		cmp.Compare(e.Server, other.Server),
 		cmp.Compare(e.DetectionTime, other.DetectionTime),
 		compareBool(e.FalsePositive, other.FalsePositive),
+		cmp.Compare(e.Fingerprint, other.Fingerprint),
 	)
 }
 
--- a/report/text.go
+++ b/report/text.go
@@ -93,7 +93,7 @@
 	fmt.Fprintf(text, "\nfailing backend servers: %d detected (median %s, worst %s), %d ejected, %d of them wrongly\n",
 		d.Detected, formatMillis(d.Median), formatMillis(d.Worst), d.Ejected, d.FalseEjections)
 	for _, event := range r.Events[:min(len(r.Events), maxRows)] {
-		fmt.Fprintf(text, "  %s %s %s of %s at %s\n", formatTime(event.At), event.Kind, event.Server, event.Service, event.Instance)
+		fmt.Fprintf(text, "  %s %s %s of %s at %s\n", formatTime(event.At), event.Kind, event.Subject(), event.Service, event.Instance)
 	}
 	fmt.Fprintf(text, "\nwrongful refusals (not the fault of the caller): %d\n", r.WrongfulRefusals)
 	for _, refusal := range r.Refusals {
