--- a/quarantine/policy.go
+++ b/quarantine/policy.go
@@ -3,16 +3,17 @@
 import "time"
 
 // Points that a crash adds to a request that was under way in the server. A request is
-// quarantined when its uncleared crashes reach quarantinePoints: two in which it was alone, or
-// three that it shared.
+// quarantined when its uncleared crashes reach quarantinePoints: after three crashes that it
+// shared, or after two in which it was alone and one more. Two crashes are never enough, since a
+// server that crashes often for another reason ends two runs of the same request soon.
 const (
 	// alonePoints is for the only request that can have caused the crash.
-	alonePoints = 3
+	alonePoints = 4
 	// sharedPoints is for one of several requests, none of which is a likelier cause.
-	sharedPoints = 2
+	sharedPoints = 3
 	// minorPoints is for a request beside one that earlier crashes make a likelier cause.
 	minorPoints      = 1
-	quarantinePoints = 6
+	quarantinePoints = 9
 )
 
 const (
