--- a/backendproxy/crash_test.go
+++ b/backendproxy/crash_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -71,7 +72,7 @@
 	must.Nil(t, refuse)
 	must.NotNil(t, slot)
 	exchange := &pipeline.Exchange{
-		Request:       httptest.NewRequest("POST", "/", bytes.NewBufferString(body)),
+		Request:       httptest.NewRequest(http.MethodPost, "/", bytes.NewBufferString(body)),
 		BackendServer: "b1", Service: "catalogue", State: &exchangeState{},
 	}
 	key := quarantine.DeriveKey(nil)
--- a/backendproxy/dispatch.go
+++ b/backendproxy/dispatch.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hemlockring/hemlockring/clock"
 	"github.com/hemlockring/hemlockring/internal/httpheader"
 	"github.com/hemlockring/hemlockring/pipeline"
@@ -205,7 +207,7 @@
 	n, err := b.source.Body.Read(buffer)
 	if b.hasher != nil {
 		_, _ = b.hasher.Write(buffer[:n])
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			b.hasher.End()
 		}
 	}
--- a/pipeline/fingerprint.go
+++ b/pipeline/fingerprint.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hemlockring/hemlockring/quarantine"
 )
 
@@ -48,7 +50,7 @@
 	var read bytes.Buffer
 	n, err := io.CopyN(&read, request.Body, quarantine.MaxBodyBytes+1)
 	_, _ = hasher.Write(read.Bytes())
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		hasher.End()
 		err = nil
 	}
--- a/pipeline/fingerprint_test.go
+++ b/pipeline/fingerprint_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -18,7 +19,7 @@
 	for host, want := range map[string]string{
 		"127.0.0.5:8080": "", "10.0.0.1": "", "[::1]:80": "", "[::1]": "", "shop.example:8080": "shop.example", "shop.example": "shop.example",
 	} {
-		request := httptest.NewRequest("GET", "/a?b", nil)
+		request := httptest.NewRequest(http.MethodGet, "/a?b", nil)
 		request.Host = host
 		content := FingerprintedContent(&Exchange{Request: request})
 		must.Eq(t, want, content.Host)
@@ -29,7 +30,7 @@
 func TestBodyIsCompleteAfterFingerprint(t *testing.T) {
 	for _, size := range []int{0, 1, 1000, quarantine.MaxBodyBytes, quarantine.MaxBodyBytes + 1, 3 * quarantine.MaxBodyBytes} {
 		body := strings.Repeat("x", size)
-		request := httptest.NewRequest("POST", "/", strings.NewReader(body))
+		request := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(body))
 		key := quarantine.DeriveKey(nil)
 		hasher := key.NewHasher(FingerprintedContent(&Exchange{Request: request}))
 		must.NoError(t, FingerprintBody(request, hasher))
@@ -42,7 +43,7 @@
 }
 
 func TestBrokenBodyHasNoFingerprint(t *testing.T) {
-	request := httptest.NewRequest("POST", "/", iotest.ErrReader(errors.New("broken")))
+	request := httptest.NewRequest(http.MethodPost, "/", iotest.ErrReader(errors.New("broken")))
 	request.ContentLength = 10
 	key := quarantine.DeriveKey(nil)
 	hasher := key.NewHasher(FingerprintedContent(&Exchange{Request: request}))
