--- a/backendproxy/crash.go
+++ b/backendproxy/crash.go
@@ -235,6 +235,15 @@
 }
 
 func (d *crashDetector) logCrash(server fleetconfig.BackendServerID, requests []quarantine.Request, others, implicated int) {
+	var fingerprints []string
+	for _, request := range requests {
+		fingerprints = append(fingerprints, request.Fingerprint.String())
+	}
+	d.logLine("backend server crashed", "backend_server", string(server),
+		"under_way", fingerprints, "under_way_unknown", others, "implicated", implicated)
+}
+
+func (d *crashDetector) logLine(message string, attributes ...any) {
 	if d.log == nil {
 		return
 	}
@@ -242,15 +251,9 @@
 	if omitted > 0 {
 		d.log.Info("crash lines omitted", "lines", omitted)
 	}
-	if !permitted {
-		return
-	}
-	var fingerprints []string
-	for _, request := range requests {
-		fingerprints = append(fingerprints, request.Fingerprint.String())
+	if permitted {
+		d.log.Warn(message, attributes...)
 	}
-	d.log.Warn("backend server crashed", "backend_server", string(server),
-		"under_way", fingerprints, "under_way_unknown", others, "implicated", implicated)
 }
 
 // FormatEvidence encodes an entry as a value of pipeline.HeaderCrash.
--- a/backendproxy/run.go
+++ b/backendproxy/run.go
@@ -60,7 +60,7 @@
 				// A crash says more about the requests under way than about the server, whose
 				// next process starts anew.
 				observation.End(health.ResultCanceled, clock.Now())
-				return refuseCrashed(exchange, evidence)
+				return f.refuseCrashed(exchange, evidence)
 			}
 		}
 		observation.End(result, clock.Now())
@@ -120,9 +120,9 @@
 var errMismatchedResponse = errors.New("the response belongs to another request")
 
 // recordTruncation records one more failed request when the backend server ended the
-// response early without having crashed. It records nothing when the response could not be written to the ingress
-// or the context of the incoming request has ended, for example because the caller
-// disconnected: that says nothing about the server.
+// response early without having crashed. It records nothing when the response could not be
+// written to the ingress or the context of the incoming request has ended, for example because
+// the caller disconnected: that says nothing about the server.
 func (f *runFilter) recordTruncation(exchange *pipeline.Exchange, cause error, run *serverRun) {
 	if errors.Is(cause, httpheader.ErrWrite) || exchange.Request.Context().Err() != nil {
 		return
@@ -215,9 +215,12 @@
 
 // refuseCrashed returns the refusal for a request that was under way in a backend server when
 // it crashed. evidence, unless it is nil, is sent to the ingress.
-func refuseCrashed(exchange *pipeline.Exchange, evidence *quarantine.Entry) error {
+func (f *runFilter) refuseCrashed(exchange *pipeline.Exchange, evidence *quarantine.Entry) error {
 	if evidence != nil {
-		if text, err := FormatEvidence(evidence); err == nil {
+		text, err := FormatEvidence(evidence)
+		if err != nil {
+			f.crashes.logLine("evidence of a crash not sent to the ingress", "request", exchange.RequestID, "error", err)
+		} else {
 			exchange.Writer.Header().Set(pipeline.HeaderCrash, text)
 		}
 	}
--- a/quarantinedriver/service.go
+++ b/quarantinedriver/service.go
@@ -29,8 +29,7 @@
 type Config struct {
 	// Members returns the latest snapshot of the membership.
 	Members func() *gossip.Snapshot
-	// Send sends a datagram of at most MaxMessageBytes to the fleet address of another
-	// instance.
+	// Send sends a datagram to the fleet address of another instance. It may be lost.
 	Send func(address string, payload []byte)
 	// OnQuarantine, unless it is nil, is called with each request that the fleet starts to
 	// refuse, on one instance.
