--- a/node/quarantine_test.go
+++ b/node/quarantine_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	"github.com/hemlockring/hemlockring/internal/emulator"
 	"github.com/hemlockring/hemlockring/internal/testbed"
@@ -85,17 +86,16 @@
 	return true
 }
 
-// waitForCrashes waits until so many servers have crashed or the request is quarantined before,
-// and returns the number of runs at the end of quarantineDelay after that.
-func (f *testFleet) waitForCrashes(t *testing.T, count int) (runs int) {
+// sendCopies sends the same request so often to each instance, one copy after the other.
+func (f *testFleet) sendCopies(t *testing.T, method, path string, each int) {
 	t.Helper()
-	waitFor(t, func() bool {
-		crashes, _ := f.crashes()
-		return crashes >= count || f.allQuarantine()
-	})
-	time.Sleep(quarantineDelay)
-	_, runs = f.crashes()
-	return runs
+	for i := range each * len(f.nodes) {
+		request, err := http.NewRequest(method, f.url(i%len(f.nodes), path), nil)
+		must.NoError(t, err)
+		response, err := f.client.Do(request)
+		must.NoError(t, err)
+		response.Body.Close()
+	}
 }
 
 func TestRequestThatCrashedThreeServersIsNotSentToMore(t *testing.T) {
@@ -109,8 +109,13 @@
 			var loads sync.WaitGroup
 			loads.Go(func() { fleet.sendPath(ctx, method, crashPath, 10) })
 			loads.Go(func() { fleet.sendPath(ctx, method, "/open/other", 60) })
-			before := fleet.waitForCrashes(t, 3)
-			time.Sleep(2 * quarantineDelay)
+			waitFor(t, func() bool {
+				crashes, _ := fleet.crashes()
+				return crashes >= 3 || fleet.allQuarantine()
+			})
+			must.Wait(t, wait.InitialSuccess(wait.BoolFunc(fleet.allQuarantine), wait.Timeout(quarantineDelay), wait.Gap(5*time.Millisecond)))
+			_, before := fleet.crashes()
+			fleet.sendCopies(t, method, crashPath, 20)
 			cancel()
 			loads.Wait()
 			crashes, runs := fleet.crashes()
