backendproxy, ingress, selection: tell apart what reaches a service a second time

A proxy now tells the proxy beside the server that an attempt is a retry or a call of a repeated run; that one knows which of its runs are repeated, so that the ingress beside it recognizes their calls: by the request that the call names, else by a repeated run that is under way. Log lines (retry decided, repeated_call, repeat) and two counters show it. Nothing decides by it yet.

--- a/backendproxy/proxy.go
+++ b/backendproxy/proxy.go
@@ -41,6 +41,8 @@
 	Dialect Dialect
 	// FingerprintKey is the fleet's secret for fingerprints of requests.
 	FingerprintKey quarantine.Key
+	// Runs tracks the runs of the backend servers. The default is a tracker of the proxy's own.
+	Runs *RunTracker
 	// Quarantine decides which requests are refused because they crash backend servers. Nil
 	// means that none is.
 	Quarantine Quarantine
@@ -81,6 +83,9 @@
 	if config.Quarantine == nil {
 		config.Quarantine = noQuarantine{}
 	}
+	if config.Runs == nil {
+		config.Runs = NewRunTracker()
+	}
 	proxy := &Proxy{clock: config.Clock, log: config.Logger, logLimiter: linelimit.New(maxLogLinesPerSecond)}
 	proxy.loadReporter = &loadReporter{registry: config.Registry, monitor: config.HealthMonitor}
 	proxy.status = &statusObserver{registry: config.Registry, dialect: config.Dialect, log: config.Logger, lineLimiter: linelimit.New(maxStatusLinesPerSecond)}
@@ -92,7 +97,7 @@
 		quarantined,
 		&healthFilter{monitor: config.HealthMonitor},
 		&queueFilter{registry: config.Registry, status: proxy.status},
-		&runFilter{dispatcher: newDispatcher(config.Dialect), quarantined: quarantined, crashes: newCrashDetector(&config), keys: keys, pauseDetector: config.PauseDetector, monitor: config.HealthMonitor, loadReporter: proxy.loadReporter, status: proxy.status, clock: config.Clock},
+		&runFilter{dispatcher: newDispatcher(config.Dialect), quarantined: quarantined, crashes: newCrashDetector(&config), runs: config.Runs, keys: keys, pauseDetector: config.PauseDetector, monitor: config.HealthMonitor, loadReporter: proxy.loadReporter, status: proxy.status, clock: config.Clock},
 	)
 	return proxy
 }
@@ -115,6 +120,7 @@
 		Idempotent:    header.Get(pipeline.HeaderIdempotent) != "",
 		LastResort:    header.Get(pipeline.HeaderLastResort) != "",
 		Trial:         header.Get(pipeline.HeaderTrial) != "",
+		Repeat:        pipeline.ParseRepeat(header.Get(pipeline.HeaderRepeat)),
 		Urgency:       parseUrgency(header),
 		State:         &exchangeState{},
 	}
@@ -145,6 +151,8 @@
 		RateRefusals:   registry.rateRefusals.Load(),
 		InvalidRates:   p.status.invalidRates.Load(),
 		LeavingServers: registry.leavingServers.Load(),
+		Retries:        registry.retries.Load(),
+		RepeatedCalls:  registry.repeatedCalls.Load(),
 	}
 }
 
@@ -207,6 +215,9 @@
 	if fingerprint, known := exchange.Fingerprint(); known {
 		attributes = append(attributes, "fingerprint", fingerprint.String())
 	}
+	if exchange.Repeat != pipeline.RepeatNone {
+		attributes = append(attributes, "repeat", string(exchange.Repeat))
+	}
 	if cause := stateOf(exchange).cause; cause != nil {
 		attributes = append(attributes, "cause", cause.Error())
 	}
--- a/backendproxy/registry.go
+++ b/backendproxy/registry.go
@@ -146,6 +146,8 @@
 	// because of an advertised rate, leavingServers the servers that stated that they are
 	// leaving.
 	sent, rateRefusals, leavingServers atomic.Uint64
+	// retries and repeatedCalls count the dispatches of requests that repeat work.
+	retries, repeatedCalls atomic.Uint64
 
 	// mu guards the fields below.
 	mu      sync.Mutex
--- a/backendproxy/run.go
+++ b/backendproxy/run.go
@@ -21,6 +21,7 @@
 	dispatcher    *dispatcher
 	quarantined   *quarantineFilter
 	crashes       *crashDetector
+	runs          *RunTracker
 	keys          *keyChecker
 	pauseDetector *processpause.Detector
 	monitor       HealthMonitor
@@ -50,6 +51,8 @@
 	exchange.Hasher = f.quarantined.newHasher(exchange)
 	run := f.crashes.begin(exchange, slot)
 	defer run.end()
+	defer f.runs.begin(exchange)()
+	f.status.registry.countRepeat(exchange.Repeat)
 	response, outcome, err := f.dispatcher.dispatch(ctx, exchange, slot.Address, exchange.DispatchBy)
 	exchange.Outcome = outcome
 	if err != nil {
--- a/backendproxy/status.go
+++ b/backendproxy/status.go
@@ -28,6 +28,9 @@
 	InvalidRates uint64
 	// LeavingServers counts the servers that stated that they are leaving.
 	LeavingServers uint64
+	// Retries counts the further attempts of requests that were sent to backend servers, and
+	// RepeatedCalls the requests that were sent to them on behalf of repeated runs.
+	Retries, RepeatedCalls uint64
 }
 
 // statusObserver records what backend servers state about themselves in their responses.
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -28,6 +28,13 @@
 	MayRetry(exchange *pipeline.Exchange, outcome pipeline.Outcome) bool
 }
 
+// Runs knows the requests that the backend servers of this instance run. It is safe for
+// concurrent use.
+type Runs interface {
+	// IsRepeatedCall reports whether a repeated run sends the exchange's request.
+	IsRepeatedCall(exchange *pipeline.Exchange) bool
+}
+
 const (
 	// maxAttemptsIfUnreached limits the attempts of an exchange. An attempt that has
 	// not reached a backend server is followed by another one only if the exchange
@@ -48,6 +55,7 @@
 	local    http.Handler
 	selector Selector
 	retry    RetryPolicy
+	runs     Runs
 	guards   []AttemptGuard
 	clocks   *peerClocks
 
@@ -65,6 +73,7 @@
 	ctx, cancel := clock.WithDeadline(exchange.Request.Context(), exchange.Deadline)
 	defer cancel()
 
+	exchange.RepeatedCall = f.runs != nil && f.runs.IsRepeatedCall(exchange)
 	f.retry.RequestStarted(exchange)
 	attempts := &attemptTracker{}
 	for {
--- a/ingress/forwarded.go
+++ b/ingress/forwarded.go
@@ -34,6 +34,9 @@
 	if exchange.LastResort || candidate.LastResort {
 		header.Set(pipeline.HeaderLastResort, "1")
 	}
+	if repeat := exchange.NextRepeat(); repeat != pipeline.RepeatNone {
+		header.Set(pipeline.HeaderRepeat, string(repeat))
+	}
 	if exchange.Trial {
 		header.Set(pipeline.HeaderTrial, "1")
 	}
--- a/ingress/presentation.go
+++ b/ingress/presentation.go
@@ -16,6 +16,9 @@
 	// Timeout is how long the caller waits for the response. Zero means that the
 	// request does not say.
 	Timeout time.Duration
+	// CallerRequest is the ID of the request on behalf of which a backend server sends this
+	// one. Empty means that the request does not say.
+	CallerRequest string
 }
 
 // Presentation maps requests and responses to the conventions of the callers: which
@@ -36,10 +39,9 @@
 
 var _ Presentation = ProblemDocuments{}
 
-// ReadCaller implements Presentation. It generates a request id and reads nothing
-// from the request.
-func (ProblemDocuments) ReadCaller(*http.Request) CallerInfo {
-	return CallerInfo{RequestID: uuid.NewString()}
+// ReadCaller implements Presentation. It generates a request id.
+func (ProblemDocuments) ReadCaller(request *http.Request) CallerInfo {
+	return CallerInfo{RequestID: uuid.NewString(), CallerRequest: request.Header.Get(pipeline.HeaderCallerRequest)}
 }
 
 // WriteRefusal implements Presentation.
--- a/ingress/proxy.go
+++ b/ingress/proxy.go
@@ -45,6 +45,9 @@
 	Retry RetryPolicy
 	// Recorder records each exchange when it ends.
 	Recorder Recorder
+	// Runs knows the runs of the backend servers of this instance. Nil means that no request
+	// counts as sent by a repeated run.
+	Runs Runs
 	// Quarantine receives what backend proxies say about requests that were under way in
 	// crashes. Nil means that nothing does.
 	Quarantine Quarantine
@@ -82,6 +85,7 @@
 		local:    config.Local,
 		selector: config.Selector,
 		retry:    config.Retry,
+		runs:     config.Runs,
 		guards:   config.Guards,
 		clocks:   newPeerClocks(),
 
@@ -101,6 +105,7 @@
 		RequestID:     caller.RequestID,
 		Received:      clock.Now(),
 		CallerTimeout: caller.Timeout,
+		CallerRequest: caller.CallerRequest,
 		CallerService: p.config.CallerService,
 		Outcome:       pipeline.OutcomeNotRun,
 	}
--- a/node/local.go
+++ b/node/local.go
@@ -69,6 +69,12 @@
 	n.metrics.RegisterCounter("backend_leaving_servers", "Backend servers whose responses stated that they are leaving.", func() uint64 {
 		return n.backendProxy.Statistics().LeavingServers
 	})
+	n.metrics.RegisterCounter("backend_retries", "Further attempts of requests, sent to backend servers beside this instance.", func() uint64 {
+		return n.backendProxy.Statistics().Retries
+	})
+	n.metrics.RegisterCounter("backend_repeated_calls", "Requests of repeated runs, sent to backend servers beside this instance.", func() uint64 {
+		return n.backendProxy.Statistics().RepeatedCalls
+	})
 	n.metrics.RegisterGauge("backend_advertised_rate", "Sum of the rates that backend servers advertise, in requests per second.", func() float64 {
 		sum, _ := n.registry.AdvertisedRate()
 		return sum
--- a/node/node.go
+++ b/node/node.go
@@ -229,6 +229,7 @@
 		Logger:       n.logger,
 	})
 	n.members.HandlePayloads(n.quarantine.HandleMessage)
+	runs := backendproxy.NewRunTracker()
 	n.backendProxy = backendproxy.New(backendproxy.Config{
 		Registry:       n.registry,
 		View:           n.configuration.View,
@@ -238,6 +239,7 @@
 		Dialect:        n.options.Dialect,
 		FingerprintKey: n.fingerprintKey,
 		Quarantine:     n.quarantine,
+		Runs:           runs,
 		Logger:         n.logger,
 	})
 	n.registerBackendMetrics()
@@ -254,10 +256,11 @@
 		AdmissionFilters: []pipeline.Filter{n.collector, quarantineFilter, quotaFilter, orderFilter},
 		Guards:           []ingress.AttemptGuard{quarantineFilter, quotaFilter, orderFilter},
 		Quarantine:       n.quarantine,
+		Runs:             runs,
 		Remote:           n.endpoint,
 		Local:            n.backendProxy,
 		Selector:         selector,
-		Retry:            selection.NewRetryBudgets(n.countProxies),
+		Retry:            selection.NewRetryBudgets(n.countProxies, n.logger),
 		Presentation:     n.options.Presentation,
 		CallerService:    n.settings.Callers.Service,
 		Recorder:         recorders{metrics: n.metrics, collector: n.collector, requestLog: newRequestLog(n.logger)},
--- a/node/requestlog.go
+++ b/node/requestlog.go
@@ -57,6 +57,9 @@
 		attributes = append(attributes, "refusal", string(exchange.Refusal.Kind), "detail", exchange.Refusal.Detail,
 			"retry_after_ms", exchange.Refusal.RetryAfter.Milliseconds())
 	}
+	if exchange.RepeatedCall {
+		attributes = append(attributes, "repeated_call", true)
+	}
 	if exchange.Truncated {
 		attributes = append(attributes, "truncated", true)
 	}
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -62,6 +62,14 @@
 	// Implicated is the fingerprint of the request if it was under way in a crash and may have
 	// caused it, or nil. Only the ingress sets it.
 	Implicated *quarantine.Fingerprint
+	// CallerRequest is the ID of the request that the caller, a backend server, runs
+	// meanwhile. It is empty if the caller names none. Only the ingress sets it.
+	CallerRequest string
+	// RepeatedCall says that a repeated run of a backend server sends the request. Only the
+	// ingress sets it.
+	RepeatedCall bool
+	// Repeat says whether the attempt repeats work. Only the backend proxy sets it.
+	Repeat Repeat
 	// Trial says that the request is quarantined and that this is its trial run, which shows
 	// whether it still crashes backend servers.
 	Trial bool
@@ -145,6 +153,17 @@
 	}
 }
 
+// NextRepeat returns the Repeat of the next attempt.
+func (e *Exchange) NextRepeat() Repeat {
+	switch {
+	case e.RepeatedCall:
+		return RepeatCall
+	case e.ReachedAttempts > 0:
+		return RepeatRetry
+	}
+	return RepeatNone
+}
+
 // ServiceName returns the chosen service, or the service of the route if none has
 // been chosen yet.
 func (e *Exchange) ServiceName() fleetconfig.ServiceName {
--- a/pipeline/headers.go
+++ b/pipeline/headers.go
@@ -58,6 +58,12 @@
 	// HeaderTrial tells the backend proxy that the request is quarantined and that this is
 	// its trial run.
 	HeaderTrial = "Hemlock-Trial"
+	// HeaderRepeat tells the backend proxy that the request repeats one that may have reached a
+	// backend server before; see Repeat.
+	HeaderRepeat = "Hemlock-Repeat"
+	// HeaderCallerRequest may be set by a backend server that sends a request of its own. It
+	// names the request that the server runs meanwhile, by the value of HeaderRequestID.
+	HeaderCallerRequest = "Hemlock-Caller-Request"
 	// HeaderCrash carries to the ingress what the backend proxy knows about a request that
 	// was under way in a crash.
 	HeaderCrash = "Hemlock-Crash"
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -177,3 +177,13 @@
 	_, _ = hash.Write([]byte(account))
 	return &b.accounts[hash.Sum32()%accountBuckets]
 }
+
+// InWindow returns the requests and retries that count in the current window, and the retries
+// that are allowed in addition to the percentage. All are zero if the preset has no window.
+func (b *Budget) InWindow(now time.Time) (requests, retries int, floor float64) {
+	if b.window == nil {
+		return 0, 0, 0
+	}
+	requests, retries = b.window.counts(now)
+	return requests, retries, b.limits.floor
+}
--- a/retry/window.go
+++ b/retry/window.go
@@ -56,16 +56,21 @@
 // take counts a retry and reports true, unless the window's retries would then exceed the
 // share of its requests plus the floor.
 func (w *window) take(share, floor float64, now time.Time) bool {
+	requests, retries := w.counts(now)
+	if float64(retries+1) > share*float64(requests)+floor {
+		return false
+	}
+	w.at(w.current).retries++
+	return true
+}
+
+// counts returns the requests and retries that count in the window that ends now.
+func (w *window) counts(now time.Time) (requests, retries int) {
 	w.advance(now)
-	requests, retries := 0, 0
 	for i := range w.slots {
 		retries += w.slots[i].retries
 		requests += w.slots[i].requests
 	}
 	requests -= w.at(w.current + 1).requests // The oldest slot.
-	if float64(retries+1) > share*float64(requests)+floor {
-		return false
-	}
-	w.at(w.current).retries++
-	return true
+	return requests, retries
 }
--- a/selection/retry_budgets.go
+++ b/selection/retry_budgets.go
@@ -1,10 +1,13 @@
 package selection
 
 import (
+	"log/slog"
 	"sync"
+	"time"
 
 	"github.com/hemlockring/hemlockring/clock"
 	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/internal/linelimit"
 	"github.com/hemlockring/hemlockring/pipeline"
 	"github.com/hemlockring/hemlockring/retry"
 )
@@ -12,7 +15,9 @@
 // RetryBudgets holds the retry budgets of this ingress, one per service. It is safe for
 // concurrent use.
 type RetryBudgets struct {
-	proxyCount func() int
+	proxyCount  func() int
+	logger      *slog.Logger
+	lineLimiter *linelimit.Limiter
 
 	mu       sync.Mutex
 	services map[fleetconfig.ServiceName]*serviceBudget
@@ -27,11 +32,19 @@
 }
 
 // NewRetryBudgets returns empty retry budgets. proxyCount returns the number of proxies
-// in the fleet.
-func NewRetryBudgets(proxyCount func() int) *RetryBudgets {
-	return &RetryBudgets{proxyCount: proxyCount, services: make(map[fleetconfig.ServiceName]*serviceBudget)}
+// in the fleet. logger receives a line for each retry decision, up to maxRetryLinesPerSecond.
+func NewRetryBudgets(proxyCount func() int, logger *slog.Logger) *RetryBudgets {
+	return &RetryBudgets{
+		proxyCount:  proxyCount,
+		logger:      logger,
+		lineLimiter: linelimit.New(maxRetryLinesPerSecond),
+		services:    make(map[fleetconfig.ServiceName]*serviceBudget),
+	}
 }
 
+// maxRetryLinesPerSecond bounds the log messages about retry decisions.
+const maxRetryLinesPerSecond = 20
+
 // RequestStarted implements ingress.RetryPolicy.
 func (r *RetryBudgets) RequestStarted(exchange *pipeline.Exchange) {
 	r.mu.Lock()
@@ -44,7 +57,8 @@
 	now := clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	decision := r.budget(exchange).Decide(retry.Attempt{
+	budget := r.budget(exchange)
+	decision := budget.Decide(retry.Attempt{
 		Account:     exchange.Account,
 		Idempotent:  exchange.Idempotent,
 		Outcome:     outcome,
@@ -52,9 +66,24 @@
 		Attempts:    exchange.ReachedAttempts,
 		Remaining:   exchange.Remaining(now),
 	}, now)
+	r.log(exchange, budget, decision, now)
 	return decision == retry.DecisionRetry
 }
 
+// log writes a line with what decided on a retry. The caller must hold mu.
+func (r *RetryBudgets) log(exchange *pipeline.Exchange, budget *retry.Budget, decision retry.Decision, now time.Time) {
+	permitted, omitted := r.lineLimiter.Allow(now)
+	if omitted > 0 {
+		r.logger.Info("retry lines omitted", "lines", omitted)
+	}
+	if !permitted {
+		return
+	}
+	requests, retries, floor := budget.InWindow(now)
+	r.logger.Info("retry decided", "request", exchange.RequestID, "service", string(exchange.Service), "decision", decision.String(),
+		"attempts", exchange.ReachedAttempts, "requests", requests, "retries", retries, "floor", floor, "proxies", r.services[exchange.Service].proxyCount)
+}
+
 // budget returns the budget of the exchange's service, adapted to the current preset and
 // proxy count. The caller must hold mu.
 func (r *RetryBudgets) budget(exchange *pipeline.Exchange) *retry.Budget {
--- a/selection/retry_budgets_test.go
+++ b/selection/retry_budgets_test.go
@@ -1,6 +1,7 @@
 package selection
 
 import (
+	"log/slog"
 	"testing"
 	"time"
 
@@ -17,7 +18,7 @@
 	preset := fleetconfig.Preset{Name: "limited", RetryBudgetPercent: 1, RetryFloorPerSecond: 2, RetryWindow: 10 * time.Second}
 	view := fleetconfig.NewView(&fleetconfig.Document{Version: 1, Presets: []fleetconfig.Preset{preset}, ActivePreset: "limited"})
 	proxies := 10
-	retries := NewRetryBudgets(func() int { return proxies })
+	retries := NewRetryBudgets(func() int { return proxies }, slog.New(slog.DiscardHandler))
 	allowed := func() int {
 		count := 0
 		for i := range 40 {
