retry, backendproxy: count repeats where they arrive

Cause: each ingress counted the retries that it decided on, from a window of its own and an equal part of the fleet's floor. What arrived was something else: a repeated run sends its calls again, and no budget of the called service counted them; a restarted process had an empty window; each side of a partition divided the floor by the instances that it saw; and a retry arrived later than it was counted.

Change: the proxy beside each backend server counts what the server receives. First requests earn credit that expires; a repeat, that is, a retry or a call of a repeated run, is sent only if the server has credit for it, which is charged right before the dispatch. A new process has no credit. So no count of proxies, no delay on the way and no restart changes the sum: in any window it is at most a share of the first requests in the window and one lifetime of credit before, and a small part for each server. An ingress whose repeat is refused tries up to four servers, then pauses the service's retries for 250 ms; it keeps the limits for each account.

TestRetryBudgetsDivideByProxyCount tested the division that is gone.

--- a/backendproxy/proxy.go
+++ b/backendproxy/proxy.go
@@ -91,13 +91,15 @@
 	proxy.status = &statusObserver{registry: config.Registry, dialect: config.Dialect, log: config.Logger, lineLimiter: linelimit.New(maxStatusLinesPerSecond)}
 	keys := &keyChecker{view: config.View}
 	quarantined := &quarantineFilter{key: config.FingerprintKey, quarantine: config.Quarantine}
+	repeats := &repeatFilter{registry: config.Registry}
 	proxy.chain = pipeline.NewChain(
 		&verifyFilter{keys: keys, pauseDetector: config.PauseDetector, clock: config.Clock},
 		&drainFilter{draining: &proxy.draining},
 		quarantined,
 		&healthFilter{monitor: config.HealthMonitor},
+		repeats,
 		&queueFilter{registry: config.Registry, status: proxy.status},
-		&runFilter{dispatcher: newDispatcher(config.Dialect), quarantined: quarantined, crashes: newCrashDetector(&config), runs: config.Runs, keys: keys, pauseDetector: config.PauseDetector, monitor: config.HealthMonitor, loadReporter: proxy.loadReporter, status: proxy.status, clock: config.Clock},
+		&runFilter{dispatcher: newDispatcher(config.Dialect), quarantined: quarantined, crashes: newCrashDetector(&config), runs: config.Runs, repeats: repeats, keys: keys, pauseDetector: config.PauseDetector, monitor: config.HealthMonitor, loadReporter: proxy.loadReporter, status: proxy.status, clock: config.Clock},
 	)
 	return proxy
 }
@@ -153,6 +155,7 @@
 		LeavingServers: registry.leavingServers.Load(),
 		Retries:        registry.retries.Load(),
 		RepeatedCalls:  registry.repeatedCalls.Load(),
+		RepeatRefusals: registry.repeatRefusals.Load(),
 	}
 }
 
--- a/backendproxy/registry.go
+++ b/backendproxy/registry.go
@@ -13,6 +13,7 @@
 	"github.com/hemlockring/hemlockring/clock"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/membership"
+	"github.com/hemlockring/hemlockring/retry"
 	"github.com/hemlockring/hemlockring/throttle"
 )
 
@@ -115,6 +116,8 @@
 	leavingStatedAt time.Time
 	// sent counts the requests for which a slot was assigned.
 	sent uint64
+	// repeats limits the repeats that the server receives.
+	repeats retry.RepeatBudget
 	// publishedRate is the state of the rate limit that was last published.
 	publishedRate throttle.State
 }
@@ -146,8 +149,9 @@
 	// because of an advertised rate, leavingServers the servers that stated that they are
 	// leaving.
 	sent, rateRefusals, leavingServers atomic.Uint64
-	// retries and repeatedCalls count the dispatches of requests that repeat work.
-	retries, repeatedCalls atomic.Uint64
+	// retries and repeatedCalls count the dispatches of requests that repeat work,
+	// repeatRefusals the requests that were refused because they repeat work.
+	retries, repeatedCalls, repeatRefusals atomic.Uint64
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -174,6 +178,9 @@
 	// RateOverage returns by how much the rate that a backend server advertises may be
 	// exceeded, as a share of it, for requests that no other server can run at once.
 	RateOverage() float64
+	// RepeatLimits returns the limits on the repeats that each backend server of the service
+	// receives, and false if there are none.
+	RepeatLimits(service fleetconfig.ServiceName) (retry.RepeatLimits, bool)
 }
 
 // NewRegistry returns an empty registry. The registry calls onChange, with its lock held,
--- a/backendproxy/registry_test.go
+++ b/backendproxy/registry_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/membership"
+	"github.com/hemlockring/hemlockring/retry"
 )
 
 // testRegistry is a registry together with the servers that it last published.
@@ -27,6 +28,8 @@
 // testLimits are Limits that a test can set.
 type testLimits struct {
 	maxConnections uint32
+	// repeats limits repeats, unless it is zero.
+	repeats retry.RepeatLimits
 }
 
 func (*testLimits) QueueLength() int { return 8 }
@@ -35,6 +38,10 @@
 
 func (l *testLimits) MaxConnections(fleetconfig.ServiceName) uint32 { return l.maxConnections }
 
+func (l *testLimits) RepeatLimits(fleetconfig.ServiceName) (retry.RepeatLimits, bool) {
+	return l.repeats, l.repeats != retry.RepeatLimits{}
+}
+
 func (a *testRegistry) announce(t *testing.T, id string, processStart int64, sequence uint64, change func(*Announcement)) {
 	t.Helper()
 	announcement := Announcement{
--- /dev/null
+++ b/backendproxy/repeats.go
@@ -0,0 +1,103 @@
+package backendproxy
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/hemlockring/hemlockring/clock"
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/pipeline"
+)
+
+// repeatFilter refuses a repeat, before it waits for a slot, if the backend server may receive
+// none now. The ingress then sends it to another backend server.
+type repeatFilter struct {
+	registry *Registry
+}
+
+func (*repeatFilter) Name() string { return "repeat" }
+
+func (f *repeatFilter) Request(exchange *pipeline.Exchange) error {
+	if exchange.Repeat == pipeline.RepeatNone || f.registry.mayRepeat(exchange.BackendServer, exchange.Service, clock.Now()) {
+		return nil
+	}
+	return f.refuse()
+}
+
+// beginDispatch charges the request to the budget of its server, right before the dispatch. It
+// returns a refusal if the server may receive no repeat now.
+func (f *repeatFilter) beginDispatch(exchange *pipeline.Exchange, now time.Time) error {
+	if !f.registry.chargeRepeat(exchange.BackendServer, exchange.Service, exchange.Repeat, now) {
+		return f.refuse()
+	}
+	return nil
+}
+
+// undoDispatch returns the charge of a request that did not reach the server.
+func (f *repeatFilter) undoDispatch(exchange *pipeline.Exchange) {
+	if exchange.Repeat != pipeline.RepeatNone {
+		f.registry.returnRepeat(exchange.BackendServer, exchange.Service, clock.Now())
+	}
+}
+
+func (f *repeatFilter) refuse() error {
+	f.registry.repeatRefusals.Add(1)
+	return pipeline.NewNotRunRefusal(pipeline.KindRetryBudget, http.StatusServiceUnavailable,
+		"the backend server has received as many repeats as its requests allow", "send the request to another backend server", retryElsewhere)
+}
+
+// mayRepeat reports whether a backend server may receive a repeat now.
+func (r *Registry) mayRepeat(id fleetconfig.BackendServerID, service fleetconfig.ServiceName, now time.Time) bool {
+	limits, limited := r.limits.RepeatLimits(service)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	server := r.servers[id]
+	return !limited || server == nil || server.repeats.Available(limits, now)
+}
+
+// chargeRepeat records that a request is about to be sent to a backend server. It returns false
+// if the request is a repeat and the server may receive none now.
+func (r *Registry) chargeRepeat(id fleetconfig.BackendServerID, service fleetconfig.ServiceName, repeat pipeline.Repeat, now time.Time) bool {
+	limits, limited := r.limits.RepeatLimits(service)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	server := r.servers[id]
+	switch {
+	case !limited:
+	case repeat != pipeline.RepeatNone:
+		// A server that has just left the registry has no budget any more.
+		if server == nil || !server.repeats.Take(limits, now) {
+			return false
+		}
+	case server != nil:
+		server.repeats.RecordFirst(limits, now)
+	}
+	switch repeat {
+	case pipeline.RepeatRetry:
+		r.retries.Add(1)
+	case pipeline.RepeatCall:
+		r.repeatedCalls.Add(1)
+	}
+	return true
+}
+
+// returnRepeat returns the charge of a repeat that did not reach its backend server.
+func (r *Registry) returnRepeat(id fleetconfig.BackendServerID, service fleetconfig.ServiceName, now time.Time) {
+	limits, limited := r.limits.RepeatLimits(service)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if server := r.servers[id]; limited && server != nil {
+		server.repeats.Return(limits, now)
+	}
+}
+
+// RepeatCredit returns how many repeats the backend servers may receive now, in total.
+func (r *Registry) RepeatCredit() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	credit := 0.0
+	for _, server := range r.servers {
+		credit += server.repeats.Credit()
+	}
+	return credit
+}
--- /dev/null
+++ b/backendproxy/repeats_test.go
@@ -0,0 +1,86 @@
+package backendproxy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/hemlockring/hemlockring/clock"
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/pipeline"
+	"github.com/hemlockring/hemlockring/retry"
+)
+
+// First requests earn credit for repeats, a restarted server has none, and a repeat that did not
+// reach its server is not charged.
+func TestRegistryChargesRepeats(t *testing.T) {
+	registry := newTestRegistry()
+	registry.limits.repeats = retry.RepeatLimits{Share: 0.5, Lifetime: time.Minute}
+	registry.announce(t, "s1", 1, 1, nil)
+	now := clock.Now()
+	charge := func(repeat pipeline.Repeat) bool { return registry.chargeRepeat("s1", "catalogue", repeat, now) }
+	must.False(t, charge(pipeline.RepeatRetry))
+	for range 4 {
+		must.True(t, charge(pipeline.RepeatNone))
+	}
+	must.Eq(t, 2, registry.RepeatCredit())
+	must.True(t, charge(pipeline.RepeatRetry))
+	must.True(t, charge(pipeline.RepeatCall))
+	must.False(t, charge(pipeline.RepeatCall))
+	registry.returnRepeat("s1", "catalogue", now)
+	must.True(t, registry.mayRepeat("s1", "catalogue", now))
+	registry.announce(t, "s1", 2, 1, nil)
+	must.False(t, registry.mayRepeat("s1", "catalogue", now))
+	must.Eq(t, 1, registry.retries.Load())
+	must.Eq(t, 1, registry.repeatedCalls.Load())
+}
+
+// A repeat at a server that has left after it was admitted is refused, since nothing counts it.
+func TestRepeatAtDepartedServerRefused(t *testing.T) {
+	registry := newTestRegistry()
+	registry.limits.repeats = retry.RepeatLimits{Share: 1, Lifetime: time.Minute}
+	now := clock.Now()
+	must.False(t, registry.chargeRepeat("s1", "catalogue", pipeline.RepeatRetry, now))
+	must.True(t, registry.chargeRepeat("s1", "catalogue", pipeline.RepeatNone, now))
+}
+
+// The requests that a server sends are told apart by the run that they name, also after that run
+// has ended, and otherwise by a repeated run that is under way.
+func TestRunTrackerRecognizesCallsOfRepeatedRuns(t *testing.T) {
+	tracker := NewRunTracker()
+	run := func(id string, repeat pipeline.Repeat) func() {
+		return tracker.begin(&pipeline.Exchange{RequestID: id, Repeat: repeat, Deadline: clock.Now().Add(time.Minute)})
+	}
+	repeatedCall := func(caller, account string) bool {
+		return tracker.IsRepeatedCall(&pipeline.Exchange{CallerRequest: caller, Account: fleetconfig.AccountID(account)})
+	}
+	endFirst := run("first", pipeline.RepeatNone)
+	must.False(t, repeatedCall("first", ""))
+	must.False(t, repeatedCall("", ""))
+	endSecond := run("second", pipeline.RepeatRetry)
+	must.True(t, repeatedCall("second", ""))
+	must.False(t, repeatedCall("first", ""))
+	must.True(t, repeatedCall("", ""))
+	must.True(t, repeatedCall("unknown", ""))
+	must.False(t, repeatedCall("", "acme"))
+	endSecond()
+	must.True(t, repeatedCall("second", ""))
+	must.False(t, repeatedCall("", ""))
+	endFirst()
+	endNested := run("first", pipeline.RepeatCall)
+	must.True(t, repeatedCall("first", ""))
+	endNested()
+}
+
+// Runs are forgotten after their deadline, so that the tracker stays small.
+func TestRunTrackerForgetsRunsAfterDeadline(t *testing.T) {
+	tracker := NewRunTracker()
+	for i := range 100 {
+		tracker.begin(&pipeline.Exchange{RequestID: fmt.Sprint(i), Repeat: pipeline.RepeatRetry, Deadline: clock.Now()})()
+	}
+	tracker.sweep(clock.Now().Add(2 * runSweepInterval))
+	must.MapEmpty(t, tracker.runs)
+	must.Eq(t, 0, tracker.repeatsUnderWay)
+}
--- a/backendproxy/run.go
+++ b/backendproxy/run.go
@@ -22,6 +22,7 @@
 	quarantined   *quarantineFilter
 	crashes       *crashDetector
 	runs          *RunTracker
+	repeats       *repeatFilter
 	keys          *keyChecker
 	pauseDetector *processpause.Detector
 	monitor       HealthMonitor
@@ -46,17 +47,23 @@
 	if !admitted {
 		return refuseSuspect()
 	}
+	if err := f.repeats.beginDispatch(exchange, now); err != nil {
+		observation.End(health.ResultCanceled, now)
+		return err
+	}
 	ctx, cancel := clock.WithDeadline(exchange.Request.Context(), exchange.Deadline)
 	defer cancel()
 	exchange.Hasher = f.quarantined.newHasher(exchange)
 	run := f.crashes.begin(exchange, slot)
 	defer run.end()
 	defer f.runs.begin(exchange)()
-	f.status.registry.countRepeat(exchange.Repeat)
 	response, outcome, err := f.dispatcher.dispatch(ctx, exchange, slot.Address, exchange.DispatchBy)
 	exchange.Outcome = outcome
 	if err != nil {
 		stateOf(exchange).cause = err
+		if outcome == pipeline.OutcomeNotRun {
+			f.repeats.undoDispatch(exchange)
+		}
 		result := resultOfError(exchange, err)
 		if result == health.ResultFailed && outcome == pipeline.OutcomeUnknown {
 			if evidence, crashed := run.serverCrashed(); crashed {
--- a/backendproxy/runs.go
+++ b/backendproxy/runs.go
@@ -96,13 +96,3 @@
 	}
 	return t.repeatsUnderWay > 0 && exchange.Account == ""
 }
-
-// countRepeat counts the dispatch of a request that repeats work.
-func (r *Registry) countRepeat(repeat pipeline.Repeat) {
-	switch repeat {
-	case pipeline.RepeatRetry:
-		r.retries.Add(1)
-	case pipeline.RepeatCall:
-		r.repeatedCalls.Add(1)
-	}
-}
--- a/backendproxy/status.go
+++ b/backendproxy/status.go
@@ -31,6 +31,9 @@
 	// Retries counts the further attempts of requests that were sent to backend servers, and
 	// RepeatedCalls the requests that were sent to them on behalf of repeated runs.
 	Retries, RepeatedCalls uint64
+	// RepeatRefusals counts those that were refused because the server may receive no more
+	// repeats now.
+	RepeatRefusals uint64
 }
 
 // statusObserver records what backend servers state about themselves in their responses.
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -26,6 +26,9 @@
 	// ended with the given outcome. If so, it charges the attempt to the retry
 	// budget.
 	MayRetry(exchange *pipeline.Exchange, outcome pipeline.Outcome) bool
+	// RetryRefused records that maxRetryRefusals backend proxies refused the exchange,
+	// because their servers may receive no more repeats now.
+	RetryRefused(exchange *pipeline.Exchange)
 }
 
 // Runs knows the requests that the backend servers of this instance run. It is safe for
@@ -46,6 +49,9 @@
 	// request is marked as last resort (Exchange.LastResort): the service itself is
 	// probably failing, and one of its backend servers is as good as another.
 	maxSuspectRefusals = 4
+	// maxRetryRefusals is how many backend proxies may refuse a request because their
+	// servers may receive no more repeats now, before it is given up.
+	maxRetryRefusals = 4
 )
 
 // forwardFilter selects backend servers and sends the request to their backend
@@ -92,6 +98,10 @@
 			return nil
 		}
 		attempts.add(exchange, candidate, refusal)
+		if attempts.retryRefusals >= maxRetryRefusals {
+			f.retry.RetryRefused(exchange)
+			return refusal
+		}
 		if !f.mayRetry(ctx, exchange, refusal, body) {
 			return refusal
 		}
@@ -107,6 +117,9 @@
 	// suspectRefusals counts the attempts that were refused because the backend
 	// server is suspected of failure.
 	suspectRefusals int
+	// retryRefusals counts the attempts that were refused because the backend server may
+	// receive no more repeats now.
+	retryRefusals int
 	// lastResortStarted says that startLastResort has permitted further attempts,
 	// which it does once for each exchange.
 	lastResortStarted bool
@@ -122,6 +135,9 @@
 	}
 	t.lastRefusal = refusal
 	t.tried = append(t.tried, candidate)
+	if refusal.Kind == pipeline.KindRetryBudget {
+		t.retryRefusals++
+	}
 	if refusal.Kind == pipeline.KindServerSuspect {
 		t.suspectRefusals++
 		exchange.LastResort = exchange.LastResort || t.suspectRefusals >= maxSuspectRefusals
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -36,7 +36,11 @@
 	attempted  []int
 	// retryBudget is how many more retries MayRetry permits.
 	retryBudget int
-	results     []Attempt
+	// retriesRefused counts the calls of RetryRefused.
+	retriesRefused int
+	// runs is the tracker of runs that the ingress asks.
+	runs    Runs
+	results []Attempt
 }
 
 func (s *fakeFleet) RoundTrip(address string, request *http.Request, _ transport.ConnectionClass) (*http.Response, error) {
@@ -67,6 +71,8 @@
 	return s.retryBudget >= 0
 }
 
+func (s *fakeFleet) RetryRefused(*pipeline.Exchange) { s.retriesRefused++ }
+
 func (*fakeFleet) Record(*pipeline.Exchange, time.Duration) {}
 
 // fakeConfiguration has a fixed view. It is current unless stale is set.
@@ -141,6 +147,7 @@
 		Remote:        s,
 		Selector:      s,
 		Retry:         s,
+		Runs:          s.runs,
 		Recorder:      s,
 		Logger:        slog.New(slog.DiscardHandler),
 	})
@@ -316,3 +323,45 @@
 	must.Eq(t, "not-run", recorder.Header().Get(pipeline.HeaderOutcome))
 	must.Eq(t, string(pipeline.KindServerRateLimited), recorder.Header().Get(pipeline.HeaderRefusal))
 }
+
+// fakeRuns says that every request comes from a repeated run, or that none does.
+type fakeRuns bool
+
+func (r fakeRuns) IsRepeatedCall(*pipeline.Exchange) bool { return bool(r) }
+
+// The backend proxy must learn that an attempt repeats one that may have reached a server, or that
+// a repeated run sends it.
+func TestForwardMarksRepeats(t *testing.T) {
+	var repeats []string
+	record := func(respond func(*http.Request) (*http.Response, error)) func(*http.Request) (*http.Response, error) {
+		return func(request *http.Request) (*http.Response, error) {
+			repeats = append(repeats, request.Header.Get(pipeline.HeaderRepeat))
+			return respond(request)
+		}
+	}
+	fleet := &fakeFleet{responders: []func(*http.Request) (*http.Response, error){
+		record(respondRefusal(pipeline.KindBusy, pipeline.OutcomeNotRun, false)),
+		record(respondStatus(http.StatusInternalServerError)),
+		record(respondStatus(http.StatusOK)),
+	}}
+	must.Eq(t, http.StatusOK, fleet.serve(fleetconfig.IdempotentAlways, 3, 1).Code)
+	must.Eq(t, []string{"", "", "retry"}, repeats)
+	repeats, fleet.runs = nil, fakeRuns(true)
+	must.Eq(t, http.StatusOK, fleet.serve(fleetconfig.IdempotentAlways, 3, 1).Code)
+	must.Eq(t, []string{"call", "call", "call"}, repeats)
+}
+
+// A request whose repeats the servers may not receive is given up after maxRetryRefusals of them, with what is
+// known of its first attempt.
+func TestForwardGivesUpWhenServersMayReceiveNoRepeats(t *testing.T) {
+	exhausted := respondRefusal(pipeline.KindRetryBudget, pipeline.OutcomeNotRun, false)
+	fleet := &fakeFleet{responders: []func(*http.Request) (*http.Response, error){
+		respondStatus(http.StatusInternalServerError), exhausted, exhausted, exhausted, exhausted, respondStatus(http.StatusOK),
+	}}
+	must.Eq(t, http.StatusBadGateway, fleet.serve(fleetconfig.IdempotentAlways, 3, 10).Code)
+	must.Eq(t, []int{0, 1, 2, 3, 4}, fleet.attempted)
+	must.Eq(t, 9, fleet.retryBudget)
+	must.Eq(t, 1, fleet.retriesRefused)
+	fleet.responders[4] = respondStatus(http.StatusOK)
+	must.Eq(t, http.StatusOK, fleet.serve(fleetconfig.IdempotentAlways, 3, 10).Code)
+}
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -186,10 +186,6 @@
 	return alive
 }
 
-// countProxies returns the number of instances with the role proxy that are not known to
-// be dead or to have left. This instance counts if it has the role.
-func (n *Node) countProxies() int { return n.members.Snapshot().ProxyCount }
-
 func addressOf(record *membership.Record) fleetconfig.InstanceAddress {
 	return fleetconfig.InstanceAddress{ID: record.ID, Address: record.Address, FailureDomain: record.FailureDomain}
 }
--- a/node/local.go
+++ b/node/local.go
@@ -6,6 +6,7 @@
 	"net/http/pprof"
 
 	"github.com/hemlockring/hemlockring/clock"
+	"github.com/hemlockring/hemlockring/selection"
 )
 
 // readiness is the body of the reply to GET /readyz.
@@ -75,6 +76,10 @@
 	n.metrics.RegisterCounter("backend_repeated_calls", "Requests of repeated runs, sent to backend servers beside this instance.", func() uint64 {
 		return n.backendProxy.Statistics().RepeatedCalls
 	})
+	n.metrics.RegisterCounter("backend_repeat_refusals", "Requests refused because a backend server may receive no more repeats now.", func() uint64 {
+		return n.backendProxy.Statistics().RepeatRefusals
+	})
+	n.metrics.RegisterGauge("backend_repeat_credit", "Repeats that the backend servers beside this instance may receive now.", n.registry.RepeatCredit)
 	n.metrics.RegisterGauge("backend_advertised_rate", "Sum of the rates that backend servers advertise, in requests per second.", func() float64 {
 		sum, _ := n.registry.AdvertisedRate()
 		return sum
@@ -85,6 +90,18 @@
 	})
 }
 
+// registerRetryMetrics registers the metrics of the ingress's retry budgets.
+func (n *Node) registerRetryMetrics(retries *selection.RetryBudgets) {
+	n.metrics.RegisterCounter("ingress_retries", "Retries that the retry budgets of this ingress allowed.", func() uint64 {
+		allowed, _ := retries.Statistics()
+		return allowed
+	})
+	n.metrics.RegisterCounter("ingress_retries_refused", "Retries refused for want of budget, at this ingress or by backend proxies.", func() uint64 {
+		_, refused := retries.Statistics()
+		return refused
+	})
+}
+
 // registerTrafficMetrics registers the byte counters of the fleet port.
 func (n *Node) registerTrafficMetrics() {
 	n.metrics.RegisterCounter("fleet_sent_bytes", "UDP payload bytes sent on the fleet port.", func() uint64 {
--- a/node/node.go
+++ b/node/node.go
@@ -31,6 +31,7 @@
 	"github.com/hemlockring/hemlockring/quota"
 	"github.com/hemlockring/hemlockring/quotadriver"
 	"github.com/hemlockring/hemlockring/report"
+	"github.com/hemlockring/hemlockring/retry"
 	"github.com/hemlockring/hemlockring/selection"
 	"github.com/hemlockring/hemlockring/settings"
 	"github.com/hemlockring/hemlockring/shard"
@@ -221,7 +222,7 @@
 	n.registry = backendproxy.NewRegistry(func(servers []backendproxy.LocalServer) {
 		n.ejection.SetServers(servers)
 		n.members.SetServers(backendproxy.MembershipServers(servers))
-	}, serverLimits{n.configuration})
+	}, serverLimits{n.configuration, n.members})
 	n.quarantine = quarantinedriver.New(quarantinedriver.Config{
 		Members:      n.members.Snapshot,
 		Send:         n.members.SendPayload,
@@ -249,6 +250,8 @@
 	orderFilter := &orders.Filter{Service: n.orders, MaxBodyBytes: orders.DefaultMaxBodyBytes}
 	selector := selection.New(selection.Config{Members: n.members.Snapshot, View: n.configuration.View})
 	n.members.EnableLoadReports(n.backendProxy.Loads, selector.HandleLoadReports)
+	retries := selection.NewRetryBudgets(n.logger)
+	n.registerRetryMetrics(retries)
 	n.ingress = ingress.New(ingress.Config{
 		KeyHeader:        n.settings.Callers.KeyHeader,
 		Configuration:    n.configuration,
@@ -260,7 +263,7 @@
 		Remote:           n.endpoint,
 		Local:            n.backendProxy,
 		Selector:         selector,
-		Retry:            selection.NewRetryBudgets(n.countProxies, n.logger),
+		Retry:            retries,
 		Presentation:     n.options.Presentation,
 		CallerService:    n.settings.Callers.Service,
 		Recorder:         recorders{metrics: n.metrics, collector: n.collector, requestLog: newRequestLog(n.logger)},
@@ -271,6 +274,7 @@
 // serverLimits implements backendproxy.Limits by the configuration in force.
 type serverLimits struct {
 	configuration ingress.Configuration
+	members       *gossip.Service
 }
 
 // QueueLength implements backendproxy.Limits.
@@ -284,6 +288,11 @@
 	return float64(l.configuration.View().ActivePreset().RateOveragePercent) / percent
 }
 
+// RepeatLimits implements backendproxy.Limits.
+func (l serverLimits) RepeatLimits(service fleetconfig.ServiceName) (retry.RepeatLimits, bool) {
+	return retry.RepeatLimitsOf(l.configuration.View().ActivePreset(), len(l.members.Snapshot().Servers(service)))
+}
+
 // MaxConnections implements backendproxy.Limits.
 func (l serverLimits) MaxConnections(name fleetconfig.ServiceName) uint32 {
 	if service := l.configuration.View().Service(name); service != nil {
--- a/pipeline/refusal.go
+++ b/pipeline/refusal.go
@@ -35,6 +35,9 @@
 	KindIdempotencyKeyReused    RefusalKind = "idempotency-key-reused"
 	KindIdempotencyUnavailable  RefusalKind = "idempotency-unavailable"
 	KindOutcomeUnknown          RefusalKind = "outcome-unknown"
+	// KindRetryBudget means that the backend servers may receive no more repeats now. It is
+	// also sent by a backend proxy to an ingress, which then tries another server.
+	KindRetryBudget RefusalKind = "retry-budget-exhausted"
 	// KindServerCrashed means that the backend server crashed while the request was under
 	// way, and KindQuarantined that the request has crashed backend servers before.
 	KindServerCrashed RefusalKind = "backend-server-crashed"
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -51,71 +51,42 @@
 // retries are counted anew from the next request on. In a period that starts later, the
 // retries that accumulated before its start can be taken in addition. The invariant holds
 // for the service, and for each account together with the accounts that share its bucket.
-// Under a preset with limits for the whole fleet (Preset.RetryWindow), the service's
-// retries are counted in a window instead: over all proxies they are at most the percentage
-// of the window's requests plus the fleet's floor (Preset.RetryFloorPerSecond multiplied by
-// the window).
+// Under a preset with limits for the whole fleet (Preset.RetryWindow), it holds for the accounts
+// only: the proxies beside the backend servers limit the service's retries; see RepeatBudget.
 type Budget struct {
 	// share is the percentage of the preset as a fraction.
-	share   float64
-	limits  limits
-	service bucket
-	// window replaces service under a preset with limits for the whole fleet.
-	window   *window
-	accounts []bucket
+	share float64
+	// fleetWide says that the preset has limits for the whole fleet.
+	fleetWide bool
+	// pausedUntil is the time until which no retry is allowed; see Exhausted.
+	pausedUntil time.Time
+	service     bucket
+	accounts    []bucket
 }
 
+// exhaustedPause is how long an ingress allows no retry of a service after servers had no
+// credit for one.
+const exhaustedPause = 250 * time.Millisecond
+
 // NewBudget returns a budget with the percentage of a preset.
 func NewBudget(preset *fleetconfig.Preset) *Budget {
-	budget := &Budget{limits: localLimits}
+	budget := &Budget{}
 	budget.SetPreset(preset)
 	return budget
 }
 
-// limits bounds the balances, in retries, and sets the minimum rates, in retries per
-// second.
-type limits struct {
-	serviceRate, accountRate   float64
-	serviceLimit, accountLimit float64
-	// window is the time over which the service's retries are counted, or zero. floor is
-	// how many retries are allowed in it in addition to the percentage.
-	window time.Duration
-	floor  float64
-}
-
-// localLimits apply if the preset sets no limits for the whole fleet.
-var localLimits = limits{
-	serviceRate:  minServiceRate,
-	accountRate:  minAccountRate,
-	serviceLimit: maxServiceBalance,
-	accountLimit: maxAccountBalance,
-}
-
-// SetFleetLimits sets this ingress's equal share of the limits that a preset sets for a
-// fleet with the given number of proxies. All shares together stay within the limits as
-// long as this number is correct.
-func (b *Budget) SetFleetLimits(preset *fleetconfig.Preset, proxies int) {
-	if preset.RetryWindow <= 0 {
-		b.limits, b.window = localLimits, nil
-		return
-	}
-	rate := preset.RetryFloorPerSecond / float64(max(proxies, 1))
-	floor := rate * preset.RetryWindow.Seconds()
-	if b.window != nil && b.limits.window != preset.RetryWindow {
-		b.window = nil
-	}
-	b.limits = limits{accountRate: rate, accountLimit: max(1, floor), window: preset.RetryWindow, floor: floor}
-}
+// Exhausted records that the servers to which a retry was sent had no credit for it.
+func (b *Budget) Exhausted(now time.Time) { b.pausedUntil = now.Add(exhaustedPause) }
 
 // SetPreset changes the percentage while requests run. Accumulated retries are kept unless
 // the percentage is zero.
 func (b *Budget) SetPreset(preset *fleetconfig.Preset) {
 	b.share = float64(preset.RetryBudgetPercent) / percent
+	b.fleetWide = preset.RetryWindow > 0
 	if b.share > 0 {
 		return
 	}
-	b.service, b.window = bucket{}, nil
-	b.accounts = nil
+	b.service, b.accounts = bucket{}, nil
 }
 
 // RecordRequest records the first attempt of a request, which adds to the budget.
@@ -125,48 +96,30 @@
 	}
 	accountBucket := b.account(account)
 	b.fill(accountBucket, now)
-	if b.window != nil {
-		b.window.request(now)
-	} else {
-		b.service.balance = min(b.limits.serviceLimit, b.service.balance+b.share)
-	}
-	accountBucket.balance = min(b.limits.accountLimit, accountBucket.balance+b.share)
+	b.service.balance = min(maxServiceBalance, b.service.balance+b.share)
+	accountBucket.balance = min(maxAccountBalance, accountBucket.balance+b.share)
 }
 
 // Take takes one retry from the budget. It reports whether one was available.
 func (b *Budget) Take(account fleetconfig.AccountID, now time.Time) bool {
-	if b.share <= 0 {
+	if b.share <= 0 || now.Before(b.pausedUntil) {
 		return false
 	}
 	accountBucket := b.account(account)
 	b.fill(accountBucket, now)
-	if accountBucket.balance < 1 || !b.takeFromService(now) {
+	if accountBucket.balance < 1 || (!b.fleetWide && b.service.balance < 1) {
 		return false
 	}
-	accountBucket.balance--
-	return true
-}
-
-func (b *Budget) takeFromService(now time.Time) bool {
-	if b.window != nil {
-		return b.window.take(b.share, b.limits.floor, now)
-	}
-	if b.service.balance < 1 {
-		return false
+	if !b.fleetWide {
+		b.service.balance--
 	}
-	b.service.balance--
+	accountBucket.balance--
 	return true
 }
 
 func (b *Budget) fill(accountBucket *bucket, now time.Time) {
-	if b.limits.window > 0 {
-		if b.window == nil {
-			b.window = newWindow(b.limits.window, now)
-		}
-	} else {
-		b.service.fill(b.limits.serviceRate, b.limits.serviceLimit, now)
-	}
-	accountBucket.fill(b.limits.accountRate, b.limits.accountLimit, now)
+	b.service.fill(minServiceRate, maxServiceBalance, now)
+	accountBucket.fill(minAccountRate, maxAccountBalance, now)
 }
 
 func (b *Budget) account(account fleetconfig.AccountID) *bucket {
@@ -177,13 +130,3 @@
 	_, _ = hash.Write([]byte(account))
 	return &b.accounts[hash.Sum32()%accountBuckets]
 }
-
-// InWindow returns the requests and retries that count in the current window, and the retries
-// that are allowed in addition to the percentage. All are zero if the preset has no window.
-func (b *Budget) InWindow(now time.Time) (requests, retries int, floor float64) {
-	if b.window == nil {
-		return 0, 0, 0
-	}
-	requests, retries = b.window.counts(now)
-	return requests, retries, b.limits.floor
-}
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -54,24 +54,6 @@
 	DecisionBudgetExhausted
 )
 
-// String returns the decision's name in log lines.
-func (d Decision) String() string {
-	switch d {
-	case DecisionRetry:
-		return "retry"
-	case DecisionNotNeeded:
-		return "not-needed"
-	case DecisionMayHaveRun:
-		return "may-have-run"
-	case DecisionAttemptsExhausted:
-		return "attempts-exhausted"
-	case DecisionDeadlineExceeded:
-		return "deadline-exceeded"
-	default:
-		return "budget-exhausted"
-	}
-}
-
 // Decide decides whether to retry after an attempt has ended. DecisionRetry takes one retry
 // from the budget.
 func (b *Budget) Decide(attempt Attempt, now time.Time) Decision {
--- a/retry/simulation_test.go
+++ b/retry/simulation_test.go
@@ -17,6 +17,9 @@
 const (
 	simulatedRatio = 0.2
 	simulatedSlack = 64
+	// simulatedRefusals is how many servers without credit a request meets before it is given up.
+	simulatedRefusals = 4
+	testWindow        = 10 * time.Second
 )
 
 var simulatedPreset = fleetconfig.Preset{
@@ -39,9 +42,8 @@
 	groups []int
 	// failing is the share of the runs that fail.
 	failing float64
-	// saved and lost count the requests of callers that were answered and failed after a failed first
-	// attempt.
-	saved, lost int
+	// asked counts the retries that failed requests needed, refused those that the budgets refused.
+	asked, refused int
 }
 
 type simulatedService struct {
@@ -52,6 +54,7 @@
 type simulatedInstance struct {
 	service     int
 	budgets     [2]*Budget
+	repeats     RepeatBudget
 	frozenUntil time.Duration
 }
 
@@ -59,6 +62,8 @@
 type simulatedRequest struct {
 	ingress, service int
 	attempts         int
+	// refusals counts the servers that had no credit for the request.
+	refusals int
 	// repeatedCall says that a repeated run sends it.
 	repeatedCall bool
 	done         func(answered bool)
@@ -117,6 +122,7 @@
 	for service := range instance.budgets {
 		instance.budgets[service] = NewBudget(&simulatedPreset)
 	}
+	instance.repeats = RepeatBudget{}
 }
 
 // reachable returns the instances in the group of an instance.
@@ -133,26 +139,32 @@
 // offer sends requests of callers to random instances at a rate per second, with exponential gaps.
 func (f *simulatedFleet) offer(service int, rate float64) {
 	f.after(time.Duration(f.random.ExpFloat64()/rate*float64(time.Second)), func() {
-		request := &simulatedRequest{ingress: f.random.IntN(len(f.instances)), service: service}
-		request.done = func(answered bool) {
-			switch {
-			case request.attempts == 1:
-			case answered:
-				f.saved++
-			default:
-				f.lost++
-			}
-		}
-		f.start(request)
+		f.start(&simulatedRequest{ingress: f.random.IntN(len(f.instances)), service: service, done: func(bool) {}})
 		f.offer(service, rate)
 	})
 }
 
-// budget returns the budget of a service at an ingress, with the proxy count that the ingress sees.
+// budget returns the budget of a service at an ingress.
 func (f *simulatedFleet) budget(ingress, service int) *Budget {
-	budget := f.instances[ingress].budgets[service]
-	budget.SetFleetLimits(&simulatedPreset, len(f.reachable(ingress)))
-	return budget
+	return f.instances[ingress].budgets[service]
+}
+
+// admits charges a request to the budget of a server, with the number of servers that its
+// proxy sees.
+func (f *simulatedFleet) admits(request *simulatedRequest, target int) bool {
+	servers := 0
+	for _, i := range f.reachable(target) {
+		if f.instances[i].service == request.service {
+			servers++
+		}
+	}
+	limits, _ := RepeatLimitsOf(&simulatedPreset, servers)
+	repeats := &f.instances[target].repeats
+	if request.repeatedCall || request.attempts > 0 {
+		return repeats.Take(limits, epoch.Add(f.now))
+	}
+	repeats.RecordFirst(limits, epoch.Add(f.now))
+	return true
 }
 
 func (f *simulatedFleet) start(request *simulatedRequest) {
@@ -183,6 +195,16 @@
 
 // arrive records the arrival of a request at a server and runs it.
 func (f *simulatedFleet) arrive(request *simulatedRequest, target int) {
+	if !f.admits(request, target) {
+		if request.refusals++; request.refusals >= simulatedRefusals {
+			f.budget(request.ingress, request.service).Exhausted(epoch.Add(f.now))
+			f.refused++
+			request.done(false)
+			return
+		}
+		f.attempt(request, target)
+		return
+	}
 	request.attempts++
 	service := &f.services[request.service]
 	repeat := request.repeatedCall || request.attempts > 1
@@ -210,7 +232,13 @@
 
 // retry sends a failed request again if the budget permits it.
 func (f *simulatedFleet) retry(request *simulatedRequest, failedAt int) {
-	if request.attempts >= MaxAttempts || !f.budget(request.ingress, request.service).Take("a", epoch.Add(f.now)) {
+	if request.attempts >= MaxAttempts {
+		request.done(false)
+		return
+	}
+	f.asked++
+	if !f.budget(request.ingress, request.service).Take("a", epoch.Add(f.now)) {
+		f.refused++
 		request.done(false)
 		return
 	}
--- a/selection/retry_budgets.go
+++ b/selection/retry_budgets.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hemlockring/hemlockring/clock"
@@ -15,35 +16,39 @@
 // RetryBudgets holds the retry budgets of this ingress, one per service. It is safe for
 // concurrent use.
 type RetryBudgets struct {
-	proxyCount  func() int
 	logger      *slog.Logger
 	lineLimiter *linelimit.Limiter
+	// allowed and refused count the decisions on retries.
+	allowed, refused atomic.Uint64
 
 	mu       sync.Mutex
 	services map[fleetconfig.ServiceName]*serviceBudget
 }
 
-// serviceBudget is the budget of one service, with the preset and the proxy count that it
-// was computed from.
+// serviceBudget is the budget of one service with its preset.
 type serviceBudget struct {
-	budget     *retry.Budget
-	preset     *fleetconfig.Preset
-	proxyCount int
+	budget *retry.Budget
+	preset *fleetconfig.Preset
 }
 
-// NewRetryBudgets returns empty retry budgets. proxyCount returns the number of proxies
-// in the fleet. logger receives a line for each retry decision, up to maxRetryLinesPerSecond.
-func NewRetryBudgets(proxyCount func() int, logger *slog.Logger) *RetryBudgets {
+// maxRetryLinesPerSecond bounds the log messages about retries that were refused.
+const maxRetryLinesPerSecond = 20
+
+// NewRetryBudgets returns empty retry budgets. logger receives a line for each retry that was
+// refused, up to maxRetryLinesPerSecond.
+func NewRetryBudgets(logger *slog.Logger) *RetryBudgets {
 	return &RetryBudgets{
-		proxyCount:  proxyCount,
 		logger:      logger,
 		lineLimiter: linelimit.New(maxRetryLinesPerSecond),
 		services:    make(map[fleetconfig.ServiceName]*serviceBudget),
 	}
 }
 
-// maxRetryLinesPerSecond bounds the log messages about retry decisions.
-const maxRetryLinesPerSecond = 20
+// Statistics returns how many retries were allowed, and how many were refused for want of
+// budget.
+func (r *RetryBudgets) Statistics() (allowed, refused uint64) {
+	return r.allowed.Load(), r.refused.Load()
+}
 
 // RequestStarted implements ingress.RetryPolicy.
 func (r *RetryBudgets) RequestStarted(exchange *pipeline.Exchange) {
@@ -57,8 +62,7 @@
 	now := clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	budget := r.budget(exchange)
-	decision := budget.Decide(retry.Attempt{
+	decision := r.budget(exchange).Decide(retry.Attempt{
 		Account:     exchange.Account,
 		Idempotent:  exchange.Idempotent,
 		Outcome:     outcome,
@@ -66,37 +70,48 @@
 		Attempts:    exchange.ReachedAttempts,
 		Remaining:   exchange.Remaining(now),
 	}, now)
-	r.log(exchange, budget, decision, now)
-	return decision == retry.DecisionRetry
+	switch decision {
+	case retry.DecisionRetry:
+		r.allowed.Add(1)
+		return true
+	case retry.DecisionBudgetExhausted:
+		r.refused.Add(1)
+		r.logRefused(exchange, "ingress", now)
+	}
+	return false
 }
 
-// log writes a line with what decided on a retry. The caller must hold mu.
-func (r *RetryBudgets) log(exchange *pipeline.Exchange, budget *retry.Budget, decision retry.Decision, now time.Time) {
+// RetryRefused implements ingress.RetryPolicy.
+func (r *RetryBudgets) RetryRefused(exchange *pipeline.Exchange) {
+	now := clock.Now()
+	r.refused.Add(1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget(exchange).Exhausted(now)
+	r.logRefused(exchange, "backend-proxies", now)
+}
+
+// logRefused writes a line on a retry that was refused for want of budget. The caller must
+// hold mu.
+func (r *RetryBudgets) logRefused(exchange *pipeline.Exchange, by string, now time.Time) {
 	permitted, omitted := r.lineLimiter.Allow(now)
 	if omitted > 0 {
 		r.logger.Info("retry lines omitted", "lines", omitted)
 	}
-	if !permitted {
-		return
+	if permitted {
+		r.logger.Info("retry refused", "request", exchange.RequestID, "service", string(exchange.Service), "account", string(exchange.Account),
+			"by", by, "attempts", exchange.ReachedAttempts, "repeated_call", exchange.RepeatedCall)
 	}
-	requests, retries, floor := budget.InWindow(now)
-	r.logger.Info("retry decided", "request", exchange.RequestID, "service", string(exchange.Service), "decision", decision.String(),
-		"attempts", exchange.ReachedAttempts, "requests", requests, "retries", retries, "floor", floor, "proxies", r.services[exchange.Service].proxyCount)
 }
 
-// budget returns the budget of the exchange's service, adapted to the current preset and
-// proxy count. The caller must hold mu.
+// budget returns the budget of the exchange's service, adapted to the current preset. The
+// caller must hold mu.
 func (r *RetryBudgets) budget(exchange *pipeline.Exchange) *retry.Budget {
-	name := exchange.Service
 	preset := exchange.View.ActivePreset()
-	entry := r.services[name]
+	entry := r.services[exchange.Service]
 	if entry == nil {
 		entry = &serviceBudget{budget: retry.NewBudget(preset), preset: preset}
-		r.services[name] = entry
-	}
-	if proxyCount := r.proxyCount(); entry.preset != preset || entry.proxyCount != proxyCount {
-		entry.budget.SetFleetLimits(preset, proxyCount)
-		entry.proxyCount = proxyCount
+		r.services[exchange.Service] = entry
 	}
 	if entry.preset != preset {
 		entry.budget.SetPreset(preset)
--- a/selection/retry_budgets_test.go
+++ b/selection/retry_budgets_test.go
@@ -12,31 +12,30 @@
 	"github.com/hemlockring/hemlockring/pipeline"
 )
 
-// An ingress divides the fleet's retry budget by the current number of proxies. Retries
-// already used in the window still count after that number changes.
-func TestRetryBudgetsDivideByProxyCount(t *testing.T) {
+// When backend proxies refuse a retry, the ingress stops the retries of that service for a moment, and
+// of no other service.
+func TestRetryRefusedPausesRetriesOfService(t *testing.T) {
 	preset := fleetconfig.Preset{Name: "limited", RetryBudgetPercent: 1, RetryFloorPerSecond: 2, RetryWindow: 10 * time.Second}
 	view := fleetconfig.NewView(&fleetconfig.Document{Version: 1, Presets: []fleetconfig.Preset{preset}, ActivePreset: "limited"})
-	proxies := 10
-	retries := NewRetryBudgets(func() int { return proxies }, slog.New(slog.DiscardHandler))
-	allowed := func() int {
-		count := 0
-		for i := range 40 {
-			exchange := &pipeline.Exchange{
-				Service:         "catalogue",
-				Account:         fleetconfig.AccountID(rune('a' + i)),
-				View:            view,
-				Idempotent:      true,
-				ReachedAttempts: 1,
-				Deadline:        clock.Now().Add(time.Minute),
-			}
-			if retries.MayRetry(exchange, pipeline.OutcomeUnknown) {
-				count++
-			}
+	retries := NewRetryBudgets(slog.New(slog.DiscardHandler))
+	exchange := func(service fleetconfig.ServiceName, account string) *pipeline.Exchange {
+		return &pipeline.Exchange{
+			Service:         service,
+			Account:         fleetconfig.AccountID(account),
+			View:            view,
+			Idempotent:      true,
+			ReachedAttempts: 1,
+			Deadline:        clock.Now().Add(time.Minute),
 		}
-		return count
 	}
-	must.Eq(t, 2, allowed()) // Two per second for 10 s, divided by ten proxies.
-	proxies = 4
-	must.Eq(t, 3, allowed()) // Five with four proxies, two of them already used.
+	must.True(t, retries.MayRetry(exchange("catalogue", "a"), pipeline.OutcomeUnknown))
+	// The first balance of the account is used up.
+	must.False(t, retries.MayRetry(exchange("catalogue", "a"), pipeline.OutcomeUnknown))
+	must.True(t, retries.MayRetry(exchange("catalogue", "b"), pipeline.OutcomeUnknown))
+	retries.RetryRefused(exchange("catalogue", "b"))
+	must.False(t, retries.MayRetry(exchange("catalogue", "c"), pipeline.OutcomeUnknown))
+	must.True(t, retries.MayRetry(exchange("stock", "c"), pipeline.OutcomeUnknown))
+	allowed, refused := retries.Statistics()
+	must.Eq(t, 3, allowed)
+	must.Eq(t, 3, refused)
 }
