backendproxy, node: calls of former runs count as repeated; readiness tells what arrived

A restarted proxy does not know the runs of its former process; for 10 s the calls of runs that it does not know count as repeated.

--- a/backendproxy/runs.go
+++ b/backendproxy/runs.go
@@ -14,6 +14,9 @@
 	maxTrackedRuns = 10_000
 	// runSweepInterval is how often expired runs are forgotten.
 	runSweepInterval = time.Second
+	// formerRunPeriod is how long after the start of this process requests may come from runs
+	// that a former process began.
+	formerRunPeriod = 10 * time.Second
 )
 
 // RunTracker tracks which requests the backend servers beside this instance run, and which of
@@ -24,6 +27,9 @@
 	// repeatsUnderWay counts the repeated runs that have not ended.
 	repeatsUnderWay int
 	sweptAt         time.Time
+	startedAt       time.Time
+	// callersNamed says that a request has named a run that is known.
+	callersNamed bool
 }
 
 // trackedRun is remembered until its deadline even if it ends earlier, because a backend server
@@ -36,7 +42,7 @@
 
 // NewRunTracker returns a tracker without runs.
 func NewRunTracker() *RunTracker {
-	return &RunTracker{runs: make(map[string]*trackedRun)}
+	return &RunTracker{runs: make(map[string]*trackedRun), startedAt: clock.Now()}
 }
 
 // begin records that a request is about to be sent to a backend server. The function that it
@@ -86,13 +92,22 @@
 }
 
 // IsRepeatedCall reports whether a repeated run sends the request of an exchange at the ingress.
-// If the request does not name a run that is known, it counts as sent by a repeated run while
-// there is any, unless it carries the key of a client account: backend servers have no keys.
+// Where that is not known, it assumes so: for a run of a former process, and, unless the servers
+// name their runs, while any repeated run is under way. A request with the key of a client account
+// comes from no server, since servers have no keys.
 func (t *RunTracker) IsRepeatedCall(exchange *pipeline.Exchange) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if run := t.runs[exchange.CallerRequest]; run != nil && exchange.CallerRequest != "" {
+	named := exchange.CallerRequest != ""
+	if run := t.runs[exchange.CallerRequest]; run != nil && named {
+		t.callersNamed = true
 		return run.repeated
 	}
-	return t.repeatsUnderWay > 0 && exchange.Account == ""
+	switch {
+	case exchange.Account != "":
+		return false
+	case named && exchange.Received.Sub(t.startedAt) < formerRunPeriod:
+		return true
+	}
+	return t.repeatsUnderWay > 0 && !t.callersNamed
 }
--- a/fleetconfig/document.go
+++ b/fleetconfig/document.go
@@ -224,13 +224,13 @@
 	// requests.
 	RetryBudgetPercent uint32 `cbor:"2,keyasint" json:"retry_budget_percent"`
 	// RetryFloorPerSecond is the number of retries per second and service that the
-	// whole fleet may make in addition to the percentage. It is divided evenly among
-	// the proxies.
+	// whole fleet may make in addition to the percentage.
 	RetryFloorPerSecond float64 `cbor:"7,keyasint,omitempty" json:"retry_floor_per_second,omitempty"`
-	// RetryWindow is the time window in which the retries of each service, summed
-	// over the whole fleet, must stay within the percentage and the floor, whatever
-	// their arrival pattern. With zero, each proxy limits its own retries without a
-	// window, and RetryFloorPerSecond has no effect; see package retry.
+	// RetryWindow is the time window in which the repeats that the backend servers of
+	// each service receive, summed over the whole fleet, must stay within the percentage
+	// and the floor: retries, and requests that repeated runs of other servers send. With
+	// zero, each ingress limits its own retries without a window, and RetryFloorPerSecond
+	// has no effect; see package retry.
 	RetryWindow time.Duration `cbor:"11,keyasint,omitempty" json:"retry_window,omitempty"`
 	// QuotaGracePeriod is how long an ingress may keep admitting requests of an
 	// account, at the account's recent rate on that ingress, while the owner of the
--- a/node/local.go
+++ b/node/local.go
@@ -33,6 +33,13 @@
 	// Quarantined is the number of requests that are refused because they have crashed
 	// backend servers.
 	Quarantined int `json:"quarantined"`
+	// Retries and RepeatedCalls count the repeats that the backend servers beside this
+	// instance received since it started, RepeatRefusals those that were refused.
+	Retries        uint64 `json:"retries"`
+	RepeatedCalls  uint64 `json:"repeated_calls"`
+	RepeatRefusals uint64 `json:"repeat_refusals"`
+	// RepeatCredit is how many repeats they may receive now.
+	RepeatCredit float64 `json:"repeat_credit"`
 	// IndirectOnly is the number of members that this instance reaches only through
 	// other members.
 	IndirectOnly int `json:"indirect_only"`
@@ -129,6 +136,9 @@
 	state.SentBytes, state.SentPackets = traffic.SentBytes, traffic.SentPackets
 	state.ReceivedBytes, state.ReceivedPackets = traffic.ReceivedBytes, traffic.ReceivedPackets
 	state.Quarantined = n.quarantine.Statistics().Quarantined
+	repeats := n.backendProxy.Statistics()
+	state.Retries, state.RepeatedCalls, state.RepeatRefusals = repeats.Retries, repeats.RepeatedCalls, repeats.RepeatRefusals
+	state.RepeatCredit = n.registry.RepeatCredit()
 	state.IndirectOnly = snapshot.CountIndirectOnly()
 	state.IsLeader = n.control != nil && n.control.IsLeader()
 	switch {
