soak: make all backend servers but one fail, and count repeats over the fleet

A new fault makes the servers fail 60% of their requests for 4 to 8 s while instances are stopped, killed, paused and isolated; emulated servers list what arrived, and the soak checks every window against the preset's limits.

--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -18,6 +19,7 @@
 const (
 	FaultPath      = "/_emulator/fault"
 	ExecutionsPath = "/_emulator/executions"
+	ArrivalsPath   = "/_emulator/arrivals"
 	HealthPath     = "/_emulator/health"
 )
 
@@ -53,6 +55,14 @@
 	Downtime time.Duration
 }
 
+// Arrival is a request that has reached a server, whether or not the server ran it.
+type Arrival struct {
+	// Request is the ID of the request.
+	Request string `json:"request"`
+	// UnixMilli is when it arrived, in Unix milliseconds.
+	UnixMilli int64 `json:"at"`
+}
+
 // Executions counts the requests that a server has run.
 type Executions struct {
 	// Total is the number of requests that have run.
@@ -88,8 +98,10 @@
 	mu         sync.Mutex
 	fault      Fault
 	executions Executions
-	rate       rateRecord
-	listening  listening
+	// arrivals holds the first maxTrackedIDs requests that arrived.
+	arrivals  []Arrival
+	rate      rateRecord
+	listening listening
 	// down says that the server is down after a crash.
 	down bool
 }
@@ -163,6 +175,8 @@
 		s.handleFault(w, request)
 	case ExecutionsPath:
 		_ = json.NewEncoder(w).Encode(s.Executions())
+	case ArrivalsPath:
+		_ = json.NewEncoder(w).Encode(s.Arrivals())
 	case HealthPath:
 		_, _ = w.Write([]byte("ok\n"))
 	default:
@@ -183,6 +197,7 @@
 // handleRequest runs one request: it counts the execution, waits for the service time and
 // echoes the body.
 func (s *Server) handleRequest(w http.ResponseWriter, request *http.Request) {
+	s.recordArrival(request)
 	select {
 	case s.slots <- struct{}{}:
 	default:
@@ -221,6 +236,21 @@
 	return s.fault, s.fault.Kind != "" && s.fault.Kind != FaultNone && rand.Float64() < s.fault.Share
 }
 
+func (s *Server) recordArrival(request *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if id := request.Header.Get(pipeline.HeaderRequestID); id != "" && len(s.arrivals) < maxTrackedIDs {
+		s.arrivals = append(s.arrivals, Arrival{Request: id, UnixMilli: time.Now().UnixMilli()})
+	}
+}
+
+// Arrivals returns the requests that have arrived, in the order of arrival.
+func (s *Server) Arrivals() []Arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.arrivals)
+}
+
 func increment(counts map[string]int, id string) {
 	if id == "" {
 		return
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -128,3 +130,28 @@
 	must.StrContains(t, found, "raced-3-a is missing")
 	must.StrContains(t, found, "raced-2-b, rejected with a conflict")
 }
+
+// Repeats are compared with the requests of the window, or of an earlier one, and a violation is
+// found wherever the window begins.
+func TestWorstWindowOfRepeatsIsFound(t *testing.T) {
+	var arrivals []emulator.Arrival
+	arrive := func(at time.Duration, request string) {
+		arrivals = append(arrivals, emulator.Arrival{Request: request, UnixMilli: epoch.Add(at).UnixMilli()})
+	}
+	for i := range 200 {
+		arrive(time.Duration(i)*100*time.Millisecond, fmt.Sprint("r", i))
+	}
+	for i := range 8 {
+		arrive(9*time.Second+time.Duration(i)*500*time.Millisecond, "r10")
+	}
+	excess := func(slack float64) float64 {
+		bound := repeatBound{slack: slack}
+		bound.record(slices.Clone(arrivals))
+		return bound.worstWindow().excess
+	}
+	// 41 requests lie in each window of 4 s.
+	must.InDelta(t, 8-0.2*41, excess(0), 1e-9)
+	arrive(12*time.Second, "r11")
+	must.InDelta(t, 9-0.2*41, excess(0), 1e-9)
+	must.InDelta(t, 9-0.2*41-2, excess(2), 1e-9)
+}
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -18,6 +18,7 @@
 //   - a response is either complete and correct or visibly incomplete;
 //   - an accepted change is kept, a change rejected with a conflict is not made, and at
 //     most one of two concurrent changes with the same base version is accepted;
+//   - the repeats that all backend servers receive stay within the preset's limits in every window;
 //   - a planned stop interrupts no request;
 //   - no daemon exits unexpectedly;
 //   - after the last fault, the fleet serves again within recoveryBound.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -82,6 +82,8 @@
 	case QueryOfDeath:
 		r.repeatQueryOfDeath(ctx, event)
 		return nil
+	case RetryPressure:
+		return r.pressRetries(ctx, event)
 	case RaceChanges:
 		r.operators.raceChanges(ctx)
 		return nil
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -45,6 +45,9 @@
 	Statement FaultKind = "state"
 	// QueryOfDeath repeats a request that crashes the backend server that runs it.
 	QueryOfDeath FaultKind = "query-of-death"
+	// RetryPressure makes all backend servers but one fail requests, so that the fleet retries as
+	// often as it may.
+	RetryPressure FaultKind = "retry-pressure"
 	// RaceChanges makes two concurrent configuration changes with the same base version.
 	RaceChanges FaultKind = "change"
 	// WithdrawKey withdraws a key that is in use.
@@ -111,6 +114,7 @@
 func Plan(seed uint64, duration time.Duration, instances int) []Event {
 	events := append(planFaults(seed, duration, instances), planStatements(seed, duration, instances)...)
 	events = append(events, planCrashes(seed, duration, instances)...)
+	events = append(events, planRetryPressure(seed, duration, instances)...)
 	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.Start, b.Start) })
 	return events
 }
--- /dev/null
+++ b/internal/soak/repeats.go
@@ -0,0 +1,163 @@
+package soak
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/internal/emulator"
+	"github.com/hemlockring/hemlockring/internal/testbed"
+)
+
+const (
+	// meanRetryPressureInterval is the mean time between the ends of two RetryPressure events,
+	// and minRetryPressure and maxRetryPressure bound how long one lasts.
+	meanRetryPressureInterval = 3 * time.Second
+	minRetryPressure          = 4 * time.Second
+	maxRetryPressure          = 8 * time.Second
+	// retryPressureShare is the share of the requests that fail meanwhile.
+	retryPressureShare = 0.6
+)
+
+// The limits on repeats in the soak's configuration: in each window, a percentage of the
+// requests, and a number of repeats for each backend server.
+const (
+	repeatPercent   = 20
+	repeatWindow    = 4 * time.Second
+	repeatsByServer = 3
+)
+
+// soakPreset returns the preset of the soak: the ordinary one, with limits for the whole fleet.
+func soakPreset(instances int) *fleetconfig.Preset {
+	preset := fleetconfig.NewDocument().Presets[0]
+	preset.Name = "soak"
+	preset.RetryBudgetPercent = repeatPercent
+	preset.RetryWindow = repeatWindow
+	preset.RetryFloorPerSecond = float64(repeatsByServer*instances) / repeatWindow.Seconds()
+	return &preset
+}
+
+// planRetryPressure returns the RetryPressure events, one after the other. They have a random
+// sequence of their own, so that the other faults of a seed do not depend on them.
+func planRetryPressure(seed uint64, duration time.Duration, instances int) []Event {
+	random := rand.New(rand.NewPCG(seed, 3<<32|uint64(instances)))
+	var events []Event
+	for start := settleTime; ; {
+		event := Event{Start: start, Kind: RetryPressure, Instance: random.IntN(instances), Variant: random.IntN(variantCount)}
+		event.Duration = minRetryPressure + time.Duration(random.Int64N(int64(maxRetryPressure-minRetryPressure)))
+		event.Peer = (event.Instance + 1) % instances
+		if start+event.Duration >= duration {
+			return events
+		}
+		events = append(events, event)
+		start += event.Duration + time.Duration(random.ExpFloat64()*float64(meanRetryPressureInterval))
+	}
+}
+
+// pressRetries makes all backend servers fail requests, except the one beside the instance of the
+// event and those that make a statement meanwhile.
+func (r *run) pressRetries(ctx context.Context, event Event) error {
+	var failing []int
+	for i := range r.layout.Instances {
+		if i == event.Instance || r.statementDuring(event, i) {
+			continue
+		}
+		if err := r.fleet.SetFault(i, emulator.Fault{Kind: emulator.FaultError, Share: retryPressureShare}); err != nil {
+			return err
+		}
+		failing = append(failing, i)
+	}
+	testbed.Sleep(ctx, event.Duration)
+	for _, i := range failing {
+		if err := r.fleet.SetFault(i, emulator.Fault{Kind: emulator.FaultNone}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// statementDuring reports whether the plan has a statement of the backend server of an instance that
+// overlaps the event.
+func (r *run) statementDuring(event Event, instance int) bool {
+	return slices.ContainsFunc(Plan(r.arguments.Seed, r.arguments.Duration, len(r.layout.Instances)), func(other Event) bool {
+		return other.Kind == Statement && other.Instance == instance && other.Start <= event.Start+event.Duration+settleTime && event.Start <= other.Start+other.Duration+settleTime
+	})
+}
+
+// checkRepeats checks that the repeats that all backend servers received stayed within the bound in
+// every window.
+func (r *run) checkRepeats() error {
+	var arrivals []emulator.Arrival
+	for i := range r.fleet.BackendAddresses {
+		part, err := r.fleet.BackendArrivals(i)
+		if err != nil {
+			return err
+		}
+		arrivals = append(arrivals, part...)
+	}
+	bound := repeatBound{slack: float64(repeatsByServer * len(r.layout.Instances))}
+	bound.record(arrivals)
+	worst := bound.worstWindow()
+	r.findings.printf("repeats: %d for %d requests; in the worst %s, from %s, %d for %d", len(bound.repeats), len(bound.firsts), repeatWindow,
+		time.UnixMilli(worst.from).Sub(r.findings.started).Round(time.Millisecond), worst.repeats, worst.firsts)
+	if worst.excess > 0 {
+		r.findings.violated("the backend servers received %d repeats for %d requests in %s, %.1f more than the bound", worst.repeats, worst.firsts, repeatWindow, worst.excess)
+	}
+	return nil
+}
+
+// repeatBound compares arrivals with the bound on repeats. Times are in Unix milliseconds.
+type repeatBound struct {
+	slack           float64
+	firsts, repeats []int64
+}
+
+// record divides the arrivals into the first of each request and all others.
+func (b *repeatBound) record(arrivals []emulator.Arrival) {
+	slices.SortStableFunc(arrivals, func(x, y emulator.Arrival) int { return cmp.Compare(x.UnixMilli, y.UnixMilli) })
+	known := make(map[string]bool)
+	for _, arrival := range arrivals {
+		if known[arrival.Request] {
+			b.repeats = append(b.repeats, arrival.UnixMilli)
+		} else {
+			known[arrival.Request] = true
+			b.firsts = append(b.firsts, arrival.UnixMilli)
+		}
+	}
+}
+
+// repeatCount is what arrived in one window.
+type repeatCount struct {
+	from            int64
+	firsts, repeats int
+	// excess is by how much the repeats exceed the bound; it is negative if they do not.
+	excess float64
+}
+
+// worstWindow returns the window in which the repeats exceed the bound the most. Its requests are those in the
+// window, the one before or the one half a window before, whichever are most.
+func (b *repeatBound) worstWindow() repeatCount {
+	worst := repeatCount{excess: -b.slack}
+	window := repeatWindow.Milliseconds()
+	for _, from := range b.repeats {
+		count := repeatCount{from: from, repeats: countBetween(b.repeats, from, from+window)}
+		for _, shift := range []int64{0, window / 2, window} {
+			count.firsts = max(count.firsts, countBetween(b.firsts, from-shift, from+window-shift))
+		}
+		count.excess = float64(count.repeats) - repeatPercent/100.0*float64(count.firsts) - b.slack
+		if worst.from == 0 || count.excess > worst.excess {
+			worst = count
+		}
+	}
+	return worst
+}
+
+// countBetween returns how many of the ordered times lie in [from, to].
+func countBetween(times []int64, from, to int64) int {
+	first, _ := slices.BinarySearch(times, from)
+	end, _ := slices.BinarySearch(times, to+1)
+	return end - first
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -205,6 +205,10 @@
 		{Kind: fleetconfig.CreateService, Service: &fleetconfig.Service{Name: service, FloorPercent: 50}},
 		{Kind: fleetconfig.CreateRoute, Route: &fleetconfig.Route{ID: "all", PathPrefix: "/", Service: service, Timeout: 5 * time.Second}},
 	}
+	preset := soakPreset(len(r.layout.Instances))
+	changes = append(changes,
+		fleetconfig.Change{Kind: fleetconfig.CreatePreset, Preset: preset},
+		fleetconfig.Change{Kind: fleetconfig.UsePreset, Name: preset.Name})
 	for _, account := range r.accounts() {
 		key := &fleetconfig.Key{Hash: fleetconfig.HashKey(account.key()), Account: account.id}
 		changes = append(changes,
@@ -285,6 +289,9 @@
 	r.checkExecutions(executions)
 	r.checkOrders(executions)
 	r.checkRateLimit()
+	if err := r.checkRepeats(); err != nil {
+		return err
+	}
 	var document *fleetconfig.Document
 	err = testbed.WaitUntil(ctx, "the latest accepted version of the configuration", func() bool {
 		document, err = r.fleet.Client.Document(ctx)
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -309,6 +309,16 @@
 	return executions, err
 }
 
+// BackendArrivals returns the requests that have reached a backend server, by its index in
+// Backends.
+func (f *Fleet) BackendArrivals(backend int) ([]emulator.Arrival, error) {
+	var arrivals []emulator.Arrival
+	err := retryWhileDown(func() error {
+		return getJSON(f.httpClient, "http://"+f.BackendAddresses[backend]+emulator.ArrivalsPath, &arrivals)
+	})
+	return arrivals, err
+}
+
 // Executions returns the sum of the executions on all backend servers.
 func (f *Fleet) Executions() (*emulator.Executions, error) {
 	total := &emulator.Executions{Requests: make(map[string]int), Orders: make(map[string]int)}
