--- a/internal/emulator/fault.go
+++ b/internal/emulator/fault.go
@@ -28,6 +28,9 @@
 	// FaultLimit names Fault.Rate as the accepted rate in every response. Requests above
 	// the rate run all the same.
 	FaultLimit FaultKind = "limit"
+	// FaultBackgroundErrors answers a share of the requests with status 500, in addition to
+	// another fault. It lasts until it is set again with a share of zero.
+	FaultBackgroundErrors FaultKind = "background-errors"
 	// FaultLeaving states in every response that the server is leaving.
 	FaultLeaving FaultKind = "leaving"
 )
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -95,9 +95,11 @@
 	processStart time.Time
 	slots        chan struct{}
 
-	mu         sync.Mutex
-	fault      Fault
-	executions Executions
+	mu    sync.Mutex
+	fault Fault
+	// backgroundErrors is the share of FaultBackgroundErrors.
+	backgroundErrors float64
+	executions       Executions
 	// arrivals holds the first maxTrackedIDs requests that arrived.
 	arrivals  []Arrival
 	rate      rateRecord
@@ -120,10 +122,14 @@
 	}
 }
 
-// SetFault sets the fault. FaultNone removes it.
+// SetFault sets the fault. FaultNone removes it. FaultBackgroundErrors leaves it as it is.
 func (s *Server) SetFault(fault Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if fault.Kind == FaultBackgroundErrors {
+		s.backgroundErrors = fault.Share
+		return
+	}
 	if s.fault.Kind == FaultLeaving && fault.Kind != FaultLeaving {
 		s.processStart = time.Now()
 	}
@@ -233,6 +239,9 @@
 	if request.Header.Get("Authorization") != "" || request.Header.Get("X-Api-Key") != "" {
 		s.executions.WithCredentials++
 	}
+	if rand.Float64() < s.backgroundErrors {
+		return Fault{Kind: FaultError}, true
+	}
 	return s.fault, s.fault.Kind != "" && s.fault.Kind != FaultNone && rand.Float64() < s.fault.Share
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -48,7 +48,6 @@
 
 // inject injects the fault of an event and returns when the event has ended.
 func (r *run) inject(ctx context.Context, event Event) error {
-	id := r.layout.Instances[event.Instance].ID
 	switch event.Kind {
 	case Kill, TornWrite:
 		return r.kill(ctx, event)
@@ -58,17 +57,8 @@
 		return r.pauseDaemon(ctx, event)
 	case Reload:
 		return r.withDaemon(event.Instance, func(process *testbed.Process) error { return process.Signal(syscall.SIGHUP) })
-	case Isolate:
-		return r.applyFor(ctx, event, func() { r.relay.Isolate(id, true) }, func() { r.relay.Isolate(id, false) })
-	case OneWayPartition:
-		other := r.layout.Instances[event.Peer].ID
-		return r.applyFor(ctx, event, func() { r.relay.Block(id, other) }, func() { r.relay.Unblock(id, other) })
-	case Delay:
-		impairment := testbed.Impairment{Delay: time.Duration(event.Variant+1) * delayStep}
-		return r.applyFor(ctx, event, func() { r.relay.SetImpairment(id, impairment) }, func() { r.relay.SetImpairment(id, testbed.Impairment{}) })
-	case Loss:
-		impairment := testbed.Impairment{Loss: lossRatio}
-		return r.applyFor(ctx, event, func() { r.relay.SetImpairment(id, impairment) }, func() { r.relay.SetImpairment(id, testbed.Impairment{}) })
+	case Isolate, OneWayPartition, Delay, Loss:
+		return r.disturbNetwork(ctx, event)
 	case ResetCallerConns:
 		r.streams[event.Instance].Reset()
 		return nil
@@ -93,6 +83,24 @@
 	return errors.Newf("unknown fault %q", event.Kind)
 }
 
+// disturbNetwork handles the faults of the datagrams between instances.
+func (r *run) disturbNetwork(ctx context.Context, event Event) error {
+	id := r.layout.Instances[event.Instance].ID
+	switch event.Kind {
+	case Isolate:
+		return r.applyFor(ctx, event, func() { r.relay.Isolate(id, true) }, func() { r.relay.Isolate(id, false) })
+	case OneWayPartition:
+		other := r.layout.Instances[event.Peer].ID
+		return r.applyFor(ctx, event, func() { r.relay.Block(id, other) }, func() { r.relay.Unblock(id, other) })
+	case Delay:
+		impairment := testbed.Impairment{Delay: time.Duration(event.Variant+1) * delayStep}
+		return r.applyFor(ctx, event, func() { r.relay.SetImpairment(id, impairment) }, func() { r.relay.SetImpairment(id, testbed.Impairment{}) })
+	default:
+		impairment := testbed.Impairment{Loss: lossRatio}
+		return r.applyFor(ctx, event, func() { r.relay.SetImpairment(id, impairment) }, func() { r.relay.SetImpairment(id, testbed.Impairment{}) })
+	}
+}
+
 // applyFor calls on, waits for the duration of the event and calls off.
 func (r *run) applyFor(ctx context.Context, event Event, on, off func()) error {
 	on()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -45,8 +45,8 @@
 	Statement FaultKind = "state"
 	// QueryOfDeath repeats a request that crashes the backend server that runs it.
 	QueryOfDeath FaultKind = "query-of-death"
-	// RetryPressure makes all backend servers but one fail requests, so that the fleet retries as
-	// often as it may.
+	// RetryPressure makes all backend servers fail requests, so that the fleet retries as often
+	// as it may.
 	RetryPressure FaultKind = "retry-pressure"
 	// RaceChanges makes two concurrent configuration changes with the same base version.
 	RaceChanges FaultKind = "change"
--- a/internal/soak/repeats.go
+++ b/internal/soak/repeats.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/internal/emulator"
 	"github.com/hemlockring/hemlockring/internal/testbed"
@@ -19,7 +21,7 @@
 	minRetryPressure          = 4 * time.Second
 	maxRetryPressure          = 8 * time.Second
 	// retryPressureShare is the share of the requests that fail meanwhile.
-	retryPressureShare = 0.6
+	retryPressureShare = 0.5
 )
 
 // The limits on repeats in the soak's configuration: in each window, a percentage of the
@@ -34,6 +36,7 @@
 func soakPreset(instances int) *fleetconfig.Preset {
 	preset := fleetconfig.NewDocument().Presets[0]
 	preset.Name = "soak"
+	preset.EjectionEnabled = false
 	preset.RetryBudgetPercent = repeatPercent
 	preset.RetryWindow = repeatWindow
 	preset.RetryFloorPerSecond = float64(repeatsByServer*instances) / repeatWindow.Seconds()
@@ -57,34 +60,20 @@
 	}
 }
 
-// pressRetries makes all backend servers fail requests, except the one beside the instance of the
-// event and those that make a statement meanwhile.
+// pressRetries makes all backend servers fail requests. With a sound server left, the others would
+// be suspected and avoided instead.
 func (r *run) pressRetries(ctx context.Context, event Event) error {
-	var failing []int
-	for i := range r.layout.Instances {
-		if i == event.Instance || r.statementDuring(event, i) {
-			continue
-		}
-		if err := r.fleet.SetFault(i, emulator.Fault{Kind: emulator.FaultError, Share: retryPressureShare}); err != nil {
-			return err
-		}
-		failing = append(failing, i)
-	}
+	err := r.setBackgroundErrors(retryPressureShare)
 	testbed.Sleep(ctx, event.Duration)
-	for _, i := range failing {
-		if err := r.fleet.SetFault(i, emulator.Fault{Kind: emulator.FaultNone}); err != nil {
-			return err
-		}
-	}
-	return nil
+	return errors.CombineErrors(err, r.setBackgroundErrors(0))
 }
 
-// statementDuring reports whether the plan has a statement of the backend server of an instance that
-// overlaps the event.
-func (r *run) statementDuring(event Event, instance int) bool {
-	return slices.ContainsFunc(Plan(r.arguments.Seed, r.arguments.Duration, len(r.layout.Instances)), func(other Event) bool {
-		return other.Kind == Statement && other.Instance == instance && other.Start <= event.Start+event.Duration+settleTime && event.Start <= other.Start+other.Duration+settleTime
-	})
+func (r *run) setBackgroundErrors(share float64) error {
+	var err error
+	for i := range r.layout.Instances {
+		err = errors.CombineErrors(err, r.fleet.SetFault(i, emulator.Fault{Kind: emulator.FaultBackgroundErrors, Share: share}))
+	}
+	return err
 }
 
 // checkRepeats checks that the repeats that all backend servers received stayed within the bound in
