--- a/gossip/snapshot.go
+++ b/gossip/snapshot.go
@@ -21,9 +21,6 @@
 	// ControlInstances holds the instances with the control role that are not dead and
 	// have not left, ordered by ID.
 	ControlInstances []fleetconfig.InstanceAddress
-	// ProxyCount is the number of instances with the proxy role that are not dead and have
-	// not left.
-	ProxyCount int
 
 	services map[fleetconfig.ServiceName][]HostedServer
 	byID     map[fleetconfig.InstanceID]*membership.Member
@@ -44,9 +41,6 @@
 		if member.Liveness == membership.Dead || member.Record.Left {
 			continue
 		}
-		if member.Record.Proxy {
-			snapshot.ProxyCount++
-		}
 		if record := &member.Record; record.Control {
 			snapshot.ControlInstances = append(snapshot.ControlInstances, fleetconfig.InstanceAddress{
 				ID: record.ID, Address: record.Address, FailureDomain: record.FailureDomain,
--- a/retry/repeats.go
+++ b/retry/repeats.go
@@ -61,8 +61,8 @@
 //
 // Invariant: in any period, the repeats taken are at most RepeatLimits.BaseCredit, plus
 // Share multiplied by the first requests in the period and in the Lifetime before it, plus
-// BaseRate multiplied by the length of both. This holds across restarts, because a new budget has
-// no credit, and for the sum over any set of servers.
+// BaseRate multiplied by the length of the period and twice the Lifetime. This holds across
+// restarts, because a new budget has no credit, and for the sum over any set of servers.
 type RepeatBudget struct {
 	limits RepeatLimits
 	// credit is how many repeats can be taken now.
