--- a/internal/ctl/items.go
+++ b/internal/ctl/items.go
@@ -118,7 +118,16 @@
 		if p.Name == document.ActivePreset {
 			marker = "*"
 		}
-		return fmt.Sprintf("%s %s\tretry budget %d%%\thedge after %s\tqueue %d\tejection %v\tslow start %s",
-			marker, p.Name, p.RetryBudgetPercent, p.HedgeAfter, p.QueueLength, p.EjectionEnabled, p.SlowStart)
+		return fmt.Sprintf("%s %s\tretry budget %s\thedge after %s\tqueue %d\tejection %v\tslow start %s",
+			marker, p.Name, retryBudgetText(p), p.HedgeAfter, p.QueueLength, p.EjectionEnabled, p.SlowStart)
 	})
 }
+
+// retryBudgetText returns the limits on the retries of a preset, and those for the whole fleet if
+// it has any.
+func retryBudgetText(p *fleetconfig.Preset) string {
+	if p.RetryWindow <= 0 {
+		return fmt.Sprintf("%d%%", p.RetryBudgetPercent)
+	}
+	return fmt.Sprintf("%d%% and %g in every %s over the fleet", p.RetryBudgetPercent, p.RetryFloorPerSecond*p.RetryWindow.Seconds(), p.RetryWindow)
+}
