--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -28,21 +27,10 @@
 	maxLateCrashes      = 3
 )
 
-// planCrashes returns the QueryOfDeath events, one after the other. They have a random sequence
-// of their own, so that the other faults of a seed do not depend on them.
+// planCrashes returns the QueryOfDeath events.
 func planCrashes(seed uint64, duration time.Duration, instances int) []Event {
-	random := rand.New(rand.NewPCG(seed, 2<<32|uint64(instances)))
-	var events []Event
-	for start := settleTime; ; {
-		event := Event{Start: start, Kind: QueryOfDeath, Instance: random.IntN(instances), Variant: random.IntN(variantCount)}
-		event.Duration = minCrashDuration + time.Duration(random.Int64N(int64(maxCrashDuration-minCrashDuration)))
-		event.Peer = (event.Instance + 1) % instances
-		if start+event.Duration >= duration {
-			return events
-		}
-		events = append(events, event)
-		start += event.Duration + time.Duration(random.ExpFloat64()*float64(meanCrashInterval))
-	}
+	shape := eventSeries{kind: QueryOfDeath, stream: 2, minDuration: minCrashDuration, maxDuration: maxCrashDuration, meanInterval: meanCrashInterval}
+	return shape.plan(seed, duration, instances)
 }
 
 // undisturbedQueryOfDeath returns an event after all others, when every instance is undisturbed.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -140,6 +140,32 @@
 	}
 }
 
+// eventSeries describes events of one kind that follow one another. They have a random sequence of
+// their own, named by stream, so that the other faults of a seed do not depend on them.
+type eventSeries struct {
+	kind   FaultKind
+	stream uint64
+	// minDuration and maxDuration bound how long an event lasts, and meanInterval is the mean
+	// time from its end to the start of the next.
+	minDuration, maxDuration, meanInterval time.Duration
+}
+
+// plan returns the events of the series that end before the duration.
+func (s *eventSeries) plan(seed uint64, duration time.Duration, instances int) []Event {
+	random := rand.New(rand.NewPCG(seed, s.stream<<32|uint64(instances)))
+	var events []Event
+	for start := settleTime; ; {
+		event := Event{Start: start, Kind: s.kind, Instance: random.IntN(instances), Variant: random.IntN(variantCount)}
+		event.Duration = s.minDuration + time.Duration(random.Int64N(int64(s.maxDuration-s.minDuration)))
+		event.Peer = (event.Instance + 1) % instances
+		if start+event.Duration >= duration {
+			return events
+		}
+		events = append(events, event)
+		start += event.Duration + time.Duration(random.ExpFloat64()*float64(s.meanInterval))
+	}
+}
+
 // planFaults returns the events of all other kinds.
 func planFaults(seed uint64, duration time.Duration, instances int) []Event {
 	random := rand.New(rand.NewPCG(seed, uint64(instances)))
--- a/internal/soak/repeats.go
+++ b/internal/soak/repeats.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -43,21 +42,10 @@
 	return &preset
 }
 
-// planRetryPressure returns the RetryPressure events, one after the other. They have a random
-// sequence of their own, so that the other faults of a seed do not depend on them.
+// planRetryPressure returns the RetryPressure events.
 func planRetryPressure(seed uint64, duration time.Duration, instances int) []Event {
-	random := rand.New(rand.NewPCG(seed, 3<<32|uint64(instances)))
-	var events []Event
-	for start := settleTime; ; {
-		event := Event{Start: start, Kind: RetryPressure, Instance: random.IntN(instances), Variant: random.IntN(variantCount)}
-		event.Duration = minRetryPressure + time.Duration(random.Int64N(int64(maxRetryPressure-minRetryPressure)))
-		event.Peer = (event.Instance + 1) % instances
-		if start+event.Duration >= duration {
-			return events
-		}
-		events = append(events, event)
-		start += event.Duration + time.Duration(random.ExpFloat64()*float64(meanRetryPressureInterval))
-	}
+	shape := eventSeries{kind: RetryPressure, stream: 3, minDuration: minRetryPressure, maxDuration: maxRetryPressure, meanInterval: meanRetryPressureInterval}
+	return shape.plan(seed, duration, instances)
 }
 
 // pressRetries makes all backend servers fail requests. With a sound server left, the others would
