--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -51,7 +51,7 @@
 	maxSuspectRefusals = 4
 	// maxRetryRefusals is how many backend proxies may refuse a request because their
 	// servers may receive no more repeats now, before it is given up.
-	maxRetryRefusals = 4
+	maxRetryRefusals = 8
 )
 
 // forwardFilter selects backend servers and sends the request to their backend
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -355,13 +355,15 @@
 // known of its first attempt.
 func TestForwardGivesUpWhenServersMayReceiveNoRepeats(t *testing.T) {
 	exhausted := respondRefusal(pipeline.KindRetryBudget, pipeline.OutcomeNotRun, false)
-	fleet := &fakeFleet{responders: []func(*http.Request) (*http.Response, error){
-		respondStatus(http.StatusInternalServerError), exhausted, exhausted, exhausted, exhausted, respondStatus(http.StatusOK),
-	}}
+	fleet := &fakeFleet{responders: []func(*http.Request) (*http.Response, error){respondStatus(http.StatusInternalServerError)}}
+	for range maxRetryRefusals {
+		fleet.responders = append(fleet.responders, exhausted)
+	}
+	fleet.responders = append(fleet.responders, respondStatus(http.StatusOK))
 	must.Eq(t, http.StatusBadGateway, fleet.serve(fleetconfig.IdempotentAlways, 3, 10).Code)
-	must.Eq(t, []int{0, 1, 2, 3, 4}, fleet.attempted)
+	must.Len(t, 1+maxRetryRefusals, fleet.attempted)
 	must.Eq(t, 9, fleet.retryBudget)
 	must.Eq(t, 1, fleet.retriesRefused)
-	fleet.responders[4] = respondStatus(http.StatusOK)
+	fleet.responders[maxRetryRefusals] = respondStatus(http.StatusOK)
 	must.Eq(t, http.StatusOK, fleet.serve(fleetconfig.IdempotentAlways, 3, 10).Code)
 }
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -15,6 +15,9 @@
 	// requests.
 	minServiceRate = 0.1
 	minAccountRate = 0.02
+	// fleetAccountRate replaces minAccountRate, in retries per second, where the proxies beside the
+	// backend servers limit the retries of all accounts together.
+	fleetAccountRate = 0.2
 	// maxServiceBalance and maxAccountBalance bound the retries that can accumulate.
 	maxServiceBalance = 100
 	maxAccountBalance = 10
@@ -66,7 +69,7 @@
 
 // exhaustedPause is how long an ingress allows no retry of a service after servers had no
 // credit for one.
-const exhaustedPause = 250 * time.Millisecond
+const exhaustedPause = 50 * time.Millisecond
 
 // NewBudget returns a budget with the percentage of a preset.
 func NewBudget(preset *fleetconfig.Preset) *Budget {
@@ -119,7 +122,11 @@
 
 func (b *Budget) fill(accountBucket *bucket, now time.Time) {
 	b.service.fill(minServiceRate, maxServiceBalance, now)
-	accountBucket.fill(minAccountRate, maxAccountBalance, now)
+	accountRate := minAccountRate
+	if b.fleetWide {
+		accountRate = fleetAccountRate
+	}
+	accountBucket.fill(accountRate, maxAccountBalance, now)
 }
 
 func (b *Budget) account(account fleetconfig.AccountID) *bucket {
--- a/retry/simulation_test.go
+++ b/retry/simulation_test.go
@@ -18,7 +18,8 @@
 	simulatedRatio = 0.2
 	simulatedSlack = 64
 	// simulatedRefusals is how many servers without credit a request meets before it is given up.
-	simulatedRefusals = 4
+	simulatedRefusals = 8
+	simulatedAccounts = 27
 	testWindow        = 10 * time.Second
 )
 
@@ -61,6 +62,8 @@
 // simulatedRequest is a request on its way through the fleet.
 type simulatedRequest struct {
 	ingress, service int
+	// account is the client account, empty for a call.
+	account fleetconfig.AccountID
 	attempts         int
 	// refusals counts the servers that had no credit for the request.
 	refusals int
@@ -139,7 +142,8 @@
 // offer sends requests of callers to random instances at a rate per second, with exponential gaps.
 func (f *simulatedFleet) offer(service int, rate float64) {
 	f.after(time.Duration(f.random.ExpFloat64()/rate*float64(time.Second)), func() {
-		f.start(&simulatedRequest{ingress: f.random.IntN(len(f.instances)), service: service, done: func(bool) {}})
+		account := fleetconfig.AccountID(rune('a' + f.random.IntN(simulatedAccounts)))
+		f.start(&simulatedRequest{ingress: f.random.IntN(len(f.instances)), service: service, account: account, done: func(bool) {}})
 		f.offer(service, rate)
 	})
 }
@@ -168,7 +172,7 @@
 }
 
 func (f *simulatedFleet) start(request *simulatedRequest) {
-	f.budget(request.ingress, request.service).RecordRequest("a", epoch.Add(f.now))
+	f.budget(request.ingress, request.service).RecordRequest(request.account, epoch.Add(f.now))
 	f.attempt(request, -1)
 }
 
@@ -237,7 +241,7 @@
 		return
 	}
 	f.asked++
-	if !f.budget(request.ingress, request.service).Take("a", epoch.Add(f.now)) {
+	if !f.budget(request.ingress, request.service).Take(request.account, epoch.Add(f.now)) {
 		f.refused++
 		request.done(false)
 		return
