--- a/retry/simulation_test.go
+++ b/retry/simulation_test.go
@@ -63,8 +63,8 @@
 type simulatedRequest struct {
 	ingress, service int
 	// account is the client account, empty for a call.
-	account fleetconfig.AccountID
-	attempts         int
+	account  fleetconfig.AccountID
+	attempts int
 	// refusals counts the servers that had no credit for the request.
 	refusals int
 	// repeatedCall says that a repeated run sends it.
