--- a/retry/repeats.go
+++ b/retry/repeats.go
@@ -15,8 +15,8 @@
 	lifetimesPerWindow = 3
 	// maxBaseCredit and maxBaseRate, in repeats and in repeats per second, are what a server may
 	// receive in addition to the percentage, however few servers are known.
-	maxBaseCredit = 3.0
-	maxBaseRate   = 0.3
+	maxBaseCredit = 1
+	maxBaseRate   = 0.15
 	// floorShare is the share of the fleet's floor that is divided among the servers. The rest
 	// covers requests that arrive unevenly.
 	floorShare = 0.75
