ingress: count a retry as refused when no server is left before the eighth refusal

Cause: a service with 8 servers has none left before the eighth refusal, and that way out of the loop recorded nothing. TestForwardGivesUpWhenServersMayReceiveNoRepeats covers it; its new part fails without the change (no refusal recorded).

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -26,8 +26,8 @@
 	// ended with the given outcome. If so, it charges the attempt to the retry
 	// budget.
 	MayRetry(exchange *pipeline.Exchange, outcome pipeline.Outcome) bool
-	// RetryRefused records that maxRetryRefusals backend proxies refused the exchange,
-	// because their servers may receive no more repeats now.
+	// RetryRefused records that the exchange ends because backend proxies refused it: their
+	// servers may receive no more repeats now.
 	RetryRefused(exchange *pipeline.Exchange)
 }
 
@@ -88,6 +88,9 @@
 			continue
 		}
 		if !ok {
+			if attempts.lastRefusedAsRepeat {
+				f.retry.RetryRefused(exchange)
+			}
 			return f.noCandidateRefusal(exchange, attempts.lastRefusal)
 		}
 		refusal, err := f.tryCandidate(ctx, exchange, candidate, body)
@@ -120,6 +123,8 @@
 	// retryRefusals counts the attempts that were refused because the backend server may
 	// receive no more repeats now.
 	retryRefusals int
+	// lastRefusedAsRepeat says that the last attempt was refused so.
+	lastRefusedAsRepeat bool
 	// lastResortStarted says that startLastResort has permitted further attempts,
 	// which it does once for each exchange.
 	lastResortStarted bool
@@ -135,7 +140,8 @@
 	}
 	t.lastRefusal = refusal
 	t.tried = append(t.tried, candidate)
-	if refusal.Kind == pipeline.KindRetryBudget {
+	t.lastRefusedAsRepeat = refusal.Kind == pipeline.KindRetryBudget
+	if t.lastRefusedAsRepeat {
 		t.retryRefusals++
 	}
 	if refusal.Kind == pipeline.KindServerSuspect {
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -329,8 +329,7 @@
 
 func (r fakeRuns) IsRepeatedCall(*pipeline.Exchange) bool { return bool(r) }
 
-// The backend proxy must learn that an attempt repeats one that may have reached a server, or that
-// a repeated run sends it.
+// Backend proxies must learn which attempts are retries and which come from repeated runs.
 func TestForwardMarksRepeats(t *testing.T) {
 	var repeats []string
 	record := func(respond func(*http.Request) (*http.Response, error)) func(*http.Request) (*http.Response, error) {
@@ -351,8 +350,7 @@
 	must.Eq(t, []string{"call", "call", "call"}, repeats)
 }
 
-// A request whose repeats the servers may not receive is given up after maxRetryRefusals of them, with what is
-// known of its first attempt.
+// A request that servers may not receive again ends with what is known of its first attempt.
 func TestForwardGivesUpWhenServersMayReceiveNoRepeats(t *testing.T) {
 	exhausted := respondRefusal(pipeline.KindRetryBudget, pipeline.OutcomeNotRun, false)
 	fleet := &fakeFleet{responders: []func(*http.Request) (*http.Response, error){respondStatus(http.StatusInternalServerError)}}
@@ -364,6 +362,9 @@
 	must.Len(t, 1+maxRetryRefusals, fleet.attempted)
 	must.Eq(t, 9, fleet.retryBudget)
 	must.Eq(t, 1, fleet.retriesRefused)
-	fleet.responders[maxRetryRefusals] = respondStatus(http.StatusOK)
+	fleet.responders = fleet.responders[:3]
+	must.Eq(t, http.StatusBadGateway, fleet.serve(fleetconfig.IdempotentAlways, 3, 10).Code)
+	must.Eq(t, 2, fleet.retriesRefused)
+	fleet.responders[2] = respondStatus(http.StatusOK)
 	must.Eq(t, http.StatusOK, fleet.serve(fleetconfig.IdempotentAlways, 3, 10).Code)
 }
