retry: a repeat that did not reach its server stays charged

What could happen: more repeats than the bound. Credit that was taken by a repeat to a server that is down came back up to a second or more later, beside the credit that had been earned meanwhile. The server is down when nothing was written, so the credit is not missed.

--- a/backendproxy/repeats.go
+++ b/backendproxy/repeats.go
@@ -33,13 +33,6 @@
 	return nil
 }
 
-// undoDispatch returns the charge of a request that did not reach the server.
-func (f *repeatFilter) undoDispatch(exchange *pipeline.Exchange) {
-	if exchange.Repeat != pipeline.RepeatNone {
-		f.registry.returnRepeat(exchange.BackendServer, exchange.Service, clock.Now())
-	}
-}
-
 func (f *repeatFilter) refuse() error {
 	f.registry.repeatRefusals.Add(1)
 	return pipeline.NewNotRunRefusal(pipeline.KindRetryBudget, http.StatusServiceUnavailable,
@@ -81,16 +74,6 @@
 	return true
 }
 
-// returnRepeat returns the charge of a repeat that did not reach its backend server.
-func (r *Registry) returnRepeat(id fleetconfig.BackendServerID, service fleetconfig.ServiceName, now time.Time) {
-	limits, limited := r.limits.RepeatLimits(service)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if server := r.servers[id]; limited && server != nil {
-		server.repeats.Return(limits, now)
-	}
-}
-
 // RepeatCredit returns how many repeats the backend servers may receive now, in total.
 func (r *Registry) RepeatCredit() float64 {
 	r.mu.Lock()
--- a/backendproxy/run.go
+++ b/backendproxy/run.go
@@ -61,9 +61,6 @@
 	exchange.Outcome = outcome
 	if err != nil {
 		stateOf(exchange).cause = err
-		if outcome == pipeline.OutcomeNotRun {
-			f.repeats.undoDispatch(exchange)
-		}
 		result := resultOfError(exchange, err)
 		if result == health.ResultFailed && outcome == pipeline.OutcomeUnknown {
 			if evidence, crashed := run.serverCrashed(); crashed {
--- a/retry/repeats.go
+++ b/retry/repeats.go
@@ -88,7 +88,8 @@
 	return b.credit >= 1
 }
 
-// Take takes one repeat. It reports whether one was available.
+// Take takes one repeat. It reports whether one was available. A repeat that does not reach the
+// server stays taken: returned later, it would be credit that nothing has earned meanwhile.
 func (b *RepeatBudget) Take(limits RepeatLimits, now time.Time) bool {
 	if !b.Available(limits, now) {
 		return false
@@ -97,13 +98,6 @@
 	return true
 }
 
-// Return returns a repeat that was taken but did not reach the server.
-func (b *RepeatBudget) Return(limits RepeatLimits, now time.Time) {
-	b.fill(limits, now)
-	b.credit++
-	b.limitCredit()
-}
-
 // Credit returns how many repeats can be taken, as of the last call of another method.
 func (b *RepeatBudget) Credit() float64 { return b.credit }
 
--- a/retry/simulation_test.go
+++ b/retry/simulation_test.go
@@ -322,8 +322,7 @@
 	}
 }
 
-// Guards against repeats beyond the bound of the fleet, in every window, while instances restart,
-// are partitioned or freeze, and repeated runs send calls.
+// Restarts, partitions, freezes and calls must not let repeats exceed the bound in any window.
 func TestFleetRepeatsStayWithinBound(t *testing.T) {
 	const instances, seeds = 30, 5
 	for name, fault := range boundFaults {
