--- a/review/platform/case_spoiled.go
+++ b/review/platform/case_spoiled.go
@@ -13,12 +13,12 @@
 func init() { cases["spoiled"] = spoiledStatus }
 
 // Doses of the disruption "workers hand out wrong bytes": the share of the workers, the share of
-// their answers and the length. It comes three times.
+// their answers and the length. It comes four times.
 const (
 	spoiledWorkers = 0.5
 	spoiledAnswers = 0.02
 	spoiledLength  = 5 * time.Second
-	spoiledRounds  = 3
+	spoiledRounds  = 4
 )
 
 // idleClose is how long a worker keeps an idle connection.
