--- a/review/platform/case_checkin.go
+++ b/review/platform/case_checkin.go
@@ -13,9 +13,11 @@
 
 const (
 	// lateness is how late the check-in is.
-	lateness = 2 * time.Second
+	lateness = 3500 * time.Millisecond
+	// leavesAfter is how long after that check-in was sent the worker sends its DELETE.
+	leavesAfter = time.Second
 	// servesLonger is how long after DrainPeriodMs the worker exits.
-	servesLonger = 4 * time.Second
+	servesLonger = 750 * time.Millisecond
 )
 
 // lateCheckIn: a worker leaves with a DELETE, without a notice before. Its last check-in is
@@ -29,7 +31,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	o := newObservations()
-	workers, err := startWorkers(f, o, func(w *worker) { w.work = 200 * time.Millisecond })
+	workers, err := startWorkers(f, o, func(w *worker) { w.work = 300 * time.Millisecond })
 	if err != nil {
 		return err
 	}
@@ -52,7 +54,8 @@
 	if !s.trouble {
 		leaver.send(id, http.MethodPut, last)
 	}
-	time.Sleep(time.Until(sent.Add(lateness / 2)))
+	time.Sleep(time.Until(sent.Add(leavesAfter)))
+	leaver.leave()
 	if !leaver.send(id, http.MethodDelete, nil) {
 		return fmt.Errorf("the DELETE was not acknowledged")
 	}
--- a/review/platform/worker.go
+++ b/review/platform/worker.go
@@ -46,6 +46,8 @@
 	listener net.Listener
 	conns    map[net.Conn]bool
 	busy     int
+	// leaving says that the worker leaves, which it says in all its answers.
+	leaving bool
 }
 
 // serverConn is a connection that a worker has accepted.
@@ -212,7 +214,24 @@
 func (w *worker) succeed(c *serverConn, request *http.Request) bool {
 	id := request.Header.Get("Request-Id")
 	body := []byte("answer of " + w.name() + " to " + id + "\n")
-	return answer(c, 200, map[string]string{"Request-Id": id, "Response-Signature": signature(w.name(), id)}, body)
+	header := map[string]string{"Request-Id": id, "Response-Signature": signature(w.name(), id)}
+	if w.isLeaving() {
+		header["Server-Leaving"] = "1"
+	}
+	return answer(c, 200, header, body)
+}
+
+func (w *worker) isLeaving() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.leaving
+}
+
+// leave makes the worker say in its answers that it leaves.
+func (w *worker) leave() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = true
 }
 
 func signature(worker, request string) string { return "sig." + worker + "." + request }
