routing: a path without the last slash of a prefix belongs to the outer route

Cause: the platform compares text and the table whole segments; the adapter dropped the last slash of each prefix, and the product had no way to exclude the path that equals a prefix. The table also took an escaped slash for a separator. Ruled out: the retry loop, which was told that the route is safe.

--- a/fleetconfig/document.go
+++ b/fleetconfig/document.go
@@ -147,7 +147,7 @@
 	// matches every host.
 	Host string `cbor:"2,keyasint" json:"host"`
 	// PathPrefix is the path prefix that the route matches. It matches whole path
-	// segments only.
+	// segments only: "/orders" matches "/orders", "/orders/" and "/orders/7".
 	PathPrefix string `cbor:"3,keyasint" json:"path_prefix"`
 	// Service is the service that handles the requests.
 	Service ServiceName `cbor:"4,keyasint" json:"service"`
@@ -173,6 +173,9 @@
 	// LargeResponses marks a route whose responses are downloads of tens of kilobytes
 	// or more. Between instances they are sent separately from small responses.
 	LargeResponses bool `cbor:"12,keyasint,omitempty" json:"large_answers,omitempty"`
+	// BelowPrefix excludes the path that equals PathPrefix: "/orders" then matches
+	// "/orders/" and "/orders/7" only. It has no effect on the prefix "/".
+	BelowPrefix bool `cbor:"13,keyasint,omitempty" json:"below_prefix,omitempty"`
 }
 
 // SplitPart is the share of one service in a route's requests.
--- a/fleetconfig/inifile/inifile_test.go
+++ b/fleetconfig/inifile/inifile_test.go
@@ -33,6 +33,7 @@
 idempotency = always
 timeout = 5s
 large_answers = true
+below_prefix = true
 `
 
 // accept applies the changes as one command, which must be accepted.
@@ -62,7 +63,7 @@
 	must.Eq(t, []fleetconfig.Service{{Name: "stock", FloorPercent: 60}}, document.Services)
 	must.Eq(t, []fleetconfig.Route{{
 		ID: "lookups", Host: "shop.example", PathPrefix: "/stock", Service: "stock",
-		Idempotency: fleetconfig.IdempotentAlways, Timeout: 5 * time.Second, LargeResponses: true,
+		Idempotency: fleetconfig.IdempotentAlways, Timeout: 5 * time.Second, LargeResponses: true, BelowPrefix: true,
 	}}, document.Routes)
 	must.SliceLen(t, 2, document.Holders)
 
--- a/fleetconfig/inifile/merge.go
+++ b/fleetconfig/inifile/merge.go
@@ -44,7 +44,8 @@
 	if file.Service != current.Service {
 		current.Split = nil
 	}
-	current.Host, current.PathPrefix, current.Service = file.Host, file.PathPrefix, file.Service
+	current.Host, current.Service = file.Host, file.Service
+	current.PathPrefix, current.BelowPrefix = file.PathPrefix, file.BelowPrefix
 	current.OpenToAll, current.Idempotency = file.OpenToAll, file.Idempotency
 	current.Timeout, current.LargeResponses = file.Timeout, file.LargeResponses
 	return current
--- a/fleetconfig/inifile/parse.go
+++ b/fleetconfig/inifile/parse.go
@@ -154,6 +154,7 @@
 		OpenToAll:      s.boolean("open_to_all", false),
 		Timeout:        s.duration("timeout"),
 		LargeResponses: s.boolean("large_answers", false),
+		BelowPrefix:    s.boolean("below_prefix", false),
 	}
 	route.Host, _ = s.value("host")
 	route.PathPrefix, _ = s.required("path_prefix", "/orders")
--- a/internal/ctl/args.go
+++ b/internal/ctl/args.go
@@ -97,6 +97,7 @@
 	Name        string                   `arg:"positional,required"`
 	Host        *string                  `arg:"--host" help:"host name that requests must match"`
 	PathPrefix  *string                  `arg:"--path-prefix" help:"path prefix that requests must match"`
+	BelowPrefix *bool                    `arg:"--below-prefix" help:"true if the path that equals the prefix does not match, else false"`
 	Service     *string                  `arg:"--service" help:"name of the service that handles the requests"`
 	OpenToAll   *bool                    `arg:"--open-to-all" help:"true if requests need no API key, else false"`
 	Idempotency *fleetconfig.Idempotency `arg:"--idempotency" help:"which requests are idempotent: by-method, always or never"`
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -105,8 +105,8 @@
 	c.expect(ExitOK, "account list", "rate 5/s\tburst 3")
 	c.expect(ExitRefused, "account set shop --rate -1", "rate_per_second")
 	c.expect(ExitOK, "service set stock --floor-percent 60", "version 3")
-	c.expect(ExitOK, "route set r --path-prefix /stock --service stock --route-timeout 5s --idempotency always --large-answers", "version 4")
-	c.expect(ExitOK, "route list", "idempotency always\ttimeout 5s\tlarge answers true")
+	c.expect(ExitOK, "route set r --path-prefix /stock --service stock --route-timeout 5s --idempotency always --large-answers --below-prefix", "version 4")
+	c.expect(ExitOK, "route list", "idempotency always\ttimeout 5s\tlarge answers true\tbelow prefix true")
 
 	keyOutput := strings.Fields(c.expect(ExitOK, "key give shop --label till", "key id "))
 	key := keyOutput[len(keyOutput)-1]
--- a/internal/ctl/items.go
+++ b/internal/ctl/items.go
@@ -81,8 +81,8 @@
 		return s.change(ctx, document.Version, []fleetconfig.Change{{Kind: fleetconfig.RemoveRoute, Name: command.Remove.Name}})
 	}
 	return printList(s, document.Routes, func(r *fleetconfig.Route) string {
-		return fmt.Sprintf("%s\t%s%s\tservice %s\topen to all %v\tidempotency %s\ttimeout %s\tlarge answers %v",
-			r.ID, r.Host, r.PathPrefix, r.Service, r.OpenToAll, r.Idempotency, r.Timeout, r.LargeResponses)
+		return fmt.Sprintf("%s\t%s%s\tservice %s\topen to all %v\tidempotency %s\ttimeout %s\tlarge answers %v\tbelow prefix %v",
+			r.ID, r.Host, r.PathPrefix, r.Service, r.OpenToAll, r.Idempotency, r.Timeout, r.LargeResponses, r.BelowPrefix)
 	})
 }
 
@@ -95,6 +95,7 @@
 	}
 	setIfGiven(&change.Route.Host, command.Host)
 	setIfGiven(&change.Route.PathPrefix, command.PathPrefix)
+	setIfGiven(&change.Route.BelowPrefix, command.BelowPrefix)
 	if command.Service != nil {
 		change.Route.Service = fleetconfig.ServiceName(*command.Service)
 	}
--- a/routing/table.go
+++ b/routing/table.go
@@ -14,11 +14,12 @@
 }
 
 // Table finds routes. It is immutable and safe for concurrent use. A lookup takes at most
-// one map access for each segment of the path and one for the empty prefix. If none of the
-// host's routes matches, it takes at most as many again for the routes that apply to every
-// host.
+// one map access for each slash within the first longestPrefix bytes of the path, and as many
+// again for the routes that apply to every host if none of the host's routes matches.
 type Table struct {
 	routes map[routeKey]*fleetconfig.Route
+	// longestPrefix is the length of the longest path prefix, in bytes.
+	longestPrefix int
 }
 
 // NewTable returns the table of a document's routes.
@@ -26,28 +27,31 @@
 	table := &Table{routes: make(map[routeKey]*fleetconfig.Route, len(routes))}
 	for i := range routes {
 		route := &routes[i]
-		key := routeKey{host: strings.ToLower(route.Host), prefix: trimTrailingSlashes(route.PathPrefix)}
+		key := routeKey{host: strings.ToLower(route.Host), prefix: strings.TrimRight(route.PathPrefix, "/")}
 		table.routes[key] = route
+		table.longestPrefix = max(table.longestPrefix, len(key.prefix))
 	}
 	return table
 }
 
 // Match returns the route of a request, or nil if there is none. The host may include a
-// port.
+// port. The path is that of MatchablePath.
 func (t *Table) Match(host, path string) *fleetconfig.Route {
 	host = CanonicalHost(host)
-	if route := t.longestPrefix(host, path); route != nil || host == "" {
+	if route := t.matchPath(host, path); route != nil || host == "" {
 		return route
 	}
-	return t.longestPrefix("", path)
+	return t.matchPath("", path)
 }
 
-// longestPrefix returns the host's route with the longest prefix of path, or nil.
-func (t *Table) longestPrefix(host, path string) *fleetconfig.Route {
-	prefix := trimTrailingSlashes(path)
-	for {
-		if route := t.routes[routeKey{host: host, prefix: prefix}]; route != nil {
-			return route
+// matchPath returns the host's route with the longest prefix that matches the path, or nil.
+func (t *Table) matchPath(host, path string) *fleetconfig.Route {
+	for prefix := path; ; {
+		if len(prefix) <= t.longestPrefix {
+			route := t.routes[routeKey{host: host, prefix: prefix}]
+			if route != nil && (!route.BelowPrefix || len(prefix) < len(path)) {
+				return route
+			}
 		}
 		slash := strings.LastIndexByte(prefix, '/')
 		if slash < 0 {
@@ -57,11 +61,28 @@
 	}
 }
 
-// trimTrailingSlashes removes trailing slashes, so that "/" becomes the empty prefix.
-func trimTrailingSlashes(path string) string {
-	return strings.TrimRight(path, "/")
+// MatchablePath returns the path of a URL in the form that Table.Match expects: decoded, but
+// with escaped slashes, which separate no segments.
+func MatchablePath(u *url.URL) string {
+	if u.RawPath == "" {
+		// The path contains no escaped slash.
+		return u.Path
+	}
+	segments := strings.Split(u.RawPath, "/")
+	for i, segment := range segments {
+		decoded, err := url.PathUnescape(segment)
+		if err != nil {
+			// URLs from callers have been decoded once, so they contain no invalid escapes.
+			return u.Path
+		}
+		segments[i] = strings.ReplaceAll(decoded, "/", escapedSlash)
+	}
+	return strings.Join(segments, "/")
 }
 
+// escapedSlash is a slash within a segment. No path prefix contains a percent sign.
+const escapedSlash = "%2F"
+
 // CanonicalHost removes the port, the brackets of an IPv6 address and a trailing dot, and
 // converts the host to lower case.
 func CanonicalHost(host string) string {
