--- a/fleetconfig/inifile/parse.go
+++ b/fleetconfig/inifile/parse.go
@@ -151,10 +151,10 @@
 func (p *parser) route(s *section, name string) {
 	route := fleetconfig.Route{
 		ID:             name,
-		OpenToAll:      s.boolean("open_to_all", false),
+		OpenToAll:      s.boolean("open_to_all"),
 		Timeout:        s.duration("timeout"),
-		LargeResponses: s.boolean("large_answers", false),
-		BelowPrefix:    s.boolean("below_prefix", false),
+		LargeResponses: s.boolean("large_answers"),
+		BelowPrefix:    s.boolean("below_prefix"),
 	}
 	route.Host, _ = s.value("host")
 	route.PathPrefix, _ = s.required("path_prefix", "/orders")
@@ -174,7 +174,7 @@
 		RetryBudgetPercent: s.number("retry_budget_percent", 0),
 		HedgeAfter:         s.duration("hedge_after"),
 		QueueLength:        s.number("queue_length", 0),
-		EjectionEnabled:    s.boolean("ejection_enabled", false),
+		EjectionEnabled:    s.boolean("ejection_enabled"),
 		SlowStart:          s.duration("slow_start"),
 	})
 }
--- a/fleetconfig/inifile/section.go
+++ b/fleetconfig/inifile/section.go
@@ -98,10 +98,11 @@
 	return duration
 }
 
-func (s *section) boolean(key string, fallback bool) bool {
+// boolean returns the value of a key that is false unless the file sets it.
+func (s *section) boolean(key string) bool {
 	value, given := s.value(key)
 	if !given {
-		return fallback
+		return false
 	}
 	switch value {
 	case "true":
@@ -110,7 +111,7 @@
 		return false
 	}
 	s.fault(key, fmt.Sprintf("%.64q is not true or false", value), "write true or false")
-	return fallback
+	return false
 }
 
 // reportUnknownKeys reports the keys that have not been used.
