--- a/backendproxy/conn.go
+++ b/backendproxy/conn.go
@@ -33,6 +33,8 @@
 	idle        bool
 	idleTimeout time.Duration
 	idleTimer   *time.Timer
+	// retired says that the connection is closed as soon as it is idle.
+	retired bool
 }
 
 // beginRequest starts a new request on the connection. Its first byte must be written
--- a/backendproxy/dialect.go
+++ b/backendproxy/dialect.go
@@ -32,7 +32,9 @@
 	// until the deadline of the request.
 	SetHeaders(header http.Header, exchange *pipeline.Exchange, remaining time.Duration)
 	// Classify returns what the status and header of a response mean for the request.
-	Classify(response *http.Response, exchange *pipeline.Exchange) Verdict
+	// firstOnConn tells whether the request is the first on its connection. On a later one,
+	// a response that does not name its request may be a duplicate of an earlier response.
+	Classify(response *http.Response, exchange *pipeline.Exchange, firstOnConn bool) Verdict
 	// ReadStatus returns what the backend server states about itself in the header of a
 	// response.
 	ReadStatus(header http.Header) ServerStatus
@@ -71,7 +73,9 @@
 }
 
 // Classify implements Dialect.
-func (DefaultDialect) Classify(*http.Response, *pipeline.Exchange) Verdict { return VerdictAnswered }
+func (DefaultDialect) Classify(*http.Response, *pipeline.Exchange, bool) Verdict {
+	return VerdictAnswered
+}
 
 // ReadStatus implements Dialect.
 func (DefaultDialect) ReadStatus(header http.Header) ServerStatus {
--- a/backendproxy/dispatch.go
+++ b/backendproxy/dispatch.go
@@ -77,13 +77,22 @@
 	}
 }
 
+// dispatchResult says what became of a dispatched request.
+type dispatchResult struct {
+	// verdict classifies the response, if there is one.
+	verdict Verdict
+	// outcome says, if there is no response, whether the request may have run.
+	outcome pipeline.Outcome
+}
+
 // dispatch sends the request to the backend server at address. The first byte is written
-// by dispatchBy or not at all. If dispatch returns an error, the outcome says whether the
-// request may have run.
-func (d *dispatcher) dispatch(ctx context.Context, exchange *pipeline.Exchange, address string, dispatchBy time.Time) (*http.Response, pipeline.Outcome, error) {
+// by dispatchBy or not at all.
+func (d *dispatcher) dispatch(ctx context.Context, exchange *pipeline.Exchange, address string, dispatchBy time.Time) (*http.Response, dispatchResult, error) {
 	var conn atomic.Pointer[trackedConn]
+	var reused atomic.Bool
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
+			reused.Store(info.Reused)
 			if tracked, ok := info.Conn.(*trackedConn); ok {
 				tracked.beginRequest(dispatchBy)
 				conn.Store(tracked)
@@ -104,13 +113,23 @@
 	usedConn := conn.Load()
 	if err == nil {
 		exchange.DispatchAge = clock.Since(usedConn.dispatchedAt())
-		usedConn.setIdleTimeout(statedIdleTimeout(response.Header.Get("Keep-Alive")))
-		return response, pipeline.OutcomeAnswered, nil
+		verdict := d.dialect.Classify(response, exchange, !reused.Load())
+		switch verdict {
+		case VerdictMismatched, VerdictMisdirected:
+			// After a mismatched response, the answer to this request is still due on the
+			// connection. After a misdirected request, the next attempt has the same request ID
+			// and may go to the same address, where a duplicate of this response could pass for
+			// its answer.
+			usedConn.retire()
+		default:
+			usedConn.setIdleTimeout(statedIdleTimeout(response.Header.Get("Keep-Alive")))
+		}
+		return response, dispatchResult{verdict: verdict, outcome: pipeline.OutcomeAnswered}, nil
 	}
 	if usedConn == nil || !usedConn.stopWrites() {
-		return nil, pipeline.OutcomeNotRun, err
+		return nil, dispatchResult{outcome: pipeline.OutcomeNotRun}, err
 	}
-	return nil, pipeline.OutcomeUnknown, err
+	return nil, dispatchResult{outcome: pipeline.OutcomeUnknown}, err
 }
 
 // outgoingRequest builds the request to the backend server. Its body is always one that
--- /dev/null
+++ b/backendproxy/duplicate_test.go
@@ -0,0 +1,143 @@
+package backendproxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/hemlockring/hemlockring/clock"
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/pipeline"
+)
+
+// scriptedServer is a backend server that answers each request as its script says.
+type scriptedServer struct {
+	net.Listener
+	// answer returns what is sent in response to the request, the n-th on its connection.
+	answer func(n int, requestID string) string
+	conns  atomic.Int32
+}
+
+func startScriptedServer(t *testing.T, answer func(n int, requestID string) string) *scriptedServer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	server := &scriptedServer{Listener: listener, answer: answer}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			server.conns.Add(1)
+			go server.serve(conn)
+		}
+	}()
+	return server
+}
+
+func (s *scriptedServer) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for n := 1; ; n++ {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		if _, err := io.WriteString(conn, s.answer(n, request.Header.Get(pipeline.HeaderRequestID))); err != nil {
+			return
+		}
+	}
+}
+
+// send sends a request through the dispatcher and returns the verdict on the response.
+func (s *scriptedServer) send(t *testing.T, d *dispatcher, requestID string) Verdict {
+	t.Helper()
+	now := clock.Now()
+	exchange := &pipeline.Exchange{
+		RequestID: requestID,
+		Request:   httptest.NewRequest(http.MethodPost, "/x", strings.NewReader("body")),
+		View:      fleetconfig.NewView(fleetconfig.NewDocument()),
+		Deadline:  now.Add(time.Minute),
+	}
+	response, result, err := d.dispatch(t.Context(), exchange, s.Addr().String(), now.Add(time.Minute))
+	must.NoError(t, err)
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	return result.verdict
+}
+
+func responseText(status int, requestID string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", status, pipeline.HeaderRequestID, requestID)
+}
+
+// echoDialect compares the echoed request ID, and takes status 421 as the report of a misdirected
+// request.
+type echoDialect struct{ DefaultDialect }
+
+func (echoDialect) Classify(response *http.Response, exchange *pipeline.Exchange, _ bool) Verdict {
+	switch {
+	case response.Header.Get(pipeline.HeaderRequestID) != exchange.RequestID:
+		return VerdictMismatched
+	case response.StatusCode == http.StatusMisdirectedRequest:
+		return VerdictMisdirected
+	}
+	return VerdictAnswered
+}
+
+// Guards against further requests on a connection on which the answer to an earlier one is
+// still due, after a late copy of a response was read in its place.
+func TestConnectionIsRetiredAfterMismatchedResponse(t *testing.T) {
+	server := startScriptedServer(t, func(n int, requestID string) string {
+		if n == 2 {
+			return responseText(http.StatusOK, "r1")
+		}
+		return responseText(http.StatusOK, requestID)
+	})
+	d := newDispatcher(echoDialect{})
+	must.Eq(t, VerdictAnswered, server.send(t, d, "r1"))
+	must.Eq(t, VerdictMismatched, server.send(t, d, "r2"))
+	must.Eq(t, 1, server.conns.Load())
+	must.Eq(t, VerdictAnswered, server.send(t, d, "r3"))
+	must.Eq(t, 2, server.conns.Load())
+}
+
+// Guards against a copy of a 421 that passes for the answer to the next attempt of the same
+// request, at the server that uses the address now.
+func TestConnectionIsRetiredAfterMisdirectedRequest(t *testing.T) {
+	server := startScriptedServer(t, func(n int, requestID string) string {
+		if n == 1 {
+			return responseText(http.StatusMisdirectedRequest, requestID)
+		}
+		return responseText(http.StatusOK, requestID)
+	})
+	d := newDispatcher(echoDialect{})
+	must.Eq(t, VerdictMisdirected, server.send(t, d, "r1"))
+	must.Eq(t, VerdictMisdirected, server.send(t, d, "r1"))
+	must.Eq(t, 2, server.conns.Load())
+}
+
+// A retired connection that another request has taken is closed after that request.
+func TestRetiredConnectionServesItsRequestToTheEnd(t *testing.T) {
+	local, remote := net.Pipe()
+	defer func() { _ = remote.Close() }()
+	conn := &trackedConn{Conn: local}
+	conn.beginRequest(time.Now().Add(time.Hour))
+	conn.retire()
+	go func() { _, _ = io.CopyN(io.Discard, remote, 4) }()
+	_, err := conn.Write([]byte("head"))
+	must.NoError(t, err)
+	conn.setIdle()
+	_, err = conn.Write([]byte("next"))
+	must.ErrorIs(t, err, net.ErrClosed)
+}
--- a/backendproxy/idle_conn_test.go
+++ b/backendproxy/idle_conn_test.go
@@ -89,13 +89,13 @@
 		View:       fleetconfig.NewView(fleetconfig.NewDocument()),
 		Deadline:   now.Add(time.Minute),
 	}
-	response, outcome, err := d.dispatch(t.Context(), exchange, s.Addr().String(), now.Add(time.Minute))
+	response, result, err := d.dispatch(t.Context(), exchange, s.Addr().String(), now.Add(time.Minute))
 	if err != nil {
-		return outcome
+		return result.outcome
 	}
 	_, _ = io.Copy(io.Discard, response.Body)
 	_ = response.Body.Close()
-	return outcome
+	return result.outcome
 }
 
 // Backend servers may drop idle connections silently. A non-idempotent request must not
--- a/backendproxy/keepalive.go
+++ b/backendproxy/keepalive.go
@@ -47,9 +47,24 @@
 // setIdle records that the connection has no request.
 func (c *trackedConn) setIdle() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.idle = true
-	c.startIdleTimer()
+	retired := c.retired
+	if !retired {
+		c.startIdleTimer()
+	}
+	c.mu.Unlock()
+	if retired {
+		c.closeIfIdle()
+	}
+}
+
+// retire closes the connection as soon as it has no request. Another request may have taken it
+// already, since net/http makes a connection available once it has read a response.
+func (c *trackedConn) retire() {
+	c.mu.Lock()
+	c.retired = true
+	c.mu.Unlock()
+	c.closeIfIdle()
 }
 
 // startIdleTimer closes the connection shortly before its idle timeout, unless a request
--- a/backendproxy/run.go
+++ b/backendproxy/run.go
@@ -57,12 +57,12 @@
 	run := f.crashes.begin(exchange, slot)
 	defer run.end()
 	defer f.runs.begin(exchange)()
-	response, outcome, err := f.dispatcher.dispatch(ctx, exchange, slot.Address, exchange.DispatchBy)
-	exchange.Outcome = outcome
+	response, dispatched, err := f.dispatcher.dispatch(ctx, exchange, slot.Address, exchange.DispatchBy)
+	exchange.Outcome = dispatched.outcome
 	if err != nil {
 		stateOf(exchange).cause = err
 		result := resultOfError(exchange, err)
-		if result == health.ResultFailed && outcome == pipeline.OutcomeUnknown {
+		if result == health.ResultFailed && dispatched.outcome == pipeline.OutcomeUnknown {
 			if evidence, crashed := run.serverCrashed(); crashed {
 				// A crash says more about the requests under way than about the server, whose
 				// next process starts anew.
@@ -71,14 +71,13 @@
 			}
 		}
 		observation.End(result, clock.Now())
-		return refuseFailedDispatch(exchange, outcome, err)
+		return refuseFailedDispatch(exchange, dispatched.outcome, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	verdict := f.dispatcher.dialect.Classify(response, exchange)
-	if verdict == VerdictAnswered || verdict == VerdictNotRun {
+	if dispatched.verdict == VerdictAnswered || dispatched.verdict == VerdictNotRun {
 		f.status.observe(exchange, response.Header)
 	}
-	if err := f.checkResponse(exchange, verdict, response.Header, observation); err != nil {
+	if err := f.checkResponse(exchange, dispatched.verdict, response.Header, observation); err != nil {
 		return err
 	}
 	observation.End(resultOfResponse(response), clock.Now())
@@ -111,6 +110,7 @@
 	case VerdictMismatched:
 		observation.End(health.ResultFailed, clock.Now())
 		exchange.Outcome = pipeline.OutcomeUnknown
+		stateOf(exchange).cause = errMismatchedResponse
 		return refuseFailedDispatch(exchange, pipeline.OutcomeUnknown, errMismatchedResponse)
 	}
 	return nil
