backendproxy: a late announcement does not return a server that has left

Cause: the announcement was compared with the last one received, not with the departure, and a server that was removed without a departure of its own, or was unknown, left nothing to compare with. Evidence: the registry accepts sequence 6 after sequence 5 and Leave.

Change: each removal is kept for a minute with its reason (departure.go). After a departure or a takeover of the address only a later process returns; after an expiry a newer announcement, still leaving if the exit was stated; the departure of an unknown server holds for processes that started before it. A departure within 3 s after a restart under the same ID may be the former process's, so the next announcement returns the server. An announcement without a sequence is not newer than one with a sequence of the same process.

TestRegistryIgnoresStaleAnnouncements expected the fault (sequence 8 after Leave registered the server).

--- a/backendproxy/announce.go
+++ b/backendproxy/announce.go
@@ -42,7 +42,7 @@
 }
 
 func (r *Registry) handleLeave(w http.ResponseWriter, request *http.Request) {
-	r.Leave(fleetconfig.BackendServerID(request.PathValue("id")))
+	r.Leave(fleetconfig.BackendServerID(request.PathValue("id")), clock.Now())
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/backendproxy/crash_test.go
+++ b/backendproxy/crash_test.go
@@ -116,7 +116,7 @@
 func TestEndOfLeavingServerIsNoCrash(t *testing.T) {
 	for _, leave := range []func(*testing.T, *crashTest){
 		func(t *testing.T, test *crashTest) { test.announce(t, 100, StateDraining) },
-		func(_ *testing.T, test *crashTest) { test.registry.Leave("b1") },
+		func(_ *testing.T, test *crashTest) { test.registry.Leave("b1", time.Now()) },
 		func(_ *testing.T, test *crashTest) { test.registry.observe("b1", leavingStatus) },
 	} {
 		test := newCrashTest(t)
--- a/backendproxy/registry.go
+++ b/backendproxy/registry.go
@@ -10,7 +10,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/hemlockring/hemlockring/clock"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/membership"
 	"github.com/hemlockring/hemlockring/retry"
@@ -25,12 +24,6 @@
 	// MaxLifetime bounds the announced lifetime, and so how long a backend server that
 	// stops renewing stays registered.
 	MaxLifetime = time.Minute
-	// departureRetention is how long the last announcement of a backend server that has left
-	// is kept to recognize stale announcements.
-	departureRetention = time.Minute
-	// lateAnnouncementTime is how long after a crash announcements that the process sent
-	// before may still arrive.
-	lateAnnouncementTime = 3 * time.Second
 	// exitRetention is how long the stated exit of a backend server holds if the server
 	// goes on to announce itself as ready and does not announce the start of its process. It
 	// has probably restarted then.
@@ -79,13 +72,18 @@
 }
 
 // isNewerThan reports whether the announcement is newer than another one of the same
-// backend server that arrived before it. An announcement without a sequence counts as
-// newer unless its process started earlier.
+// backend server that arrived before it. Of two announcements of one process that both have no
+// sequence, the one that arrives later counts as newer.
 func (a *Announcement) isNewerThan(other *Announcement) bool {
 	if a.ProcessStartUnixMilli != other.ProcessStartUnixMilli {
 		return a.ProcessStartUnixMilli > other.ProcessStartUnixMilli
 	}
-	return a.Sequence == 0 || a.Sequence > other.Sequence
+	return a.Sequence > other.Sequence || (a.Sequence == 0 && other.Sequence == 0)
+}
+
+// isOrdered reports whether the announcement says which process sent it, or when.
+func (a *Announcement) isOrdered() bool {
+	return a.ProcessStartUnixMilli != 0 || a.Sequence != 0
 }
 
 // States of an announcement.
@@ -110,6 +108,9 @@
 	draining     bool
 	ejected      bool
 	admission    *admissionQueue
+	// replacesProcess says that the process succeeded another one under the same ID that was
+	// still registered.
+	replacesProcess bool
 	// leaving says that a response of the server's process has stated that it is leaving.
 	leaving bool
 	// leavingStatedAt is when a response last stated it.
@@ -156,18 +157,11 @@
 	// mu guards the fields below.
 	mu      sync.Mutex
 	servers map[fleetconfig.BackendServerID]*Server
-	// departed holds the last announcements of backend servers that have left. A stale
-	// announcement is compared with them, so that it does not register the server again.
+	// departed holds the backend servers that were removed. A stale announcement is compared
+	// with them, so that it does not register the server again.
 	departed map[fleetconfig.BackendServerID]departure
 }
 
-type departure struct {
-	lastAnnouncement Announcement
-	leftAt           time.Time
-	// crashed says that the server left because its process crashed.
-	crashed bool
-}
-
 // Limits are the limits on backend servers in the current configuration.
 type Limits interface {
 	// QueueLength returns how many requests may wait for each backend server.
@@ -216,24 +210,24 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	server := r.servers[id]
-	if r.isStale(id, server, &announcement) {
+	if r.isStale(id, server, &announcement, now) {
 		return nil
 	}
 	if !r.hasRoomFor(id, announcement.Address) {
 		return errors.Newf("this instance already has %d backend servers; announce the server to another instance", MaxServers)
 	}
-	changed := false
+	changed, restarted := false, false
 	if server != nil && server.Announcement.ProcessStartUnixMilli < announcement.ProcessStartUnixMilli {
 		// The process has restarted under the same ID; no earlier request runs on it.
 		server.admission.drain()
-		server = nil
+		server, restarted = nil, true
 	}
 	if server == nil {
-		server = &Server{ID: id, firstAnnouncedAt: now, warmUpEndsAt: announcement.warmUpEndsAt(now), admission: newAdmissionQueue(int(r.effectiveSlots(&announcement)), r.limits.QueueLength())}
-		r.servers[id] = server
+		server = r.register(id, &announcement, now)
+		server.replacesProcess = restarted
 		changed = true
 	}
-	r.removeOthersAt(announcement.Address, id)
+	r.removeOthersAt(&announcement, id, now)
 	draining := server.drainsWith(&announcement, now)
 	switch {
 	case draining && !server.draining:
@@ -252,6 +246,23 @@
 	return nil
 }
 
+// register adds a backend server that announces itself. A process that has stated its exit
+// before it was removed is still leaving. The caller must hold mu.
+func (r *Registry) register(id fleetconfig.BackendServerID, announcement *Announcement, now time.Time) *Server {
+	server := &Server{
+		ID:               id,
+		firstAnnouncedAt: now,
+		warmUpEndsAt:     announcement.warmUpEndsAt(now),
+		admission:        newAdmissionQueue(int(r.effectiveSlots(announcement)), r.limits.QueueLength()),
+	}
+	departed, found := r.departed[id]
+	if found && !departed.leavingStatedAt.IsZero() && departed.last.ProcessStartUnixMilli == announcement.ProcessStartUnixMilli {
+		server.leaving, server.leavingStatedAt = true, departed.leavingStatedAt
+	}
+	r.servers[id] = server
+	return server
+}
+
 // hasRoomFor reports whether the registry holds fewer than MaxServers servers besides the
 // given one and those that it replaces at the address. The caller must hold mu.
 func (r *Registry) hasRoomFor(id fleetconfig.BackendServerID, address string) bool {
@@ -275,16 +286,25 @@
 	return announcement.State == StateDraining || s.leaving
 }
 
-// Leave removes a backend server. Requests that run on it are not interrupted.
-func (r *Registry) Leave(id fleetconfig.BackendServerID) {
+// Leave removes a backend server that says that it leaves. Requests that run on it are not
+// interrupted. Announcements that its process has sent before may arrive later; they do not
+// return it to service.
+func (r *Registry) Leave(id fleetconfig.BackendServerID, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if server, known := r.servers[id]; known {
-		r.departed[id] = departure{lastAnnouncement: server.Announcement, leftAt: clock.Now()}
-		server.admission.leave()
-		delete(r.servers, id)
-		r.publish()
+	server, known := r.servers[id]
+	if !known {
+		r.recordUnknownDeparture(id, now)
+		return
 	}
+	reason := departureLeft
+	if server.replacesProcess && now.Sub(server.firstAnnouncedAt) < lateLeaveTime {
+		reason = departureSilent
+	}
+	r.recordDeparture(server, reason, now)
+	server.admission.leave()
+	delete(r.servers, id)
+	r.publish()
 }
 
 // markCrashed removes a backend server whose process has ended. It returns false if the process
@@ -300,7 +320,7 @@
 		// The server is gone or has been succeeded already.
 		return true
 	}
-	r.departed[id] = departure{lastAnnouncement: server.Announcement, leftAt: now, crashed: true}
+	r.recordDeparture(server, departureCrashed, now)
 	server.admission.drain()
 	delete(r.servers, id)
 	r.publish()
@@ -310,18 +330,12 @@
 // isStale reports whether an announcement must be ignored: a newer one has been received,
 // the backend server left after it had sent the announcement, or a newer process has taken
 // over the address in the announcement. The caller must hold mu.
-func (r *Registry) isStale(id fleetconfig.BackendServerID, known *Server, announcement *Announcement) bool {
+func (r *Registry) isStale(id fleetconfig.BackendServerID, known *Server, announcement *Announcement, now time.Time) bool {
 	if known != nil {
 		return !announcement.isNewerThan(&known.Announcement)
 	}
-	if departed, found := r.departed[id]; found {
-		if announcement.Sequence > 0 && !announcement.isNewerThan(&departed.lastAnnouncement) {
-			return true
-		}
-		sameProcess := announcement.ProcessStartUnixMilli != 0 && announcement.ProcessStartUnixMilli <= departed.lastAnnouncement.ProcessStartUnixMilli
-		if departed.crashed && sameProcess && clock.Since(departed.leftAt) < lateAnnouncementTime {
-			return true
-		}
+	if departed, found := r.departed[id]; found && departed.outdates(announcement, now) {
+		return true
 	}
 	for _, server := range r.servers {
 		if server.Announcement.Address == announcement.Address && server.Announcement.ProcessStartUnixMilli > announcement.ProcessStartUnixMilli {
@@ -331,14 +345,20 @@
 	return false
 }
 
-// removeOthersAt removes all backend servers with the given address except owner. The
-// caller must hold mu.
-func (r *Registry) removeOthersAt(address string, owner fleetconfig.BackendServerID) {
+// removeOthersAt removes all backend servers with the address of the announcement except
+// owner. The caller must hold mu.
+func (r *Registry) removeOthersAt(announcement *Announcement, owner fleetconfig.BackendServerID, now time.Time) {
 	for id, server := range r.servers {
-		if id != owner && server.Announcement.Address == address {
-			server.admission.drain()
-			delete(r.servers, id)
+		if id == owner || server.Announcement.Address != announcement.Address {
+			continue
+		}
+		reason := departureSilent
+		if start := server.Announcement.ProcessStartUnixMilli; start != 0 && start < announcement.ProcessStartUnixMilli {
+			reason = departureReplaced
 		}
+		r.recordDeparture(server, reason, now)
+		server.admission.drain()
+		delete(r.servers, id)
 	}
 }
 
@@ -355,14 +375,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changed := false
-	for id, departed := range r.departed {
-		if now.Sub(departed.leftAt) > departureRetention {
-			delete(r.departed, id)
-		}
-	}
+	r.forgetDepartures(now)
 	length, overage := r.limits.QueueLength(), r.limits.RateOverage()
 	for id, server := range r.servers {
 		if now.After(server.expiresAt) {
+			r.recordDeparture(server, departureSilent, now)
 			server.admission.drain()
 			delete(r.servers, id)
 			changed = true
--- a/backendproxy/registry_test.go
+++ b/backendproxy/registry_test.go
@@ -73,12 +73,11 @@
 	a.announce(t, "one", 100, 6, nil)
 	must.Eq(t, membership.ServerDraining, a.servers[0].State)
 
-	a.Leave("one")
-	a.announce(t, "one", 100, 8, nil)
-	must.Eq(t, []fleetconfig.BackendServerID{"one"}, a.ids()) // Sequence 8 is newer than that of the last announcement before Leave.
-	a.Leave("one")
-	a.announce(t, "one", 100, 8, nil)
-	must.SliceEmpty(t, a.ids())
+	a.Leave("one", time.Now())
+	for _, sequence := range []uint64{6, 7, 8, 9} {
+		a.announce(t, "one", 100, sequence, nil)
+		must.SliceEmpty(t, a.ids())
+	}
 
 	a.announce(t, "two", 200, 1, nil)
 	a.announce(t, "old", 150, 9, nil)
