selection: a late report of a former process does not hide a stated exit

What could happen: after a server stated its exit, a report about its former process under the same ID that arrives later replaced the process start in the statement, so that the ingress selected the leaving server again. Cause: the newest report won, not that of the latest process. TestLateReportOfFormerProcessDoesNotHideStatedExit fails before.

--- a/selection/statements.go
+++ b/selection/statements.go
@@ -56,7 +56,8 @@
 // (appointed). That of any other report is the same for all its receivers, so it replaces
 // an appointed wait only if the server admits requests now.
 func (s *statement) record(load *membership.ServerLoad, appointed bool, now time.Time) {
-	if load.Leaving {
+	// A report about an earlier process may arrive late.
+	if load.Leaving && load.LeavingProcess >= s.leavingProcess {
 		s.leavingAt = now
 		s.leavingProcess = load.LeavingProcess
 	}
--- a/selection/statements_test.go
+++ b/selection/statements_test.go
@@ -98,6 +98,17 @@
 	must.True(t, known.expired(now.Add(time.Second+statementRetention)))
 }
 
+// Guards against a late report about the former process of a server that hides the exit which
+// its present process has stated.
+func TestLateReportOfFormerProcessDoesNotHideStatedExit(t *testing.T) {
+	now := clock.Now()
+	var known statement
+	known.record(&membership.ServerLoad{Leaving: true, LeavingProcess: 200}, true, now)
+	known.record(&membership.ServerLoad{Leaving: true, LeavingProcess: 100}, true, now)
+	must.Eq(t, balance.ExcludedDraining, known.exclusions(200, now))
+	must.Eq(t, 0, known.exclusions(100, now))
+}
+
 // A rate does not make a server count as ejected when a failing path is to be avoided.
 func TestServerAtItsRateIsNotCountedAsEjected(t *testing.T) {
 	selector := newLimitedSelector(t, 2)
