fleetconfig: a replacement that is sent again is the same change whatever the settings derive from it

Cause: the digest of the command covers the preset and the floors, which each instance derives from its own settings, while the change ID is that of the body. Evidence: the answer names the verdict; with unchanged settings it is 200.

Change: SourceChangeID names a replacement after its text; the state machine recomputes it, and a command with that ID is the change that had it first. The history answers where the result was evicted, for example by refusals. Nothing that is stored changes its format.

--- a/fleetconfig/command.go
+++ b/fleetconfig/command.go
@@ -18,7 +18,8 @@
 type Command struct {
 	// ChangeID identifies the command. A command that is sent again with the same id
 	// and the same content gets the same result, so a client that lost the reply can
-	// retry safely.
+	// retry safely. For a replacement with the ID of SourceChangeID, the content is its
+	// source.
 	ChangeID string `cbor:"1,keyasint" json:"change_id"`
 	// BaseVersion is the document version that the changes are based on.
 	BaseVersion uint64 `cbor:"2,keyasint" json:"base_version"`
--- a/fleetconfig/machine.go
+++ b/fleetconfig/machine.go
@@ -65,7 +65,7 @@
 		return m.reject(command, Fault{Subject: "change", Problem: err.Error(), Remedy: "send it with a hemlockctl of the same version as the servers"})
 	}
 	if known, found := m.results.find(command.ChangeID); found {
-		if known.Digest == digest {
+		if known.Digest == digest || command.isIdentifiedBySource() {
 			return known.Result
 		}
 		return &Result{
@@ -75,11 +75,29 @@
 			BaseVersion: command.BaseVersion,
 		}
 	}
-	result := m.execute(command)
+	result, found := m.formerAcceptance(command)
+	if !found {
+		result = m.execute(command)
+	}
 	m.results.add(cachedResult{Digest: digest, Result: result})
 	return result
 }
 
+// formerAcceptance returns the result of an accepted replacement whose cached result was
+// evicted, for example by refusals, while it is still in the history. The history has no
+// digests, so this is limited to commands whose ID identifies their content.
+func (m *StateMachine) formerAcceptance(command *Command) (*Result, bool) {
+	if !command.isIdentifiedBySource() {
+		return nil, false
+	}
+	for i := range m.history {
+		if entry := &m.history[i]; entry.ChangeID == command.ChangeID {
+			return &Result{ChangeID: entry.ChangeID, Verdict: VerdictAccepted, Version: entry.Version, BaseVersion: command.BaseVersion}, true
+		}
+	}
+	return nil, false
+}
+
 // reject returns the result of a command that cannot be decoded or encoded, or that
 // commandFault finds invalid. The result has no change id and is not cached.
 func (m *StateMachine) reject(command *Command, fault Fault) *Result {
--- a/fleetconfig/replace.go
+++ b/fleetconfig/replace.go
@@ -1,6 +1,24 @@
 package fleetconfig
 
-import "fmt"
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+)
+
+// SourceChangeID returns the change ID of a replacement that is identified by its text alone.
+// Instances with other settings may derive other presets and floors from the same text; a
+// command with this ID is nevertheless the same change, whichever instance proposes it.
+func SourceChangeID(source []byte) string {
+	digest := sha256.Sum256(source)
+	return hex.EncodeToString(digest[:])
+}
+
+// isIdentifiedBySource reports whether the change ID of the command is that of SourceChangeID.
+func (c *Command) isIdentifiedBySource() bool {
+	replacement := c.replacement()
+	return replacement != nil && c.ChangeID == SourceChangeID(replacement.Source)
+}
 
 // replacement returns the Replacement of a command whose only change is ReplaceAll,
 // otherwise nil.
--- a/fleetconfig/replace_test.go
+++ b/fleetconfig/replace_test.go
@@ -137,3 +137,51 @@
 	must.Zero(t, machine.Document().OperatorVersion)
 	must.Nil(t, machine.Source())
 }
+
+// sourceCommand returns a replacement that is identified by its source.
+func sourceCommand(version, base uint64, change func(*Replacement)) *Command {
+	command := replacementOf(version, base, change)
+	command.ChangeID = SourceChangeID(command.Changes[0].Replacement.Source)
+	return command
+}
+
+// Guards against an accepted configuration that is refused when it is sent again to an instance
+// that derives another preset and other floors from the same text.
+func TestResentReplacementWithOtherDerivedSettingsIsNotRefused(t *testing.T) {
+	derived := func(r *Replacement) {
+		r.Preset.RetryBudgetPercent++
+		r.Services[0].FloorPercent = 70
+	}
+	machine := NewStateMachine()
+	accepted := applyCommand(t, machine, sourceCommand(3, 0, nil))
+	must.Eq(t, VerdictAccepted, accepted.Verdict)
+	must.Eq(t, accepted, applyCommand(t, machine, sourceCommand(3, 0, derived)))
+	must.Eq(t, accepted.Version, machine.Document().Version)
+
+	refused := applyCommand(t, machine, sourceCommand(9, 1, nil))
+	must.Eq(t, VerdictConflict, refused.Verdict)
+	must.Eq(t, refused, applyCommand(t, machine, sourceCommand(9, 1, derived)))
+}
+
+// A change ID that is not that of the source does not stand for the content.
+func TestReplacementWithChosenIDMustNotChange(t *testing.T) {
+	machine := NewStateMachine()
+	must.Eq(t, VerdictAccepted, applyCommand(t, machine, replacementOf(3, 0, nil)).Verdict)
+	other := replacementOf(3, 0, func(r *Replacement) { r.Preset.RetryBudgetPercent++ })
+	must.Eq(t, VerdictReusedID, applyCommand(t, machine, other).Verdict)
+}
+
+// Guards against an accepted configuration that is refused when it is sent again after so many
+// refusals that its result is no longer kept.
+func TestResentReplacementIsNotRefusedAfterEviction(t *testing.T) {
+	machine := NewStateMachine()
+	must.Eq(t, VerdictAccepted, applyCommand(t, machine, sourceCommand(3, 0, nil)).Verdict)
+	for i := range maxCachedResults {
+		refused := &Command{ChangeID: fmt.Sprint(i), BaseVersion: 99, Changes: []Change{{Kind: UsePreset, Name: PresetPeak}}}
+		must.Eq(t, VerdictConflict, applyCommand(t, machine, refused).Verdict)
+	}
+	again := applyCommand(t, machine, sourceCommand(3, 0, nil))
+	must.Eq(t, VerdictAccepted, again.Verdict)
+	must.Eq(t, 1, again.Version)
+	must.Eq(t, 1, machine.Document().Version)
+}
