backendproxy: a response with a status below 200 is not the answer

Cause: net/http hands the connection of a 101 response over as its body, whose reads do not end with the request's context. A status below 100 passed too, and passing it on panics.

Change: the dispatcher closes the connection at once, for every dialect; the request ends with 502 or is repeated where it may be, and the server has one more failure.

--- a/backendproxy/dialect.go
+++ b/backendproxy/dialect.go
@@ -22,6 +22,9 @@
 	VerdictMisdirected
 	// VerdictMismatched means that the response belongs to another request.
 	VerdictMismatched
+	// VerdictNotFinal means that the response has a status that can not answer the request:
+	// one below 100, or 101, which no request asks for.
+	VerdictNotFinal
 )
 
 // Dialect defines the HTTP conventions between the proxy and backend servers: the
--- a/backendproxy/dispatch.go
+++ b/backendproxy/dispatch.go
@@ -113,8 +113,16 @@
 	usedConn := conn.Load()
 	if err == nil {
 		exchange.DispatchAge = clock.Since(usedConn.dispatchedAt())
-		verdict := d.dialect.Classify(response, exchange, !reused.Load())
+		verdict := VerdictNotFinal
+		if response.StatusCode >= http.StatusOK {
+			verdict = d.dialect.Classify(response, exchange, !reused.Load())
+		}
 		switch verdict {
+		case VerdictNotFinal:
+			// net/http hands the connection of a 101 response over as its body, whose reads do
+			// not end with the context of the request.
+			usedConn.retire()
+			_ = response.Body.Close() // The connection is not used again, whether or not closing it fails.
 		case VerdictMismatched, VerdictMisdirected:
 			// After a mismatched response, the answer to this request is still due on the
 			// connection. After a misdirected request, the next attempt has the same request ID
--- a/backendproxy/duplicate_test.go
+++ b/backendproxy/response_test.go
@@ -141,3 +141,22 @@
 	_, err = conn.Write([]byte("next"))
 	must.ErrorIs(t, err, net.ErrClosed)
 }
+
+// Guards against requests that wait on the connection of a 101 response, which net/http hands
+// over as a body, past their deadline, and against statuses that can not be passed on.
+func TestResponseThatCannotAnswerRequestEndsAtOnce(t *testing.T) {
+	for _, status := range []int{0, 1, 99, http.StatusSwitchingProtocols} {
+		server := startScriptedServer(t, func(n int, requestID string) string {
+			if n == 2 {
+				return fmt.Sprintf("HTTP/1.1 %03d X\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n%s: %s\r\n\r\n", status, pipeline.HeaderRequestID, requestID)
+			}
+			return responseText(http.StatusOK, requestID)
+		})
+		d := newDispatcher(echoDialect{})
+		must.Eq(t, VerdictAnswered, server.send(t, d, "r1"))
+		must.Eq(t, VerdictNotFinal, server.send(t, d, "r2"), must.Sprint(status))
+		must.Eq(t, 1, server.conns.Load())
+		must.Eq(t, VerdictAnswered, server.send(t, d, "r3"))
+		must.Eq(t, 2, server.conns.Load())
+	}
+}
--- a/backendproxy/run.go
+++ b/backendproxy/run.go
@@ -108,23 +108,33 @@
 		return markReached(pipeline.NewNotRunRefusal(pipeline.KindNoCapacity, http.StatusServiceUnavailable,
 			"another backend server uses the address now", "retry the request", retryElsewhere))
 	case VerdictMismatched:
-		observation.End(health.ResultFailed, clock.Now())
-		exchange.Outcome = pipeline.OutcomeUnknown
-		stateOf(exchange).cause = errMismatchedResponse
-		return refuseFailedDispatch(exchange, pipeline.OutcomeUnknown, errMismatchedResponse)
+		return refuseUnusable(exchange, observation, errMismatchedResponse)
+	case VerdictNotFinal:
+		return refuseUnusable(exchange, observation, errNotFinalResponse)
 	}
 	return nil
 }
 
+// refuseUnusable records a failure of the backend server and returns the refusal of a request
+// that got a response which is not its answer.
+func refuseUnusable(exchange *pipeline.Exchange, observation Observation, cause error) error {
+	observation.End(health.ResultFailed, clock.Now())
+	exchange.Outcome = pipeline.OutcomeUnknown
+	stateOf(exchange).cause = cause
+	return refuseFailedDispatch(exchange, pipeline.OutcomeUnknown, cause)
+}
+
 // markReached marks a refusal of a request that reached the backend server.
 func markReached(refusal *pipeline.Refusal) *pipeline.Refusal {
 	refusal.ReachedServer = true
 	return refusal
 }
 
-// errMismatchedResponse is the cause of a refusal when the response belongs to another
-// request.
-var errMismatchedResponse = errors.New("the response belongs to another request")
+// Causes of refusals after a response that is not the answer to the request.
+var (
+	errMismatchedResponse = errors.New("the response belongs to another request")
+	errNotFinalResponse   = errors.New("the status of the response can not answer a request")
+)
 
 // recordTruncation records one more failed request when the backend server ended the
 // response early without having crashed. It records nothing when the response could not be
