pipeline: forward the path as the caller wrote it

What callers saw (review): characters that should have been escaped (|, ^, {, UTF-8) reached the server escaped. With one of them in the path, net/url also rewrites the caller's own escapes: /a|b/%2f reached the server as /a%7Cb//, another path. Cause: URL.EscapedPath encodes the decoded path anew when the raw one is not valid, on each of the two hops.

Change: TargetOf hands the raw path over as the opaque part of the URL. Not for a path that begins with two slashes, which net/url would take for an authority. The emulator reports the request target as received; before, it reported what net/url made of it.

--- a/backendproxy/dispatch.go
+++ b/backendproxy/dispatch.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -155,16 +154,11 @@
 		// An empty value keeps net/http from adding its own User-Agent.
 		header.Set("User-Agent", "")
 	}
+	target := pipeline.TargetOf(incoming.URL)
+	target.Scheme, target.Host = "http", address
 	outgoing := &http.Request{
-		Method: incoming.Method,
-		URL: &url.URL{
-			Scheme:     "http",
-			Host:       address,
-			Path:       incoming.URL.Path,
-			RawPath:    incoming.URL.RawPath,
-			RawQuery:   incoming.URL.RawQuery,
-			ForceQuery: incoming.URL.ForceQuery,
-		},
+		Method:        incoming.Method,
+		URL:           target,
 		Host:          incoming.Host,
 		Header:        header,
 		ContentLength: incoming.ContentLength,
--- a/ingress/forwarded.go
+++ b/ingress/forwarded.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -64,13 +63,8 @@
 		header.Set("User-Agent", "")
 	}
 	request := &http.Request{
-		Method: incoming.Method,
-		URL: &url.URL{
-			Path:       incoming.URL.Path,
-			RawPath:    incoming.URL.RawPath,
-			RawQuery:   incoming.URL.RawQuery,
-			ForceQuery: incoming.URL.ForceQuery,
-		},
+		Method:        incoming.Method,
+		URL:           pipeline.TargetOf(incoming.URL),
 		Host:          incoming.Host,
 		Header:        header,
 		ContentLength: incoming.ContentLength,
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -315,7 +315,7 @@
 	_ = controller.EnableFullDuplex()
 	header := w.Header()
 	header.Set("X-Method", request.Method)
-	header.Set("X-Path", request.URL.RequestURI())
+	header.Set("X-Path", request.RequestURI)
 	// The fleet must replace this header: a backend server's value must not reach the
 	// caller.
 	header.Set(pipeline.HeaderOutcome, "forged")
