--- a/backendproxy/dispatch.go
+++ b/backendproxy/dispatch.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -77,13 +76,22 @@
 	}
 }
 
+// dispatchResult says what became of a dispatched request.
+type dispatchResult struct {
+	// verdict classifies the response, if there is one.
+	verdict Verdict
+	// outcome says, if there is no response, whether the request may have run.
+	outcome pipeline.Outcome
+}
+
 // dispatch sends the request to the backend server at address. The first byte is written
-// by dispatchBy or not at all. If dispatch returns an error, the outcome says whether the
-// request may have run.
-func (d *dispatcher) dispatch(ctx context.Context, exchange *pipeline.Exchange, address string, dispatchBy time.Time) (*http.Response, pipeline.Outcome, error) {
+// by dispatchBy or not at all.
+func (d *dispatcher) dispatch(ctx context.Context, exchange *pipeline.Exchange, address string, dispatchBy time.Time) (*http.Response, dispatchResult, error) {
 	var conn atomic.Pointer[trackedConn]
+	var reused atomic.Bool
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
+			reused.Store(info.Reused)
 			if tracked, ok := info.Conn.(*trackedConn); ok {
 				tracked.beginRequest(dispatchBy)
 				conn.Store(tracked)
@@ -104,13 +112,31 @@
 	usedConn := conn.Load()
 	if err == nil {
 		exchange.DispatchAge = clock.Since(usedConn.dispatchedAt())
-		usedConn.setIdleTimeout(statedIdleTimeout(response.Header.Get("Keep-Alive")))
-		return response, pipeline.OutcomeAnswered, nil
+		verdict := VerdictNotFinal
+		if response.StatusCode >= http.StatusOK {
+			verdict = d.dialect.Classify(response, exchange, !reused.Load())
+		}
+		switch verdict {
+		case VerdictNotFinal:
+			// net/http hands the connection of a 101 response over as its body, whose reads do
+			// not end with the context of the request.
+			usedConn.retire()
+			_ = response.Body.Close() // The connection is not used again, whether or not closing it fails.
+		case VerdictMismatched, VerdictMisdirected:
+			// After a mismatched response, the answer to this request is still due on the
+			// connection. After a misdirected request, the next attempt has the same request ID
+			// and may go to the same address, where a duplicate of this response could pass for
+			// its answer.
+			usedConn.retire()
+		default:
+			usedConn.setIdleTimeout(statedIdleTimeout(response.Header.Get("Keep-Alive")))
+		}
+		return response, dispatchResult{verdict: verdict, outcome: pipeline.OutcomeAnswered}, nil
 	}
 	if usedConn == nil || !usedConn.stopWrites() {
-		return nil, pipeline.OutcomeNotRun, err
+		return nil, dispatchResult{outcome: pipeline.OutcomeNotRun}, err
 	}
-	return nil, pipeline.OutcomeUnknown, err
+	return nil, dispatchResult{outcome: pipeline.OutcomeUnknown}, err
 }
 
 // outgoingRequest builds the request to the backend server. Its body is always one that
@@ -128,16 +154,11 @@
 		// An empty value keeps net/http from adding its own User-Agent.
 		header.Set("User-Agent", "")
 	}
+	target := pipeline.TargetOf(incoming.URL)
+	target.Scheme, target.Host = "http", address
 	outgoing := &http.Request{
-		Method: incoming.Method,
-		URL: &url.URL{
-			Scheme:     "http",
-			Host:       address,
-			Path:       incoming.URL.Path,
-			RawPath:    incoming.URL.RawPath,
-			RawQuery:   incoming.URL.RawQuery,
-			ForceQuery: incoming.URL.ForceQuery,
-		},
+		Method:        incoming.Method,
+		URL:           target,
 		Host:          incoming.Host,
 		Header:        header,
 		ContentLength: incoming.ContentLength,
--- a/backendproxy/run.go
+++ b/backendproxy/run.go
@@ -57,12 +57,12 @@
 	run := f.crashes.begin(exchange, slot)
 	defer run.end()
 	defer f.runs.begin(exchange)()
-	response, outcome, err := f.dispatcher.dispatch(ctx, exchange, slot.Address, exchange.DispatchBy)
-	exchange.Outcome = outcome
+	response, dispatched, err := f.dispatcher.dispatch(ctx, exchange, slot.Address, exchange.DispatchBy)
+	exchange.Outcome = dispatched.outcome
 	if err != nil {
 		stateOf(exchange).cause = err
 		result := resultOfError(exchange, err)
-		if result == health.ResultFailed && outcome == pipeline.OutcomeUnknown {
+		if result == health.ResultFailed && dispatched.outcome == pipeline.OutcomeUnknown {
 			if evidence, crashed := run.serverCrashed(); crashed {
 				// A crash says more about the requests under way than about the server, whose
 				// next process starts anew.
@@ -71,14 +71,13 @@
 			}
 		}
 		observation.End(result, clock.Now())
-		return refuseFailedDispatch(exchange, outcome, err)
+		return refuseFailedDispatch(exchange, dispatched.outcome, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	verdict := f.dispatcher.dialect.Classify(response, exchange)
-	if verdict == VerdictAnswered || verdict == VerdictNotRun {
+	if dispatched.verdict == VerdictAnswered || dispatched.verdict == VerdictNotRun {
 		f.status.observe(exchange, response.Header)
 	}
-	if err := f.checkResponse(exchange, verdict, response.Header, observation); err != nil {
+	if err := f.checkResponse(exchange, dispatched.verdict, response.Header, observation); err != nil {
 		return err
 	}
 	observation.End(resultOfResponse(response), clock.Now())
@@ -109,22 +108,33 @@
 		return markReached(pipeline.NewNotRunRefusal(pipeline.KindNoCapacity, http.StatusServiceUnavailable,
 			"another backend server uses the address now", "retry the request", retryElsewhere))
 	case VerdictMismatched:
-		observation.End(health.ResultFailed, clock.Now())
-		exchange.Outcome = pipeline.OutcomeUnknown
-		return refuseFailedDispatch(exchange, pipeline.OutcomeUnknown, errMismatchedResponse)
+		return refuseUnusable(exchange, observation, errMismatchedResponse)
+	case VerdictNotFinal:
+		return refuseUnusable(exchange, observation, errNotFinalResponse)
 	}
 	return nil
 }
 
+// refuseUnusable records a failure of the backend server and returns the refusal of a request
+// that got a response which is not its answer.
+func refuseUnusable(exchange *pipeline.Exchange, observation Observation, cause error) error {
+	observation.End(health.ResultFailed, clock.Now())
+	exchange.Outcome = pipeline.OutcomeUnknown
+	stateOf(exchange).cause = cause
+	return refuseFailedDispatch(exchange, pipeline.OutcomeUnknown, cause)
+}
+
 // markReached marks a refusal of a request that reached the backend server.
 func markReached(refusal *pipeline.Refusal) *pipeline.Refusal {
 	refusal.ReachedServer = true
 	return refusal
 }
 
-// errMismatchedResponse is the cause of a refusal when the response belongs to another
-// request.
-var errMismatchedResponse = errors.New("the response belongs to another request")
+// Causes of refusals after a response that is not the answer to the request.
+var (
+	errMismatchedResponse = errors.New("the response belongs to another request")
+	errNotFinalResponse   = errors.New("the status of the response can not answer a request")
+)
 
 // recordTruncation records one more failed request when the backend server ended the
 // response early without having crashed. It records nothing when the response could not be
