backendproxy: a repeated message that a server has left does not concern its next process

What could happen: the second copy of a DELETE for a server that this instance does not know, arriving after the server had started again, moved the time of the departure past that start, so that the new process was ignored for up to a minute. TestRepeatedLeaveDoesNotKeepRestartedServerOut fails before.

--- a/backendproxy/departure.go
+++ b/backendproxy/departure.go
@@ -88,10 +88,14 @@
 }
 
 // recordUnknownDeparture records that a server has left that is not registered. It may have
-// been removed before for another reason, or have registered before this instance started. The
+// been removed before for another reason, or have registered before this instance started. A
+// repeated message changes nothing, since the server may have started again in between. The
 // caller must hold mu.
 func (r *Registry) recordUnknownDeparture(id fleetconfig.BackendServerID, now time.Time) {
-	departed := r.departed[id]
+	departed, found := r.departed[id]
+	if found && departed.reason == departureLeft {
+		return
+	}
 	departed.reason, departed.at = departureLeft, now
 	r.addDeparture(id, departed)
 }
--- a/backendproxy/departure_test.go
+++ b/backendproxy/departure_test.go
@@ -61,6 +61,17 @@
 	must.Eq(t, []fleetconfig.BackendServerID{"one"}, a.ids())
 }
 
+// Guards against a server that is out of service after its restart because the message that its
+// former process left arrives twice.
+func TestRepeatedLeaveDoesNotKeepRestartedServerOut(t *testing.T) {
+	a := newTestRegistry()
+	now := time.Now()
+	a.Leave("one", now)
+	a.Leave("one", now.Add(time.Second))
+	a.announce(t, "one", now.Add(time.Second/2).UnixMilli(), 1, nil)
+	must.Eq(t, []fleetconfig.BackendServerID{"one"}, a.ids())
+}
+
 // Guards against a late announcement that returns a draining server whose registration has
 // expired. A later announcement of the same process still counts.
 func TestLateAnnouncementDoesNotReturnExpiredServer(t *testing.T) {
