transport: a caller's request with the path of a liveness probe is not answered as one

What callers could see: in a trusted network, a request for /fleet/alive that was forwarded to another instance was answered 204 by that instance's transport; no server ran it. Cause: probes were told apart by their path alone.

TestRequestWithPathOfLivenessProbeReachesHandler fails before.

--- a/transport/tcp_test.go
+++ b/transport/tcp_test.go
@@ -121,3 +121,20 @@
 		t.Fatal("the peer still handles a canceled request")
 	}
 }
+
+// Guards against a caller's request that is answered as a liveness probe because it has the
+// path of one.
+func TestRequestWithPathOfLivenessProbeReachesHandler(t *testing.T) {
+	server := newTrustedEndpoint(t, "server", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusTeapot)
+	}))
+	client := newTrustedEndpoint(t, "client", http.NotFoundHandler())
+	for range 2 {
+		request := newRequest(context.Background(), "order")
+		request.URL.Path = pathLiveness
+		response, err := client.RoundTrip(server.Address().String(), request, ClassSmall)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusTeapot, response.StatusCode)
+		must.NoError(t, response.Body.Close())
+	}
+}
--- a/transport/tcppeers.go
+++ b/transport/tcppeers.go
@@ -20,8 +20,12 @@
 // there is no certificate to identify it.
 const headerSenderID = "Hemlock-From"
 
-// pathLiveness is the path of liveness probes.
-const pathLiveness = "/fleet/alive"
+// pathLiveness is the path of liveness probes. Requests of callers may have the same path;
+// headerLiveness, which no caller can set, tells them apart.
+const (
+	pathLiveness   = "/fleet/alive"
+	headerLiveness = "Hemlock-Liveness"
+)
 
 // maxTCPPeers bounds how many peers have an entry in tcpPeers.
 const maxTCPPeers = 4096
@@ -30,7 +34,7 @@
 // handler.
 func handleLivenessProbes(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == pathLiveness {
+		if r.URL.Path == pathLiveness && r.Header.Get(headerLiveness) != "" {
 			w.WriteHeader(http.StatusNoContent)
 			return
 		}
@@ -138,7 +142,7 @@
 	request := &http.Request{
 		Method: http.MethodGet,
 		URL:    &url.URL{Scheme: "http", Host: address, Path: pathLiveness},
-		Header: make(http.Header),
+		Header: http.Header{headerLiveness: {"1"}},
 	}
 	response, err := t.transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
