ingress: pass on only responses that a backend proxy has marked as a server's

What callers could see: a response of another instance that is no refusal of its backend proxy, for example 404 or 431 of its HTTP server, was passed on as the server's answer. Cause: readRefusal took the absence of a refusal for an answer. Backend proxies mark answers with Hemlock-Outcome since they exist, so the mark is asked for; without it the outcome is unknown.

TestForwardPassesOnlyResponsesOfBackendServers fails before. The stand-in of a backend proxy in forward_test.go sets the mark, as the real one does.

--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -96,7 +96,8 @@
 
 func respondStatus(status int) func(*http.Request) (*http.Response, error) {
 	return func(*http.Request) (*http.Response, error) {
-		return &http.Response{StatusCode: status, Header: make(http.Header), Body: io.NopCloser(strings.NewReader("body"))}, nil
+		header := http.Header{pipeline.HeaderOutcome: {pipeline.OutcomeAnswered.String()}}
+		return &http.Response{StatusCode: status, Header: header, Body: io.NopCloser(strings.NewReader("body"))}, nil
 	}
 }
 
@@ -392,6 +393,7 @@
 	} {
 		fleet := &fakeFleet{
 			local: func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(pipeline.HeaderOutcome, pipeline.OutcomeAnswered.String())
 				w.WriteHeader(http.StatusInternalServerError)
 				body(w)
 			},
@@ -402,3 +404,19 @@
 		must.Len(t, 2, fleet.results)
 	}
 }
+
+// Guards against a response of another instance that no backend server has sent, and that its
+// caller takes for the answer to an order.
+func TestForwardPassesOnlyResponsesOfBackendServers(t *testing.T) {
+	for _, status := range []int{http.StatusNoContent, http.StatusNotFound, http.StatusRequestHeaderFieldsTooLarge, http.StatusServiceUnavailable} {
+		unmarked := func(*http.Request) (*http.Response, error) {
+			return &http.Response{StatusCode: status, Header: make(http.Header), Body: http.NoBody}, nil
+		}
+		fleet := &fakeFleet{responders: []func(*http.Request) (*http.Response, error){unmarked, respondStatus(http.StatusOK)}}
+		recorder := fleet.serve(nonIdempotent, 0, 1)
+		must.Eq(t, http.StatusBadGateway, recorder.Code)
+		must.Eq(t, pipeline.OutcomeUnknown.String(), recorder.Header().Get(pipeline.HeaderOutcome))
+		must.Eq(t, []int{0}, fleet.attempted)
+		must.Eq(t, http.StatusOK, fleet.serve(idempotent, 0, 1).Code)
+	}
+}
--- a/ingress/forwarded.go
+++ b/ingress/forwarded.go
@@ -83,13 +83,23 @@
 }
 
 // readRefusal returns the refusal of a backend proxy, or nil if the response comes
-// from a backend server. Backend proxies remove the refusal headers from the
-// responses of backend servers, so these cannot forge a refusal.
+// from a backend server. Backend proxies mark the responses of backend servers and remove the
+// refusal headers from them, so these cannot forge a refusal. A response without either, for
+// example of the other instance's HTTP server, is not an answer to the request.
 func readRefusal(status int, header http.Header) *pipeline.Refusal {
 	refusal := pipeline.ReadInternal(status, header)
-	if refusal == nil {
+	if refusal == nil && header.Get(pipeline.HeaderOutcome) == pipeline.OutcomeAnswered.String() {
 		return nil
 	}
+	if refusal == nil {
+		refusal = &pipeline.Refusal{
+			Kind:          pipeline.KindOutcomeUnknown,
+			Status:        http.StatusBadGateway,
+			RetryAfter:    retryAfterTransient,
+			Outcome:       pipeline.OutcomeUnknown,
+			ReachedServer: true,
+		}
+	}
 	refusal.Detail = "the backend proxy refused the request: " + strings.ReplaceAll(string(refusal.Kind), "-", " ")
 	refusal.Remedy = "send the request again"
 	if refusal.Outcome != pipeline.OutcomeNotRun {
