--- a/backendproxy/departure_test.go
+++ b/backendproxy/departure_test.go
@@ -13,8 +13,7 @@
 	"github.com/hemlockring/hemlockring/membership"
 )
 
-// Guards against orders that are broken off because an announcement that was sent before the
-// server left, and arrives after it, returns the server to service.
+// Guards against orders sent to a server that has left, after an announcement from before its departure arrives late.
 func TestLateAnnouncementDoesNotReturnServerThatHasLeft(t *testing.T) {
 	a := newTestRegistry()
 	a.announce(t, "one", 100, 5, nil)
@@ -26,8 +25,7 @@
 	must.SliceEmpty(t, a.ids())
 }
 
-// A server that starts again under its ID is in service with its first announcement, whose
-// sequence starts anew.
+// A server that starts again under its ID is in service with its first announcement, whose sequence starts anew.
 func TestRestartedServerReturnsUnderItsID(t *testing.T) {
 	a := newTestRegistry()
 	a.announce(t, "one", 100, 5, nil)
@@ -49,8 +47,7 @@
 	must.Eq(t, []fleetconfig.BackendServerID{"one"}, a.ids())
 }
 
-// Guards against a late announcement that returns a server whose departure was reported right
-// after a restart of this instance, before the server had announced itself again.
+// Guards against a late announcement of a server that left before it announced itself to a restarted instance.
 func TestDepartureOfUnknownServerIsRemembered(t *testing.T) {
 	a := newTestRegistry()
 	now := time.Now()
@@ -61,8 +58,7 @@
 	must.Eq(t, []fleetconfig.BackendServerID{"one"}, a.ids())
 }
 
-// Guards against a server that is out of service after its restart because the message that its
-// former process left arrives twice.
+// Guards against a restarted server that is out of service because its former process's departure is reported twice.
 func TestRepeatedLeaveDoesNotKeepRestartedServerOut(t *testing.T) {
 	a := newTestRegistry()
 	now := time.Now()
@@ -72,8 +68,7 @@
 	must.Eq(t, []fleetconfig.BackendServerID{"one"}, a.ids())
 }
 
-// Guards against a late announcement that returns a draining server whose registration has
-// expired. A later announcement of the same process still counts.
+// Guards against a late announcement that returns a draining server whose registration has expired.
 func TestLateAnnouncementDoesNotReturnExpiredServer(t *testing.T) {
 	a := newTestRegistry()
 	a.announce(t, "one", 100, 6, setDraining)
@@ -85,8 +80,7 @@
 	must.Eq(t, []fleetconfig.BackendServerID{"one"}, a.ids())
 }
 
-// Guards against a server that has stated its exit and is in service again after its
-// registration has expired. Its next process is not leaving.
+// Guards against a server that has stated its exit and is in service again after its registration has expired.
 func TestStatedExitHoldsAfterExpiry(t *testing.T) {
 	a := newTestRegistry()
 	a.announce(t, "one", 100, 5, nil)
@@ -100,8 +94,7 @@
 	must.Eq(t, membership.ServerReady, a.servers[0].State)
 }
 
-// Guards against a server that is out of service because the message that its former process
-// left arrives after its restart.
+// Guards against a restarted server that is out of service because its former process's departure is reported late.
 func TestLateLeaveDoesNotKeepRestartedServerOut(t *testing.T) {
 	a := newTestRegistry()
 	a.announce(t, "one", 100, 5, nil)
@@ -126,8 +119,7 @@
 	must.SliceEmpty(t, a.ids())
 }
 
-// Guards against an announcement without a sequence that ends the draining of a server that
-// numbers its announcements.
+// Guards against an announcement without a sequence that ends the draining of a server that numbers them.
 func TestAnnouncementWithoutSequenceDoesNotEndDraining(t *testing.T) {
 	a := newTestRegistry()
 	a.announce(t, "one", 100, 5, setDraining)
@@ -147,8 +139,7 @@
 	must.MapEmpty(t, a.departed)
 }
 
-// A server that has left stays out of service in whatever order its news arrives, until a later
-// process announces itself.
+// A server that has left stays out of service in whatever order its news arrives, until a later process announces itself.
 func TestServerStaysOutWhateverOrderItsNewsArrivesIn(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const start = 1_000
--- a/backendproxy/idle_conn_test.go
+++ b/backendproxy/idle_conn_test.go
@@ -38,21 +38,30 @@
 }
 
 func startIdleResetServer(t *testing.T, idleTimeout time.Duration, keepAlive string) *idleResetServer {
+	server := &idleResetServer{idleTimeout: idleTimeout, keepAlive: keepAlive}
+	server.Listener = listenRaw(t, func(conn *net.TCPConn) {
+		server.conns.Add(1)
+		server.serve(conn)
+	})
+	return server
+}
+
+// listenRaw accepts connections until the test ends and serves each in a goroutine of its own.
+func listenRaw(t *testing.T, serve func(*net.TCPConn)) net.Listener {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	server := &idleResetServer{Listener: listener, idleTimeout: idleTimeout, keepAlive: keepAlive}
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			server.conns.Add(1)
-			go server.serve(conn.(*net.TCPConn))
+			go serve(conn.(*net.TCPConn))
 		}
 	}()
-	return server
+	return listener
 }
 
 func (s *idleResetServer) serve(conn *net.TCPConn) {
--- a/backendproxy/response_test.go
+++ b/backendproxy/response_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
 
 	"github.com/hemlockring/hemlockring/clock"
@@ -28,24 +29,15 @@
 }
 
 func startScriptedServer(t *testing.T, answer func(n int, requestID string) string) *scriptedServer {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	server := &scriptedServer{Listener: listener, answer: answer}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			server.conns.Add(1)
-			go server.serve(conn)
-		}
-	}()
+	server := &scriptedServer{answer: answer}
+	server.Listener = listenRaw(t, func(conn *net.TCPConn) {
+		server.conns.Add(1)
+		server.serve(conn)
+	})
 	return server
 }
 
-func (s *scriptedServer) serve(conn net.Conn) {
+func (s *scriptedServer) serve(conn *net.TCPConn) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for n := 1; ; n++ {
@@ -95,8 +87,7 @@
 	return VerdictAnswered
 }
 
-// Guards against further requests on a connection on which the answer to an earlier one is
-// still due, after a late copy of a response was read in its place.
+// Guards against further requests on a connection on which the answer to an earlier one is still due.
 func TestConnectionIsRetiredAfterMismatchedResponse(t *testing.T) {
 	server := startScriptedServer(t, func(n int, requestID string) string {
 		if n == 2 {
@@ -112,8 +103,7 @@
 	must.Eq(t, 2, server.conns.Load())
 }
 
-// Guards against a copy of a 421 that passes for the answer to the next attempt of the same
-// request, at the server that uses the address now.
+// Guards against a copy of a 421 that passes for the answer to the next attempt of the same request.
 func TestConnectionIsRetiredAfterMisdirectedRequest(t *testing.T) {
 	server := startScriptedServer(t, func(n int, requestID string) string {
 		if n == 1 {
@@ -142,8 +132,7 @@
 	must.ErrorIs(t, err, net.ErrClosed)
 }
 
-// Guards against requests that wait on the connection of a 101 response, which net/http hands
-// over as a body, past their deadline, and against statuses that can not be passed on.
+// Guards against requests that wait past their deadline for the end of a 101 response.
 func TestResponseThatCannotAnswerRequestEndsAtOnce(t *testing.T) {
 	for _, status := range []int{0, 1, 99, http.StatusSwitchingProtocols} {
 		server := startScriptedServer(t, func(n int, requestID string) string {
@@ -160,3 +149,20 @@
 		must.Eq(t, 2, server.conns.Load())
 	}
 }
+
+// Guards against an order that is sent again, or whose caller is told that it has not run, after a response that is not its answer.
+func TestUnusableResponseLeavesOutcomeUnknown(t *testing.T) {
+	for _, verdict := range []Verdict{VerdictMismatched, VerdictNotFinal} {
+		exchange := &pipeline.Exchange{
+			Request:  httptest.NewRequest(http.MethodPost, "/x", nil),
+			Deadline: clock.Now().Add(time.Minute),
+			State:    &exchangeState{},
+		}
+		var refusal *pipeline.Refusal
+		must.True(t, errors.As((&runFilter{}).checkResponse(exchange, verdict, http.Header{}, noObservation{}), &refusal))
+		must.Eq(t, pipeline.OutcomeUnknown, refusal.Outcome)
+		must.Eq(t, pipeline.OutcomeUnknown, exchange.Outcome)
+		must.Eq(t, http.StatusBadGateway, refusal.Status)
+		must.True(t, refusal.ReachedServer)
+	}
+}
--- a/fleetconfig/replace_test.go
+++ b/fleetconfig/replace_test.go
@@ -145,8 +145,7 @@
 	return command
 }
 
-// Guards against an accepted configuration that is refused when it is sent again to an instance
-// that derives another preset and other floors from the same text.
+// Guards against an accepted configuration that is refused by an instance whose settings derive another preset from it.
 func TestResentReplacementWithOtherDerivedSettingsIsNotRefused(t *testing.T) {
 	derived := func(r *Replacement) {
 		r.Preset.RetryBudgetPercent++
@@ -171,8 +170,7 @@
 	must.Eq(t, VerdictReusedID, applyCommand(t, machine, other).Verdict)
 }
 
-// Guards against an accepted configuration that is refused when it is sent again after so many
-// refusals that its result is no longer kept.
+// Guards against an accepted configuration that is refused after so many refusals that its result is no longer kept.
 func TestResentReplacementIsNotRefusedAfterEviction(t *testing.T) {
 	machine := NewStateMachine()
 	must.Eq(t, VerdictAccepted, applyCommand(t, machine, sourceCommand(3, 0, nil)).Verdict)
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -376,9 +376,7 @@
 	must.Eq(t, http.StatusOK, fleet.serve(fleetconfig.IdempotentAlways, 3, 10).Code)
 }
 
-// Guards against a server error of the own instance's server whose body has no end, which is
-// read until the deadline although the request is sent again, and against one whose body is cut
-// short, which ends the caller's connection.
+// Guards against a server error with an endless or truncated body that keeps its request from being sent again.
 func TestForwardRetriesLocalServerErrorWithUnusableBody(t *testing.T) {
 	for name, body := range map[string]func(http.ResponseWriter){
 		"endless": func(w http.ResponseWriter) {
@@ -405,8 +403,7 @@
 	}
 }
 
-// Guards against a response of another instance that no backend server has sent, and that its
-// caller takes for the answer to an order.
+// Guards against a response of another instance's HTTP server that a caller takes for the answer to an order.
 func TestForwardPassesOnlyResponsesOfBackendServers(t *testing.T) {
 	for _, status := range []int{http.StatusNoContent, http.StatusNotFound, http.StatusRequestHeaderFieldsTooLarge, http.StatusServiceUnavailable} {
 		unmarked := func(*http.Request) (*http.Response, error) {
@@ -420,3 +417,23 @@
 		must.Eq(t, http.StatusOK, fleet.serve(idempotent, 0, 1).Code)
 	}
 }
+
+// Guards against a request that gets the policies of an inner route because an escaped slash ends a segment.
+func TestRouteFilterKeepsEscapedSlashWithinSegment(t *testing.T) {
+	document := fleetconfig.NewDocument()
+	document.Routes = []fleetconfig.Route{
+		{ID: "shop", PathPrefix: "/shop", Idempotency: nonIdempotent},
+		{ID: "stock", PathPrefix: "/shop/stock", Idempotency: idempotent},
+	}
+	filter := &routeFilter{configuration: &fakeConfiguration{view: fleetconfig.NewView(document)}}
+	for target, route := range map[string]string{"/shop/stock/7": "stock", "/shop%2Fstock/7": "", "/shop/stock%2F7": "shop"} {
+		exchange := &pipeline.Exchange{Request: httptest.NewRequest(http.MethodPost, target, nil)}
+		err := filter.Request(exchange)
+		if route == "" {
+			must.Error(t, err)
+			continue
+		}
+		must.NoError(t, err)
+		must.Eq(t, route, exchange.Route.ID, must.Sprint(target))
+	}
+}
--- a/pipeline/target_test.go
+++ b/pipeline/target_test.go
@@ -11,8 +11,7 @@
 	_ "github.com/hemlockring/hemlockring/internal/fixedseed"
 )
 
-// Guards against a backend server that gets another path than the caller sent, because
-// characters that should have been escaped are escaped on the way.
+// Guards against a backend server that gets another path than the caller sent.
 func TestTargetIsForwardedAsTheCallerWroteIt(t *testing.T) {
 	piece := rapid.SampledFrom([]string{"/", "a", "|", "^", "{", "é", "%2F", "%2f", "%41", "%7C", "+", ";", ":", "\"", "*", "?", "=", "&"})
 	rapid.Check(t, func(t *rapid.T) {
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -60,9 +60,8 @@
 	})
 }
 
-// Guards against a resource that is no longer reachable at its own address, the path that
-// equals the prefix of its route, and against an escaped slash that ends a segment.
-func TestPathThatEqualsPrefix(t *testing.T) {
+// Guards against a resource that is no longer reachable at the path that equals the prefix of its route.
+func TestPathThatEqualsPrefixMatchesUnlessExcluded(t *testing.T) {
 	routes := []fleetconfig.Route{
 		{ID: "all", PathPrefix: "/"},
 		{ID: "orders", PathPrefix: "/orders"},
--- a/selection/statements_test.go
+++ b/selection/statements_test.go
@@ -98,8 +98,7 @@
 	must.True(t, known.expired(now.Add(time.Second+statementRetention)))
 }
 
-// Guards against a late report about the former process of a server that hides the exit which
-// its present process has stated.
+// Guards against a late report of a former process that hides the exit which the present one has stated.
 func TestLateReportOfFormerProcessDoesNotHideStatedExit(t *testing.T) {
 	now := clock.Now()
 	var known statement
--- a/transport/tcp_test.go
+++ b/transport/tcp_test.go
@@ -122,8 +122,7 @@
 	}
 }
 
-// Guards against a caller's request that is answered as a liveness probe because it has the
-// path of one.
+// Guards against a caller's request that is answered as a liveness probe because of its path.
 func TestRequestWithPathOfLivenessProbeReachesHandler(t *testing.T) {
 	server := newTrustedEndpoint(t, "server", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusTeapot)
