routing: compare the prefixes of the users' platform with the path as the caller wrote it

Callers saw: an order POST /shop/st%6Fck/7, with the routes /shop/ (unsafe) and /shop/stock/ (safe), took the safe route. When its answer was lost it was sent to a second server.

The platform compares text, and the table compared the decoded path, in which only escaped slashes were kept.

Evidence: by reading.

Change: a route with BelowPrefix is compared with the path as written, in which only the escapes of characters that can not occur otherwise are decoded. If the decoded path belongs to another route, the request also keeps to what that one forbids: it needs a key if one of the two requires it, and is repeated only if both permit it. So neither reading lets an order run twice or past a key. Routes without BelowPrefix are matched as before, and so are paths whose escapes are all needed (TestEscapesThatAreNeededDoNotHideRoute).

--- a/fleetconfig/document.go
+++ b/fleetconfig/document.go
@@ -173,8 +173,9 @@
 	// LargeResponses marks a route whose responses are downloads of tens of kilobytes
 	// or more. Between instances they are sent separately from small responses.
 	LargeResponses bool `cbor:"12,keyasint,omitempty" json:"large_answers,omitempty"`
-	// BelowPrefix excludes the path that equals PathPrefix: "/orders" then matches
-	// "/orders/" and "/orders/7" only. It has no effect on the prefix "/".
+	// BelowPrefix compares the prefix and a slash with the path as the caller wrote it:
+	// "/orders" then matches "/orders/" and "/orders/7", but neither "/orders" nor
+	// "/%6frders/7". It has no effect on the prefix "/".
 	BelowPrefix bool `cbor:"13,keyasint,omitempty" json:"below_prefix,omitempty"`
 }
 
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -42,7 +42,7 @@
 func (f *routeFilter) Request(exchange *pipeline.Exchange) error {
 	current := f.routeTable(f.configuration.View())
 	exchange.View = current.view
-	route := current.table.Match(exchange.Request.Host, routing.MatchablePath(exchange.Request.URL))
+	route := current.table.Match(exchange.Request.Host, routing.PathOf(exchange.Request.URL))
 	if route == nil {
 		if err := requireCurrent(f.configuration); err != nil {
 			return err
--- a/routing/table.go
+++ b/routing/table.go
@@ -35,9 +35,23 @@
 }
 
 // Match returns the route of a request, or nil if there is none. The host may include a
-// port. The path is that of MatchablePath.
-func (t *Table) Match(host, path string) *fleetconfig.Route {
+// port. If the path can be read as that of another route, a copy of the route is returned that
+// also keeps to what the other one forbids.
+func (t *Table) Match(host string, path Path) *fleetconfig.Route {
 	host = CanonicalHost(host)
+	route := t.matchHosts(host, path)
+	if route == nil || path.written == path.decoded {
+		return route
+	}
+	other := t.matchHosts(host, Path{written: path.decoded, decoded: path.decoded})
+	if other == nil || other == route {
+		return route
+	}
+	return stricterRoute(route, other)
+}
+
+// matchHosts returns the matching route of the host or, if there is none, of every host.
+func (t *Table) matchHosts(host string, path Path) *fleetconfig.Route {
 	if route := t.matchPath(host, path); route != nil || host == "" {
 		return route
 	}
@@ -45,11 +59,25 @@
 }
 
 // matchPath returns the host's route with the longest prefix that matches the path, or nil.
-func (t *Table) matchPath(host, path string) *fleetconfig.Route {
+func (t *Table) matchPath(host string, path Path) *fleetconfig.Route {
+	if path.written == path.decoded {
+		return t.longestMatch(host, path.decoded, func(*fleetconfig.Route) bool { return true })
+	}
+	route := t.longestMatch(host, path.decoded, func(r *fleetconfig.Route) bool { return !r.BelowPrefix })
+	asWritten := t.longestMatch(host, path.written, func(r *fleetconfig.Route) bool { return r.BelowPrefix })
+	if route == nil || (asWritten != nil && len(asWritten.PathPrefix) > len(route.PathPrefix)) {
+		return asWritten
+	}
+	return route
+}
+
+// longestMatch returns the host's route with the longest prefix that matches the path, among
+// those that may match, or nil.
+func (t *Table) longestMatch(host, path string, mayMatch func(*fleetconfig.Route) bool) *fleetconfig.Route {
 	for prefix := path; ; {
 		if len(prefix) <= t.longestPrefix {
 			route := t.routes[routeKey{host: host, prefix: prefix}]
-			if route != nil && (!route.BelowPrefix || len(prefix) < len(path)) {
+			if route != nil && (!route.BelowPrefix || len(prefix) < len(path)) && mayMatch(route) {
 				return route
 			}
 		}
@@ -61,28 +89,19 @@
 	}
 }
 
-// MatchablePath returns the path of a URL in the form that Table.Match expects: decoded, but
-// with escaped slashes, which separate no segments.
-func MatchablePath(u *url.URL) string {
-	if u.RawPath == "" {
-		// The path contains no escaped slash.
-		return u.Path
-	}
-	segments := strings.Split(u.RawPath, "/")
-	for i, segment := range segments {
-		decoded, err := url.PathUnescape(segment)
-		if err != nil {
-			// URLs from callers have been decoded once, so they contain no invalid escapes.
-			return u.Path
+// stricterRoute returns a copy of the route that requires a key if the other route does, and
+// permits no request to run twice of which the other route forbids it.
+func stricterRoute(route, other *fleetconfig.Route) *fleetconfig.Route {
+	stricter := *route
+	stricter.OpenToAll = route.OpenToAll && other.OpenToAll
+	for _, idempotency := range []fleetconfig.Idempotency{fleetconfig.IdempotentByMethod, fleetconfig.IdempotentNever} {
+		if other.Idempotency == idempotency || route.Idempotency == idempotency {
+			stricter.Idempotency = idempotency
 		}
-		segments[i] = strings.ReplaceAll(decoded, "/", escapedSlash)
 	}
-	return strings.Join(segments, "/")
+	return &stricter
 }
 
-// escapedSlash is a slash within a segment. No path prefix contains a percent sign.
-const escapedSlash = "%2F"
-
 // CanonicalHost removes the port, the brackets of an IPv6 address and a trailing dot, and
 // converts the host to lower case.
 func CanonicalHost(host string) string {
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -55,7 +55,7 @@
 		}
 		requestHost, requestPath := host.Draw(t, "request host"), requestPath.Draw(t, "request path")
 		want := matchReference(routes, requestHost, requestPath)
-		got := NewTable(routes).Match(requestHost, requestPath)
+		got := NewTable(routes).Match(requestHost, PathOf(&url.URL{Path: requestPath}))
 		must.Eq(t, want, got)
 	})
 }
@@ -69,11 +69,44 @@
 	}
 	for target, route := range map[string]string{
 		"/orders": "orders", "/orders/": "orders", "/orders/7": "orders", "/%6frders": "orders", "/orders%2F7": "all",
-		"/stock": "all", "/stock/": "stock", "/stock/7": "stock", "/stock%2F7": "all", "/stock/a%2Fb": "stock",
+		"/stock": "all", "/stock/": "stock", "/stock/7": "stock", "/stock%2F7": "all", "/stock/a%2Fb": "stock", "/stock/%73tock": "stock",
+		"/%73tock/7": "all", "/st%6fck/": "all", "/%6frders/%37": "orders",
 	} {
 		u, err := url.ParseRequestURI(target)
 		must.NoError(t, err)
-		must.Eq(t, route, NewTable(routes).Match("", MatchablePath(u)).ID, must.Sprint(target))
+		must.Eq(t, route, NewTable(routes).Match("", PathOf(u)).ID, must.Sprint(target))
+	}
+}
+
+// Guards against orders that run twice, or without a key, because an escaped letter hides the route that forbids it.
+func TestPathOfTwoRoutesKeepsToTheStricterOne(t *testing.T) {
+	table := NewTable([]fleetconfig.Route{
+		{ID: "shop", PathPrefix: "/shop", BelowPrefix: true, Idempotency: fleetconfig.IdempotentAlways, OpenToAll: true},
+		{ID: "orders", PathPrefix: "/shop/orders", BelowPrefix: true, Idempotency: fleetconfig.IdempotentNever},
+		{ID: "reports", PathPrefix: "/shop/reports", BelowPrefix: true, Idempotency: fleetconfig.IdempotentByMethod, OpenToAll: true},
+	})
+	for target, want := range map[string]fleetconfig.Route{
+		"/shop/7":                {ID: "shop", Idempotency: fleetconfig.IdempotentAlways, OpenToAll: true},
+		"/shop/%37":              {ID: "shop", Idempotency: fleetconfig.IdempotentAlways, OpenToAll: true},
+		"/shop/%6Frders/7":       {ID: "shop", Idempotency: fleetconfig.IdempotentNever},
+		"/shop/r%65ports/7":      {ID: "shop", Idempotency: fleetconfig.IdempotentByMethod, OpenToAll: true},
+		"/shop/orders/%6F":       {ID: "orders", Idempotency: fleetconfig.IdempotentNever},
+		"/shop/orders/caf%C3%A9": {ID: "orders", Idempotency: fleetconfig.IdempotentNever},
+	} {
+		u, err := url.ParseRequestURI(target)
+		must.NoError(t, err)
+		got := table.Match("", PathOf(u))
+		must.Eq(t, want, fleetconfig.Route{ID: got.ID, Idempotency: got.Idempotency, OpenToAll: got.OpenToAll}, must.Sprint(target))
+	}
+}
+
+// A prefix with characters that need an escape matches paths with and without the escapes.
+func TestEscapesThatAreNeededDoNotHideRoute(t *testing.T) {
+	table := NewTable([]fleetconfig.Route{{ID: "size", PathPrefix: "/größe", BelowPrefix: true}})
+	for _, target := range []string{"/größe/7", "/gr%C3%B6%c3%9fe/7", "/gr%C3%B6%C3%9Fe/%37"} {
+		u, err := url.ParseRequestURI(target)
+		must.NoError(t, err)
+		must.NotNil(t, table.Match("", PathOf(u)), must.Sprint(target))
 	}
 }
 
@@ -82,7 +115,7 @@
 	table := NewTable([]fleetconfig.Route{{ID: "orders", PathPrefix: "/orders"}})
 	path := "/orders" + strings.Repeat("/a", 1<<20)
 	start := time.Now()
-	must.Eq(t, "orders", table.Match("", path).ID)
+	must.Eq(t, "orders", table.Match("", PathOf(&url.URL{Path: path})).ID)
 	must.Less(t, time.Second, time.Since(start))
 }
 
