configsync: bound the leader's offers to a holder

Operators would see: configurations that follow each other closely take longer and longer, and the leader does nothing but send offers.

Cause: each reply of a holder that had an older version when its offer was sent makes the leader ask all holders again. Offers that are still under way when the next version is committed all count as such, so each version multiplied them.

Change: two offers to a holder at once, and one more when one ends if one was due meanwhile. A reply to an earlier offer that arrives late no longer lowers the version that the leader takes the holder to have (TestLateReplyDoesNotLowerHeldVersion).

--- a/configsync/fake_test.go
+++ b/configsync/fake_test.go
@@ -68,10 +68,51 @@
 	// partitioned reports whether two instances cannot reach each other; their calls
 	// block until the timeout. Nil means that there is no partition.
 	partitioned atomic.Pointer[func(a, b fleetconfig.InstanceID) bool]
+	// latency is the time that each call and each reply takes, in nanoseconds.
+	latency atomic.Int64
+	// leaderOffers counts the leader's offers that are under way to each address.
+	leaderOffers callCounter
 	// calls and bytes count the calls that succeeded and the size of their bodies.
 	calls, bytes atomic.Int64
 }
 
+// callCounter counts the calls under way to each address.
+type callCounter struct {
+	mu       sync.Mutex
+	underWay map[string]int
+	// most is the highest count of any address.
+	most int
+}
+
+func (c *callCounter) begin(address string) (end func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.underWay == nil {
+		c.underWay = make(map[string]int)
+	}
+	c.underWay[address]++
+	c.most = max(c.most, c.underWay[address])
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.underWay[address]--
+	}
+}
+
+// delay waits for the latency of the fleet.
+func (f *fakeFleet) delay(ctx context.Context) error {
+	latency := time.Duration(f.latency.Load())
+	if latency == 0 {
+		return nil
+	}
+	select {
+	case <-time.After(latency):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 type fakeInstance struct {
 	fleet   *fakeFleet
 	peer    Peer
@@ -152,15 +193,24 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
+	if offer, ok := request.(*offerRequest); ok && offer.Leader {
+		defer i.fleet.leaderOffers.begin(address)()
+	}
 	data, err := codec.Marshal(request)
 	if err != nil {
 		return err
 	}
+	if err := i.fleet.delay(ctx); err != nil {
+		return err
+	}
 	call := httptest.NewRequest(http.MethodPost, path, bytes.NewReader(data))
 	certificate := &x509.Certificate{Subject: pkix.Name{CommonName: string(i.peer.ID)}}
 	call.TLS = &tls.ConnectionState{PeerCertificates: []*x509.Certificate{certificate}}
 	recorder := httptest.NewRecorder()
 	other.mux.ServeHTTP(recorder, call)
+	if err := i.fleet.delay(ctx); err != nil {
+		return err
+	}
 	if recorder.Code != http.StatusOK {
 		return errors.New(recorder.Body.String())
 	}
--- a/configsync/lead.go
+++ b/configsync/lead.go
@@ -36,7 +36,7 @@
 	s.currencyNode.HandleLeaderAttestation(s.leader.Attest(), s.confirmedAt, clock.Now())
 	s.publish()
 	for _, holder := range allHolders(document) {
-		if _, running := s.inFlight[holder.ID]; !running {
+		if _, running := s.inFlight[holder.ID]; !running && s.beginOffer(holder.ID) {
 			s.inFlight[holder.ID] = clock.Now()
 			go func() {
 				defer s.callEnded(holder.ID)
@@ -66,13 +66,14 @@
 }
 
 // offerToHolder offers the committed version to a holder and processes the reply. It
-// runs in a goroutine of its own for each offer.
+// runs in a goroutine of its own for each offer that beginOffer has permitted.
 func (s *Service) offerToHolder(ctx context.Context, leader *currency.Leader, holder fleetconfig.InstanceAddress) {
+	defer s.offerEnded(ctx, leader, holder)
 	if leader == nil {
 		return
 	}
 	s.mu.Lock()
-	have := s.heldVersions[holder.ID]
+	have := s.offers[holder.ID].held
 	request := &offerRequest{Leader: true}
 	request.Accepted, _ = leader.Accepted()
 	request.Delta, _ = s.deltas.Since(have, s.held.Version)
@@ -85,7 +86,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.heldVersions[holder.ID] = reply.Held
+	s.offers[holder.ID].recordReply(reply.Held, sentAt)
 	acceptedBefore, _ := leader.Accepted()
 	leader.HandlePollReply(holder.ID, reply, sentAt, clock.Now())
 	accepted, _ := leader.Accepted()
@@ -110,7 +111,9 @@
 // offerToAllHolders sends an offer to every holder concurrently. The caller holds mu.
 func (s *Service) offerToAllHolders(ctx context.Context, leader *currency.Leader) {
 	for _, holder := range allHolders(s.held) {
-		go s.offerToHolder(ctx, leader, holder)
+		if s.beginOffer(holder.ID) {
+			go s.offerToHolder(ctx, leader, holder)
+		}
 	}
 }
 
--- a/configsync/service.go
+++ b/configsync/service.go
@@ -87,9 +87,8 @@
 	// while this instance was the leader.
 	leader      *currency.Leader
 	confirmedAt time.Time
-	// heldVersions maps each holder to the version that it held at its last reply to
-	// the leader.
-	heldVersions map[fleetconfig.InstanceID]uint64
+	// offers has the state of the leader's offers to each holder.
+	offers map[fleetconfig.InstanceID]*holderOffers
 	// offeringLeader is the leader that sends offers to this instance as a holder, or
 	// empty.
 	offeringLeader fleetconfig.InstanceID
@@ -118,7 +117,7 @@
 		snapshotSlots:   make(chan struct{}, maxSnapshotTransfers),
 		currencyNode:    currency.NewNode(config.Self.ID, config.Incarnation, config.RevocationBound, clock.Now()),
 		held:            fleetconfig.NewDocument(),
-		heldVersions:    make(map[fleetconfig.InstanceID]uint64),
+		offers:          make(map[fleetconfig.InstanceID]*holderOffers),
 		inFlight:        make(map[fleetconfig.InstanceID]time.Time),
 		viewChanged:     make(chan struct{}),
 		acceptedChanged: make(chan struct{}),
--- a/configsync/service_test.go
+++ b/configsync/service_test.go
@@ -39,6 +39,30 @@
 	waitForVersion(t, 20, others...)
 }
 
+// Guards against offers that multiply while changes follow each other closely, until the leader does nothing else.
+func TestOffersDoNotMultiplyWithSuccessiveChanges(t *testing.T) {
+	const offersAtOnce = 2 // One brings a version, one asks whether it is still held.
+	fleet, leader, others := startFleet(t, 7)
+	fleet.latency.Store(int64(2 * time.Millisecond))
+	for version := uint64(2); version <= 7; version++ {
+		fleet.propose(leader, fmt.Sprint(version), usePreset(version))
+	}
+	waitForVersion(t, 7, append(others, leader)...)
+	must.LessEq(t, offersAtOnce, fleet.leaderOffers.most)
+}
+
+// Guards against a reply that arrives late and makes the leader believe that a holder lacks versions.
+func TestLateReplyDoesNotLowerHeldVersion(t *testing.T) {
+	var offers holderOffers
+	start := time.Now()
+	offers.recordReply(4, start.Add(time.Second))
+	offers.recordReply(3, start)
+	must.Eq(t, 4, offers.held)
+	// A holder that has restarted holds nothing.
+	offers.recordReply(0, start.Add(2*time.Second))
+	must.Eq(t, 0, offers.held)
+}
+
 // The outcome of a change that a majority of the holders does not confirm is unknown.
 // If the change is sent again after the holders have become reachable, its result is
 // returned.
