backendproxy: a late departure of the former process does not keep a restarted server out

Callers saw: a server that started again under its ID was out of service for a minute, when the departure of its former process arrived (or was repeated) after its first announcement and that process had been removed before or was not known since a restart of the instance.

Only where the former process was still registered was a departure within 3 s of the restart taken for a late one.

Change: a departure within 3 s of the first announcement of a process that succeeds a known one, or of the start of any process, may be a late one; the server returns with its next announcement. The departure of an unknown server holds for processes that started more than 3 s before it arrived.

--- a/backendproxy/departure.go
+++ b/backendproxy/departure.go
@@ -14,8 +14,9 @@
 	// lateAnnouncementTime is how long after a crash announcements that the process sent
 	// before may still arrive.
 	lateAnnouncementTime = 3 * time.Second
-	// lateLeaveTime is how long after a restart under the same ID a message that the server
-	// leaves may still come from the process before. Such a message names no process.
+	// lateLeaveTime is how long after the start of a process, or after its first announcement, a
+	// message that its server leaves may still come from the process before. Such a message names
+	// no process.
 	lateLeaveTime = 3 * time.Second
 )
 
@@ -73,7 +74,7 @@
 // that departed.
 func (d *departure) endedBefore(announcement *Announcement) bool {
 	if d.last.ProcessStartUnixMilli == 0 {
-		return announcement.ProcessStartUnixMilli > d.at.UnixMilli()
+		return announcement.ProcessStartUnixMilli > d.at.Add(-lateLeaveTime).UnixMilli()
 	}
 	return announcement.ProcessStartUnixMilli > d.last.ProcessStartUnixMilli
 }
--- a/backendproxy/departure_test.go
+++ b/backendproxy/departure_test.go
@@ -109,6 +109,25 @@
 	must.SliceEmpty(t, a.ids())
 }
 
+// Guards against a restarted server that is out of service because the departure of its former process, which was
+// removed before, is reported again or late.
+func TestLateLeaveOfRemovedProcessDoesNotKeepRestartedServerOut(t *testing.T) {
+	for name, remove := range map[string]func(*testRegistry){
+		"left":    func(a *testRegistry) { a.Leave("one", time.Now()) },
+		"silent":  func(a *testRegistry) { a.Tick(time.Now().Add(10 * time.Second)) },
+		"crashed": func(a *testRegistry) { a.markCrashed("one", a.Registry.servers["one"].admission, time.Now()) },
+	} {
+		a := newTestRegistry()
+		a.announce(t, "one", 100, 5, nil)
+		remove(a)
+		must.SliceEmpty(t, a.ids(), must.Sprint(name))
+		a.announce(t, "one", 200, 1, nil)
+		a.Leave("one", time.Now())
+		a.announce(t, "one", 200, 2, nil)
+		must.Eq(t, []fleetconfig.BackendServerID{"one"}, a.ids(), must.Sprint(name))
+	}
+}
+
 // Guards against a late announcement of a server whose address another one has taken and left.
 func TestReplacedServerDoesNotReturn(t *testing.T) {
 	a := newTestRegistry()
--- a/backendproxy/registry.go
+++ b/backendproxy/registry.go
@@ -43,8 +43,7 @@
 	draining     bool
 	ejected      bool
 	admission    *admissionQueue
-	// replacesProcess says that the process succeeded another one under the same ID that was
-	// still registered.
+	// replacesProcess says that the process succeeded another one under the same ID.
 	replacesProcess bool
 	// leaving says that a response of the server's process has stated that it is leaving.
 	leaving bool
@@ -151,15 +150,15 @@
 	if !r.hasRoomFor(id, announcement.Address) {
 		return errors.Newf("this instance already has %d backend servers; announce the server to another instance", MaxServers)
 	}
-	changed, restarted := false, false
+	changed := false
 	if server != nil && server.Announcement.ProcessStartUnixMilli < announcement.ProcessStartUnixMilli {
 		// The process has restarted under the same ID; no earlier request runs on it.
+		r.recordDeparture(server, departureReplaced, now)
 		server.admission.drain()
-		server, restarted = nil, true
+		server = nil
 	}
 	if server == nil {
 		server = r.register(id, &announcement, now)
-		server.replacesProcess = restarted
 		changed = true
 	}
 	r.removeOthersAt(&announcement, id, now)
@@ -190,9 +189,11 @@
 		warmUpEndsAt:     announcement.warmUpEndsAt(now),
 		admission:        newAdmissionQueue(int(r.effectiveSlots(announcement)), r.limits.QueueLength()),
 	}
-	departed, found := r.departed[id]
-	if found && !departed.leavingStatedAt.IsZero() && departed.last.ProcessStartUnixMilli == announcement.ProcessStartUnixMilli {
-		server.leaving, server.leavingStatedAt = true, departed.leavingStatedAt
+	if departed, found := r.departed[id]; found {
+		server.replacesProcess = departed.endedBefore(announcement)
+		if !departed.leavingStatedAt.IsZero() && departed.last.ProcessStartUnixMilli == announcement.ProcessStartUnixMilli {
+			server.leaving, server.leavingStatedAt = true, departed.leavingStatedAt
+		}
 	}
 	r.servers[id] = server
 	return server
@@ -233,7 +234,7 @@
 		return
 	}
 	reason := departureLeft
-	if server.replacesProcess && now.Sub(server.firstAnnouncedAt) < lateLeaveTime {
+	if server.mayLeaveLate(now) {
 		reason = departureSilent
 	}
 	r.recordDeparture(server, reason, now)
@@ -242,6 +243,14 @@
 	r.publish()
 }
 
+// mayLeaveLate reports whether a message that the server leaves may be a late one of the process
+// before.
+func (s *Server) mayLeaveLate(now time.Time) bool {
+	start := s.Announcement.ProcessStartUnixMilli
+	return (s.replacesProcess && now.Sub(s.firstAnnouncedAt) < lateLeaveTime) ||
+		(start != 0 && now.UnixMilli()-start < lateLeaveTime.Milliseconds())
+}
+
 // markCrashed removes a backend server whose process has ended. It returns false if the process
 // had announced that it would.
 func (r *Registry) markCrashed(id fleetconfig.BackendServerID, process *admissionQueue, now time.Time) bool {
