backendproxy: a departure holds also if the clock was set back after the server's start

Callers would see: after a step of the clock, requests reach a server whose departure was acknowledged, when an announcement from before it arrives late.

Cause: the rule that a departure within 3 s of a process's start may be that of the process before took a start in the future for a recent one.

Evidence: by reading; TestDepartureHoldsAfterStepOfClock failed before.

Change: the age of such a process counts as unknown, so its departure is its own.

--- a/backendproxy/departure_test.go
+++ b/backendproxy/departure_test.go
@@ -128,6 +128,16 @@
 	}
 }
 
+// Guards against a late announcement that returns a server which left after the clock was set back.
+func TestDepartureHoldsAfterStepOfClock(t *testing.T) {
+	a := newTestRegistry()
+	start := time.Now().Add(time.Minute).UnixMilli()
+	a.announce(t, "one", start, 1, nil)
+	a.Leave("one", time.Now())
+	a.announce(t, "one", start, 2, nil)
+	must.SliceEmpty(t, a.ids())
+}
+
 // Guards against a late announcement of a server whose address another one has taken and left.
 func TestReplacedServerDoesNotReturn(t *testing.T) {
 	a := newTestRegistry()
--- a/backendproxy/registry.go
+++ b/backendproxy/registry.go
@@ -244,11 +244,14 @@
 }
 
 // mayLeaveLate reports whether a message that the server leaves may be a late one of the process
-// before.
+// before. The age of a process that seems to start in the future, after a step of the clock, is
+// not known.
 func (s *Server) mayLeaveLate(now time.Time) bool {
-	start := s.Announcement.ProcessStartUnixMilli
-	return (s.replacesProcess && now.Sub(s.firstAnnouncedAt) < lateLeaveTime) ||
-		(start != 0 && now.UnixMilli()-start < lateLeaveTime.Milliseconds())
+	if s.replacesProcess && now.Sub(s.firstAnnouncedAt) < lateLeaveTime {
+		return true
+	}
+	age := now.Sub(time.UnixMilli(s.Announcement.ProcessStartUnixMilli))
+	return age >= 0 && age < lateLeaveTime
 }
 
 // markCrashed removes a backend server whose process has ended. It returns false if the process
