--- a/routing/path.go
+++ b/routing/path.go
@@ -18,7 +18,7 @@
 // PathOf returns the path of a URL that was parsed from a request line.
 func PathOf(u *url.URL) Path {
 	if u.RawPath == "" {
-		// Only characters that need an escape are escaped.
+		// The path is written as net/url writes it.
 		return Path{decoded: u.Path, written: u.Path}
 	}
 	return Path{
@@ -27,7 +27,7 @@
 	}
 }
 
-// needsEscape reports whether a character can occur in a path only as an escape.
+// needsEscape reports whether net/url escapes the character in a path.
 func needsEscape(char byte) bool {
 	return char <= ' ' || char >= 0x7f || strings.IndexByte("!\"#%'()*<>?[\\]^`{|}", char) >= 0
 }
@@ -41,11 +41,9 @@
 			result.WriteByte(path[i])
 			continue
 		}
-		char, err := hex.DecodeString(path[i+1 : i+3])
-		switch {
-		case err == nil && replace(char[0]):
+		if char, err := hex.DecodeString(path[i+1 : i+3]); err == nil && replace(char[0]) {
 			result.WriteByte(char[0])
-		default:
+		} else {
 			result.WriteString(strings.ToUpper(path[i : i+3]))
 		}
 		i += 2
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -110,6 +110,14 @@
 	}
 }
 
+// A path that net/url writes in the same way is not unescaped at all, so both must agree.
+func TestNeededEscapesAreThoseOfURLs(t *testing.T) {
+	for char := range 256 {
+		path := "/" + string([]byte{byte(char)})
+		must.Eq(t, (&url.URL{Path: path}).EscapedPath() != path, needsEscape(byte(char)), must.Sprintf("%q", path))
+	}
+}
+
 // Guards against lookups whose time grows with the square of the length of the path.
 func TestLookupIsLimitedByLongestPrefix(t *testing.T) {
 	table := NewTable([]fleetconfig.Route{{ID: "orders", PathPrefix: "/orders"}})
