--- a/backendproxy/order_model_test.go
+++ b/backendproxy/order_model_test.go
@@ -1,7 +1,6 @@
 package backendproxy
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -177,7 +176,7 @@
 		world.apply(t, event, now)
 		model.apply(event, now)
 		if problem := model.violation(world.ready(world.firstStart), world.ready(world.secondStart), world.ready(world.otherStart)); problem != "" {
-			t.Fatal(fmt.Sprintf("%s after %v, %s apart", problem, order[:i+1], pause))
+			t.Fatalf("%s after %v, %s apart", problem, order[:i+1], pause)
 		}
 	}
 }
