--- a/quotadriver/leader_test.go
+++ b/quotadriver/leader_test.go
@@ -45,6 +45,12 @@
 // newControlOwnedFleet starts three control instances and, as the last service, one
 // ingress. The leader of control owns all accounts.
 func newControlOwnedFleet(t *testing.T, gracePeriod time.Duration) (*controlGroup, *fleet) {
+	return newFleetWithControlAlive(t, gracePeriod, 3)
+}
+
+// newFleetWithControlAlive is like newControlOwnedFleet, but the ingress takes all control
+// instances from the given one on for dead.
+func newFleetWithControlAlive(t *testing.T, gracePeriod time.Duration, alive int) (*controlGroup, *fleet) {
 	t.Helper()
 	f := &fleet{network: &fakeNetwork{muxes: make(map[string]*http.ServeMux), down: make(map[string]bool)}}
 	group := &controlGroup{}
@@ -67,7 +73,9 @@
 			ControlOwner: &ControlOwner{Instances: func() []fleetconfig.InstanceAddress { return controlInstances }},
 			Logger:       slog.New(slog.DiscardHandler),
 		}
-		if i < len(controlInstances) {
+		if i == len(controlInstances) {
+			config.ControlOwner.Instances = func() []fleetconfig.InstanceAddress { return controlInstances[:alive] }
+		} else {
 			config.ControlOwner.Leadership = groupMember{controlGroup: group, self: self.ID}
 		}
 		service, err := New(config)
@@ -121,6 +129,14 @@
 	waitForToken(t, ingress)
 }
 
+// Guards against requests that are refused while control names a quota owner that membership still takes for dead, as it
+// does for seconds after a partition.
+func TestOwnerThatMembershipTakesForDeadIsAsked(t *testing.T) {
+	group, f := newFleetWithControlAlive(t, 0, 2)
+	group.elect("control-2")
+	waitForToken(t, f.services[3])
+}
+
 // With a grace period, the ingress continues to grant tokens while there is no leader, and
 // also after all control instances have stopped.
 func TestFallbackAllowsRequestsWithoutLeader(t *testing.T) {
