--- a/backendproxy/departure_test.go
+++ b/backendproxy/departure_test.go
@@ -109,8 +109,7 @@
 	must.SliceEmpty(t, a.ids())
 }
 
-// Guards against a restarted server that is out of service because the departure of its former process, which was
-// removed before, is reported again or late.
+// Guards against a restarted server that a late departure of its former, already removed process keeps out of service.
 func TestLateLeaveOfRemovedProcessDoesNotKeepRestartedServerOut(t *testing.T) {
 	for name, remove := range map[string]func(*testRegistry){
 		"left":    func(a *testRegistry) { a.Leave("one", time.Now()) },
--- a/backendproxy/order_model_test.go
+++ b/backendproxy/order_model_test.go
@@ -137,8 +137,7 @@
 	return false
 }
 
-// Guards against requests to a process that has left or been succeeded, and against a process that is kept out of service,
-// for every order in which up to six pieces of news arrive.
+// Guards against requests to a process that has left, and one that is kept out of service, in any order of six pieces of news.
 func TestServiceFollowsNewsInEveryOrder(t *testing.T) {
 	const length = 6
 	for _, pause := range []time.Duration{100 * time.Millisecond, lateLeaveTime + time.Second} {
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -437,3 +437,21 @@
 		must.Eq(t, route, exchange.Route.ID, must.Sprint(target))
 	}
 }
+
+// Guards against an order that may run twice because the route filter decodes an escaped letter of its path.
+func TestRouteFilterComparesPathAsWritten(t *testing.T) {
+	document := fleetconfig.NewDocument()
+	document.Routes = []fleetconfig.Route{
+		{ID: "shop", PathPrefix: "/shop", BelowPrefix: true, Idempotency: nonIdempotent},
+		{ID: "stock", PathPrefix: "/shop/stock", BelowPrefix: true, Idempotency: idempotent},
+		{ID: "open", PathPrefix: "/open", BelowPrefix: true, Idempotency: idempotent},
+		{ID: "orders", PathPrefix: "/open/orders", BelowPrefix: true, Idempotency: nonIdempotent},
+	}
+	filter := &routeFilter{configuration: &fakeConfiguration{view: fleetconfig.NewView(document)}}
+	for target, route := range map[string]string{"/shop/st%6Fck/7": "shop", "/open/%6Frders/7": "open"} {
+		exchange := &pipeline.Exchange{Request: httptest.NewRequest(http.MethodPost, target, nil)}
+		must.NoError(t, filter.Request(exchange))
+		must.Eq(t, route, exchange.Route.ID)
+		must.False(t, exchange.Idempotent)
+	}
+}
--- a/quotadriver/leader_test.go
+++ b/quotadriver/leader_test.go
@@ -129,8 +129,7 @@
 	waitForToken(t, ingress)
 }
 
-// Guards against requests that are refused while control names a quota owner that membership still takes for dead, as it
-// does for seconds after a partition.
+// Guards against requests that are refused while control names a quota owner that membership still takes for dead.
 func TestOwnerThatMembershipTakesForDeadIsAsked(t *testing.T) {
 	group, f := newFleetWithControlAlive(t, 0, 2)
 	group.elect("control-2")
