selection: a server whose proxy has refused a request as doubtful or draining is held for a moment

Cause: refusals do carry load and failure probability, and the pool takes them. But a pool under load picks a suspect for the first attempt of each idempotent request (mayProbe), while its breaker admits one probe at a time; a server in trial or draining refuses as doubtful whatever its probability, and PickBest ignored the weight, so that an idle server in trial was the best of all.

Change: after a refusal that does not depend on load (backend-server-doubtful, draining) this ingress sends the server nothing for 0.5 s, doubling to 4 s until a request is admitted; a report of a sound server ends the hold. When nothing else is left, a held server is a last resort at once instead of after four refusals. PickBest counts a low weight as fewer slots.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -18,6 +18,8 @@
 	// backend server that fails requests immediately appears idle, so the penalty must
 	// outweigh a full queue on another server.
 	failureCost = 4.0
+	// minCostWeight bounds the effect of a low weight on the cost.
+	minCostWeight = 0.05
 )
 
 // Tier is the distance of a backend server from the ingress.
@@ -46,6 +48,9 @@
 	// ExcludedRate means that the rate that the backend server advertises admits no request
 	// now.
 	ExcludedRate
+	// ExcludedRefused means that the proxy of the backend server has just refused a request
+	// without regard to its load.
+	ExcludedRefused
 )
 
 // BackendID identifies a backend server in the whole fleet.
@@ -100,6 +105,12 @@
 // for probable failure.
 func (b *Backend) cost() float64 { return b.load() + failureCost*b.FailureProbability }
 
+// weightedCost is the cost if the backend server had only the slots that its weight permits.
+// It is used where all servers are compared, without random draws by weight.
+func (b *Backend) weightedCost() float64 {
+	return b.load()/max(b.Weight, minCostWeight) + failureCost*b.FailureProbability
+}
+
 // drawProbability returns the probability that a random draw accepts the backend server.
 func (b *Backend) drawProbability() float64 { return b.Weight * (1 - b.FailureProbability) }
 
@@ -294,11 +305,11 @@
 			if !accept(&p.backends[index]) {
 				continue
 			}
-			if best == noBackend || p.backends[index].cost() < p.backends[best].cost() {
+			if best == noBackend || p.backends[index].weightedCost() < p.backends[best].weightedCost() {
 				best = index
 			}
 		}
-		if best != noBackend && p.backends[best].cost() < p.policy.SpilloverLoad {
+		if best != noBackend && p.backends[best].weightedCost() < p.policy.SpilloverLoad {
 			break
 		}
 	}
--- a/selection/paths.go
+++ b/selection/paths.go
@@ -97,8 +97,8 @@
 }
 
 // poolCapacities returns the capacity of each server of the pool, and the indexes of the
-// servers on the given instance. A server that is excluded for another reason than draining
-// or its rate has the status ejected, even if the only reason is that this ingress avoids
+// servers on the given instance. A server that is excluded for another reason than draining,
+// its rate or a refusal has the status ejected, even if the only reason is that this ingress avoids
 // the path to it.
 func poolCapacities(pool *servicePool, instance fleetconfig.InstanceID) (capacities []health.Capacity, candidates []int) {
 	for i := range pool.pool.Len() {
@@ -107,7 +107,7 @@
 		switch {
 		case backend.Excluded&balance.ExcludedDraining != 0:
 			status = health.StatusDraining
-		case backend.Excluded&^balance.ExcludedRate != 0:
+		case backend.Excluded&^(balance.ExcludedRate|balance.ExcludedRefused) != 0:
 			status = health.StatusEjected
 		}
 		capacities = append(capacities, health.Capacity{Slots: backend.Slots, Withheld: pool.hosted[i].Server.Withheld, Status: status})
--- a/selection/selector.go
+++ b/selection/selector.go
@@ -53,8 +53,10 @@
 	refreshedAt      time.Time
 	failureEstimates map[balance.BackendID]failureEstimate
 	statements       map[balance.BackendID]*statement
-	probes           probeSchedule
-	rng              *rand.Rand
+	// holds holds the servers whose proxies have refused requests without regard to load.
+	holds  map[balance.BackendID]refusalHold
+	probes probeSchedule
+	rng    *rand.Rand
 }
 
 // failureEstimate is the failure probability of a backend server as of its last report.
@@ -80,11 +82,15 @@
 	now := clock.Now()
 	s.refresh(service, exchange.Service, now)
 	service.releaseAdmitted(now)
+	service.releaseHeld(false, now)
 	index, ok := service.probeTarget(exchange, tried, service.snapshot.Self, now)
 	var lastResort bool
 	if !ok {
 		index, lastResort, ok = service.pickFromPool(exchange, tried)
 	}
+	if !ok {
+		index, lastResort, ok = service.pickHeld(tried, now)
+	}
 	var rateWait time.Duration
 	if maxWait := maxRateWait(exchange, now); maxWait > 0 && (!ok || service.pool.Saturated(index)) {
 		if overRate, found := service.pickOverRate(tried, now); found {
@@ -101,7 +107,7 @@
 	if known := service.statements[backendID(candidate)]; known != nil {
 		candidate.KnownRate = known.knownRate(now)
 		known.requestSent(now)
-		service.applyStatement(index, now)
+		service.applyOwnExclusions(index, now)
 	}
 	s.paths.beginProbe(candidate.Instance, now)
 	return candidate, true
@@ -150,6 +156,26 @@
 	return index, ok && p.suspected(index), ok
 }
 
+// pickHeld returns a backend server that is held because of a refusal, for a request for
+// which no other one is left. It is a last resort if the server may be failing. The caller
+// must hold the pool's lock.
+func (p *servicePool) pickHeld(tried []ingress.Candidate, now time.Time) (index int, lastResort, ok bool) {
+	if !p.releaseHeld(true, now) {
+		return 0, false, false
+	}
+	var skip balance.TriedBackends
+	for _, candidate := range tried {
+		skip.Add(backendID(candidate))
+	}
+	index, ok = p.pool.PickBest(p.rng, &skip)
+	for id := range p.holds {
+		if held, found := p.pool.Find(id); found {
+			p.applyOwnExclusions(held, now)
+		}
+	}
+	return index, ok && p.holds[p.pool.Backend(index).ID].suspect, ok
+}
+
 // suspected reports whether a backend server is suspected of failure, so that its proxy
 // refuses requests. The caller must hold the pool's lock.
 func (p *servicePool) suspected(index int) bool {
@@ -178,6 +204,9 @@
 			reported := load.MembershipLoad(attempt.Candidate.Server)
 			service.recordLoad(backendID(attempt.Candidate), &reported, true, now)
 		}
+		if !attempt.Canceled && !attempt.PathFailed && !attempt.Unanswered {
+			service.recordRefusal(index, backendID(attempt.Candidate), attempt.Refusal, now)
+		}
 	}
 	if known := service.statements[backendID(attempt.Candidate)]; known != nil && attempt.Candidate.MaxRateWait > 0 {
 		known.recordOverRate(attempt.Refusal != "", now)
@@ -221,6 +250,7 @@
 	reported := failureEstimate{probability: float64(load.FailureProbabilityPercent) / percent, reportedAt: now}
 	p.failureEstimates[id] = reported
 	p.pool.SetFailureProbability(index, health.ExcessFailureProbability(reported.probability))
+	p.endHoldOnReport(index, id, reported.probability, load.WeightPercent, now)
 	p.recordStatement(index, id, load, appointed, now)
 }
 
@@ -235,6 +265,7 @@
 			rng:              rng,
 			failureEstimates: make(map[balance.BackendID]failureEstimate),
 			statements:       make(map[balance.BackendID]*statement),
+			holds:            make(map[balance.BackendID]refusalHold),
 		}
 		s.services[name] = service
 	}
@@ -254,7 +285,7 @@
 	}
 	service.refreshedAt = now
 	for i, hosted := range service.hosted {
-		service.pool.Exclude(i, s.exclusions(hosted, snapshot.Self, now)|service.statedExclusions(hosted, now))
+		service.pool.Exclude(i, s.exclusions(hosted, snapshot.Self, now)|service.ownExclusions(hosted, now))
 	}
 	service.dropStatements(now)
 	service.decayFailureProbabilities(now)
--- a/selection/statements.go
+++ b/selection/statements.go
@@ -127,14 +127,20 @@
 		p.statements[id] = known
 	}
 	known.record(load, appointed, now)
-	p.applyStatement(index, now)
+	p.applyOwnExclusions(index, now)
 }
 
-// applyStatement updates the exclusions of a server that follow from its statement. The
-// caller must hold the pool's lock.
-func (p *servicePool) applyStatement(index int, now time.Time) {
-	excluded := p.pool.Backend(index).Excluded &^ balance.ExcludedRate
-	p.pool.Exclude(index, excluded|p.statedExclusions(p.hosted[index], now))
+// applyOwnExclusions updates the exclusions of a server that follow from its statement and
+// from the refusals of its proxy. The caller must hold the pool's lock.
+func (p *servicePool) applyOwnExclusions(index int, now time.Time) {
+	excluded := p.pool.Backend(index).Excluded &^ (balance.ExcludedRate | balance.ExcludedRefused)
+	p.pool.Exclude(index, excluded|p.ownExclusions(p.hosted[index], now))
+}
+
+// ownExclusions returns the reasons not to select a server that this ingress has learned
+// from the server and its proxy. The caller must hold the pool's lock.
+func (p *servicePool) ownExclusions(hosted gossip.HostedServer, now time.Time) balance.Exclusion {
+	return p.statedExclusions(hosted, now) | p.heldExclusion(hostedID(hosted), now)
 }
 
 // statedExclusions returns the reasons not to select a server that follow from its
@@ -155,7 +161,7 @@
 			continue
 		}
 		if index, found := p.pool.Find(id); found && p.pool.Backend(index).Excluded&balance.ExcludedRate != 0 {
-			p.applyStatement(index, now)
+			p.applyOwnExclusions(index, now)
 		}
 	}
 }
