Admission by room: an ingress refuses at once what no backend server would run in time

Change: the proxy beside a server reports, in Hemlock-Load of responses and refusals and in load reports (ServerLoad 14 to 18), the time until a slot is released, the waiting work by urgency in time, and whether the queue is full or overloaded. A request that none can run is refused by the ingress, with a Retry-After by the time until there is room, spread. News fades from 1 s to 3 s of age and then counts as unknown, which is tried; where four or more known servers are full, an ingress tries unknown ones once in 200 ms; after two busy refusals only known room counts. A pick that is known to be full is replaced by a server with room.

Service times by route are learned at the ingress (median of the time from dispatch to response) and sent along (Hemlock-Service-Time-Ms); the queue estimates with each item's own time and the server's slowness (median, for answers) or its held time (mean, for waits). A new process starts without them.

Metric room_refusals, log field expected_wait_ms.

--- a/backendproxy/admission.go
+++ b/backendproxy/admission.go
@@ -170,7 +170,21 @@
 func (a *admissionQueue) load() Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return Load{Running: a.queue.Running(), Queued: a.queue.Waiting(), Slots: a.slots, Rate: a.queue.RateState(clock.Now())}
+	return Load{
+		Running:  a.queue.Running(),
+		Queued:   a.queue.Waiting(),
+		Slots:    a.slots,
+		Rate:     a.queue.RateState(clock.Now()),
+		Outlook:  a.queue.Outlook(),
+		Slowness: a.queue.Slowness(),
+	}
+}
+
+// recordResponse records the time after which the server has responded to a request.
+func (a *admissionQueue) recordResponse(took, expected time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue.RecordResponse(took, expected)
 }
 
 // deliver sends decisions to the waiting requests. The caller must hold mu. A send does
--- a/backendproxy/filters.go
+++ b/backendproxy/filters.go
@@ -182,11 +182,12 @@
 			"per_second", known.PerSecond, "age_ms", known.Age.Milliseconds())
 	}
 	item := queue.Item{
-		Account:    exchange.Account,
-		Urgency:    exchange.Urgency,
-		Deadline:   exchange.Deadline,
-		StartBy:    exchange.DispatchBy,
-		TargetTime: exchange.TargetTime,
+		Account:     exchange.Account,
+		Urgency:     exchange.Urgency,
+		Deadline:    exchange.Deadline,
+		StartBy:     exchange.DispatchBy,
+		TargetTime:  exchange.TargetTime,
+		ServiceTime: exchange.ServiceTime,
 	}
 	if exchange.MaxRateWait > 0 {
 		item.WaitForRate = true
--- a/backendproxy/load.go
+++ b/backendproxy/load.go
@@ -10,6 +10,7 @@
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/membership"
 	"github.com/hemlockring/hemlockring/pipeline"
+	"github.com/hemlockring/hemlockring/queue"
 	"github.com/hemlockring/hemlockring/throttle"
 )
 
@@ -102,20 +103,6 @@
 	return KnownRate{PerSecond: rate.PerSecond(), Age: time.Duration(age) * time.Millisecond}, true
 }
 
-// String encodes the load as a value of HeaderLoad.
-func (l Load) String() string {
-	return fmt.Sprintf("%d/%d/%d/%d/%d", l.Running, l.Queued, l.Slots, l.WeightPercent, l.FailureProbabilityPercent)
-}
-
-// ParseLoad decodes the values of HeaderLoad and HeaderServerStatus. It returns false when
-// one of them is invalid.
-func ParseLoad(text, status string) (load Load, ok bool) {
-	const fields = 5
-	n, err := fmt.Sscanf(text, "%d/%d/%d/%d/%d",
-		&load.Running, &load.Queued, &load.Slots, &load.WeightPercent, &load.FailureProbabilityPercent)
-	return load, err == nil && n == fields && load.parseStatus(status)
-}
-
 // MembershipLoad converts the load to the form that membership load reports carry.
 func (l Load) MembershipLoad(server fleetconfig.BackendServerID) membership.ServerLoad {
 	return membership.ServerLoad{
@@ -129,17 +116,27 @@
 		WaitMillis:                uint32(min(l.Rate.Wait, maxReportedWait).Milliseconds()),
 		Leaving:                   l.Leaving,
 		LeavingProcess:            l.LeavingProcess,
+		NextSlotMillis:            roundedUpMillis(l.Outlook.NextSlot),
+		Waiting:                   rankedWork(&l.Outlook),
+		Overloaded:                l.Outlook.Overloaded,
+		Full:                      l.Outlook.Full,
+		SlownessPercent:           uint16(percent * min(l.Slowness, queue.MaxSlowness)),
 	}
 }
 
 // maxReportedWait bounds the wait for a rate limit in a load report.
 const maxReportedWait = time.Minute
 
+// maxReportedRanks bounds the urgencies in a load report, summed over its servers, so that the
+// report fits in a datagram.
+const maxReportedRanks = 16
+
 // loadReporter reports the load and health of the backend server to the ingress, in a
 // header of each response.
 type loadReporter struct {
 	registry *Registry
 	monitor  HealthMonitor
+	view     func() *fleetconfig.View
 }
 
 func (r *loadReporter) setHeader(exchange *pipeline.Exchange) {
@@ -157,10 +154,14 @@
 	}
 }
 
-// addHealth adds the weight and failure probability of the backend server to its load.
+// addHealth adds the weight and failure probability of the backend server to its load. It
+// removes what only admission by room uses if the active preset is without it.
 func (r *loadReporter) addHealth(server fleetconfig.BackendServerID, load Load, now time.Time) Load {
 	load.WeightPercent = r.monitor.WeightPercent(server, now)
 	load.FailureProbabilityPercent = r.monitor.FailureProbabilityPercent(server, now)
+	if !r.view().ActivePreset().AdmissionByRoom {
+		load.Outlook, load.Slowness = queue.Outlook{}, 0
+	}
 	return load
 }
 
@@ -168,7 +169,9 @@
 func (p *Proxy) Loads() []membership.ServerLoad {
 	now := clock.Now()
 	var loads []membership.ServerLoad
-	for server, load := range p.loadReporter.registry.loads() {
+	all := p.loadReporter.registry.loads()
+	for server, load := range all {
+		load.Outlook.LimitRanks(max(1, maxReportedRanks/len(all)))
 		loads = append(loads, p.loadReporter.addHealth(server, load, now).MembershipLoad(server))
 	}
 	return loads
--- a/backendproxy/proxy.go
+++ b/backendproxy/proxy.go
@@ -87,7 +87,7 @@
 		config.Runs = NewRunTracker()
 	}
 	proxy := &Proxy{clock: config.Clock, log: config.Logger, logLimiter: linelimit.New(maxLogLinesPerSecond)}
-	proxy.loadReporter = &loadReporter{registry: config.Registry, monitor: config.HealthMonitor}
+	proxy.loadReporter = &loadReporter{registry: config.Registry, monitor: config.HealthMonitor, view: config.View}
 	proxy.status = &statusObserver{registry: config.Registry, dialect: config.Dialect, log: config.Logger, lineLimiter: linelimit.New(maxStatusLinesPerSecond)}
 	keys := &keyChecker{view: config.View}
 	quarantined := &quarantineFilter{key: config.FingerprintKey, quarantine: config.Quarantine}
@@ -132,6 +132,9 @@
 	if targetMillis, err := strconv.ParseInt(header.Get(pipeline.HeaderTarget), 10, 64); err == nil {
 		exchange.TargetTime = exchange.Received.Add(time.Duration(targetMillis) * time.Millisecond)
 	}
+	if serviceMillis, err := strconv.ParseInt(header.Get(pipeline.HeaderServiceTime), 10, 32); err == nil && serviceMillis > 0 {
+		exchange.ServiceTime = time.Duration(serviceMillis) * time.Millisecond
+	}
 	exchange.ConfigurationVersion, _ = strconv.ParseUint(header.Get(pipeline.HeaderConfigurationVersion), 10, 64)
 	err := p.chain.Serve(exchange)
 	if err != nil {
--- a/backendproxy/run.go
+++ b/backendproxy/run.go
@@ -80,7 +80,11 @@
 	if err := f.checkResponse(exchange, dispatched.verdict, response.Header, observation); err != nil {
 		return err
 	}
-	observation.End(resultOfResponse(response), clock.Now())
+	result := resultOfResponse(response)
+	observation.End(result, clock.Now())
+	if result == health.ResultOK {
+		slot.recordResponse(exchange.DispatchAge, exchange.ServiceTime)
+	}
 	f.loadReporter.setHeader(exchange)
 	header := exchange.Writer.Header()
 	header.Set(pipeline.HeaderDispatchAge, strconv.FormatInt(exchange.DispatchAge.Microseconds(), 10))
--- a/backendproxy/slots.go
+++ b/backendproxy/slots.go
@@ -29,6 +29,14 @@
 	s.admission = nil
 }
 
+// recordResponse records that the backend server has responded to the request of the slot
+// after the given time. expected is the usual time of such a request, or zero.
+func (s *Slot) recordResponse(took, expected time.Duration) {
+	if s.admission != nil {
+		s.admission.recordResponse(took, expected)
+	}
+}
+
 // Load is the load and health of a backend server.
 type Load struct {
 	// Running is the number of requests that are running.
@@ -48,6 +56,11 @@
 	// announced start of its process in Unix milliseconds, zero if it announces none.
 	Leaving        bool
 	LeavingProcess int64
+	// Outlook says how long requests would wait for a slot.
+	Outlook queue.Outlook
+	// Slowness is the server's service times relative to the usual ones of the same requests,
+	// or 0 if it is not known.
+	Slowness float64
 }
 
 // loadOf returns the load of a backend server, without its health, and whether the server
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -52,7 +52,7 @@
 		must.Eq(t, usable > 0, ok)
 		if ok {
 			must.Zero(t, pool.Backend(index).Excluded)
-			must.False(t, tried.contains(pool.Backend(index).ID))
+			must.False(t, tried.Contains(pool.Backend(index).ID))
 		}
 	})
 }
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -101,6 +101,12 @@
 	return float64(requests) / float64(max(1, b.Slots))
 }
 
+// SentSinceReport returns how many more requests of this ingress are in flight than at the
+// time of the last report.
+func (b *Backend) SentSinceReport() uint32 {
+	return b.inFlight - min(b.inFlight, b.inFlightAtReport)
+}
+
 // cost returns the value by which backend servers are compared: the load plus the penalty
 // for probable failure.
 func (b *Backend) cost() float64 { return b.load() + failureCost*b.FailureProbability }
@@ -129,7 +135,8 @@
 	}
 }
 
-func (t *TriedBackends) contains(id BackendID) bool {
+// Contains reports whether a backend server is in the set. The set may be nil.
+func (t *TriedBackends) Contains(id BackendID) bool {
 	if t == nil {
 		return false
 	}
@@ -280,17 +287,23 @@
 // PickBest is meant for requests that have already failed once and cannot afford another
 // failed attempt.
 func (p *Pool) PickBest(rng *rand.Rand, tried *TriedBackends) (int, bool) {
-	return p.pickBest(rng, func(backend *Backend) bool { return !tried.contains(backend.ID) })
+	return p.pickBest(rng, func(backend *Backend) bool { return !tried.Contains(backend.ID) })
 }
 
 // PickSound is like PickBest, but selects only backend servers whose failure probability is
 // below the given one and whose load is less than what certain failure costs.
 func (p *Pool) PickSound(rng *rand.Rand, tried *TriedBackends, maxFailureProbability float64) (int, bool) {
 	return p.pickBest(rng, func(backend *Backend) bool {
-		return backend.FailureProbability < maxFailureProbability && backend.load() < failureCost && !tried.contains(backend.ID)
+		return backend.FailureProbability < maxFailureProbability && backend.load() < failureCost && !tried.Contains(backend.ID)
 	})
 }
 
+// PickBestOf is like PickBest, but selects only backend servers that accept permits. accept
+// must not call the pool.
+func (p *Pool) PickBestOf(rng *rand.Rand, tried *TriedBackends, accept func(*Backend) bool) (int, bool) {
+	return p.pickBest(rng, func(backend *Backend) bool { return !tried.Contains(backend.ID) && accept(backend) })
+}
+
 // pickBest selects the backend server of the lowest cost among those that accept permits.
 func (p *Pool) pickBest(rng *rand.Rand, accept func(*Backend) bool) (int, bool) {
 	best := noBackend
@@ -342,7 +355,7 @@
 	for range maxSamples {
 		index := int(usable[rng.IntN(len(usable))])
 		backend := &p.backends[index]
-		if index == except || tried.contains(backend.ID) {
+		if index == except || tried.Contains(backend.ID) {
 			continue
 		}
 		if probability := backend.drawProbability(); probability >= 1 || rng.Float64() < probability {
@@ -355,7 +368,7 @@
 	start := rng.IntN(len(usable))
 	for i := range usable {
 		index := int(usable[(start+i)%len(usable)])
-		if !tried.contains(p.backends[index].ID) {
+		if !tried.Contains(p.backends[index].ID) {
 			return index
 		}
 	}
--- a/fleetconfig/document.go
+++ b/fleetconfig/document.go
@@ -249,6 +249,10 @@
 	// be exceeded, in percent of it, for requests that no other backend server can run
 	// at once. With zero such requests are refused.
 	RateOveragePercent uint32 `cbor:"12,keyasint,omitempty" json:"rate_overage_percent,omitempty"`
+	// AdmissionByRoom lets an ingress refuse a request at once when it knows that no backend
+	// server would run it in time. Without it the request is sent to one server after another
+	// until one accepts it.
+	AdmissionByRoom bool `cbor:"15,keyasint,omitempty" json:"admission_by_room,omitempty"`
 	// HedgeAfter is the delay after which an idempotent request is sent to a second
 	// backend server. Zero disables hedging.
 	HedgeAfter time.Duration `cbor:"3,keyasint" json:"hedge_after"`
--- a/ingress/clocks.go
+++ b/ingress/clocks.go
@@ -57,19 +57,19 @@
 	if clock == nil {
 		return ""
 	}
-	deadline, ok := clock.DispatchDeadline(quota.Token{Expires: localDispatchDeadline(exchange)})
+	deadline, ok := clock.DispatchDeadline(quota.Token{Expires: LocalDispatchDeadline(exchange)})
 	if !ok {
 		return ""
 	}
 	return backendproxy.FormatClockReading(deadline)
 }
 
-// localDispatchDeadline returns the dispatch deadline of the exchange by this
+// LocalDispatchDeadline returns the dispatch deadline of the exchange by this
 // instance's clock: the earliest of the request deadline, the expiry of the quota
 // token, and the time until which the ingress has confirmed the key as current.
 // Because the ingress has confirmed the key, the backend proxy does not need a
 // current configuration itself and continues to serve while control is unreachable.
-func localDispatchDeadline(exchange *pipeline.Exchange) time.Time {
+func LocalDispatchDeadline(exchange *pipeline.Exchange) time.Time {
 	limit := exchange.Deadline
 	if !exchange.TokenExpires.IsZero() && exchange.TokenExpires.Before(limit) {
 		limit = exchange.TokenExpires
--- a/ingress/depend.go
+++ b/ingress/depend.go
@@ -66,6 +66,11 @@
 	// Latency is the time until the response header arrived, or until the attempt
 	// ended without one.
 	Latency time.Duration
+	// Route is the ID of the request's route.
+	Route string
+	// ServiceTime is the time from the dispatch of the request to the response of the backend
+	// server, zero if it has not responded.
+	ServiceTime time.Duration
 	// Load is the value of the load header that the backend proxy sent.
 	Load string
 	// ServerStatus is the value of the header with what the backend server has stated
@@ -103,6 +108,10 @@
 	// service admits a request. It returns false if there is no server that is available
 	// but for its rate.
 	RateWait(service fleetconfig.ServiceName) (time.Duration, bool)
+	// Room reports whether a backend server that is not in tried may have room for the
+	// request, after busyRefusals of those in tried had none. Otherwise it returns the time
+	// after which the caller should come back. It sets exchange.ExpectedWait.
+	Room(exchange *pipeline.Exchange, tried []Candidate, busyRefusals int) (retryAfter time.Duration, room bool)
 }
 
 // Recorder records exchanges when they end.
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -83,6 +83,9 @@
 	f.retry.RequestStarted(exchange)
 	attempts := &attemptTracker{}
 	for {
+		if refusal := f.refuseWithoutRoom(exchange, attempts); refusal != nil {
+			return refusal
+		}
 		candidate, ok := f.selector.Pick(exchange, attempts.tried)
 		if !ok && attempts.startLastResort(exchange) {
 			continue
@@ -111,6 +114,24 @@
 	}
 }
 
+// refuseWithoutRoom returns the refusal of a request for which no backend server has room, as
+// far as is known, or nil. If an earlier attempt may have run, that attempt's refusal is
+// returned.
+func (f *forwardFilter) refuseWithoutRoom(exchange *pipeline.Exchange, attempts *attemptTracker) *pipeline.Refusal {
+	if exchange.LastResort || !exchange.View.ActivePreset().AdmissionByRoom {
+		return nil
+	}
+	retryAfter, room := f.selector.Room(exchange, attempts.tried, attempts.busyRefusals)
+	if room {
+		return nil
+	}
+	if last := attempts.lastRefusal; last != nil && (last.Outcome != pipeline.OutcomeNotRun || last.ReachedServer) {
+		return last
+	}
+	return pipeline.NewNotRunRefusal(pipeline.KindBusy, http.StatusServiceUnavailable,
+		"no backend server of the service can run the request in time", "send the request again", retryAfter)
+}
+
 // attemptTracker tracks the attempts of one exchange.
 type attemptTracker struct {
 	tried []Candidate
@@ -120,6 +141,8 @@
 	// suspectRefusals counts the attempts that were refused because the backend
 	// server is suspected of failure.
 	suspectRefusals int
+	// busyRefusals counts the attempts that were refused for want of room.
+	busyRefusals int
 	// retryRefusals counts the attempts that were refused because the backend server may
 	// receive no more repeats now.
 	retryRefusals int
@@ -144,6 +167,9 @@
 	if t.lastRefusedAsRepeat {
 		t.retryRefusals++
 	}
+	if refusal.Kind == pipeline.KindBusy && !refusal.ReachedServer {
+		t.busyRefusals++
+	}
 	if refusal.Kind == pipeline.KindServerSuspect {
 		t.suspectRefusals++
 		exchange.LastResort = exchange.LastResort || t.suspectRefusals >= maxSuspectRefusals
@@ -281,7 +307,7 @@
 	exchange.Instance = candidate.Instance
 	exchange.BackendServer = candidate.Server
 	exchange.Outcome = pipeline.OutcomeUnknown
-	result := Attempt{Candidate: candidate, Service: exchange.Service}
+	result := Attempt{Candidate: candidate, Service: exchange.Service, Route: exchange.Route.ID}
 	dispatchBy := f.clocks.peerDispatchDeadline(candidate.Instance, exchange)
 	request := newProxyRequest(ctx, exchange, candidate, body, dispatchBy, started)
 
@@ -353,6 +379,7 @@
 	result.ServerStatus = header.Get(backendproxy.HeaderServerStatus)
 	dispatchAge, _ := strconv.ParseInt(header.Get(pipeline.HeaderDispatchAge), 10, 64)
 	exchange.DispatchAge = time.Duration(max(dispatchAge, 0)) * time.Microsecond
+	result.ServiceTime = exchange.DispatchAge
 	f.clocks.observe(result.Candidate.Instance, header.Get(pipeline.HeaderClock), clock.Now())
 }
 
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -31,6 +31,10 @@
 	responders []func(request *http.Request) (*http.Response, error)
 	// rateWait is the result of RateWait; zero means that there is none.
 	rateWait time.Duration
+	// busyRefusals is the number of refusals for want of room after which Room finds none.
+	busyRefusals int
+	// byRoom sets AdmissionByRoom in the active preset.
+	byRoom bool
 	// lastResort is set in every candidate.
 	lastResort bool
 	attempted  []int
@@ -68,6 +72,12 @@
 func (s *fakeFleet) RateWait(fleetconfig.ServiceName) (time.Duration, bool) {
 	return s.rateWait, s.rateWait > 0
 }
+
+// Room finds room until the fleet's room is used up.
+func (s *fakeFleet) Room(_ *pipeline.Exchange, _ []Candidate, busyRefusals int) (time.Duration, bool) {
+	return roomIn, busyRefusals < s.busyRefusals
+}
+
 func (s *fakeFleet) Done(attempt *Attempt)           { s.results = append(s.results, *attempt) }
 func (*fakeFleet) RequestStarted(*pipeline.Exchange) {}
 
@@ -144,6 +154,9 @@
 	document := fleetconfig.NewDocument()
 	document.Version = 1
 	document.CallerLimits.BodyBytes = maxTestBody
+	for i := range document.Presets {
+		document.Presets[i].AdmissionByRoom = s.byRoom
+	}
 	document.Routes = []fleetconfig.Route{{
 		ID: "r", PathPrefix: "/", Service: "catalogue", OpenToAll: true, Idempotency: idempotency, MaxAttempts: maxAttempts, Priority: testPriority,
 	}}
@@ -295,11 +308,11 @@
 func TestLocalDispatchDeadlineIsEarliestLimit(t *testing.T) {
 	now := time.Now()
 	exchange := &pipeline.Exchange{Deadline: now.Add(time.Minute), TokenExpires: now.Add(2 * time.Second), CurrentUntil: now.Add(time.Second)}
-	must.Eq(t, exchange.CurrentUntil, localDispatchDeadline(exchange))
+	must.Eq(t, exchange.CurrentUntil, LocalDispatchDeadline(exchange))
 	exchange.CurrentUntil = now.Add(3 * time.Second)
-	must.Eq(t, exchange.TokenExpires, localDispatchDeadline(exchange))
+	must.Eq(t, exchange.TokenExpires, LocalDispatchDeadline(exchange))
 	exchange.CurrentUntil, exchange.TokenExpires = time.Time{}, time.Time{}
-	must.Eq(t, exchange.Deadline, localDispatchDeadline(exchange))
+	must.Eq(t, exchange.Deadline, LocalDispatchDeadline(exchange))
 }
 
 // An instance that cannot confirm that its configuration is current must not respond
@@ -455,3 +468,38 @@
 		must.False(t, exchange.Idempotent)
 	}
 }
+
+// roomIn is the time until the fake fleet has room.
+const roomIn = 2500 * time.Millisecond
+
+// A request for which no backend server is known to have room is refused as not run, before
+// or after attempts, and told when to come back. Without the preset's field it goes on.
+func TestForwardRefusesRequestWithoutRoom(t *testing.T) {
+	fleet := &fakeFleet{byRoom: true}
+	for range 5 {
+		fleet.responders = append(fleet.responders, respondRefusal(pipeline.KindBusy, pipeline.OutcomeNotRun, false))
+	}
+	for attempts := range 3 {
+		fleet.busyRefusals = attempts
+		recorder := fleet.serve(nonIdempotent, 2, 0)
+		must.Eq(t, http.StatusServiceUnavailable, recorder.Code)
+		must.Eq(t, "3", recorder.Header().Get("Retry-After"))
+		must.Eq(t, "not-run", recorder.Header().Get(pipeline.HeaderOutcome))
+		must.Len(t, attempts, fleet.attempted)
+	}
+	fleet.byRoom = false
+	fleet.serve(nonIdempotent, 2, 0)
+	must.Len(t, 5, fleet.attempted)
+}
+
+// A request that may have run is not reported as refused for want of room.
+func TestForwardKeepsUnknownOutcomeWithoutRoom(t *testing.T) {
+	fleet := &fakeFleet{byRoom: true, busyRefusals: 1, responders: []func(*http.Request) (*http.Response, error){
+		respondRefusal(pipeline.KindOutcomeUnknown, pipeline.OutcomeUnknown, true),
+		respondRefusal(pipeline.KindBusy, pipeline.OutcomeNotRun, false),
+		respondStatus(http.StatusOK),
+	}}
+	recorder := fleet.serve(idempotent, 0, 9)
+	must.Eq(t, "unknown", recorder.Header().Get(pipeline.HeaderOutcome))
+	must.Eq(t, []int{0, 1}, fleet.attempted)
+}
--- a/ingress/forwarded.go
+++ b/ingress/forwarded.go
@@ -49,6 +49,9 @@
 		remaining := exchange.Route.LatencyTarget - now.Sub(exchange.Received)
 		header.Set(pipeline.HeaderTarget, strconv.FormatInt(max(0, remaining.Milliseconds()), 10))
 	}
+	if exchange.ServiceTime > 0 {
+		header.Set(pipeline.HeaderServiceTime, strconv.FormatInt(max(1, exchange.ServiceTime.Milliseconds()), 10))
+	}
 	if exchange.CallerService != "" {
 		header.Set(pipeline.HeaderCallerService, string(exchange.CallerService))
 	}
--- a/membership/load.go
+++ b/membership/load.go
@@ -30,6 +30,28 @@
 	// LeavingProcess is the start time of the process that has stated it, in Unix
 	// milliseconds, zero if the server does not announce it.
 	LeavingProcess int64 `cbor:"10,keyasint,omitempty"`
+	// NextSlotMillis is the expected time until a slot is released, in milliseconds. It is
+	// zero while a slot is free.
+	NextSlotMillis uint32 `cbor:"14,keyasint,omitempty"`
+	// Waiting is the work of the requests that wait for a slot, the most urgent first.
+	Waiting []RankedWork `cbor:"15,keyasint,omitempty"`
+	// Overloaded tells whether only requests wait that can meet their latency target.
+	Overloaded bool `cbor:"16,keyasint,omitempty"`
+	// Full tells whether the queue is full.
+	Full bool `cbor:"17,keyasint,omitempty"`
+	// SlownessPercent is the server's service times relative to the usual ones of the same
+	// requests, in percent, zero if unknown.
+	SlownessPercent uint16 `cbor:"18,keyasint,omitempty"`
+}
+
+// RankedWork is the work of the waiting requests of one urgency: the time, in milliseconds,
+// for which they would occupy all slots of the server.
+type RankedWork struct {
+	_       struct{} `cbor:",toarray"`
+	Urgency fleetconfig.Urgency
+	// TotalMillis is the work of all of them, FirstMillis that of the first request of each
+	// account.
+	TotalMillis, FirstMillis uint32
 }
 
 // Fan-out of load reports. The driver reports the loads several times a second. Each
--- a/node/node.go
+++ b/node/node.go
@@ -250,6 +250,7 @@
 	orderFilter := &orders.Filter{Service: n.orders, MaxBodyBytes: orders.DefaultMaxBodyBytes}
 	selector := selection.New(selection.Config{Members: n.members.Snapshot, View: n.configuration.View})
 	n.members.EnableLoadReports(n.backendProxy.Loads, selector.HandleLoadReports)
+	n.metrics.RegisterCounter("room_refusals", "Requests refused at once because no backend server was known to have room.", selector.RoomRefusals)
 	retries := selection.NewRetryBudgets(n.logger)
 	n.registerRetryMetrics(retries)
 	n.ingress = ingress.New(ingress.Config{
--- a/node/requestlog.go
+++ b/node/requestlog.go
@@ -57,6 +57,9 @@
 		attributes = append(attributes, "refusal", string(exchange.Refusal.Kind), "detail", exchange.Refusal.Detail,
 			"retry_after_ms", exchange.Refusal.RetryAfter.Milliseconds())
 	}
+	if exchange.ExpectedWait > 0 {
+		attributes = append(attributes, "expected_wait_ms", exchange.ExpectedWait.Milliseconds())
+	}
 	if exchange.RepeatedCall {
 		attributes = append(attributes, "repeated_call", true)
 	}
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -80,6 +80,13 @@
 	// TargetTime is when the response misses the latency target of the route. It is zero if
 	// the route has none. Only the backend proxy sets it, by its own clock.
 	TargetTime time.Time
+	// ServiceTime is the usual time from the dispatch of a request of the route to its
+	// response, over the servers of the service that the ingress uses. It is zero if it is not
+	// known.
+	ServiceTime time.Duration
+	// ExpectedWait is the shortest wait for a slot that was known when room for the request was
+	// last looked for. Only the ingress sets it.
+	ExpectedWait time.Duration
 	// ReachedAttempts counts the attempts that may have reached a backend server.
 	ReachedAttempts int
 	// TokenExpires is when the quota token of the request expires. It is zero if the
--- a/pipeline/headers.go
+++ b/pipeline/headers.go
@@ -55,6 +55,9 @@
 	// HeaderTarget carries the time left until the response misses the latency target of
 	// the request, in milliseconds; zero if it has already missed it.
 	HeaderTarget = "Hemlock-Target-Ms"
+	// HeaderServiceTime carries the usual service time of such requests at the servers of the
+	// service, in milliseconds, as far as the ingress knows it.
+	HeaderServiceTime = "Hemlock-Service-Time-Ms"
 	// HeaderTrial tells the backend proxy that the request is quarantined and that this is
 	// its trial run.
 	HeaderTrial = "Hemlock-Trial"
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -10,13 +10,6 @@
 
 // Parameters of the queue.
 const (
-	// serviceTimeGain is the weight of a new sample in the mean service time.
-	serviceTimeGain = 0.1
-	// medianGain is the relative step by which the median service time moves towards a
-	// sample.
-	medianGain = 0.05
-	// initialServiceTime is the expected service time before any request has finished.
-	initialServiceTime = 10 * time.Millisecond
 	// maxIdleAccounts bounds the accounts that are remembered while they have no waiting
 	// and no running requests; about 100 bytes each.
 	maxIdleAccounts = 1024
@@ -47,6 +40,9 @@
 	// none. While the queue is overloaded, a request waits only if it is expected to finish
 	// by then.
 	TargetTime time.Time
+	// ServiceTime is the usual service time of such requests at all servers of the service.
+	// Zero means that it is not known; the estimates of this server then apply.
+	ServiceTime time.Duration
 	// WaitForRate says that no other backend server can run the request at once. It may then
 	// use the overage of the rate limit, and wait until the limit admits it. Any other
 	// request is refused at once when the limit does not admit it now.
@@ -127,6 +123,9 @@
 	// It is used to decide whether a request can be answered in time, because a few hanging
 	// requests do not change it.
 	medianServiceTime time.Duration
+	// heldRatio is the mean, and slowness the median, of the service times relative to the
+	// usual ones of the same requests. slowness is 0 before any response.
+	heldRatio, slowness float64
 	// throttle is the limit on the rate at which requests start.
 	throttle throttle.Throttle
 	// lastEventAt is the time of the last event that the driver has reported.
@@ -143,6 +142,8 @@
 	// charged is the expected service time that was added to the account's start tag. Done
 	// corrects the start tag to the actual service time.
 	charged time.Duration
+	// expected is Item.ServiceTime.
+	expected time.Duration
 }
 
 // New returns an empty queue for a backend server with the given slots. At most length
@@ -155,6 +156,7 @@
 		accounts:    make(map[accountKey]*accountQueue),
 		consecutive: make(map[fleetconfig.Urgency]int),
 		serviceTime: initialServiceTime,
+		heldRatio:   1,
 	}
 }
 
@@ -219,23 +221,10 @@
 	item.account.running--
 	serviceTime := max(0, now.Sub(item.startedAt))
 	item.account.startTag += serviceTime - item.charged
-	q.recordServiceTime(serviceTime)
+	q.recordServiceTime(serviceTime, item.expected)
 	return q.dispatch(now, nil)
 }
 
-// recordServiceTime updates the estimates with the service time of a finished request.
-func (q *Queue) recordServiceTime(serviceTime time.Duration) {
-	q.serviceTime += time.Duration(serviceTimeGain * float64(serviceTime-q.serviceTime))
-	switch step := 1 + medianGain; {
-	case q.medianServiceTime == 0:
-		q.medianServiceTime = max(serviceTime, time.Microsecond)
-	case serviceTime > q.medianServiceTime:
-		q.medianServiceTime = min(serviceTime, time.Duration(float64(q.medianServiceTime)*step))
-	default:
-		q.medianServiceTime = max(serviceTime, time.Duration(float64(q.medianServiceTime)/step), time.Microsecond)
-	}
-}
-
 // Cancel removes a waiting request that its caller has canceled. A running request keeps
 // its slot until Done.
 func (q *Queue) Cancel(id ItemID) []Action {
@@ -265,7 +254,7 @@
 // missesDeadline reports whether a request that starts now starts too late or is expected
 // to finish too late.
 func (q *Queue) missesDeadline(item *Item, now time.Time) bool {
-	return item.latestStart().Before(now) || item.Deadline.Before(now.Add(q.medianServiceTime))
+	return item.latestStart().Before(now) || item.Deadline.Before(now.Add(q.responseTime(item)))
 }
 
 // overloaded reports whether requests arrive faster than the slots can run them. In such a
@@ -283,7 +272,7 @@
 	if q.missesDeadline(item, start) {
 		return ReasonDeadline
 	}
-	if q.overloaded() && !item.TargetTime.IsZero() && item.TargetTime.Before(start.Add(q.medianServiceTime)) {
+	if q.overloaded() && !item.TargetTime.IsZero() && item.TargetTime.Before(start.Add(q.responseTime(item))) {
 		return ReasonOverloaded
 	}
 	return 0
@@ -329,9 +318,10 @@
 	q.throttle.Take(now)
 	q.recordStart(account.urgency)
 	q.virtualTime = max(q.virtualTime, account.startTag)
-	account.startTag += q.serviceTime
+	work := q.work(&item)
+	account.startTag += work
 	account.running++
-	q.running[item.ID] = runningItem{account: account, startedAt: now, charged: q.serviceTime}
+	q.running[item.ID] = runningItem{account: account, startedAt: now, charged: work, expected: item.ServiceTime}
 	return Run{ID: item.ID}
 }
 
@@ -342,8 +332,14 @@
 // retryAfter returns the estimated time until the requests that now run and wait are
 // finished and the rate limit admits another request.
 func (q *Queue) retryAfter() time.Duration {
-	ahead := time.Duration(len(q.running) + q.waiting)
-	return max(MinRetryAfter, ahead*q.serviceTime/time.Duration(max(1, q.slots)), q.throttle.Wait(q.waiting+1, q.lastEventAt))
+	var ahead time.Duration
+	for _, item := range q.running {
+		ahead += item.charged
+	}
+	for _, account := range q.backlog {
+		ahead += q.workOf(account.items)
+	}
+	return max(MinRetryAfter, q.perSlot(ahead), q.throttle.Wait(q.waiting+1, q.lastEventAt))
 }
 
 // reasonNotToWait returns why the request should not wait (see uselessWait), because of
@@ -361,11 +357,10 @@
 		}
 		return 0
 	}
-	releases := 0
+	var wait time.Duration
 	if len(q.running) >= q.slots {
-		releases = q.releasesBeforeStart(account, account.position(item.Deadline))
+		wait = q.waitForSlot(account, account.position(item.Deadline))
 	}
-	wait := time.Duration(releases) * q.serviceTime / time.Duration(max(1, q.slots))
 	wait = max(wait, q.throttle.Wait(q.waiting+1, now))
 	return q.uselessWait(&item, now.Add(wait))
 }
--- a/queue/urgency.go
+++ b/queue/urgency.go
@@ -1,6 +1,10 @@
 package queue
 
-import "github.com/hemlockring/hemlockring/fleetconfig"
+import (
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
 
 // maxConsecutive is how many consecutive slots the requests of one urgency receive while
 // less urgent requests wait. The next slot goes to a less urgent request, so that a quarter
@@ -72,23 +76,21 @@
 	return chosen
 }
 
-// releasesBeforeStart estimates, while no slot is free, how many times a slot must be
-// released until a request of the account gets one. This is one more than the requests that
-// get a slot before it. own is how many requests of the same account precede it.
-func (q *Queue) releasesBeforeStart(account *accountQueue, own int) int {
-	var moreUrgent, equallyUrgent, lessUrgent int
+// waitForSlot estimates, while no slot is free, the time until a request of the account gets
+// one. own is how many requests of the same account precede it.
+func (q *Queue) waitForSlot(account *accountQueue, own int) time.Duration {
+	var moreUrgent, equallyUrgent, lessUrgent time.Duration
 	for _, other := range q.backlog {
 		switch {
 		case other == account:
+			equallyUrgent += q.workOf(other.items[:own])
 		case other.urgency < account.urgency:
-			moreUrgent += len(other.items)
+			moreUrgent += q.workOf(other.items)
 		case other.urgency == account.urgency:
-			equallyUrgent += min(len(other.items), own+1)
+			equallyUrgent += q.workOf(other.items[:min(len(other.items), own+1)])
 		default:
-			lessUrgent += len(other.items)
+			lessUrgent += q.workOf(other.items)
 		}
 	}
-	total := equallyUrgent + own + 1
-	total += min(moreUrgent, maxConsecutive*total)
-	return total + min(lessUrgent, total/maxConsecutive)
+	return waitBehind(q.perSlot(q.serviceTime), q.perSlot(moreUrgent), q.perSlot(equallyUrgent), q.perSlot(lessUrgent))
 }
--- /dev/null
+++ b/selection/room.go
@@ -0,0 +1,156 @@
+package selection
+
+import (
+	"time"
+
+	"github.com/hemlockring/hemlockring/backendproxy"
+	"github.com/hemlockring/hemlockring/balance"
+	"github.com/hemlockring/hemlockring/clock"
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/ingress"
+	"github.com/hemlockring/hemlockring/membership"
+	"github.com/hemlockring/hemlockring/pipeline"
+	"github.com/hemlockring/hemlockring/placement"
+	"github.com/hemlockring/hemlockring/queue"
+)
+
+const (
+	// minReturnSpread is the shortest period over which refused callers come back, so that
+	// those who were refused together do not. Retry-After counts whole seconds.
+	minReturnSpread = 2 * time.Second
+	// maxReturnDelay bounds what a refused caller is told to wait for room.
+	maxReturnDelay = 10 * time.Second
+)
+
+// serverNews is what the proxy beside a backend server last said about the wait there.
+type serverNews struct {
+	outlook  queue.Outlook
+	slowness float64
+	heardAt  time.Time
+}
+
+// newsOf returns the news in a load report.
+func newsOf(load *membership.ServerLoad, now time.Time) serverNews {
+	return serverNews{
+		outlook:  backendproxy.OutlookOf(load),
+		slowness: float64(load.SlownessPercent) / percent,
+		heardAt:  now,
+	}
+}
+
+// Room implements ingress.Selector.
+func (s *Selector) Room(exchange *pipeline.Exchange, tried []ingress.Candidate, busyRefusals int) (retryAfter time.Duration, room bool) {
+	service := s.service(exchange.Service)
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	now := clock.Now()
+	s.refresh(service, exchange.Service, now)
+	request := service.placementRequest(exchange)
+	request.BusyRefusals = busyRefusals
+	survey, decided := service.survey(&request, tried, now)
+	if !decided {
+		return 0, true
+	}
+	exchange.ExpectedWait = survey.Wait()
+	verdict, roomIn := survey.Decide(&request)
+	if verdict == placement.Trial && now.Sub(service.lastTrialAt) >= placement.TrialInterval {
+		service.lastTrialAt = now
+		verdict = placement.Admit
+	}
+	if verdict == placement.Admit {
+		return 0, true
+	}
+	s.roomRefusals.Add(1)
+	roomIn = min(roomIn, maxReturnDelay)
+	spread := max(roomIn, minReturnSpread)
+	return roomIn + time.Duration(service.rng.Float64()*float64(spread)), false
+}
+
+// RoomRefusals returns how many requests this ingress has refused because it knew of no room.
+func (s *Selector) RoomRefusals() uint64 { return s.roomRefusals.Load() }
+
+// placementRequest describes the request of an exchange. The caller must hold the pool's lock.
+func (p *servicePool) placementRequest(exchange *pipeline.Exchange) placement.Request {
+	request := placement.Request{Urgency: fleetconfig.LeastUrgent, Deadline: exchange.Deadline, StartBy: ingress.LocalDispatchDeadline(exchange)}
+	if exchange.Route == nil {
+		return request
+	}
+	request.ServiceTime = p.times.Of(exchange.Route.ID)
+	if exchange.View != nil {
+		request.Urgency = fleetconfig.UrgencyOf(exchange.View.Account(exchange.Account), exchange.Route)
+	}
+	if exchange.Route.LatencyTarget > 0 {
+		request.TargetTime = exchange.Received.Add(exchange.Route.LatencyTarget)
+	}
+	return request
+}
+
+// survey asks the servers that may be selected for room. It returns false if room does not
+// decide, because servers wait for their advertised rate. Servers that are probably failing
+// do not count. The caller must hold the pool's lock.
+func (p *servicePool) survey(request *placement.Request, tried []ingress.Candidate, now time.Time) (placement.Survey, bool) {
+	var skip balance.TriedBackends
+	for _, candidate := range tried {
+		skip.Add(backendID(candidate))
+	}
+	var survey placement.Survey
+	for i := range p.pool.Len() {
+		backend := p.pool.Backend(i)
+		if backend.Excluded == balance.ExcludedRate {
+			return survey, false
+		}
+		if backend.Excluded != 0 || p.suspected(i) || skip.Contains(backend.ID) {
+			continue
+		}
+		server := p.placementServer(&backend)
+		survey.Add(&server, request, now)
+	}
+	return survey, true
+}
+
+// placementServer returns what is known of a server. The caller must hold the pool's lock.
+func (p *servicePool) placementServer(backend *balance.Backend) placement.Server {
+	news := p.news[backend.ID]
+	return placement.Server{
+		Outlook:  news.outlook,
+		Slowness: news.slowness,
+		Slots:    backend.Slots,
+		InFlight: backend.ReportedInFlight,
+		Sent:     backend.SentSinceReport(),
+		HeardAt:  news.heardAt,
+	}
+}
+
+// preferRoom returns a server that is known to have room if the picked one is known to have
+// none. Otherwise it returns the picked one. The caller must hold the pool's lock.
+func (p *servicePool) preferRoom(exchange *pipeline.Exchange, tried []ingress.Candidate, picked int, now time.Time) int {
+	request := p.placementRequest(exchange)
+	backend := p.pool.Backend(picked)
+	server := p.placementServer(&backend)
+	if _, known := server.Wait(&request, now); !known || server.HasRoom(&request, now) {
+		return picked
+	}
+	var skip balance.TriedBackends
+	for _, candidate := range tried {
+		skip.Add(backendID(candidate))
+	}
+	index, found := p.pool.PickBestOf(p.rng, &skip, func(backend *balance.Backend) bool {
+		server := p.placementServer(backend)
+		return server.HasRoom(&request, now)
+	})
+	if !found || p.suspected(index) {
+		return picked
+	}
+	return index
+}
+
+// recordServiceTime records the service time of an answered attempt. The caller must hold the
+// pool's lock.
+func (p *servicePool) recordServiceTime(attempt *ingress.Attempt) {
+	if attempt.Status > 0 && attempt.Status < firstServerError {
+		p.times.Record(attempt.Route, attempt.ServiceTime)
+	}
+}
+
+// firstServerError is the lowest status of a server error.
+const firstServerError = 500
--- a/selection/selector.go
+++ b/selection/selector.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hemlockring/hemlockring/backendproxy"
@@ -16,6 +17,7 @@
 	"github.com/hemlockring/hemlockring/ingress"
 	"github.com/hemlockring/hemlockring/membership"
 	"github.com/hemlockring/hemlockring/pipeline"
+	"github.com/hemlockring/hemlockring/placement"
 	"github.com/hemlockring/hemlockring/throttle"
 )
 
@@ -38,6 +40,8 @@
 type Selector struct {
 	config Config
 	paths  *pathMonitors
+	// roomRefusals counts the requests for which Room found none.
+	roomRefusals atomic.Uint64
 
 	mu       sync.Mutex
 	services map[fleetconfig.ServiceName]*servicePool
@@ -54,9 +58,15 @@
 	failureEstimates map[balance.BackendID]failureEstimate
 	statements       map[balance.BackendID]*statement
 	// holds holds the servers whose proxies have refused requests without regard to load.
-	holds  map[balance.BackendID]refusalHold
-	probes probeSchedule
-	rng    *rand.Rand
+	holds map[balance.BackendID]refusalHold
+	// news holds the last outlook of each server, times the service times of the routes.
+	news  map[balance.BackendID]serverNews
+	times placement.ServiceTimes
+	// lastTrialAt is when a request was last sent to a server of which nothing was known
+	// although the known ones had no room.
+	lastTrialAt time.Time
+	probes      probeSchedule
+	rng         *rand.Rand
 }
 
 // failureEstimate is the failure probability of a backend server as of its last report.
@@ -88,6 +98,9 @@
 	if !ok {
 		index, lastResort, ok = service.pickFromPool(exchange, tried)
 	}
+	if ok && exchange.ReachedAttempts == 0 && !lastResort && admitsByRoom(exchange) {
+		index = service.preferRoom(exchange, tried, index, now)
+	}
 	if !ok {
 		index, lastResort, ok = service.pickHeld(tried, now)
 	}
@@ -101,6 +114,9 @@
 		return ingress.Candidate{}, false
 	}
 	service.pool.RequestStarted(index)
+	if exchange.Route != nil && admitsByRoom(exchange) {
+		exchange.ServiceTime = service.times.Of(exchange.Route.ID)
+	}
 	candidate := newCandidate(service.snapshot, service.hosted[index])
 	candidate.MaxRateWait = rateWait
 	candidate.LastResort = lastResort
@@ -113,6 +129,11 @@
 	return candidate, true
 }
 
+// admitsByRoom reports whether the active preset admits requests by the room for them.
+func admitsByRoom(exchange *pipeline.Exchange) bool {
+	return exchange.View != nil && exchange.View.ActivePreset().AdmissionByRoom
+}
+
 // maxRateWait returns how long the request may still wait until the rate of a backend
 // server admits it.
 func maxRateWait(exchange *pipeline.Exchange, now time.Time) time.Duration {
@@ -204,6 +225,7 @@
 			reported := load.MembershipLoad(attempt.Candidate.Server)
 			service.recordLoad(backendID(attempt.Candidate), &reported, true, now)
 		}
+		service.recordServiceTime(attempt)
 		if !attempt.Canceled && !attempt.PathFailed && !attempt.Unanswered {
 			service.recordRefusal(index, backendID(attempt.Candidate), attempt.Refusal, now)
 		}
@@ -247,6 +269,7 @@
 		return
 	}
 	p.pool.UpdateLoad(index, load.InFlight, float64(load.WeightPercent)/percent)
+	p.news[id] = newsOf(load, now)
 	reported := failureEstimate{probability: float64(load.FailureProbabilityPercent) / percent, reportedAt: now}
 	p.failureEstimates[id] = reported
 	p.pool.SetFailureProbability(index, health.ExcessFailureProbability(reported.probability))
@@ -266,6 +289,7 @@
 			failureEstimates: make(map[balance.BackendID]failureEstimate),
 			statements:       make(map[balance.BackendID]*statement),
 			holds:            make(map[balance.BackendID]refusalHold),
+			news:             make(map[balance.BackendID]serverNews),
 		}
 		s.services[name] = service
 	}
@@ -304,6 +328,7 @@
 	for id := range p.failureEstimates {
 		if _, found := p.pool.Find(id); !found {
 			delete(p.failureEstimates, id)
+			delete(p.news, id)
 			delete(p.probes.lastProbeAt, id)
 		}
 	}
