Placing by time, and reports that survive a change of the membership

Cause: Pool.Set dropped the reported load and weight of all servers of a service whenever any member of the fleet changed, so that during restarts each ingress took full servers for idle ones until their next report (13 s for servers of other domains); and requests per slot are not time: servers differ in speed and queued requests in length.

Change: the cost of a server is its expected time in multiples of the usual service time: load times slowness while a slot is free, else the reported backlog of work and the slowness. Without known times it is the load as before. With admission by room a pool keeps the reports of servers whose process stays, forgets reports older than placement.NewsLifetime, lets a server of a farther tier win only by 0.1 requests per slot, and the ingress takes the loads of the servers beside it into its pool with each load report.

Without the preset's field the pool drops reports as before.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -61,13 +61,15 @@
 	Server fleetconfig.BackendServerID
 }
 
-// Backend is the state of one backend server as seen by an ingress. It takes about 80
+// Backend is the state of one backend server as seen by an ingress. It takes about 130
 // bytes.
 type Backend struct {
 	// ID identifies the backend server.
 	ID BackendID
 	// Tier is the distance of the backend server.
 	Tier Tier
+	// Started tells the processes of the backend server and of its proxy apart.
+	Started int64
 	// Slots is the number of requests that it runs concurrently.
 	Slots uint32
 	// ReportedInFlight is the number of its running and waiting requests from all
@@ -83,6 +85,13 @@
 	// fails most requests. The part of this probability that exceeds the probability of a
 	// server without evidence is scaled to 0 to 1 (health.ExcessFailureProbability).
 	FailureProbability float64
+	// Slowness is its service times relative to the usual ones of the same requests. Zero
+	// means that they are not known, and counts as one.
+	Slowness float64
+	// Backlog is the work of the waiting requests at the last report: the time for which they
+	// would occupy all slots, in multiples of the usual service time. It is zero if a slot
+	// was free or the times are not known.
+	Backlog float64
 
 	// inFlight is the number of requests from this ingress in flight, inFlightAtReport that
 	// number at the time of the last report or of Pool.Set.
@@ -107,14 +116,30 @@
 	return b.inFlight - min(b.inFlight, b.inFlightAtReport)
 }
 
-// cost returns the value by which backend servers are compared: the load plus the penalty
-// for probable failure.
-func (b *Backend) cost() float64 { return b.load() + failureCost*b.FailureProbability }
+// time estimates how long one more request would take, in multiples of the usual service
+// time. It is the load, times the slowness, while a slot is free, so that servers whose slots
+// are nearly all in use cost more than others; otherwise the expected wait and the slowness.
+// Without known times it is the load.
+func (b *Backend) time() float64 {
+	slowness := b.Slowness
+	if slowness == 0 {
+		slowness = 1
+	}
+	if b.Backlog == 0 {
+		return slowness * b.load()
+	}
+	sent := (float64(b.inFlight) - float64(b.inFlightAtReport)) / float64(max(1, b.Slots))
+	return slowness*(1+sent) + b.Backlog
+}
+
+// cost returns the value by which backend servers are compared: the time of a request plus
+// the penalty for probable failure.
+func (b *Backend) cost() float64 { return b.time() + failureCost*b.FailureProbability }
 
 // weightedCost is the cost if the backend server had only the slots that its weight permits.
 // It is used where all servers are compared, without random draws by weight.
 func (b *Backend) weightedCost() float64 {
-	return b.load()/max(b.Weight, minCostWeight) + failureCost*b.FailureProbability
+	return b.time()/max(b.Weight, minCostWeight) + failureCost*b.FailureProbability
 }
 
 // drawProbability returns the probability that a random draw accepts the backend server.
@@ -153,6 +178,11 @@
 	// SpilloverLoad limits the cost, in requests per slot. If the best backend server found
 	// so far costs at least this much, the next farther tier is considered too.
 	SpilloverLoad float64
+	// KeepReports keeps the reports of backend servers that remain when the pool is replaced.
+	KeepReports bool
+	// HopCost is by how much the cost of a backend server of a farther tier must be lower, in
+	// requests per slot.
+	HopCost float64
 	// Choices is the number of random backend servers that are compared. Two suffice if
 	// servers differ only in load; the third allows for failing servers among them.
 	Choices int
@@ -180,7 +210,7 @@
 func (p *Pool) SetPolicy(policy Policy) { p.policy = policy }
 
 // Set replaces the backend servers. Servers that remain keep their in-flight requests and
-// failure probability. Indexes from earlier picks become invalid; use Find.
+// failure probability, and with Policy.KeepReports what was reported of them. Indexes from earlier picks become invalid; use Find.
 func (p *Pool) Set(backends []Backend) {
 	previous := make(map[BackendID]Backend, len(p.backends))
 	for _, backend := range p.backends {
@@ -191,11 +221,31 @@
 		backend.inFlight = previous[backend.ID].inFlight
 		backend.inFlightAtReport = backend.inFlight
 		backend.FailureProbability = previous[backend.ID].FailureProbability
+		if last, found := previous[backend.ID]; found && p.policy.KeepReports && last.Started == backend.Started {
+			backend.keepReport(&last)
+		}
 		p.backends[i] = backend
 	}
 	p.rebuildTiers()
 }
 
+// keepReport takes over what was last reported of the backend server.
+func (b *Backend) keepReport(last *Backend) {
+	b.ReportedInFlight, b.inFlightAtReport = last.ReportedInFlight, last.inFlightAtReport
+	b.Weight, b.Slowness, b.Backlog = last.Weight, last.Slowness, last.Backlog
+}
+
+// ForgetLoad removes the load that a backend server reported, which then counts as idle but
+// for the requests of this ingress.
+func (p *Pool) ForgetLoad(index int) {
+	backend := &p.backends[index]
+	backend.ReportedInFlight, backend.Backlog = 0, 0
+	backend.inFlightAtReport = backend.inFlight
+}
+
+// KeepsReports returns Policy.KeepReports.
+func (p *Pool) KeepsReports() bool { return p.policy.KeepReports }
+
 // Find returns the index of a backend server and whether it is in the pool.
 func (p *Pool) Find(id BackendID) (int, bool) {
 	for i := range p.backends {
@@ -234,9 +284,18 @@
 	p.rebuildTiers()
 }
 
-// Saturated reports whether the cost of a backend server is that of one whose slots are all
-// in use.
-func (p *Pool) Saturated(index int) bool { return p.backends[index].cost() > 1 }
+// SetTimes sets the Slowness and the Backlog of a backend server.
+func (p *Pool) SetTimes(index int, slowness, backlog float64) {
+	p.backends[index].Slowness = slowness
+	p.backends[index].Backlog = backlog
+}
+
+// Saturated reports whether the load of a backend server and the penalty for its probable
+// failure are those of one whose slots are all in use.
+func (p *Pool) Saturated(index int) bool {
+	backend := &p.backends[index]
+	return backend.load()+failureCost*backend.FailureProbability > 1
+}
 
 // RequestStarted records that a request was sent to a backend server.
 func (p *Pool) RequestStarted(index int) { p.backends[index].inFlight++ }
@@ -271,7 +330,7 @@
 		if choice == noBackend {
 			continue
 		}
-		if best == noBackend || p.backends[choice].cost() < p.backends[best].cost() {
+		if best == noBackend || p.backends[choice].cost()+p.policy.HopCost < p.backends[best].cost() {
 			best = choice
 		}
 		if p.backends[best].cost() < p.policy.SpilloverLoad {
--- a/node/node.go
+++ b/node/node.go
@@ -249,7 +249,7 @@
 	quarantineFilter := ingress.NewQuarantineFilter(n.fingerprintKey, n.quarantine)
 	orderFilter := &orders.Filter{Service: n.orders, MaxBodyBytes: orders.DefaultMaxBodyBytes}
 	selector := selection.New(selection.Config{Members: n.members.Snapshot, View: n.configuration.View})
-	n.members.EnableLoadReports(n.backendProxy.Loads, selector.HandleLoadReports)
+	n.members.EnableLoadReports(n.loadsForReport(selector), selector.HandleLoadReports)
 	n.metrics.RegisterCounter("room_refusals", "Requests refused at once because no backend server was known to have room.", selector.RoomRefusals)
 	retries := selection.NewRetryBudgets(n.logger)
 	n.registerRetryMetrics(retries)
@@ -272,6 +272,19 @@
 	})
 }
 
+// loadsForReport returns a function that returns the loads of the backend servers beside this
+// instance. With admission by room it also tells the selector, to which no instance reports
+// them.
+func (n *Node) loadsForReport(selector *selection.Selector) func() []membership.ServerLoad {
+	return func() []membership.ServerLoad {
+		loads := n.backendProxy.Loads()
+		if n.configuration.View().ActivePreset().AdmissionByRoom {
+			selector.HandleLoadReports(n.members.Snapshot().Self, loads)
+		}
+		return loads
+	}
+}
+
 // serverLimits implements backendproxy.Limits by the configuration in force.
 type serverLimits struct {
 	configuration ingress.Configuration
--- a/selection/room.go
+++ b/selection/room.go
@@ -20,24 +20,68 @@
 	minReturnSpread = 2 * time.Second
 	// maxReturnDelay bounds what a refused caller is told to wait for room.
 	maxReturnDelay = 10 * time.Second
+	// hopCost is what a request to another failure domain must gain, in requests per slot:
+	// the difference of one request between servers of ten slots is not worth the way.
+	hopCost = 0.1
 )
 
 // serverNews is what the proxy beside a backend server last said about the wait there.
 type serverNews struct {
 	outlook  queue.Outlook
 	slowness float64
-	heardAt  time.Time
+	inFlight uint32
+	// started tells the processes of the server and of its proxy apart.
+	started int64
+	heardAt time.Time
 }
 
 // newsOf returns the news in a load report.
-func newsOf(load *membership.ServerLoad, now time.Time) serverNews {
+func newsOf(load *membership.ServerLoad, started int64, now time.Time) serverNews {
 	return serverNews{
 		outlook:  backendproxy.OutlookOf(load),
 		slowness: float64(load.SlownessPercent) / percent,
+		inFlight: load.InFlight,
+		started:  started,
 		heardAt:  now,
 	}
 }
 
+// recordNews records what a report says about times at a server. The caller must hold the
+// pool's lock.
+func (p *servicePool) recordNews(index int, id balance.BackendID, load *membership.ServerLoad, now time.Time) {
+	news := newsOf(load, p.pool.Backend(index).Started, now)
+	p.news[id] = news
+	backlog := 0.0
+	if usual := p.times.Mean(); usual > 0 {
+		backlog = float64(news.outlook.Backlog()) / float64(usual)
+	}
+	p.pool.SetTimes(index, news.slowness, backlog)
+}
+
+// forgetOldNews removes reports from the pool that are too old to say anything. Without
+// KeepReports each change of the membership does so. The caller must hold the pool's lock.
+func (p *servicePool) forgetOldNews(now time.Time) {
+	for id, news := range p.news {
+		if now.Sub(news.heardAt) < placement.NewsLifetime {
+			continue
+		}
+		if index, found := p.pool.Find(id); found && p.pool.KeepsReports() {
+			p.pool.ForgetLoad(index)
+		}
+		delete(p.news, id)
+	}
+}
+
+// policyFor returns the parameters of the selection under a configuration.
+func policyFor(view *fleetconfig.View) balance.Policy {
+	policy := balance.DefaultPolicy()
+	if view.ActivePreset().AdmissionByRoom {
+		policy.HopCost = hopCost
+		policy.KeepReports = true
+	}
+	return policy
+}
+
 // Room implements ingress.Selector.
 func (s *Selector) Room(exchange *pipeline.Exchange, tried []ingress.Candidate, busyRefusals int) (retryAfter time.Duration, room bool) {
 	service := s.service(exchange.Service)
@@ -111,11 +155,14 @@
 // placementServer returns what is known of a server. The caller must hold the pool's lock.
 func (p *servicePool) placementServer(backend *balance.Backend) placement.Server {
 	news := p.news[backend.ID]
+	if news.started != backend.Started {
+		news = serverNews{}
+	}
 	return placement.Server{
 		Outlook:  news.outlook,
 		Slowness: news.slowness,
 		Slots:    backend.Slots,
-		InFlight: backend.ReportedInFlight,
+		InFlight: news.inFlight,
 		Sent:     backend.SentSinceReport(),
 		HeardAt:  news.heardAt,
 	}
--- a/selection/selector.go
+++ b/selection/selector.go
@@ -269,7 +269,7 @@
 		return
 	}
 	p.pool.UpdateLoad(index, load.InFlight, float64(load.WeightPercent)/percent)
-	p.news[id] = newsOf(load, now)
+	p.recordNews(index, id, load, now)
 	reported := failureEstimate{probability: float64(load.FailureProbabilityPercent) / percent, reportedAt: now}
 	p.failureEstimates[id] = reported
 	p.pool.SetFailureProbability(index, health.ExcessFailureProbability(reported.probability))
@@ -308,10 +308,12 @@
 		return
 	}
 	service.refreshedAt = now
+	service.pool.SetPolicy(policyFor(s.config.View()))
 	for i, hosted := range service.hosted {
 		service.pool.Exclude(i, s.exclusions(hosted, snapshot.Self, now)|service.ownExclusions(hosted, now))
 	}
 	service.dropStatements(now)
+	service.forgetOldNews(now)
 	service.decayFailureProbabilities(now)
 }
 
@@ -354,10 +356,11 @@
 	backends := make([]balance.Backend, 0, len(hosted))
 	for _, server := range hosted {
 		backends = append(backends, balance.Backend{
-			ID:     hostedID(server),
-			Tier:   tierBetween(&self.Record, &server.Member.Record),
-			Slots:  server.Server.Slots,
-			Weight: 1,
+			ID:      hostedID(server),
+			Tier:    tierBetween(&self.Record, &server.Member.Record),
+			Slots:   server.Server.Slots,
+			Started: server.Server.StartedUnixMilli,
+			Weight:  1,
 		})
 	}
 	return backends
