--- a/balance/pool.go
+++ b/balance/pool.go
@@ -18,6 +18,10 @@
 	// backend server that fails requests immediately appears idle, so the penalty must
 	// outweigh a full queue on another server.
 	failureCost = 4.0
+	// slownessCost is the load that is equivalent to a server that takes one service time
+	// longer than usual. It is less than one, because requests stay longer on a slow server,
+	// so that the load by itself gives it fewer.
+	slownessCost = 0.3
 	// minCostWeight bounds the effect of a low weight on the cost.
 	minCostWeight = 0.05
 )
@@ -88,10 +92,6 @@
 	// Slowness is its service times relative to the usual ones of the same requests. Zero
 	// means that they are not known, and counts as one.
 	Slowness float64
-	// Backlog is the work of the waiting requests at the last report: the time for which they
-	// would occupy all slots, in multiples of the usual service time. It is zero if a slot
-	// was free or the times are not known.
-	Backlog float64
 
 	// inFlight is the number of requests from this ingress in flight, inFlightAtReport that
 	// number at the time of the last report or of Pool.Set.
@@ -116,30 +116,23 @@
 	return b.inFlight - min(b.inFlight, b.inFlightAtReport)
 }
 
-// time estimates how long one more request would take, in multiples of the usual service
-// time. It is the load, times the slowness, while a slot is free, so that servers whose slots
-// are nearly all in use cost more than others; otherwise the expected wait and the slowness.
-// Without known times it is the load.
-func (b *Backend) time() float64 {
-	slowness := b.Slowness
-	if slowness == 0 {
-		slowness = 1
-	}
-	if b.Backlog == 0 {
-		return slowness * b.load()
+// cost returns the value by which backend servers are compared: the load plus the penalties
+// for probable failure and for slowness.
+func (b *Backend) cost() float64 { return b.load() + b.penalty() }
+
+// penalty returns the part of the cost that does not depend on the load.
+func (b *Backend) penalty() float64 {
+	penalty := failureCost * b.FailureProbability
+	if b.Slowness > 0 {
+		penalty += slownessCost * (b.Slowness - 1)
 	}
-	sent := (float64(b.inFlight) - float64(b.inFlightAtReport)) / float64(max(1, b.Slots))
-	return slowness*(1+sent) + b.Backlog
+	return penalty
 }
 
-// cost returns the value by which backend servers are compared: the time of a request plus
-// the penalty for probable failure.
-func (b *Backend) cost() float64 { return b.time() + failureCost*b.FailureProbability }
-
 // weightedCost is the cost if the backend server had only the slots that its weight permits.
 // It is used where all servers are compared, without random draws by weight.
 func (b *Backend) weightedCost() float64 {
-	return b.time()/max(b.Weight, minCostWeight) + failureCost*b.FailureProbability
+	return b.load()/max(b.Weight, minCostWeight) + b.penalty()
 }
 
 // drawProbability returns the probability that a random draw accepts the backend server.
@@ -232,14 +225,14 @@
 // keepReport takes over what was last reported of the backend server.
 func (b *Backend) keepReport(last *Backend) {
 	b.ReportedInFlight, b.inFlightAtReport = last.ReportedInFlight, last.inFlightAtReport
-	b.Weight, b.Slowness, b.Backlog = last.Weight, last.Slowness, last.Backlog
+	b.Weight, b.Slowness = last.Weight, last.Slowness
 }
 
 // ForgetLoad removes the load that a backend server reported, which then counts as idle but
 // for the requests of this ingress.
 func (p *Pool) ForgetLoad(index int) {
 	backend := &p.backends[index]
-	backend.ReportedInFlight, backend.Backlog = 0, 0
+	backend.ReportedInFlight = 0
 	backend.inFlightAtReport = backend.inFlight
 }
 
@@ -284,11 +277,8 @@
 	p.rebuildTiers()
 }
 
-// SetTimes sets the Slowness and the Backlog of a backend server.
-func (p *Pool) SetTimes(index int, slowness, backlog float64) {
-	p.backends[index].Slowness = slowness
-	p.backends[index].Backlog = backlog
-}
+// SetSlowness sets the Slowness of a backend server.
+func (p *Pool) SetSlowness(index int, slowness float64) { p.backends[index].Slowness = slowness }
 
 // Saturated reports whether the load of a backend server and the penalty for its probable
 // failure are those of one whose slots are all in use.
--- a/placement/servicetimes.go
+++ b/placement/servicetimes.go
@@ -5,8 +5,7 @@
 const (
 	// maxRoutes bounds the routes of a service whose times are kept, at about 100 bytes each.
 	maxRoutes = 64
-	// timeGain is the relative step by which a median moves towards a sample, and the weight
-	// of a new value in the mean.
+	// timeGain is the relative step by which a median moves towards a sample.
 	timeGain = 0.05
 )
 
@@ -14,8 +13,6 @@
 // that one ingress uses. The zero value is empty.
 type ServiceTimes struct {
 	medians map[string]time.Duration
-	// mean is the mean of the recorded medians, weighted by how often they are recorded.
-	mean time.Duration
 }
 
 // Record records that a server has answered a request of the route after the given time from
@@ -40,15 +37,7 @@
 		median = max(took, time.Duration(float64(median)/(1+timeGain)))
 	}
 	t.medians[route] = median
-	if t.mean == 0 {
-		t.mean = median
-	}
-	t.mean += time.Duration(timeGain * float64(median-t.mean))
 }
 
-// Mean returns the usual service time over the requests of all routes, or zero if it is not
-// known.
-func (t *ServiceTimes) Mean() time.Duration { return t.mean }
-
 // Of returns the median service time of the route, or zero if it is not known.
 func (t *ServiceTimes) Of(route string) time.Duration { return t.medians[route] }
--- a/queue/outlook.go
+++ b/queue/outlook.go
@@ -102,16 +102,6 @@
 	return waitBehind(o.NextSlot, moreUrgent, equallyUrgent, lessUrgent)
 }
 
-// Backlog returns the time until a slot is released and for which the waiting requests would
-// then occupy all slots.
-func (o *Outlook) Backlog() time.Duration {
-	backlog := o.NextSlot
-	for _, waiting := range o.Waiting {
-		backlog += waiting.Total
-	}
-	return backlog
-}
-
 // Displaces reports whether a full queue would refuse another request instead of one of the
 // urgency: a less urgent one waits.
 func (o *Outlook) Displaces(urgency fleetconfig.Urgency) bool {
--- a/selection/room.go
+++ b/selection/room.go
@@ -46,16 +46,12 @@
 	}
 }
 
-// recordNews records what a report says about times at a server. The caller must hold the
+// recordNews records what a report says about the wait and the times at a server. The caller must hold the
 // pool's lock.
 func (p *servicePool) recordNews(index int, id balance.BackendID, load *membership.ServerLoad, now time.Time) {
 	news := newsOf(load, p.pool.Backend(index).Started, now)
 	p.news[id] = news
-	backlog := 0.0
-	if usual := p.times.Mean(); usual > 0 {
-		backlog = float64(news.outlook.Backlog()) / float64(usual)
-	}
-	p.pool.SetTimes(index, news.slowness, backlog)
+	p.pool.SetSlowness(index, news.slowness)
 }
 
 // forgetOldNews removes reports from the pool that are too old to say anything. Without
