--- a/selection/load_model_test.go
+++ b/selection/load_model_test.go
@@ -35,6 +35,7 @@
 	modelNearHop    = time.Millisecond
 	modelFarHop     = 5 * time.Millisecond
 	modelEarlyLimit = 100 * time.Millisecond
+	modelWindow     = time.Second
 )
 
 // modelRoutes are the kinds of requests, the most urgent first, and modelWork their service
@@ -91,6 +92,9 @@
 	offered, inTarget, late, early, tooLate [4]int
 	// attempts counts the attempts, hops the refused ones.
 	attempts, hops int
+	// arrived and refused count the requests, and those that were refused at once, by
+	// modelWindow of arrival.
+	arrived, refused [modelDuration / modelWindow]int
 }
 
 func (c *tally) share(route int) float64 {
@@ -125,13 +129,18 @@
 	// arrivals draws the same load for each way.
 	arrivals  *rand.Rand
 	events    eventHeap
+	members   []membership.Member
 	selectors []*Selector
 	servers   []*modelServer
 	view      *fleetconfig.View
 	counts    tally
 	lastID    queue.ItemID
-	// reportsLost says that no load report arrives between the domains' halves.
-	reportsLost bool
+	// loadAt returns the load, in multiples of the capacity.
+	loadAt func(since time.Duration) float64
+	// reportsLost says that no load report arrives, and falseNews that the first server
+	// always reports that it is full.
+	reportsLost, falseNews bool
+	start                  time.Time
 	// outstanding and idle are the state of the published ways, by ingress.
 	outstanding [][]int
 	idle        [][]int
@@ -140,16 +149,15 @@
 func modelDomain(instance int) string { return []string{"near", "far"}[instance*2/modelInstances] }
 
 func newModel(way placing, seed uint64) *model {
-	m := &model{way: way, rng: rand.New(rand.NewPCG(seed, 12)), arrivals: rand.New(rand.NewPCG(seed, 14)), outstanding: make([][]int, modelInstances), idle: make([][]int, modelInstances)}
+	m := &model{way: way, loadAt: overloadWave, rng: rand.New(rand.NewPCG(seed, 12)), arrivals: rand.New(rand.NewPCG(seed, 14)), outstanding: make([][]int, modelInstances), idle: make([][]int, modelInstances)}
 	document := fleetconfig.NewDocument()
 	for i := range document.Presets {
 		document.Presets[i].AdmissionByRoom = way == placeByRoom
 	}
 	m.view = fleetconfig.NewView(document)
-	var members []membership.Member
 	for i := range modelInstances {
 		id := fmt.Sprintf("i%02d", i)
-		members = append(members, membership.Member{Record: membership.Record{
+		m.members = append(m.members, membership.Member{Record: membership.Record{
 			ID: fleetconfig.InstanceID(id), Address: "192.0.2.1:7000", FailureDomain: fleetconfig.FailureDomain(modelDomain(i)), Proxy: true,
 			Servers: []membership.Server{{ID: fleetconfig.BackendServerID(id), Service: "catalogue", Slots: modelSlots}},
 		}})
@@ -157,13 +165,14 @@
 		m.outstanding[i] = make([]int, modelInstances)
 	}
 	for i := range modelInstances {
-		m.restartIngress(i, members)
+		m.restartIngress(i)
 	}
 	return m
 }
 
-func (m *model) restartIngress(i int, members []membership.Member) {
-	snapshot := gossip.NewSnapshot(members[i].Record.ID, members)
+// restartIngress replaces the selector of an ingress by one that knows nothing.
+func (m *model) restartIngress(i int) {
+	snapshot := gossip.NewSnapshot(m.members[i].Record.ID, m.members)
 	selector := New(Config{Members: func() *gossip.Snapshot { return snapshot }, View: func() *fleetconfig.View { return m.view }})
 	selector.service("catalogue").rng = rand.New(rand.NewPCG(uint64(i), 1))
 	if i < len(m.selectors) {
@@ -177,9 +186,18 @@
 	heap.Push(&m.events, modelEvent{at: clock.Now().Add(delay), run: run})
 }
 
+// overloadWave is a load with a wave of one and a half times the capacity.
+func overloadWave(since time.Duration) float64 {
+	if since >= modelWaveStart && since < modelWaveEnd {
+		return 1.5
+	}
+	return modelBaseLoad
+}
+
 // run plays the load and then what is left of it.
 func (m *model) run() *tally {
 	start := clock.Now()
+	m.start = start
 	var capacity, meanWork float64
 	for _, slowness := range modelSlowness {
 		capacity += modelSlots / slowness
@@ -191,13 +209,9 @@
 	var arrive, report func()
 	arrive = func() {
 		since := clock.Since(start)
-		load := modelBaseLoad
-		if since >= modelWaveStart && since < modelWaveEnd {
-			load = 1.5
-		}
 		m.arrive()
 		if since < modelDuration {
-			m.after(time.Duration(m.arrivals.ExpFloat64()/(load*capacity)*float64(time.Second)), arrive)
+			m.after(time.Duration(m.arrivals.ExpFloat64()/(m.loadAt(since)*capacity)*float64(time.Second)), arrive)
 		}
 	}
 	report = func() {
@@ -221,6 +235,10 @@
 	if m.way == placeByRoom {
 		load.Outlook, load.Slowness = server.queue.Outlook(), server.queue.Slowness()
 	}
+	if m.falseNews && server.index == 0 {
+		load.Queued = modelQueue
+		load.Outlook = queue.Outlook{NextSlot: time.Minute, Full: true, Overloaded: true}
+	}
 	return load
 }
 
@@ -229,14 +247,14 @@
 func (m *model) report() {
 	for i, server := range m.servers {
 		m.apply(server, server.queue.Tick(clock.Now()))
-		receivers := map[int]bool{i: true}
+		if m.reportsLost {
+			continue
+		}
+		receivers := map[int]bool{i: true, m.rng.IntN(modelInstances): true}
 		half := modelInstances / 2
 		for range 3 {
 			receivers[i/half*half+m.rng.IntN(half)] = true
 		}
-		if !m.reportsLost {
-			receivers[m.rng.IntN(modelInstances)] = true
-		}
 		load := m.load(server)
 		id := fmt.Sprintf("i%02d", i)
 		for receiver := range receivers {
@@ -257,6 +275,9 @@
 		Service: "catalogue", Route: &modelRoutes[route], View: m.view, Received: now, Deadline: now.Add(modelRoutes[route].Timeout),
 		Account: fleetconfig.AccountID(fmt.Sprintf("a%d", m.arrivals.IntN(20))), Idempotent: modelRoutes[route].Idempotency == fleetconfig.IdempotentAlways,
 	}}
+	if window := now.Sub(m.start) / modelWindow; int(window) < len(m.counts.arrived) {
+		m.counts.arrived[window]++
+	}
 	m.attempt(request)
 }
 
@@ -391,6 +412,9 @@
 func (m *model) refuse(request *modelRequest) {
 	if clock.Since(request.exchange.Received) <= modelEarlyLimit {
 		m.counts.early[request.route]++
+		if window := request.exchange.Received.Sub(m.start) / modelWindow; int(window) < len(m.counts.arrived) {
+			m.counts.refused[window]++
+		}
 		return
 	}
 	m.counts.tooLate[request.route]++
@@ -411,3 +435,67 @@
 		must.Less(t, byCount.hops/4, byRoom.hops)
 	})
 }
+
+// With a load that stays above the capacity, the requests admitted in each second stay near
+// their mean: ingresses neither refuse together nor admit together.
+func TestAdmissionByRoomDoesNotOscillate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newModel(placeByRoom, 2)
+		m.loadAt = func(time.Duration) float64 { return 1.5 }
+		counts := m.run()
+		var admitted []int
+		total := 0
+		for window := 2; window < len(counts.arrived); window++ {
+			admitted = append(admitted, counts.arrived[window]-counts.refused[window])
+			total += admitted[window-2]
+		}
+		mean := float64(total) / float64(len(admitted))
+		t.Logf("admitted per second: %v", admitted)
+		for _, count := range admitted {
+			must.Between(t, 0.75*mean, float64(count), 1.25*mean)
+		}
+	})
+}
+
+// Below the capacity nothing is refused, whatever is known: without load reports, with a
+// server that always reports that it is full, and after half of the ingresses have restarted
+// at the end of an overload.
+func TestFaultyNewsRefusesNothingBelowCapacity(t *testing.T) {
+	for name, fault := range map[string]func(m *model){
+		"no reports": func(m *model) { m.reportsLost = true },
+		"false news": func(m *model) { m.falseNews = true },
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			m := newModel(placeByRoom, 3)
+			m.loadAt = func(time.Duration) float64 { return modelBaseLoad }
+			fault(m)
+			counts := m.run()
+			must.Zero(t, sum(counts.early)+sum(counts.tooLate), must.Sprint(name))
+		})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		m := newModel(placeByRoom, 4)
+		m.after(modelWaveEnd, func() {
+			for i := 0; i < modelInstances; i += 2 {
+				m.restartIngress(i)
+			}
+		})
+		counts := m.run()
+		// The queues that the overload has left behind are worked off in two seconds.
+		must.Positive(t, counts.refused[5])
+		must.Zero(t, counts.refused[10]+counts.refused[11])
+	})
+}
+
+// Without any load report an ingress learns from responses and refusals alone, and still does
+// not send each request from one full server to the next.
+func TestAdmissionByRoomWithoutReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		without := newModel(placeByRoom, 1)
+		without.reportsLost = true
+		counts, before := without.run(), newModel(placeByCount, 1).run()
+		t.Logf("without reports: %+v", *counts)
+		must.Less(t, before.hops/2, counts.hops)
+		must.GreaterEq(t, 0.95*float64(sum(before.inTarget)), float64(sum(counts.inTarget)))
+	})
+}
