--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -140,3 +140,37 @@
 	must.Between(t, 50*time.Millisecond, times.Of("a"), 200*time.Millisecond)
 	must.Eq(t, time.Second, times.Of("b"))
 }
+
+// An ingress with fresh news decides about a request of an account that has none waiting as
+// the server's queue does.
+func TestFreshNewsAgreesWithTheQueue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const slots = 3
+		server := queue.New(slots, 100)
+		now := epoch
+		id := queue.ItemID(0)
+		for range rapid.IntRange(0, 40).Draw(t, "offers") {
+			id++
+			now = now.Add(millis(t, "gap", 100))
+			server.Offer(queue.Item{
+				ID: id, Account: fleetconfig.AccountID(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account")),
+				Urgency: fleetconfig.Urgency(rapid.IntRange(0, 3).Draw(t, "urgency")), Deadline: now.Add(time.Hour), ServiceTime: millis(t, "time", 1000),
+			}, now)
+		}
+		request := drawRequest(t)
+		request.BusyRefusals = believedRefusals
+		request.ServiceTime += time.Millisecond
+		request.Deadline = now.Add(request.Deadline.Sub(epoch))
+		request.StartBy = request.Deadline
+		request.TargetTime = now.Add(request.TargetTime.Sub(epoch))
+		news := &Server{Outlook: server.Outlook(), Slots: slots, InFlight: uint32(server.Running() + server.Waiting()), HeardAt: now}
+		verdict, _ := decide([]*Server{news}, request, now)
+		refused := false
+		for _, action := range server.Offer(queue.Item{
+			ID: id + 1, Account: "new", Urgency: request.Urgency, Deadline: request.Deadline, TargetTime: request.TargetTime, ServiceTime: request.ServiceTime,
+		}, now) {
+			_, refused = action.(queue.Refuse)
+		}
+		must.Eq(t, refused, verdict == Refuse)
+	})
+}
--- a/queue/servicetime_test.go
+++ b/queue/servicetime_test.go
@@ -66,3 +66,37 @@
 	must.Greater(t, time.Second, queue.ServiceTime())
 	must.Between(t, 50*time.Millisecond, queue.medianServiceTime, 200*time.Millisecond)
 }
+
+// Waits are estimated by the times of the requests ahead, not by one time for all, and by the
+// server's own slowness.
+func TestWaitIsEstimatedByTheTimesOfTheRequestsAhead(t *testing.T) {
+	for _, c := range []struct {
+		ahead   time.Duration
+		refused int
+	}{{20 * time.Millisecond, 0}, {2 * time.Second, 1}} {
+		queue := New(1, 10)
+		now := epoch
+		for id := ItemID(1); id <= 50; id++ {
+			now = runFor(t, queue, id, 100*time.Millisecond, now)
+		}
+		must.Len(t, 1, queue.Offer(Item{ID: 100, Deadline: now.Add(time.Minute)}, now))
+		must.SliceEmpty(t, queue.Offer(Item{ID: 101, Account: "a", Deadline: now.Add(time.Minute), ServiceTime: c.ahead}, now))
+		item := Item{ID: 102, Account: "b", Deadline: now.Add(400 * time.Millisecond), ServiceTime: 100 * time.Millisecond}
+		must.Len(t, c.refused, queue.Offer(item, now))
+	}
+}
+
+// A request that can not be answered before its deadline at a slow server does not wait there.
+func TestSlowServerRefusesWhatItWouldAnswerTooLate(t *testing.T) {
+	queue := New(1, 10)
+	must.Zero(t, queue.Slowness())
+	for range 100 {
+		queue.RecordResponse(300*time.Millisecond, 100*time.Millisecond)
+	}
+	must.Between(t, 2.9, queue.Slowness(), 3.1)
+	must.Len(t, 1, queue.Offer(Item{ID: 1, Deadline: epoch.Add(time.Minute)}, epoch))
+	item := Item{ID: 2, Deadline: epoch.Add(200 * time.Millisecond), ServiceTime: 100 * time.Millisecond}
+	must.Len(t, 1, queue.Offer(item, epoch))
+	queue.RecordResponse(time.Hour, time.Millisecond)
+	must.LessEq(t, MaxSlowness, queue.Slowness())
+}
