--- a/selection/refusals.go
+++ b/selection/refusals.go
@@ -30,6 +30,9 @@
 	// suspect says that the last refusal was because of the failure probability, so that a
 	// report of a lower one ends the hold.
 	suspect bool
+	// started tells the processes of the server and of its proxy apart; the hold is of one of
+	// them.
+	started int64
 }
 
 // refusedByServer reports whether a refusal says that the backend server accepts no requests
@@ -41,7 +44,7 @@
 // recordRefusal records how the proxy of a backend server has received a request. The caller
 // must hold the pool's lock.
 func (p *servicePool) recordRefusal(index int, id balance.BackendID, kind pipeline.RefusalKind, now time.Time) {
-	hold, held := p.holds[id]
+	hold, held := p.heldOf(id, p.pool.Backend(index).Started)
 	switch {
 	case refusedByServer(kind):
 		// Requests that were under way together are refused together.
@@ -50,6 +53,7 @@
 			hold.until = now.Add(hold.length)
 		}
 		hold.suspect = kind == pipeline.KindServerSuspect
+		hold.started = p.pool.Backend(index).Started
 		p.holds[id] = hold
 	case held && kind == "":
 		delete(p.holds, id)
@@ -71,10 +75,19 @@
 	p.applyOwnExclusions(index, now)
 }
 
+// heldOf returns the hold of a process of a server. The caller must hold the pool's lock.
+func (p *servicePool) heldOf(id balance.BackendID, started int64) (refusalHold, bool) {
+	hold, held := p.holds[id]
+	if !held || hold.started != started {
+		return refusalHold{}, false
+	}
+	return hold, true
+}
+
 // heldExclusion returns ExcludedRefused while the server is held. The caller must hold the
 // pool's lock.
-func (p *servicePool) heldExclusion(id balance.BackendID, now time.Time) balance.Exclusion {
-	if hold, held := p.holds[id]; held && now.Before(hold.until) {
+func (p *servicePool) heldExclusion(id balance.BackendID, started int64, now time.Time) balance.Exclusion {
+	if hold, held := p.heldOf(id, started); held && now.Before(hold.until) {
 		return balance.ExcludedRefused
 	}
 	return 0
--- a/selection/room.go
+++ b/selection/room.go
@@ -7,6 +7,7 @@
 	"github.com/hemlockring/hemlockring/balance"
 	"github.com/hemlockring/hemlockring/clock"
 	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/health"
 	"github.com/hemlockring/hemlockring/ingress"
 	"github.com/hemlockring/hemlockring/membership"
 	"github.com/hemlockring/hemlockring/pipeline"
@@ -127,7 +128,7 @@
 
 // survey asks the servers that may be selected for room. It returns false if room does not
 // decide, because servers wait for their advertised rate. Servers that are probably failing
-// do not count. The caller must hold the pool's lock.
+// count as long as they may be probed. The caller must hold the pool's lock.
 func (p *servicePool) survey(request *placement.Request, tried []ingress.Candidate, now time.Time) (placement.Survey, bool) {
 	var skip balance.TriedBackends
 	for _, candidate := range tried {
@@ -139,7 +140,7 @@
 		if backend.Excluded == balance.ExcludedRate {
 			return survey, false
 		}
-		if backend.Excluded != 0 || p.suspected(i) || skip.Contains(backend.ID) {
+		if backend.Excluded != 0 || backend.FailureProbability > maxProbeFailureProbability || skip.Contains(backend.ID) {
 			continue
 		}
 		server := p.placementServer(&backend)
@@ -165,26 +166,29 @@
 }
 
 // preferRoom returns a server that is known to have room if the picked one is known to have
-// none. Otherwise it returns the picked one. The caller must hold the pool's lock.
-func (p *servicePool) preferRoom(exchange *pipeline.Exchange, tried []ingress.Candidate, picked int, now time.Time) int {
+// none: a sound one, or else one that may be failing, as a last resort. Otherwise it returns
+// the picked one. The caller must hold the pool's lock.
+func (p *servicePool) preferRoom(exchange *pipeline.Exchange, tried []ingress.Candidate, picked int, now time.Time) (index int, lastResort bool) {
 	request := p.placementRequest(exchange)
 	backend := p.pool.Backend(picked)
 	server := p.placementServer(&backend)
 	if _, known := server.Wait(&request, now); !known || server.HasRoom(&request, now) {
-		return picked
+		return picked, false
 	}
 	var skip balance.TriedBackends
 	for _, candidate := range tried {
 		skip.Add(backendID(candidate))
 	}
-	index, found := p.pool.PickBestOf(p.rng, &skip, func(backend *balance.Backend) bool {
-		server := p.placementServer(backend)
-		return server.HasRoom(&request, now)
-	})
-	if !found || p.suspected(index) {
-		return picked
+	for _, limit := range []float64{health.SuspectFailureProbability, maxProbeFailureProbability} {
+		index, found := p.pool.PickBestOf(p.rng, &skip, func(backend *balance.Backend) bool {
+			server := p.placementServer(backend)
+			return backend.FailureProbability <= limit && server.HasRoom(&request, now)
+		})
+		if found {
+			return index, p.suspected(index)
+		}
 	}
-	return index
+	return picked, false
 }
 
 // recordServiceTime records the service time of an answered attempt. The caller must hold the
--- a/selection/selector.go
+++ b/selection/selector.go
@@ -99,7 +99,7 @@
 		index, lastResort, ok = service.pickFromPool(exchange, tried)
 	}
 	if ok && exchange.ReachedAttempts == 0 && !lastResort && admitsByRoom(exchange) {
-		index = service.preferRoom(exchange, tried, index, now)
+		index, lastResort = service.preferRoom(exchange, tried, index, now)
 	}
 	if !ok {
 		index, lastResort, ok = service.pickHeld(tried, now)
