membership: uptimes of processes spread with the records, so that a first request is not refused

Cause: an ingress learned the clock of a backend proxy only from a response. Change: membership carries lower bounds of uptimes; the dispatch clock of a process is its uptime under the incarnation of its record. The refusal with a reading remains for what membership does not know.

--- a/gossip/service.go
+++ b/gossip/service.go
@@ -15,6 +15,7 @@
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/internal/codec"
 	"github.com/hemlockring/hemlockring/membership"
+	"github.com/hemlockring/hemlockring/quota"
 	"github.com/hemlockring/hemlockring/transport"
 )
 
@@ -102,6 +103,26 @@
 	s.send(&membership.Envelope{Address: address, Message: membership.Message{Kind: membership.Payload, From: self, Payload: payload}})
 }
 
+// PeerClock returns what is known about the clock of another instance from membership, if its
+// process is newer than the one of the given incarnation. It returns false if nothing is known
+// of such a process.
+func (s *Service) PeerClock(id fleetconfig.InstanceID, known uint64, now time.Time) (quota.PeerClock, bool) {
+	member := s.Snapshot().Member(id)
+	if member == nil || member.Record.Incarnation <= known {
+		return quota.PeerClock{}, false
+	}
+	incarnation := member.Record.Incarnation
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	elapsed, observedAt, found := s.state.Uptime(id, incarnation, now)
+	if !found {
+		return quota.PeerClock{}, false
+	}
+	var peer quota.PeerClock
+	peer.Observe(quota.ClockReading{Incarnation: incarnation, Elapsed: elapsed}, observedAt)
+	return peer, true
+}
+
 // Snapshot returns the newest snapshot of the members.
 func (s *Service) Snapshot() *Snapshot { return s.snapshot.Load() }
 
--- a/ingress/clocks.go
+++ b/ingress/clocks.go
@@ -19,13 +19,16 @@
 // a request can be converted to the clock of the backend proxy that receives it. It
 // is safe for concurrent use.
 type peerClocks struct {
+	// announced returns the clock of an instance whose process is newer than that of the
+	// given incarnation, as far as membership knows. Nil means that it knows none.
+	announced func(instance fleetconfig.InstanceID, known uint64, now time.Time) (quota.PeerClock, bool)
 	// mu guards clocks and the entries in it.
 	mu     sync.Mutex
 	clocks map[fleetconfig.InstanceID]*quota.PeerClock
 }
 
-func newPeerClocks() *peerClocks {
-	return &peerClocks{clocks: make(map[fleetconfig.InstanceID]*quota.PeerClock)}
+func newPeerClocks(announced func(fleetconfig.InstanceID, uint64, time.Time) (quota.PeerClock, bool)) *peerClocks {
+	return &peerClocks{announced: announced, clocks: make(map[fleetconfig.InstanceID]*quota.PeerClock)}
 }
 
 // observe records the clock reading from a response of the instance. A reading that
@@ -50,13 +53,8 @@
 
 // peerDispatchDeadline returns the dispatch deadline of the exchange as a reading of
 // the instance's clock, or an empty string if that clock is not known yet.
-func (p *peerClocks) peerDispatchDeadline(instance fleetconfig.InstanceID, exchange *pipeline.Exchange) string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	clock := p.clocks[instance]
-	if clock == nil {
-		return ""
-	}
+func (p *peerClocks) peerDispatchDeadline(instance fleetconfig.InstanceID, exchange *pipeline.Exchange, now time.Time) string {
+	clock := p.clockOf(instance, now)
 	deadline, ok := clock.DispatchDeadline(quota.Token{Expires: localDispatchDeadline(exchange)})
 	if !ok {
 		return ""
@@ -64,6 +62,23 @@
 	return backendproxy.FormatClockReading(deadline)
 }
 
+// clockOf returns what is known about the clock of an instance: from its responses or, for a
+// process that has sent none, from membership.
+func (p *peerClocks) clockOf(instance fleetconfig.InstanceID, now time.Time) quota.PeerClock {
+	var known quota.PeerClock
+	p.mu.Lock()
+	if clock := p.clocks[instance]; clock != nil {
+		known = *clock
+	}
+	p.mu.Unlock()
+	if p.announced != nil {
+		if newer, found := p.announced(instance, known.Incarnation(), now); found {
+			return newer
+		}
+	}
+	return known
+}
+
 // localDispatchDeadline returns the dispatch deadline of the exchange by this
 // instance's clock: the earliest of the request deadline, the expiry of the quota
 // token, and the time until which the ingress has confirmed the key as current.
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -282,7 +282,7 @@
 	exchange.BackendServer = candidate.Server
 	exchange.Outcome = pipeline.OutcomeUnknown
 	result := Attempt{Candidate: candidate, Service: exchange.Service}
-	dispatchBy := f.clocks.peerDispatchDeadline(candidate.Instance, exchange)
+	dispatchBy := f.clocks.peerDispatchDeadline(candidate.Instance, exchange, started)
 	request := newProxyRequest(ctx, exchange, candidate, body, dispatchBy, started)
 
 	var refusal *pipeline.Refusal
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -43,6 +43,8 @@
 	results []Attempt
 	// local, if set, serves the first attempt as the backend proxy of the same instance.
 	local http.HandlerFunc
+	// peerClock is what membership knows about the clocks of the instances.
+	peerClock func(fleetconfig.InstanceID, uint64, time.Time) (quota.PeerClock, bool)
 }
 
 func (s *fakeFleet) RoundTrip(address string, request *http.Request, _ transport.ConnectionClass) (*http.Response, error) {
@@ -156,6 +158,7 @@
 		Retry:         s,
 		Runs:          s.runs,
 		Recorder:      s,
+		PeerClock:     s.peerClock,
 		Logger:        slog.New(slog.DiscardHandler),
 	})
 	recorder := httptest.NewRecorder()
@@ -266,6 +269,29 @@
 	return respondStatus(http.StatusOK)(request)
 }
 
+// The first request to an instance has a dispatch deadline by the clock that membership knows,
+// which is never later than that of the instance itself.
+func TestForwardUsesAnnouncedClockAtFirstContact(t *testing.T) {
+	dispatchClock := quota.NewDispatchClock(7, clock.Now().Add(-time.Minute))
+	var received quota.ClockReading
+	fleet := &fakeFleet{
+		responders: []func(*http.Request) (*http.Response, error){func(request *http.Request) (*http.Response, error) {
+			received, _ = backendproxy.ParseClockReading(request.Header.Get(pipeline.HeaderDispatchBy))
+			return respondStatus(http.StatusOK)(request)
+		}},
+		peerClock: func(_ fleetconfig.InstanceID, known uint64, now time.Time) (quota.PeerClock, bool) {
+			var peer quota.PeerClock
+			peer.Observe(quota.ClockReading{Incarnation: 7, Elapsed: 59 * time.Second}, now)
+			return peer, known < 7
+		},
+	}
+	must.Eq(t, http.StatusOK, fleet.serve(idempotent, 1, 0).Code)
+	must.Eq(t, []int{0}, fleet.attempted)
+	must.Eq(t, 7, received.Incarnation)
+	latest := dispatchClock.Reading(clock.Now().Add(fleetconfig.DefaultRouteTimeout))
+	must.Less(t, latest.Elapsed, received.Elapsed)
+}
+
 // A request body that cannot be read to its end, or that exceeds the size limit,
 // must not count as a failure of the path to an instance, and the request must not
 // be sent to another instance.
--- a/ingress/proxy.go
+++ b/ingress/proxy.go
@@ -12,6 +12,7 @@
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/internal/processpause"
 	"github.com/hemlockring/hemlockring/pipeline"
+	"github.com/hemlockring/hemlockring/quota"
 )
 
 // Limits on reading the rest of the request body after the response. It is read so
@@ -57,6 +58,9 @@
 	// the machines do not all run the same service. The ingress passes it to the
 	// backend proxy, whose dialect may pass it to the backend server.
 	CallerService fleetconfig.ServiceName
+	// PeerClock returns what membership knows about the clock of another instance, if its
+	// process is newer than the one of the given incarnation. Nil means that it knows nothing.
+	PeerClock func(instance fleetconfig.InstanceID, known uint64, now time.Time) (quota.PeerClock, bool)
 	// Logger receives the log messages of the ingress.
 	Logger *slog.Logger
 }
@@ -87,7 +91,7 @@
 		retry:    config.Retry,
 		runs:     config.Runs,
 		guards:   config.Guards,
-		clocks:   newPeerClocks(),
+		clocks:   newPeerClocks(config.PeerClock),
 
 		quarantine:   config.Quarantine,
 		logger:       config.Logger,
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -138,7 +138,7 @@
 		}
 		entry, known := remote[member.Record.ID]
 		if !known || isNewerThanEntry(&member, entry) {
-			reply.Updates = append(reply.Updates, Update{Record: member.Record, Liveness: member.Liveness})
+			reply.Updates = append(reply.Updates, s.newUpdate(&member))
 		}
 	}
 	return reply
@@ -169,6 +169,7 @@
 
 // MergeUpdates merges received updates into the state.
 func (s *State) MergeUpdates(updates []Update, now time.Time) {
+	s.lastEventAt = now
 	for _, update := range updates {
 		s.mergeUpdate(update, now)
 	}
@@ -180,7 +181,7 @@
 	var updates []Update
 	for _, id := range ids {
 		if member := s.members[id]; member != nil {
-			updates = append(updates, Update{Record: member.Record, Liveness: member.Liveness})
+			updates = append(updates, s.newUpdate(member))
 		}
 	}
 	return updates
--- a/membership/dissemination.go
+++ b/membership/dissemination.go
@@ -25,8 +25,11 @@
 	message.From = s.self
 	message.ReplyAddress = s.members[s.self].Record.Address
 	own := s.members[s.self].Record
+	if elapsed, known := s.uptimeOf(s.members[s.self]); known {
+		message.Incarnation, message.UptimeMillis = own.Incarnation, uint64(elapsed.Milliseconds())
+	}
 	if s.maybeUnknownTo(message.Target) && estimatedBytes(&own) <= maxUpdateBytes {
-		message.Updates = append(s.selectUpdates(message.Target, estimatedBytes(&own)), Update{Record: own})
+		message.Updates = append(s.selectUpdates(message.Target, estimatedBytes(&own)), s.newUpdate(s.members[s.self]))
 	} else {
 		message.Updates = s.selectUpdates(message.Target, 0)
 	}
@@ -77,7 +80,7 @@
 		}
 		size += added
 		member.transmissions++
-		updates = append(updates, Update{Record: member.Record, Liveness: member.Liveness})
+		updates = append(updates, s.newUpdate(member))
 	}
 	return updates
 }
--- a/membership/message.go
+++ b/membership/message.go
@@ -49,6 +49,10 @@
 	Loads []ServerLoad `cbor:"8,keyasint,omitempty"`
 	// Payload is set in a Payload.
 	Payload []byte `cbor:"9,keyasint,omitempty"`
+	// Incarnation and UptimeMillis are the incarnation of the sender's process and the
+	// time in milliseconds since its start. They are not set in a LoadReport or Payload.
+	Incarnation  uint64 `cbor:"10,keyasint,omitempty"`
+	UptimeMillis uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Update carries an instance's record and the sender's view of its liveness.
@@ -57,6 +61,9 @@
 	Record Record `cbor:"1,keyasint"`
 	// Liveness is the sender's view of the instance.
 	Liveness Liveness `cbor:"2,keyasint"`
+	// UptimeMillis is a lower bound of the time in milliseconds since the start of the
+	// process of the record's incarnation. Zero when the sender knows none.
+	UptimeMillis uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Envelope is a message with its destination.
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -40,6 +40,7 @@
 // Tick advances the state to now and returns the messages to send. It should be
 // called several times per AckTimeout.
 func (s *State) Tick(now time.Time) []Envelope {
+	s.lastEventAt = now
 	s.expire(now)
 	var out []Envelope
 	out = s.advanceProbe(out, now)
@@ -174,9 +175,11 @@
 
 // Step handles a received message and returns the messages to send.
 func (s *State) Step(message *Message, now time.Time) []Envelope {
+	s.lastEventAt = now
 	for _, update := range message.Updates {
 		s.mergeUpdate(update, now)
 	}
+	s.observeSender(message, now)
 	switch message.Kind {
 	case Ping:
 		return []Envelope{s.newEnvelope(message.ReplyAddress, Message{Kind: Ack, SeqNo: message.SeqNo, Target: message.From})}
--- a/membership/simulation_test.go
+++ b/membership/simulation_test.go
@@ -64,7 +64,8 @@
 		Servers: []Server{{ID: "b", Service: "s", Slots: uint32(s.starts)}},
 	}
 	random := rand.New(rand.NewPCG(s.random.Uint64(), 2))
-	s.states[address] = New(Config{}, record, []string{simAddress(0), simAddress(1)}, random, s.now)
+	// A process needs some time until its first message.
+	s.states[address] = New(Config{}, record, []string{simAddress(0), simAddress(1)}, random, s.now.Add(-simTick))
 }
 
 func (s *simulation) addresses() []string {
--- a/membership/state.go
+++ b/membership/state.go
@@ -62,6 +62,7 @@
 	// transmissions counts how often the record has been sent since it or Liveness
 	// last changed.
 	transmissions int
+	uptime        uptime
 }
 
 // Usable reports whether work may be sent to the member.
@@ -78,6 +79,11 @@
 	random  *rand.Rand
 	members map[fleetconfig.InstanceID]*Member
 	changed bool
+	// incarnation is that of this process, which started at startedAt.
+	incarnation uint64
+	startedAt   time.Time
+	// lastEventAt is the time of the latest event.
+	lastEventAt time.Time
 
 	probeOrder []fleetconfig.InstanceID
 	nextProbe  time.Time
@@ -98,6 +104,10 @@
 		members:   make(map[fleetconfig.InstanceID]*Member),
 		nextProbe: now,
 		changed:   true,
+
+		incarnation: self.Incarnation,
+		startedAt:   now,
+		lastEventAt: now,
 	}
 	state.members[self.ID] = &Member{Record: self, LivenessChangedAt: now}
 	return state
@@ -161,6 +171,7 @@
 // two views of the same record, the worse liveness wins. Only the instance that the
 // record describes can refute that liveness, by a new record.
 func (s *State) mergeUpdate(update Update, now time.Time) {
+	defer s.observeUptime(&update, now)
 	if update.Record.ID == s.self {
 		s.refute(update)
 		return
--- a/node/node.go
+++ b/node/node.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/thejerf/suture/v4"
@@ -75,6 +76,9 @@
 	localPort         *httpPort
 	adminPort         *httpPort
 	extraPorts        []*httpPort
+	// incarnation tells this process from earlier ones of the instance; it started at startedAt.
+	incarnation uint64
+	startedAt   time.Time
 	// stopping is set when a planned stop begins.
 	stopping atomic.Bool
 }
@@ -106,7 +110,10 @@
 
 // New creates an instance and opens its ports. It serves nothing until Run.
 func New(settings *settings.Settings, options Options, logger *slog.Logger) (*Node, error) {
+	startedAt := clock.Now()
 	node := &Node{
+		incarnation:   uint64(startedAt.UnixMicro()),
+		startedAt:     startedAt,
 		options:       options,
 		settings:      settings,
 		logger:        logger.With("instance", string(settings.Instance.ID)),
@@ -182,10 +189,9 @@
 }
 
 func (n *Node) newMembership() *membership.State {
-	now := clock.Now()
 	self := membership.Record{
 		ID:            n.settings.Instance.ID,
-		Incarnation:   uint64(now.UnixMicro()),
+		Incarnation:   n.incarnation,
 		Address:       n.settings.Fleet.Address,
 		FailureDomain: n.settings.Instance.FailureDomain,
 		Region:        n.settings.Instance.Region,
@@ -193,7 +199,7 @@
 		Proxy:         n.settings.Instance.HasRole(settings.RoleProxy),
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return membership.New(membership.Config{}, self, n.settings.Fleet.Join, random, now)
+	return membership.New(membership.Config{}, self, n.settings.Fleet.Join, random, n.startedAt)
 }
 
 // serveFleet distinguishes requests that an ingress forwards from the fleet's internal
@@ -236,7 +242,7 @@
 		View:           n.configuration.View,
 		PauseDetector:  n.pauseDetector,
 		HealthMonitor:  n.ejection,
-		Clock:          quota.NewDispatchClock(rand.Uint64(), clock.Now()),
+		Clock:          quota.NewDispatchClock(n.incarnation, n.startedAt),
 		Dialect:        n.options.Dialect,
 		FingerprintKey: n.fingerprintKey,
 		Quarantine:     n.quarantine,
@@ -266,6 +272,7 @@
 		Retry:            retries,
 		Presentation:     n.options.Presentation,
 		CallerService:    n.settings.Callers.Service,
+		PeerClock:        n.members.PeerClock,
 		Recorder:         recorders{metrics: n.metrics, collector: n.collector, requestLog: newRequestLog(n.logger)},
 		Logger:           n.logger,
 	})
--- a/quota/dispatchclock.go
+++ b/quota/dispatchclock.go
@@ -9,7 +9,8 @@
 // ClockReading is a reading of the clock of one process. Readings of different processes,
 // or of different incarnations of one process, cannot be compared.
 type ClockReading struct {
-	// Incarnation is a random number that identifies the incarnation of the process.
+	// Incarnation identifies the incarnation of the process. It increases with each start of
+	// an instance.
 	Incarnation uint64 `cbor:"1,keyasint"`
 	// Elapsed is the time since the process started its clock.
 	Elapsed time.Duration `cbor:"2,keyasint"`
@@ -24,9 +25,10 @@
 	startedAt   time.Time
 }
 
-// NewDispatchClock returns a clock that starts now.
-func NewDispatchClock(incarnation uint64, now time.Time) DispatchClock {
-	return DispatchClock{incarnation: incarnation, startedAt: now}
+// NewDispatchClock returns the clock of a process of the given incarnation that started at
+// startedAt.
+func NewDispatchClock(incarnation uint64, startedAt time.Time) DispatchClock {
+	return DispatchClock{incarnation: incarnation, startedAt: startedAt}
 }
 
 // Reading returns the current reading. Every response to an ingress carries one.
@@ -60,6 +62,9 @@
 	p.observedAt = now
 }
 
+// Incarnation returns the incarnation of the peer's process, or zero if no reading is known.
+func (p *PeerClock) Incarnation() uint64 { return p.reading.Incarnation }
+
 // DispatchDeadline returns the time by the peer's clock before which the request of the
 // token must be dispatched. It returns false while no reading of the peer is known.
 func (p *PeerClock) DispatchDeadline(token Token) (ClockReading, bool) {
