--- a/node/shared.go
+++ b/node/shared.go
@@ -81,9 +81,9 @@
 func (l controlLeader) LeaderTerm() (term uint64, certain bool) { return l.node.LeaderTerm() }
 
 // KnownLeader implements quotadriver.Leadership.
-func (l controlLeader) KnownLeader() fleetconfig.InstanceID {
-	id, _, _ := l.node.Leader()
-	return id
+func (l controlLeader) KnownLeader() fleetconfig.InstanceAddress {
+	id, address, _ := l.node.Leader()
+	return fleetconfig.InstanceAddress{ID: id, Address: address}
 }
 
 // leaseTiming returns the timing of shard leases: that of the options, or else the one
--- a/quota/messages.go
+++ b/quota/messages.go
@@ -89,6 +89,9 @@
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
 	// Grants answer the token requests in the same order.
 	Grants []TokenGrant `cbor:"5,keyasint,omitempty"`
+	// OwnerAddress is the address of Owner for calls between instances, or empty if the
+	// instance that replies does not know it.
+	OwnerAddress string `cbor:"6,keyasint,omitempty"`
 }
 
 // OpenGrant is a grant with outstanding tokens in a Snapshot.
--- a/quota/ownertable.go
+++ b/quota/ownertable.go
@@ -47,10 +47,17 @@
 // each shard of the map and one for each instance that has not responded recently. It is
 // not safe for concurrent use.
 type OwnerTable struct {
-	owners   map[shard.ID]fleetconfig.InstanceID
+	owners   map[shard.ID]knownOwner
 	suspects map[fleetconfig.InstanceID]suspicion
 }
 
+// knownOwner is the owner that a reply has named.
+type knownOwner struct {
+	id fleetconfig.InstanceID
+	// address is where the owner is according to the reply, or empty.
+	address string
+}
+
 // suspicion records that an instance has not responded and is avoided.
 type suspicion struct {
 	until time.Time
@@ -61,7 +68,7 @@
 // NewOwnerTable returns a table without any known owners.
 func NewOwnerTable() *OwnerTable {
 	return &OwnerTable{
-		owners:   make(map[shard.ID]fleetconfig.InstanceID),
+		owners:   make(map[shard.ID]knownOwner),
 		suspects: make(map[fleetconfig.InstanceID]suspicion),
 	}
 }
@@ -72,17 +79,24 @@
 }
 
 // Target returns the instance to send a shard's message to. This is the owner if it is
-// known and not suspected. Otherwise it is a different replica on each attempt; a replica
-// replies with the owner's name. Suspected replicas come last. Target returns false if the
-// map has no replica of the shard.
+// known and not suspected. An owner that the map lacks is asked at the address that a
+// replica has named: whoever made the map may take an instance for dead that its peers
+// reach. Otherwise the target is a different replica on each attempt; a replica replies with
+// the owner's name. Suspected replicas come last. Target returns false if the map has no
+// replica of the shard.
 func (t *OwnerTable) Target(id shard.ID, shardMap *fleetconfig.ShardMap, attempt int, now time.Time) (fleetconfig.InstanceAddress, bool) {
 	placement := shard.PlacementOf(shardMap, id)
 	if len(placement.Replicas) == 0 {
 		return fleetconfig.InstanceAddress{}, false
 	}
 	owner := t.owners[id]
-	if rank := placement.Rank(owner); rank >= 0 && !t.suspected(owner, now) {
-		return placement.Replicas[rank], true
+	if !t.suspected(owner.id, now) {
+		if rank := placement.Rank(owner.id); rank >= 0 {
+			return placement.Replicas[rank], true
+		}
+		if owner.address != "" {
+			return fleetconfig.InstanceAddress{ID: owner.id, Address: owner.address}, true
+		}
 	}
 	var candidates, suspects []fleetconfig.InstanceAddress
 	for _, replica := range placement.Replicas {
@@ -101,7 +115,9 @@
 	delete(t.suspects, from)
 	switch {
 	case reply.IsOwner:
-		t.owners[reply.Shard] = from
+		if t.owners[reply.Shard].id != from {
+			t.owners[reply.Shard] = knownOwner{id: from}
+		}
 		return RouteAnswered
 	case reply.Owner == "" || reply.Owner == from:
 		delete(t.owners, reply.Shard)
@@ -110,7 +126,7 @@
 		delete(t.owners, reply.Shard)
 		return RouteUnreachable
 	default:
-		t.owners[reply.Shard] = reply.Owner
+		t.owners[reply.Shard] = knownOwner{id: reply.Owner, address: reply.OwnerAddress}
 		return RouteRetry
 	}
 }
@@ -123,7 +139,7 @@
 		duration := min(max(initialSuspicion, 2*current.duration), maxSuspicion)
 		t.suspects[instance] = suspicion{until: now.Add(duration), duration: duration}
 	}
-	if t.owners[id] == instance {
+	if t.owners[id].id == instance {
 		delete(t.owners, id)
 	}
 }
--- a/quota/ownertable_test.go
+++ b/quota/ownertable_test.go
@@ -79,6 +79,24 @@
 		target, ok := table.Target(0, &shards, 0, now)
 		must.True(t, ok && target.ID == "i1")
 	}
+	// It is avoided in the same way at the address that a replica names, when the map lacks it.
+	shards.Shards[0].Replicas = []fleetconfig.InstanceAddress{{ID: "i0"}, {ID: "i2"}}
+	target, ok := table.Target(0, &shards, 0, now)
+	must.True(t, ok && target.ID != "i1")
+	named.OwnerAddress = "192.0.2.1:7000"
+	must.Eq(t, RouteRetry, table.HandleReply("i0", named, now))
+	for range 2 {
+		target, ok = table.Target(0, &shards, 0, now)
+		must.True(t, ok && target == fleetconfig.InstanceAddress{ID: "i1", Address: named.OwnerAddress})
+		must.Eq(t, RouteAnswered, table.HandleReply("i1", &BorrowReply{IsOwner: true}, now))
+	}
+	now = now.Add(suspicionReset)
+	table.Suspect(0, "i1", now)
+	target, ok = table.Target(0, &shards, 0, now)
+	must.True(t, ok && target.ID != "i1")
+	named.OwnerAddress = ""
+	now = now.Add(maxSuspicion)
+
 	// A reply ends the suspicion.
 	must.Eq(t, RouteAnswered, table.HandleReply("i1", &BorrowReply{IsOwner: true}, now))
 	table.Suspect(0, "i1", now)
--- a/quotadriver/calls.go
+++ b/quotadriver/calls.go
@@ -77,7 +77,8 @@
 }
 
 // lend handles the requests of an ingress, which may be this instance. If this instance
-// does not own a shard, the reply names the known holder of its lease.
+// does not own a shard, the reply names the known holder of its lease and, if control owns
+// the quota, where it is.
 func (s *Service) lend(from fleetconfig.InstanceID, batch *BorrowBatch) *BorrowReplies {
 	replies := &BorrowReplies{Replies: make([]quota.BorrowReply, 0, len(batch.Requests))}
 	s.mu.Lock()
@@ -91,7 +92,9 @@
 			continue
 		}
 		owner, remaining := s.ownership.KnownHolder(request.Shard, now)
-		replies.Replies = append(replies.Replies, quota.BorrowReply{Shard: request.Shard, Owner: owner, RetryAfter: remaining})
+		replies.Replies = append(replies.Replies, quota.BorrowReply{
+			Shard: request.Shard, Owner: owner, OwnerAddress: s.config.ControlOwner.addressOf(owner), RetryAfter: remaining,
+		})
 	}
 	return replies
 }
--- a/quotadriver/leader.go
+++ b/quotadriver/leader.go
@@ -18,8 +18,9 @@
 	// LeaderTerm returns the current term; certain reports whether this instance is
 	// certain to be the only leader now.
 	LeaderTerm() (term uint64, certain bool)
-	// KnownLeader returns the last known leader, or "".
-	KnownLeader() fleetconfig.InstanceID
+	// KnownLeader returns the last known leader and its address for calls between
+	// instances. The zero value means that no leader is known; the address may be empty.
+	KnownLeader() fleetconfig.InstanceAddress
 }
 
 // ControlOwner makes the leader of control the owner of all accounts and services,
@@ -81,7 +82,7 @@
 	if o.leadership == nil {
 		return "", 0
 	}
-	return o.leadership.KnownLeader(), 0
+	return o.leadership.KnownLeader().ID, 0
 }
 
 // The following methods do nothing: the leader is elected by the replicated log of
@@ -109,6 +110,18 @@
 // Stop implements ownership.
 func (*leaderOwner) Stop(time.Time) []shard.Envelope { return nil }
 
+// addressOf returns the address of an owner according to control, or "" if this instance
+// does not take part in control or control knows another leader by now.
+func (c *ControlOwner) addressOf(owner fleetconfig.InstanceID) string {
+	if c == nil || c.Leadership == nil {
+		return ""
+	}
+	if leader := c.Leadership.KnownLeader(); leader.ID == owner {
+		return leader.Address
+	}
+	return ""
+}
+
 // ownership decides which shards this instance owns. shard.Manager and leaderOwner
 // implement it.
 type ownership interface {
--- a/quotadriver/leader_test.go
+++ b/quotadriver/leader_test.go
@@ -20,12 +20,19 @@
 
 // controlGroup is a control group with at most one leader, which the test elects.
 type controlGroup struct {
-	leader atomic.Value // fleetconfig.InstanceID
-	term   atomic.Uint64
+	instances []fleetconfig.InstanceAddress
+	leader    atomic.Value // fleetconfig.InstanceAddress
+	term      atomic.Uint64
 }
 
 func (g *controlGroup) elect(leader fleetconfig.InstanceID) {
-	g.leader.Store(leader)
+	elected := fleetconfig.InstanceAddress{ID: leader}
+	for _, instance := range g.instances {
+		if instance.ID == leader {
+			elected = instance
+		}
+	}
+	g.leader.Store(elected)
 	g.term.Add(1)
 }
 
@@ -35,11 +42,13 @@
 	self fleetconfig.InstanceID
 }
 
-func (m groupMember) LeaderTerm() (uint64, bool) { return m.term.Load(), m.KnownLeader() == m.self }
+func (m groupMember) LeaderTerm() (uint64, bool) {
+	return m.term.Load(), m.KnownLeader().ID == m.self
+}
 
-func (m groupMember) KnownLeader() fleetconfig.InstanceID {
-	id, _ := m.leader.Load().(fleetconfig.InstanceID)
-	return id
+func (m groupMember) KnownLeader() fleetconfig.InstanceAddress {
+	leader, _ := m.leader.Load().(fleetconfig.InstanceAddress)
+	return leader
 }
 
 // newControlOwnedFleet starts three control instances and, as the last service, one
@@ -58,6 +67,7 @@
 	for i := range 3 {
 		controlInstances = append(controlInstances, fleetconfig.InstanceAddress{ID: fleetconfig.InstanceID(fmt.Sprintf("control-%d", i)), Address: fmt.Sprintf("192.0.2.%d:7000", i+1)})
 	}
+	group.instances = controlInstances
 	document := fleetconfig.NewDocument()
 	document.Version = 1
 	document.Accounts = []fleetconfig.Account{{ID: "acme", RatePerSecond: 1000, Burst: 1000}}
@@ -136,6 +146,21 @@
 	waitForToken(t, f.services[3])
 }
 
+// Guards against waits for a dead owner that control still names: requests are refused as soon as the owner has not responded once.
+func TestDeadOwnerThatControlNamesIsAvoided(t *testing.T) {
+	group, f := newFleetWithControlAlive(t, 0, 2)
+	group.elect("control-2")
+	f.kill(2)
+	var refusal *quota.Refusal
+	must.Wait(t, wait.InitialSuccess(wait.Timeout(10*time.Second), wait.Gap(10*time.Millisecond), wait.BoolFunc(func() bool {
+		began := time.Now()
+		_, err := f.services[3].Acquire(context.Background(), "acme")
+		return errors.As(err, &refusal) && refusal.Cause == quota.CauseOwnerUnreachable && time.Since(began) < quota.AttemptTimeout
+	})))
+	group.elect("control-1")
+	waitForToken(t, f.services[3])
+}
+
 // With a grace period, the ingress continues to grant tokens while there is no leader, and
 // also after all control instances have stopped.
 func TestFallbackAllowsRequestsWithoutLeader(t *testing.T) {
