--- a/configsync/lead.go
+++ b/configsync/lead.go
@@ -76,7 +76,7 @@
 	have := s.offers[holder.ID].held
 	request := &offerRequest{Leader: true}
 	request.Accepted, _ = leader.Accepted()
-	request.Delta, _ = s.deltas.Since(have, s.held.Version)
+	request.Delta = s.deltaSince(have, s.held.Version)
 	s.mu.Unlock()
 	sentAt := clock.Now()
 	reply, err := s.sendOffer(ctx, holder, request)
@@ -125,9 +125,6 @@
 		defer s.mu.Unlock()
 		return s.currencyNode.PollReply(clock.Now()), nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	reply := new(pollReply)
-	err := s.config.Caller.Call(ctx, holder.Address, pathOffer, request, reply)
+	reply, err := s.callOffer(ctx, holder, request)
 	return &reply.Currency, err
 }
--- a/configsync/messages.go
+++ b/configsync/messages.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/hemlockring/hemlockring/currency"
 	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/internal/codec"
 )
 
 // Paths of the calls that distribute versions.
@@ -34,9 +35,13 @@
 	// is accepted. If it is false, Newest may or may not be accepted.
 	Accepted bool `cbor:"3,keyasint,omitempty"`
 	// Delta is the delta to Newest from the version of the instance that receives this
-	// reply. It is nil if there is no newer version, or if that instance is too far behind
-	// and needs a snapshot. In the reply to an offer it is always nil.
-	Delta *fleetconfig.Delta `cbor:"4,keyasint,omitempty"`
+	// reply. It is nil if there is no newer version, if DeltaUnderWay is set, or if that
+	// instance is too far behind and needs a snapshot. In the reply to an offer it is
+	// always nil.
+	Delta *fleetconfig.PackedDelta `cbor:"4,keyasint,omitempty"`
+	// DeltaUnderWay reports that the delta to Newest is being sent to that instance by
+	// another call, so that it needs no snapshot.
+	DeltaUnderWay bool `cbor:"5,keyasint,omitempty"`
 }
 
 // offerRequest offers a newer version. The leader also sends it without a delta, to
@@ -44,7 +49,7 @@
 type offerRequest struct {
 	// Delta is the delta to the offered version. It is nil if the sender has no delta from
 	// the version of the receiver, or if the receiver has the offered version already.
-	Delta *fleetconfig.Delta `cbor:"1,keyasint,omitempty"`
+	Delta *fleetconfig.PackedDelta `cbor:"1,keyasint,omitempty"`
 	// Accepted is the highest version that the sender knows to be accepted.
 	Accepted uint64 `cbor:"2,keyasint,omitempty"`
 	// Leader reports whether the sender is the leader of the control instances.
@@ -64,5 +69,5 @@
 	// its version is accepted. If it is false, the version may or may not be accepted.
 	Accepted bool `cbor:"1,keyasint,omitempty"`
 	// Document is the encoded document.
-	Document []byte `cbor:"2,keyasint"`
+	Document codec.Packed `cbor:"2,keyasint"`
 }
--- a/configsync/poll.go
+++ b/configsync/poll.go
@@ -171,21 +171,21 @@
 // applyPollReply processes the reply to a poll and reports whether a snapshot must be
 // fetched.
 func (s *Service) applyPollReply(from fleetconfig.InstanceID, reply *pollReply, sentAt time.Time) (needsSnapshot bool) {
+	delta, err := s.unpackDelta(reply.Delta)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	// The delta is applied before the currency state is processed, because that state
 	// may refer to the new version.
-	if reply.Delta != nil && reply.Delta.From == s.held.Version {
-		document, err := reply.Delta.Apply(s.held)
-		if err != nil {
-			s.config.Logger.Warn("applying the configuration delta failed, fetching a snapshot", "instance", from, "error", err)
-			return true
-		}
-		s.storeDocument(document, reply.Accepted)
+	if err == nil {
+		err = s.applyDelta(reply.Delta, delta, reply.Accepted)
+	}
+	if err != nil {
+		s.config.Logger.Warn("applying the configuration delta failed, fetching a snapshot", "instance", from, "error", err)
+		return true
 	}
 	s.currencyNode.HandlePollReply(from, &reply.Currency, sentAt, clock.Now())
 	s.publish()
-	return reply.Newest > s.held.Version
+	return reply.Newest > s.held.Version && !reply.DeltaUnderWay
 }
 
 // fetchSnapshot fetches a complete document from an instance.
@@ -198,7 +198,7 @@
 		s.handlePollFailure(ctx, from.ID)
 		return
 	}
-	document, err := fleetconfig.DecodeDocument(reply.Document)
+	document, err := decodeSnapshot(reply)
 	if err != nil {
 		s.config.Logger.Warn("decoding the configuration snapshot failed", "instance", from.ID, "error", err)
 		s.handlePollFailure(ctx, from.ID)
@@ -209,26 +209,73 @@
 	s.storeDocument(document, reply.Accepted)
 }
 
+// decodeSnapshot returns the document of a snapshot.
+func decodeSnapshot(reply *snapshotReply) (*fleetconfig.Document, error) {
+	data, err := reply.Document.Unpack()
+	if err != nil {
+		return nil, err
+	}
+	return fleetconfig.DecodeDocument(data)
+}
+
 // offerToChildren offers the children the version that came into force since the last
 // call. The caller holds mu.
 func (s *Service) offerToChildren(ctx context.Context, children []fleetconfig.InstanceAddress) {
-	version := s.View().Version()
-	delta, found := s.deltas.Since(s.offeredVersion, version)
+	version, before := s.View().Version(), s.offeredVersion
+	s.offeredVersion = version
 	// The first version that an instance obtains after its start is not new to its
 	// children, unless it is the first version of the fleet.
-	isNew := s.offeredVersion != 0 || version == 1
-	s.offeredVersion = version
-	if !found || !isNew {
+	isNew := before != 0 || version == 1
+	if version == before || !isNew {
 		return
 	}
 	for _, child := range children {
-		go func() {
-			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			request := &offerRequest{Delta: delta, Accepted: version}
-			if err := s.config.Caller.Call(callCtx, child.Address, pathOffer, request, new(pollReply)); err != nil {
-				s.config.Logger.Debug("configuration offer to a child failed", "instance", child.ID, "error", err)
-			}
-		}()
+		if request := s.nextOffer(child.ID, before); request != nil {
+			go s.offerToChild(ctx, child, request)
+		}
+	}
+}
+
+// nextOffer returns the offer of the version in force to an instance that holds the version
+// before, unless more is known about it. It returns nil if the instance has the version, if it
+// is getting it, or if this instance has no delta for it. The caller holds mu.
+func (s *Service) nextOffer(id fleetconfig.InstanceID, before uint64) *offerRequest {
+	version := s.View().Version()
+	held, permitted := s.transfers.beginOffer(id, before, version, clock.Now())
+	if !permitted {
+		return nil
+	}
+	delta := s.deltaSince(held, version)
+	if delta == nil {
+		s.transfers.endOffer(id)
+		return nil
 	}
+	return &offerRequest{Delta: delta, Accepted: version}
+}
+
+// offerToChild sends an offer to a child, and then the version that came into force meanwhile.
+// If an offer fails, the child gets the delta when it polls.
+func (s *Service) offerToChild(ctx context.Context, child fleetconfig.InstanceAddress, request *offerRequest) {
+	for request != nil {
+		reply, err := s.callOffer(ctx, child, request)
+		s.mu.Lock()
+		s.transfers.endOffer(child.ID)
+		offered := request.Delta
+		request = nil
+		if err != nil {
+			s.config.Logger.Debug("configuration offer to a child failed", "instance", child.ID, "error", err)
+		} else if s.transfers.recordHeld(child.ID, reply.Newest); reply.Newest != offered.From {
+			request = s.nextOffer(child.ID, reply.Newest)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// callOffer sends an offer and returns the reply.
+func (s *Service) callOffer(ctx context.Context, to fleetconfig.InstanceAddress, request *offerRequest) (*pollReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply := new(pollReply)
+	err := s.config.Caller.Call(ctx, to.Address, pathOffer, request, reply)
+	return reply, err
 }
--- a/configsync/service.go
+++ b/configsync/service.go
@@ -73,6 +73,8 @@
 	wake chan struct{}
 	// snapshotSlots has an element for each snapshot that is being sent.
 	snapshotSlots chan struct{}
+	// snapshot is the packed snapshot that was sent last, or nil.
+	snapshot atomic.Pointer[packedSnapshot]
 
 	// mu guards the fields below. It is not held during calls to other instances.
 	mu           sync.Mutex
@@ -82,6 +84,10 @@
 	// led to it.
 	held   *fleetconfig.Document
 	deltas fleetconfig.DeltaLog
+	// packed has deltas as they are sent, and transfers the receivers that they are under
+	// way to.
+	packed    packedDeltas
+	transfers transfers
 	// leader is the currency state of the leader, or nil if this instance is not the
 	// leader of control. confirmedAt is the Leadership.ConfirmedAt that was last read
 	// while this instance was the leader.
--- /dev/null
+++ b/configsync/transfers_test.go
@@ -0,0 +1,116 @@
+package configsync
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/internal/codec"
+	_ "github.com/hemlockring/hemlockring/internal/fixedseed"
+)
+
+// An instance gets a delta by an offer or by the reply to a poll, not by both.
+func TestDeltaIsSentByOneCall(t *testing.T) {
+	const child = fleetconfig.InstanceID("child")
+	now := time.Now()
+	var sent transfers
+	held, permitted := sent.beginOffer(child, 4, 5, now)
+	must.True(t, permitted)
+	must.Eq(t, 4, held)
+	_, permitted = sent.beginOffer(child, 4, 6, now)
+	must.False(t, permitted)
+	must.True(t, sent.recordPoll(child, 4, now))
+	// An instance that has restarted can not apply the offer.
+	must.False(t, sent.recordPoll(child, 0, now))
+	// The offer may be lost without an answer.
+	must.False(t, sent.recordPoll(child, 4, now.Add(callTimeout)))
+
+	sent.endOffer(child)
+	must.False(t, sent.recordPoll(child, 4, now))
+	sent.recordReply(child, 5, now)
+	_, permitted = sent.beginOffer(child, 4, 5, now)
+	must.False(t, permitted)
+	held, permitted = sent.beginOffer(child, 4, 6, now)
+	must.True(t, permitted)
+	must.Eq(t, 5, held)
+}
+
+// Whatever is lost, an instance that polls is told to wait for no longer than a call takes,
+// and the state is bounded.
+func TestTransfersEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var sent transfers
+		start := time.Now()
+		now := start
+		offeredAt := make(map[fleetconfig.InstanceID]time.Time)
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			id := fleetconfig.InstanceID(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "instance")))
+			version := rapid.Uint64Range(0, 5).Draw(t, "version")
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				if _, permitted := sent.beginOffer(id, version, version+1, now); permitted {
+					offeredAt[id] = now
+				}
+			case 1:
+				if sent.recordPoll(id, version, now) {
+					must.Less(t, callTimeout, now.Sub(offeredAt[id]))
+				}
+			case 2:
+				sent.recordReply(id, version, now)
+			case 3:
+				sent.endOffer(id)
+				delete(offeredAt, id)
+			}
+		}
+	})
+	var sent transfers
+	for i := range 2 * maxTransferPeers {
+		sent.recordHeld(fleetconfig.InstanceID(fmt.Sprint(i)), 1)
+		must.LessEq(t, maxTransferPeers, len(sent.peers))
+	}
+}
+
+// A delta is encoded once. An instance that received it sends on the same bytes.
+func TestDeltaIsEncodedOnce(t *testing.T) {
+	_, leader, others := startFleet(t, 7)
+	result := leader.fleet.propose(leader, "change", usePreset(2))
+	waitForVersion(t, result.Version, others...)
+	packedOn := func(instance *fakeInstance) *fleetconfig.PackedDelta {
+		instance.service.mu.Lock()
+		defer instance.service.mu.Unlock()
+		kept, found := instance.service.packed.find(1, 2)
+		must.True(t, found, must.Sprint(instance.peer.ID))
+		must.True(t, kept == instance.service.deltaSince(1, 2))
+		return kept
+	}
+	for _, instance := range others {
+		must.Eq(t, packedOn(leader), packedOn(instance))
+	}
+}
+
+// A damaged delta or snapshot is refused.
+func TestDamagedDeltaIsRefused(t *testing.T) {
+	delta := &fleetconfig.Delta{From: 1, To: 2}
+	for i := range 100 {
+		delta.Services.Put = append(delta.Services.Put, fleetconfig.Service{Name: fleetconfig.ServiceName(fmt.Sprintf("service-%03d", i))})
+	}
+	packed, err := delta.Pack()
+	must.NoError(t, err)
+	must.True(t, packed.Encoded.Compressed)
+	damaged := *packed
+	damaged.Encoded.Data = append([]byte(nil), packed.Encoded.Data...)
+	damaged.Encoded.Data[len(damaged.Encoded.Data)/2] ^= 1
+	_, err = damaged.Unpack()
+	must.Error(t, err)
+	other := *packed
+	other.From = 0
+	_, err = other.Unpack()
+	must.ErrorContains(t, err, "from version 0 to 2")
+	_, err = decodeSnapshot(&snapshotReply{Document: codec.Packed{Data: []byte("text"), Compressed: true}})
+	must.Error(t, err)
+}
--- a/fleetconfig/delta_apply.go
+++ b/fleetconfig/delta_apply.go
@@ -104,17 +104,18 @@
 func mergeItems[V any](first, second, overridden []V, compare func(a, b *V) int) []V {
 	merged := make([]V, 0, len(first)+len(second))
 	for i := range first {
-		if !hasItem(second, &first[i], compare) && !hasItem(overridden, &first[i], compare) {
+		at, replaced := findItem(second, &first[i], compare)
+		merged = append(merged, second[:at]...)
+		second = second[at:]
+		if !replaced && !hasItem(overridden, &first[i], compare) {
 			merged = append(merged, first[i])
 		}
 	}
-	merged = append(merged, second...)
-	slices.SortFunc(merged, func(a, b V) int { return compare(&a, &b) })
-	return merged
+	return append(merged, second...)
 }
 
 func hasItem[V any](items []V, target *V, compare func(a, b *V) int) bool {
-	_, found := slices.BinarySearchFunc(items, target, func(item V, target *V) int { return compare(&item, target) })
+	_, found := findItem(items, target, compare)
 	return found
 }
 
--- a/fleetconfig/table.go
+++ b/fleetconfig/table.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"slices"
+	"sort"
 )
 
 // Orderings of the document's tables. Each is strict: no two items of a table compare
@@ -22,7 +23,7 @@
 	id          func(*V) K
 	compare     func(a, b *V) int
 	itemWithKey func(K) V
-	edits       map[K]itemEdit[V]
+	edits       map[K]*itemEdit[V]
 }
 
 // itemEdit is the state of one item after the edits so far.
@@ -45,23 +46,27 @@
 	return found
 }
 
-func (t *table[K, V]) find(target *V) (int, bool) {
-	return slices.BinarySearchFunc(t.base, target, func(item V, target *V) int {
-		return t.compare(&item, target)
-	})
+func (t *table[K, V]) find(target *V) (int, bool) { return findItem(t.base, target, t.compare) }
+
+// findItem returns the position of target in an ordered slice, and whether it is there.
+// Unlike slices.BinarySearchFunc it copies no items. A comparison through a function value
+// would move each copy to the heap.
+func findItem[V any](items []V, target *V, compare func(a, b *V) int) (int, bool) {
+	at := sort.Search(len(items), func(i int) bool { return compare(&items[i], target) >= 0 })
+	return at, at < len(items) && compare(&items[at], target) == 0
 }
 
 func (t *table[K, V]) put(item V) {
-	t.edit(t.id(&item), itemEdit[V]{item: item})
+	t.edit(t.id(&item), &itemEdit[V]{item: item})
 }
 
 func (t *table[K, V]) remove(key K) {
-	t.edit(key, itemEdit[V]{item: t.itemWithKey(key), removed: true})
+	t.edit(key, &itemEdit[V]{item: t.itemWithKey(key), removed: true})
 }
 
-func (t *table[K, V]) edit(key K, e itemEdit[V]) {
+func (t *table[K, V]) edit(key K, e *itemEdit[V]) {
 	if t.edits == nil {
-		t.edits = make(map[K]itemEdit[V])
+		t.edits = make(map[K]*itemEdit[V])
 	}
 	t.edits[key] = e
 }
@@ -72,17 +77,15 @@
 	if len(t.edits) == 0 {
 		return t.base
 	}
-	sorted := make([]itemEdit[V], 0, len(t.edits))
+	sorted := make([]*itemEdit[V], 0, len(t.edits))
 	for _, e := range t.edits {
 		sorted = append(sorted, e)
 	}
-	slices.SortFunc(sorted, func(a, b itemEdit[V]) int { return t.compare(&a.item, &b.item) })
+	slices.SortFunc(sorted, func(a, b *itemEdit[V]) int { return t.compare(&a.item, &b.item) })
 	merged := make([]V, 0, len(t.base)+len(sorted))
 	rest := t.base
 	for i := range sorted {
-		at, found := slices.BinarySearchFunc(rest, &sorted[i].item, func(item V, target *V) int {
-			return t.compare(&item, target)
-		})
+		at, found := findItem(rest, &sorted[i].item, t.compare)
 		merged = append(merged, rest[:at]...)
 		if !sorted[i].removed {
 			merged = append(merged, sorted[i].item)
