Evacuations in the replicated configuration

Change: Document.EvacuatedDomains (field 13) with the changes evacuate-domain and end-evacuation. Commands of these changes alone carry no base version: the log decides their order, an order that is in place already creates no version, and complete configurations keep evacuations and compare only the operators' version.

--- a/configsync/propose.go
+++ b/configsync/propose.go
@@ -66,18 +66,19 @@
 }
 
 const (
-	// maxReplacementWait is how long a replacement waits until it may be proposed. Its
-	// operator can not name the version to wait for, unlike that of another command.
-	maxReplacementWait = 500 * time.Millisecond
+	// maxUnbasedWait is how long a command without a base version waits until it may be
+	// proposed. Its operator can not name the version to wait for, unlike that of another
+	// command.
+	maxUnbasedWait = 500 * time.Millisecond
 	// proposalCheckInterval is the time between two checks whether it may be proposed.
 	proposalCheckInterval = 20 * time.Millisecond
 )
 
-// waitForProposal returns nil if the command may be proposed now. A replacement waits for
-// that for a short time.
+// waitForProposal returns nil if the command may be proposed now. A command without a base
+// version waits for that for a short time.
 func (s *Service) waitForProposal(ctx context.Context, command *fleetconfig.Command) error {
 	err := s.checkProposal(command)
-	for started := clock.Now(); command.IsReplacement() && clock.Since(started) < maxReplacementWait; {
+	for started := clock.Now(); command.IgnoresBaseVersion() && clock.Since(started) < maxUnbasedWait; {
 		var busy *control.BusyError
 		if !errors.As(err, &busy) {
 			return err
@@ -100,7 +101,7 @@
 		return s.notLeaderError()
 	}
 	var err error
-	if now := clock.Now(); command.IsReplacement() {
+	if now := clock.Now(); command.IgnoresBaseVersion() {
 		err = s.leader.CheckReplacement(now)
 	} else {
 		err = s.leader.CheckProposal(command.BaseVersion, now)
--- a/fleetconfig/change.go
+++ b/fleetconfig/change.go
@@ -51,16 +51,23 @@
 	StepShard ChangeKind = "step-shard"
 	// SetHolders replaces the holders with Holders; see Document.Holders.
 	SetHolders ChangeKind = "set-holders"
-	// ReplaceAll replaces everything that operators configure with Replacement. It
-	// must be the only change of its command.
+	// ReplaceAll replaces everything that operators configure with Replacement, except
+	// the evacuations. It must be the only change of its command.
 	ReplaceAll ChangeKind = "replace-all"
+	// EvacuateDomain takes the failure domain in Name out of service. It changes nothing
+	// if the domain is evacuated already.
+	EvacuateDomain ChangeKind = "evacuate-domain"
+	// EndEvacuation takes the failure domain in Name back into service. It changes
+	// nothing if the domain is not evacuated.
+	EndEvacuation ChangeKind = "end-evacuation"
 )
 
 // Change is one change of the document.
 type Change struct {
 	// Kind determines what the change does and which field it uses.
 	Kind ChangeKind `cbor:"1,keyasint" json:"kind"`
-	// Name is the ID or name of the item to remove, or of the preset to use.
+	// Name is the ID or name of the item to remove, of the preset to use, or of the
+	// failure domain.
 	Name string `cbor:"2,keyasint,omitempty" json:"name,omitempty"`
 	// Account is used by CreateAccount and UpdateAccount.
 	Account *Account `cbor:"3,keyasint,omitempty" json:"account,omitempty"`
@@ -83,7 +90,8 @@
 }
 
 // Replacement is a complete configuration from operators who number their versions
-// themselves. Shards and holders are assigned by the fleet and stay unchanged.
+// themselves. Shards and holders are assigned by the fleet and stay unchanged, and so do
+// evacuations, which operators start and end by changes of their own.
 type Replacement struct {
 	// OperatorVersion is the version number that the operators assigned. It must be
 	// greater than Document.OperatorVersion.
--- a/fleetconfig/changes.go
+++ b/fleetconfig/changes.go
@@ -3,9 +3,9 @@
 import "slices"
 
 // Changes returns the changes that turn current into wanted, including the changes of
-// keys and holders. They do not change the shard map, the operator version and the
-// caller limits. Apart from these three, the resulting document differs from wanted
-// only in its version and its former holders.
+// keys and holders. They do not change the shard map, the operator version, the caller
+// limits and the evacuations. Apart from these four, the resulting document differs from
+// wanted only in its version and its former holders.
 func Changes(current, wanted *Document) []Change {
 	var changes []Change
 	delta := Diff(current, wanted)
--- a/fleetconfig/command.go
+++ b/fleetconfig/command.go
@@ -21,7 +21,8 @@
 	// retry safely. For a replacement with the ID of SourceChangeID, the content is its
 	// source.
 	ChangeID string `cbor:"1,keyasint" json:"change_id"`
-	// BaseVersion is the document version that the changes are based on.
+	// BaseVersion is the document version that the changes are based on. It has no
+	// meaning if IgnoresBaseVersion.
 	BaseVersion uint64 `cbor:"2,keyasint" json:"base_version"`
 	// Operator is the name of the operator who proposed the command.
 	Operator string `cbor:"3,keyasint" json:"operator"`
@@ -74,8 +75,9 @@
 	ChangeID string `cbor:"1,keyasint" json:"change_id"`
 	// Verdict is the outcome.
 	Verdict Verdict `cbor:"2,keyasint" json:"verdict"`
-	// Version is the version that the changes created. If the command was refused,
-	// Version is the version of the document when the command was applied.
+	// Version is the version that the changes created. If the command was refused, or
+	// changed nothing because its evacuations were in place already, Version is the
+	// version of the document when the command was applied.
 	Version uint64 `cbor:"3,keyasint" json:"version"`
 	// BaseVersion is the base version of the command.
 	BaseVersion uint64 `cbor:"4,keyasint" json:"base_version"`
--- a/fleetconfig/delta.go
+++ b/fleetconfig/delta.go
@@ -29,6 +29,8 @@
 	OperatorVersion uint64 `cbor:"11,keyasint,omitempty"`
 	// CallerLimits are the caller limits of To.
 	CallerLimits CallerLimits `cbor:"12,keyasint,omitempty"`
+	// EvacuatedDomains are the evacuated failure domains of To.
+	EvacuatedDomains []FailureDomain `cbor:"13,keyasint,omitempty"`
 }
 
 // TableDelta is the difference of one table.
@@ -98,9 +100,10 @@
 			func(s *Service) Service { return Service{Name: s.Name} }),
 		Presets: compareTables(from.Presets, to.Presets, comparePresets, equalItems,
 			func(p *Preset) Preset { return Preset{Name: p.Name} }),
-		Shards:          compareShards(&from.Shards, &to.Shards),
-		OperatorVersion: to.OperatorVersion,
-		CallerLimits:    to.CallerLimits,
+		Shards:           compareShards(&from.Shards, &to.Shards),
+		OperatorVersion:  to.OperatorVersion,
+		CallerLimits:     to.CallerLimits,
+		EvacuatedDomains: to.EvacuatedDomains,
 	}
 	if !slices.Equal(from.Holders, to.Holders) || !slices.Equal(from.FormerHolders, to.FormerHolders) {
 		delta.Holders = &HolderDelta{Holders: to.Holders, FormerHolders: to.FormerHolders}
--- a/fleetconfig/delta_apply.go
+++ b/fleetconfig/delta_apply.go
@@ -14,18 +14,19 @@
 		return nil, err
 	}
 	next := &Document{
-		Version:         d.To,
-		ActivePreset:    d.ActivePreset,
-		Accounts:        applyTable(accountTable(document.Accounts), d.Accounts),
-		Keys:            applyTable(keyTable(document.Keys), d.Keys),
-		Routes:          applyTable(routeTable(document.Routes), d.Routes),
-		Services:        applyTable(serviceTable(document.Services), d.Services),
-		Presets:         applyTable(presetTable(document.Presets), d.Presets),
-		Shards:          shards,
-		Holders:         document.Holders,
-		FormerHolders:   document.FormerHolders,
-		OperatorVersion: d.OperatorVersion,
-		CallerLimits:    d.CallerLimits,
+		Version:          d.To,
+		ActivePreset:     d.ActivePreset,
+		Accounts:         applyTable(accountTable(document.Accounts), d.Accounts),
+		Keys:             applyTable(keyTable(document.Keys), d.Keys),
+		Routes:           applyTable(routeTable(document.Routes), d.Routes),
+		Services:         applyTable(serviceTable(document.Services), d.Services),
+		Presets:          applyTable(presetTable(document.Presets), d.Presets),
+		Shards:           shards,
+		Holders:          document.Holders,
+		FormerHolders:    document.FormerHolders,
+		OperatorVersion:  d.OperatorVersion,
+		CallerLimits:     d.CallerLimits,
+		EvacuatedDomains: d.EvacuatedDomains,
 	}
 	if d.Holders != nil {
 		next.Holders = d.Holders.Holders
@@ -65,18 +66,19 @@
 // merge returns one delta with the effect of d followed by next.
 func (d *Delta) merge(next *Delta) *Delta {
 	merged := &Delta{
-		From:            d.From,
-		To:              next.To,
-		ActivePreset:    next.ActivePreset,
-		Accounts:        mergeTableDeltas(d.Accounts, next.Accounts, compareAccounts),
-		Keys:            mergeTableDeltas(d.Keys, next.Keys, compareKeys),
-		Routes:          mergeTableDeltas(d.Routes, next.Routes, compareRoutes),
-		Services:        mergeTableDeltas(d.Services, next.Services, compareServices),
-		Presets:         mergeTableDeltas(d.Presets, next.Presets, comparePresets),
-		Shards:          mergeShardDeltas(d.Shards, next.Shards),
-		Holders:         d.Holders,
-		OperatorVersion: next.OperatorVersion,
-		CallerLimits:    next.CallerLimits,
+		From:             d.From,
+		To:               next.To,
+		ActivePreset:     next.ActivePreset,
+		Accounts:         mergeTableDeltas(d.Accounts, next.Accounts, compareAccounts),
+		Keys:             mergeTableDeltas(d.Keys, next.Keys, compareKeys),
+		Routes:           mergeTableDeltas(d.Routes, next.Routes, compareRoutes),
+		Services:         mergeTableDeltas(d.Services, next.Services, compareServices),
+		Presets:          mergeTableDeltas(d.Presets, next.Presets, comparePresets),
+		Shards:           mergeShardDeltas(d.Shards, next.Shards),
+		Holders:          d.Holders,
+		OperatorVersion:  next.OperatorVersion,
+		CallerLimits:     next.CallerLimits,
+		EvacuatedDomains: next.EvacuatedDomains,
 	}
 	if next.Holders != nil {
 		merged.Holders = next.Holders
--- a/fleetconfig/document.go
+++ b/fleetconfig/document.go
@@ -76,6 +76,9 @@
 	OperatorVersion uint64 `cbor:"11,keyasint,omitempty" json:"declared,omitempty"`
 	// CallerLimits limits what callers may send.
 	CallerLimits CallerLimits `cbor:"12,keyasint,omitempty" json:"caller_limits"`
+	// EvacuatedDomains are the failure domains whose backend servers get no new requests,
+	// in ascending order.
+	EvacuatedDomains []FailureDomain `cbor:"13,keyasint,omitempty" json:"evacuated_domains,omitempty"`
 }
 
 // CallerLimits limits the size of requests and the time that callers may take. A
--- a/fleetconfig/edit.go
+++ b/fleetconfig/edit.go
@@ -20,6 +20,7 @@
 	holders         []InstanceAddress
 	operatorVersion uint64
 	callerLimits    CallerLimits
+	evacuated       []FailureDomain
 }
 
 func newEditor(base *Document) *editor {
@@ -35,6 +36,7 @@
 		holders:         base.Holders,
 		operatorVersion: base.OperatorVersion,
 		callerLimits:    base.CallerLimits,
+		evacuated:       base.EvacuatedDomains,
 	}
 }
 
@@ -48,17 +50,18 @@
 		return nil, faults
 	}
 	document := &Document{
-		Version:         base.Version + 1,
-		ActivePreset:    e.activePreset,
-		Accounts:        e.accounts.result(),
-		Keys:            e.keys.result(),
-		Routes:          e.routes.result(),
-		Services:        e.services.result(),
-		Presets:         e.presets.result(),
-		Shards:          e.shards,
-		Holders:         e.holders,
-		OperatorVersion: e.operatorVersion,
-		CallerLimits:    e.callerLimits,
+		Version:          base.Version + 1,
+		ActivePreset:     e.activePreset,
+		Accounts:         e.accounts.result(),
+		Keys:             e.keys.result(),
+		Routes:           e.routes.result(),
+		Services:         e.services.result(),
+		Presets:          e.presets.result(),
+		Shards:           e.shards,
+		Holders:          e.holders,
+		OperatorVersion:  e.operatorVersion,
+		CallerLimits:     e.callerLimits,
+		EvacuatedDomains: e.evacuated,
 	}
 	if !slices.Equal(base.Holders, document.Holders) {
 		document.FormerHolders = base.Holders
@@ -111,6 +114,10 @@
 		e.holders = slices.Clone(change.Holders)
 	case ReplaceAll:
 		e.replaceAll(change)
+	case EvacuateDomain:
+		e.evacuate(FailureDomain(change.Name))
+	case EndEvacuation:
+		e.endEvacuation(FailureDomain(change.Name))
 	default:
 		e.add("change", "kind", fmt.Sprintf("%.64q is unknown", change.Kind), "use one of the kinds that the API documents")
 	}
--- a/fleetconfig/machine.go
+++ b/fleetconfig/machine.go
@@ -146,6 +146,10 @@
 		result.Faults = faults
 		return result
 	}
+	if command.isEvacuation() && slices.Equal(next.EvacuatedDomains, m.document.EvacuatedDomains) {
+		result.Verdict = VerdictAccepted
+		return result
+	}
 	m.deltas.Add(Diff(m.document, next))
 	m.document = next
 	if replacement := command.replacement(); replacement != nil {
--- a/fleetconfig/replace.go
+++ b/fleetconfig/replace.go
@@ -34,9 +34,12 @@
 func (c *Command) IsReplacement() bool { return c.replacement() != nil }
 
 // isBasedOn reports whether the command is based on this version of the document. A
-// replacement is compared by the version number that the operators assigned, any other
-// command by the version of the document.
+// replacement is compared by the version number that the operators assigned, an evacuation
+// is not compared, and any other command is compared by the version of the document.
 func (c *Command) isBasedOn(document *Document) bool {
+	if c.isEvacuation() {
+		return true
+	}
 	if replacement := c.replacement(); replacement != nil {
 		return replacement.BaseOperatorVersion == document.OperatorVersion
 	}
--- a/fleetconfig/results.go
+++ b/fleetconfig/results.go
@@ -3,7 +3,8 @@
 // maxCachedResults is the number of results that are kept: those of nine days at 440
 // changes per day. An accepted command that is sent again after its result was evicted
 // is refused as a conflict, because its base version is outdated by then, unless it is
-// identified by its source; see StateMachine.formerAcceptance. No command is applied twice.
+// identified by its source; see StateMachine.formerAcceptance. No command is applied twice,
+// except an evacuation (see Command.IgnoresBaseVersion) that is sent again after so many others.
 const maxCachedResults = 4096
 
 // cachedResult is the result of a command with the digest of the command.
--- a/fleetconfig/validate.go
+++ b/fleetconfig/validate.go
@@ -13,6 +13,7 @@
 	maxRoutes     = 20_000
 	maxServices   = 2_000
 	maxPresets    = 32
+	maxEvacuated  = 64
 	maxNameBytes  = 64
 	maxPathBytes  = 1024
 	maxHostBytes  = 253
@@ -46,6 +47,7 @@
 	check.presets()
 	check.shards()
 	check.holders()
+	check.evacuations()
 	return check.list()
 }
 
--- a/fleetconfig/view.go
+++ b/fleetconfig/view.go
@@ -66,6 +66,12 @@
 // ActivePreset returns the active preset. It is never nil.
 func (v *View) ActivePreset() *Preset { return v.preset }
 
+// Evacuated reports whether the backend servers in the failure domain get no new requests.
+func (v *View) Evacuated(domain FailureDomain) bool {
+	_, found := slices.BinarySearch(v.document.EvacuatedDomains, domain)
+	return found
+}
+
 // accountIndex is an open-addressing hash table of indexes into the accounts of a
 // document. A slot holds the index of an account plus one; zero marks an empty slot.
 // At least a third of the slots are empty, so that probing terminates.
