--- a/backendproxy/keycheck_test.go
+++ b/backendproxy/keycheck_test.go
@@ -14,13 +14,18 @@
 	"github.com/hemlockring/hemlockring/pipeline"
 )
 
-// A request whose key is withdrawn, or whose dispatch deadline passes, while it waits for
-// a slot must not reach the backend server. A configuration older than the one that the
-// ingress used must not reject the key.
+// A request whose key is withdrawn, whose dispatch deadline passes, or whose failure domain is
+// evacuated, while it waits for a slot must not reach the backend server. A configuration older
+// than the one that the ingress used must neither reject the key nor evacuate the domain.
 func TestRunFilterChecksKeyAndDispatchDeadlineBeforeDispatch(t *testing.T) {
 	hash := fleetconfig.HashKey("key")
 	withKey := fleetconfig.NewView(&fleetconfig.Document{Version: 5, Keys: []fleetconfig.Key{{Hash: hash, Account: "acme"}}})
 	withoutKey := fleetconfig.NewView(&fleetconfig.Document{Version: 5})
+	evacuated := func(domain fleetconfig.FailureDomain) *fleetconfig.View {
+		document := *withKey.Document()
+		document.EvacuatedDomains = []fleetconfig.FailureDomain{domain}
+		return fleetconfig.NewView(&document)
+	}
 	cases := []struct {
 		view                 *fleetconfig.View
 		configurationVersion uint64
@@ -31,9 +36,14 @@
 		{withoutKey, 5, time.Minute, pipeline.KindKeyRejected},
 		{withoutKey, 6, time.Minute, ""},
 		{withKey, 5, 0, pipeline.KindBusy},
+		{evacuated("fd1"), 5, time.Minute, pipeline.KindEvacuated},
+		{evacuated("fd1"), 4, time.Minute, pipeline.KindEvacuated},
+		{evacuated("fd1"), 6, time.Minute, ""},
+		{evacuated("fd2"), 5, time.Minute, ""},
 	}
 	for _, c := range cases {
-		filter := &runFilter{pauseDetector: processpause.NewDetector(), keys: &keyChecker{view: func() *fleetconfig.View { return c.view }}}
+		view := func() *fleetconfig.View { return c.view }
+		filter := &runFilter{pauseDetector: processpause.NewDetector(), keys: &keyChecker{view: view}, evacuation: &evacuationFilter{view: view, domain: "fd1"}}
 		now := time.Now()
 		exchange := &pipeline.Exchange{
 			Request:              httptest.NewRequest(http.MethodGet, "/", nil),
--- a/backendproxy/proxy.go
+++ b/backendproxy/proxy.go
@@ -25,6 +25,9 @@
 	Registry *Registry
 	// View returns the current configuration.
 	View func() *fleetconfig.View
+	// FailureDomain is the failure domain of this instance and of the backend servers beside
+	// it.
+	FailureDomain fleetconfig.FailureDomain
 	// PauseDetector detects pauses of the process.
 	PauseDetector *processpause.Detector
 	// HealthMonitor decides which requests a backend server gets, from the results of
@@ -56,6 +59,7 @@
 	inFlight     exchangeTracker
 	loadReporter *loadReporter
 	status       *statusObserver
+	evacuation   *evacuationFilter
 	log          *slog.Logger
 	logLimiter   *linelimit.Limiter
 	clock        quota.DispatchClock
@@ -92,14 +96,16 @@
 	keys := &keyChecker{view: config.View}
 	quarantined := &quarantineFilter{key: config.FingerprintKey, quarantine: config.Quarantine}
 	repeats := &repeatFilter{registry: config.Registry}
+	proxy.evacuation = &evacuationFilter{view: config.View, domain: config.FailureDomain}
 	proxy.chain = pipeline.NewChain(
 		&verifyFilter{keys: keys, pauseDetector: config.PauseDetector, clock: config.Clock},
 		&drainFilter{draining: &proxy.draining},
+		proxy.evacuation,
 		quarantined,
 		&healthFilter{monitor: config.HealthMonitor},
 		repeats,
 		&queueFilter{registry: config.Registry, status: proxy.status},
-		&runFilter{dispatcher: newDispatcher(config.Dialect), quarantined: quarantined, crashes: newCrashDetector(&config), runs: config.Runs, repeats: repeats, keys: keys, pauseDetector: config.PauseDetector, monitor: config.HealthMonitor, loadReporter: proxy.loadReporter, status: proxy.status, clock: config.Clock},
+		&runFilter{dispatcher: newDispatcher(config.Dialect), quarantined: quarantined, evacuation: proxy.evacuation, crashes: newCrashDetector(&config), runs: config.Runs, repeats: repeats, keys: keys, pauseDetector: config.PauseDetector, monitor: config.HealthMonitor, loadReporter: proxy.loadReporter, status: proxy.status, clock: config.Clock},
 	)
 	return proxy
 }
@@ -156,6 +162,8 @@
 		Retries:        registry.retries.Load(),
 		RepeatedCalls:  registry.repeatedCalls.Load(),
 		RepeatRefusals: registry.repeatRefusals.Load(),
+
+		EvacuationRefusals: p.evacuation.refusals.Load(),
 	}
 }
 
--- a/backendproxy/run.go
+++ b/backendproxy/run.go
@@ -20,6 +20,7 @@
 type runFilter struct {
 	dispatcher    *dispatcher
 	quarantined   *quarantineFilter
+	evacuation    *evacuationFilter
 	crashes       *crashDetector
 	runs          *RunTracker
 	repeats       *repeatFilter
@@ -183,7 +184,7 @@
 
 // checkBeforeDispatch checks again, right before the request is sent, that it may still
 // run. It refuses a request whose context has ended, whose deadline or dispatch deadline
-// has passed, whose key has been withdrawn, or that may have been delayed by a pause of
+// has passed, whose key has been withdrawn, whose failure domain is evacuated, or that may have been delayed by a pause of
 // the process.
 func (f *runFilter) checkBeforeDispatch(exchange *pipeline.Exchange, now time.Time) error {
 	switch {
@@ -195,7 +196,11 @@
 	case !now.Before(exchange.DispatchBy):
 		return refuseDispatchExpired()
 	}
-	// The key may have been withdrawn while the request waited for a slot.
+	// The failure domain may have been evacuated, and the key withdrawn, while the request
+	// waited for a slot.
+	if err := f.evacuation.Request(exchange); err != nil {
+		return err
+	}
 	return f.keys.check(exchange)
 }
 
--- a/backendproxy/status.go
+++ b/backendproxy/status.go
@@ -34,6 +34,9 @@
 	// RepeatRefusals counts those that were refused because the server may receive no more
 	// repeats now.
 	RepeatRefusals uint64
+	// EvacuationRefusals counts the requests that were refused because the failure domain of
+	// this instance is evacuated.
+	EvacuationRefusals uint64
 }
 
 // statusObserver records what backend servers state about themselves in their responses.
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -161,8 +161,8 @@
 // SetPolicy changes the parameters.
 func (p *Pool) SetPolicy(policy Policy) { p.policy = policy }
 
-// Set replaces the backend servers. Servers that remain keep their in-flight requests and
-// failure probability. Indexes from earlier picks become invalid; use Find.
+// Set replaces the backend servers. Servers that remain keep their in-flight requests, weight
+// and failure probability. Indexes from earlier picks become invalid; use Find.
 func (p *Pool) Set(backends []Backend) {
 	previous := make(map[BackendID]Backend, len(p.backends))
 	for _, backend := range p.backends {
@@ -170,9 +170,12 @@
 	}
 	p.backends = make([]Backend, len(backends))
 	for i, backend := range backends {
-		backend.inFlight = previous[backend.ID].inFlight
+		if known, found := previous[backend.ID]; found {
+			backend.inFlight = known.inFlight
+			backend.Weight = known.Weight
+			backend.FailureProbability = known.FailureProbability
+		}
 		backend.inFlightAtReport = backend.inFlight
-		backend.FailureProbability = previous[backend.ID].FailureProbability
 		p.backends[i] = backend
 	}
 	p.rebuildTiers()
--- a/configsync/service.go
+++ b/configsync/service.go
@@ -250,6 +250,7 @@
 	}
 	// The version to serve from is always the held one here, because the currency state
 	// only selects the version that is held, and publish runs after each change of it.
+	previous := s.View()
 	s.view.Store(fleetconfig.NewView(s.held))
 	close(s.viewChanged)
 	s.viewChanged = make(chan struct{})
@@ -257,6 +258,22 @@
 		s.offeringLeader = ""
 	}
 	s.config.Logger.Info("configuration in force", "version", version)
+	s.logEvacuations(previous)
 	s.signalAccepted()
 	s.triggerRound()
 }
+
+// logEvacuations logs the evacuations that came into force or ended with the current view.
+func (s *Service) logEvacuations(previous *fleetconfig.View) {
+	own := s.config.Self.FailureDomain
+	for _, domain := range s.View().Document().EvacuatedDomains {
+		if !previous.Evacuated(domain) {
+			s.config.Logger.Info("evacuation in force", "failure_domain", domain, "own", domain == own, "version", s.View().Version())
+		}
+	}
+	for _, domain := range previous.Document().EvacuatedDomains {
+		if !s.View().Evacuated(domain) {
+			s.config.Logger.Info("evacuation ended", "failure_domain", domain, "own", domain == own, "version", s.View().Version())
+		}
+	}
+}
--- a/ejection/service.go
+++ b/ejection/service.go
@@ -41,6 +41,8 @@
 	Caller transport.Caller
 	// View returns the current configuration.
 	View func() *fleetconfig.View
+	// FailureDomain is the failure domain of this instance.
+	FailureDomain fleetconfig.FailureDomain
 	// OnStateChange is called when a backend server is ejected, begins its trial or
 	// returns to service.
 	OnStateChange func(service fleetconfig.ServiceName, server fleetconfig.BackendServerID, from, to health.EjectionState)
@@ -59,6 +61,7 @@
 	shards        Shards
 	caller        transport.Caller
 	view          func() *fleetconfig.View
+	domain        fleetconfig.FailureDomain
 	onStateChange func(service fleetconfig.ServiceName, server fleetconfig.BackendServerID, from, to health.EjectionState)
 	// onDetect is called with mu held.
 	onDetect func(service fleetconfig.ServiceName, server fleetconfig.BackendServerID, took time.Duration)
@@ -81,6 +84,7 @@
 		shards:        config.Shards,
 		caller:        config.Caller,
 		view:          config.View,
+		domain:        config.FailureDomain,
 		onStateChange: config.OnStateChange,
 		onDetect:      config.OnDetect,
 		logger:        config.Logger,
@@ -114,8 +118,9 @@
 }
 
 func (s *Service) tick(ctx context.Context, now time.Time) {
-	policy := health.PolicyForPreset(s.view().ActivePreset())
-	for _, pending := range s.tickMonitors(policy, now) {
+	view := s.view()
+	policy := health.PolicyForPreset(view.ActivePreset())
+	for _, pending := range s.tickMonitors(policy, view.Evacuated(s.domain), now) {
 		for _, action := range pending.actions {
 			s.handleAction(&pending, action)
 		}
@@ -124,13 +129,14 @@
 }
 
 // tickMonitors ticks every monitor and returns the actions to handle.
-func (s *Service) tickMonitors(policy health.Policy, now time.Time) []serverActions {
+func (s *Service) tickMonitors(policy health.Policy, evacuated bool, now time.Time) []serverActions {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var pending []serverActions
 	for id, monitored := range s.servers {
 		monitored.mu.Lock()
 		monitored.monitor.SetPolicy(policy)
+		monitored.monitor.SetEvacuated(evacuated, now)
 		actions := monitored.monitor.Tick(now)
 		monitored.breaker.Tick(now)
 		took, detected := monitored.trackDetection(now)
--- a/ejection/watch_test.go
+++ b/ejection/watch_test.go
@@ -20,11 +20,19 @@
 	view := fleetconfig.NewView(&fleetconfig.Document{ActivePreset: "p", Presets: []fleetconfig.Preset{{Name: "p", SlowStart: slowStart}}})
 	return New(Config{
 		Self:   "i1",
+		Shards: noShards{},
 		View:   func() *fleetconfig.View { return view },
 		Logger: slog.New(slog.DiscardHandler),
 	}, http.NewServeMux())
 }
 
+// noShards knows no owner of any service.
+type noShards struct{}
+
+func (noShards) ServiceReplicas(fleetconfig.ServiceName) []fleetconfig.InstanceAddress { return nil }
+
+func (noShards) HoldsService(fleetconfig.ServiceName, time.Time) (uint64, bool) { return 0, false }
+
 // localServer returns the announcement of a backend server with the given start time and
 // end of warm-up.
 func localServer(startedUnixMilli int64, warmUpEndsAt time.Time) []backendproxy.LocalServer {
@@ -52,6 +60,33 @@
 	must.Less(t, 50, service.WeightPercent("b1", now.Add(4*time.Second)))
 }
 
+// The servers beside an instance are evacuated with its own failure domain only, and start
+// slowly when the evacuation ends.
+func TestWeightRampsUpAfterEvacuationOfOwnDomain(t *testing.T) {
+	now := time.Now()
+	service := newTestService()
+	service.domain = "fd1"
+	document := *service.view().Document()
+	evacuate := func(domains ...fleetconfig.FailureDomain) {
+		next := document
+		next.EvacuatedDomains = domains
+		view := fleetconfig.NewView(&next)
+		service.view = func() *fleetconfig.View { return view }
+	}
+	service.SetServers(localServer(1, now.Add(-time.Second)))
+	for _, step := range []struct {
+		domain fleetconfig.FailureDomain
+		weight int
+	}{{"fd2", 100}, {"fd1", 10}} {
+		evacuate(step.domain)
+		service.tick(t.Context(), now)
+		evacuate()
+		service.tick(t.Context(), now)
+		must.Eq(t, step.weight, service.WeightPercent("b1", now))
+		must.Eq(t, 100, service.WeightPercent("b1", now.Add(slowStart)))
+	}
+}
+
 // A restarted backend server must not inherit the failure probability of its previous
 // process.
 func TestSetServersDiscardsStateOfRestartedServer(t *testing.T) {
--- a/health/floor.go
+++ b/health/floor.go
@@ -18,7 +18,8 @@
 	// StatusEjected means that the server is ejected or on trial, or that a permit for its
 	// ejection may still be valid.
 	StatusEjected
-	// StatusDraining means that the server is leaving.
+	// StatusDraining means that the server is leaving, or that its failure domain is
+	// evacuated. Either way it gets no new requests.
 	StatusDraining
 )
 
--- a/health/monitor.go
+++ b/health/monitor.go
@@ -74,6 +74,8 @@
 	detector *Detector
 	state    EjectionState
 	draining bool
+	// evacuated says that the server's failure domain is evacuated.
+	evacuated bool
 
 	incarnation     uint64
 	reportSequence  uint64
@@ -132,6 +134,20 @@
 // SetDraining records that the server is draining.
 func (m *Monitor) SetDraining() { m.draining = true }
 
+// SetEvacuated records whether the server's failure domain is evacuated. An evacuated server is
+// not ejected, since it gets no requests. When the evacuation ends, the server starts slowly, as
+// after an ejection: it may have become cold in the meantime.
+func (m *Monitor) SetEvacuated(evacuated bool, now time.Time) {
+	if m.evacuated && !evacuated && m.state == StateInService {
+		m.inServiceSince = now
+		m.goodOutcomes = 0
+		if !m.warmUpEndsAt.After(now) {
+			m.warmUpEndsAt = time.Time{}
+		}
+	}
+	m.evacuated = evacuated
+}
+
 // SetEndpointHealth records whether the server's health endpoint reports it healthy.
 func (m *Monitor) SetEndpointHealth(healthy bool) { m.detector.SetEndpointHealth(healthy) }
 
@@ -172,8 +188,8 @@
 }
 
 // slowStart returns the length of the current slow start: the warm-up that the server
-// announced after its start. If the server announced none, or after an ejection, it is
-// Policy.SlowStart.
+// announced after its start. If the server announced none, or after an ejection or an
+// evacuation, it is Policy.SlowStart.
 func (m *Monitor) slowStart() time.Duration {
 	if m.warmUpEndsAt.IsZero() {
 		return m.policy.SlowStart
@@ -209,7 +225,7 @@
 // Status returns the monitor's assessment of its server.
 func (m *Monitor) Status() Status {
 	switch {
-	case m.draining:
+	case m.draining || m.evacuated:
 		return StatusDraining
 	case m.state != StateInService:
 		return StatusEjected
@@ -235,7 +251,7 @@
 }
 
 func (m *Monitor) tickInService(now time.Time, actions []Action) []Action {
-	if !m.policy.EjectionEnabled || m.draining || !m.detector.Alarm() {
+	if !m.policy.EjectionEnabled || m.draining || m.evacuated || !m.detector.Alarm() {
 		return actions
 	}
 	return m.requestPermit(now, actions)
--- a/health/monitor_permit.go
+++ b/health/monitor_permit.go
@@ -40,7 +40,7 @@
 		m.permitID, m.permitExpires = id, expires
 		return nil
 	}
-	if now.Sub(m.lastRequestAt) > grantTimeout || !m.detector.Alarm() || m.draining {
+	if now.Sub(m.lastRequestAt) > grantTimeout || !m.detector.Alarm() || m.draining || m.evacuated {
 		return []Action{ReleasePermit{ID: id}}
 	}
 	m.permitID, m.permitExpires = id, expires
--- a/ingress/forwarded.go
+++ b/ingress/forwarded.go
@@ -56,8 +56,8 @@
 	if exchange.Account != "" {
 		header.Set(pipeline.HeaderAccount, string(exchange.Account))
 		header.Set(pipeline.HeaderKeyID, string(exchange.KeyID))
-		header.Set(pipeline.HeaderConfigurationVersion, strconv.FormatUint(exchange.View.Version(), 10))
 	}
+	header.Set(pipeline.HeaderConfigurationVersion, strconv.FormatUint(exchange.View.Version(), 10))
 	if _, present := header["User-Agent"]; !present {
 		// An empty value stops the HTTP client from adding a default one.
 		header.Set("User-Agent", "")
--- a/node/adapter.go
+++ b/node/adapter.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"github.com/hemlockring/hemlockring/backendproxy"
 	"github.com/hemlockring/hemlockring/clock"
 	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/membership"
 	"github.com/hemlockring/hemlockring/settings"
 )
 
@@ -38,6 +41,18 @@
 	return n.forwarder.Propose(ctx, command)
 }
 
+// KnowsDomain reports whether an instance that this instance knows, dead ones included, is in
+// the failure domain.
+func (n *Node) KnowsDomain(domain fleetconfig.FailureDomain) bool {
+	return slices.ContainsFunc(n.members.Snapshot().Members, func(member membership.Member) bool {
+		return member.Record.FailureDomain == domain
+	})
+}
+
+// MayBeDelayed reports whether a call that is handled now may have waited through a pause of
+// the process.
+func (n *Node) MayBeDelayed(now time.Time) bool { return n.pauseDetector.MayBeDelayed(now) }
+
 // Source returns the text of the latest complete configuration that operators sent; see
 // configsync.SourceReader. It must be called on control instances only.
 func (n *Node) Source(ctx context.Context) ([]byte, error) {
--- a/node/local.go
+++ b/node/local.go
@@ -87,6 +87,18 @@
 		return n.backendProxy.Statistics().RepeatRefusals
 	})
 	n.metrics.RegisterGauge("backend_repeat_credit", "Repeats that the backend servers beside this instance may receive now.", n.registry.RepeatCredit)
+	n.metrics.RegisterCounter("backend_evacuation_refusals", "Requests refused because the failure domain of this instance is evacuated.", func() uint64 {
+		return n.backendProxy.Statistics().EvacuationRefusals
+	})
+	n.metrics.RegisterGauge("evacuated", "1 while the failure domain of this instance is evacuated, otherwise 0.", func() float64 {
+		if n.configuration.View().Evacuated(n.settings.Instance.FailureDomain) {
+			return 1
+		}
+		return 0
+	})
+	n.metrics.RegisterGauge("evacuated_domains", "Failure domains that are evacuated according to the configuration of this instance.", func() float64 {
+		return float64(len(n.configuration.View().Document().EvacuatedDomains))
+	})
 	n.metrics.RegisterGauge("backend_advertised_rate", "Sum of the rates that backend servers advertise, in requests per second.", func() float64 {
 		sum, _ := n.registry.AdvertisedRate()
 		return sum
--- a/node/node.go
+++ b/node/node.go
@@ -215,6 +215,7 @@
 		Shards:        n.quota,
 		Caller:        n.endpoint,
 		View:          n.configuration.View,
+		FailureDomain: n.settings.Instance.FailureDomain,
 		OnStateChange: n.handleServerStateChange,
 		OnDetect:      n.recordDetection,
 		Logger:        n.logger,
@@ -234,6 +235,7 @@
 	n.backendProxy = backendproxy.New(backendproxy.Config{
 		Registry:       n.registry,
 		View:           n.configuration.View,
+		FailureDomain:  n.settings.Instance.FailureDomain,
 		PauseDetector:  n.pauseDetector,
 		HealthMonitor:  n.ejection,
 		Clock:          quota.NewDispatchClock(rand.Uint64(), clock.Now()),
--- a/pipeline/refusal.go
+++ b/pipeline/refusal.go
@@ -27,6 +27,7 @@
 	KindBusy                    RefusalKind = "busy"
 	KindServerSuspect           RefusalKind = "backend-server-doubtful"
 	KindDraining                RefusalKind = "draining"
+	KindEvacuated               RefusalKind = "failure-domain-evacuated"
 	KindServerRateLimited       RefusalKind = "backend-server-rate-limited"
 	KindDeadlinePassed          RefusalKind = "deadline-passed"
 	KindCanceled                RefusalKind = "canceled"
--- a/selection/selector.go
+++ b/selection/selector.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hemlockring/hemlockring/backendproxy"
@@ -39,6 +40,10 @@
 	config Config
 	paths  *pathMonitors
 
+	// learned holds evacuations that are not in the configuration of this ingress yet. It is
+	// written with mu held.
+	learned atomic.Pointer[learnedEvacuations]
+
 	mu       sync.Mutex
 	services map[fleetconfig.ServiceName]*servicePool
 }
@@ -48,8 +53,10 @@
 	mu   sync.Mutex
 	pool *balance.Pool
 	// hosted holds the backend servers of the pool; the indexes are those of the pool.
-	hosted           []gossip.HostedServer
-	snapshot         *gossip.Snapshot
+	hosted   []gossip.HostedServer
+	snapshot *gossip.Snapshot
+	// evacuated holds the domains whose servers are not in the pool.
+	evacuated        []fleetconfig.FailureDomain
 	refreshedAt      time.Time
 	failureEstimates map[balance.BackendID]failureEstimate
 	statements       map[balance.BackendID]*statement
@@ -179,6 +186,11 @@
 			service.recordLoad(backendID(attempt.Candidate), &reported, true, now)
 		}
 	}
+	if attempt.Refusal == pipeline.KindEvacuated && service.snapshot != nil {
+		if member := service.snapshot.Member(attempt.Candidate.Instance); member != nil {
+			s.learnEvacuation(member.Record.FailureDomain, now)
+		}
+	}
 	if known := service.statements[backendID(attempt.Candidate)]; known != nil && attempt.Candidate.MaxRateWait > 0 {
 		known.recordOverRate(attempt.Refusal != "", now)
 	}
@@ -241,14 +253,16 @@
 	return service
 }
 
-// refresh updates the pool from the latest membership snapshot and recomputes the
-// exclusions. The caller must hold the pool's lock.
+// refresh updates the pool from the latest membership snapshot and the evacuated domains, and
+// recomputes the exclusions. Servers in an evacuated domain are not in the pool, so that no way
+// of picking a server finds them. The caller must hold the pool's lock.
 func (s *Selector) refresh(service *servicePool, name fleetconfig.ServiceName, now time.Time) {
 	snapshot := s.config.Members()
-	if snapshot != service.snapshot {
-		service.snapshot = snapshot
-		service.hosted = subset(snapshot, name)
-		service.pool.Set(poolBackends(snapshot, service.hosted))
+	evacuated := s.evacuatedDomains(now)
+	if snapshot != service.snapshot || !slices.Equal(evacuated, service.evacuated) {
+		service.hosted = subset(snapshot, name, evacuated)
+		service.pool.Set(poolBackends(snapshot, service.hosted, service.evacuated))
+		service.snapshot, service.evacuated = snapshot, evacuated
 	} else if now.Sub(service.refreshedAt) < refreshInterval {
 		return
 	}
@@ -293,15 +307,21 @@
 	return reasons
 }
 
-func poolBackends(snapshot *gossip.Snapshot, hosted []gossip.HostedServer) []balance.Backend {
+// poolBackends returns the backend servers for the pool. Those in the domains that were evacuated
+// until now start at returnWeight.
+func poolBackends(snapshot *gossip.Snapshot, hosted []gossip.HostedServer, returning []fleetconfig.FailureDomain) []balance.Backend {
 	self := snapshot.Member(snapshot.Self)
 	backends := make([]balance.Backend, 0, len(hosted))
 	for _, server := range hosted {
+		weight := 1.0
+		if inDomains(server, returning) {
+			weight = returnWeight
+		}
 		backends = append(backends, balance.Backend{
 			ID:     hostedID(server),
 			Tier:   tierBetween(&self.Record, &server.Member.Record),
 			Slots:  server.Server.Slots,
-			Weight: 1,
+			Weight: weight,
 		})
 	}
 	return backends
--- a/selection/subset.go
+++ b/selection/subset.go
@@ -22,11 +22,11 @@
 )
 
 // subset returns the backend servers of a service that this ingress uses: all servers of
-// a small service, otherwise subsetSize servers. As many of these as maxNearServers
+// a small service, otherwise subsetSize servers, none of them in an evacuated domain. As many of these as maxNearServers
 // allows are of the ingress's own failure domain, since traffic between domains costs
 // most.
-func subset(snapshot *gossip.Snapshot, name fleetconfig.ServiceName) []gossip.HostedServer {
-	hosted := snapshot.Servers(name)
+func subset(snapshot *gossip.Snapshot, name fleetconfig.ServiceName, evacuated []fleetconfig.FailureDomain) []gossip.HostedServer {
+	hosted := serversInService(snapshot, name, evacuated)
 	if len(hosted) <= subsetSize {
 		return hosted
 	}
--- a/selection/subset_test.go
+++ b/selection/subset_test.go
@@ -37,7 +37,7 @@
 		coverage := make(map[fleetconfig.InstanceID]int)
 		for i := range members {
 			self := &members[i].Record
-			hosted := subset(gossip.NewSnapshot(self.ID, members), "catalogue")
+			hosted := subset(gossip.NewSnapshot(self.ID, members), "catalogue", nil)
 			must.Len(t, subsetSize, hosted)
 			near := 0
 			for _, server := range hosted {
