hemlockctl evacuate; status shows evacuations

Change: hemlockctl evacuate DOMAIN [--end] for the role operator, with a warning when no instance of the domain is known; evacuated_domains in GET /v1/status and hemlockctl status. Result: go test ./internal/ctl ./admin ./platform passes.

--- a/admin/api/api.go
+++ b/admin/api/api.go
@@ -86,6 +86,8 @@
 	Services int `json:"services"`
 	Presets  int `json:"presets"`
 	Holders  int `json:"holders"`
+	// EvacuatedDomains are the failure domains whose backend servers get no new requests.
+	EvacuatedDomains []fleetconfig.FailureDomain `json:"evacuated_domains,omitempty"`
 }
 
 // Key is an API key without its hash.
@@ -104,7 +106,8 @@
 	// the same id are not made twice. The response is the same while the result of the
 	// first request is stored, and a conflict later.
 	ChangeID string `json:"change_id"`
-	// BaseVersion is the version that the changes are based on.
+	// BaseVersion is the version that the changes are based on. It is not used if the
+	// changes only start and end evacuations.
 	BaseVersion uint64 `json:"base_version"`
 	// Changes are made all together or not at all.
 	Changes []fleetconfig.Change `json:"changes"`
--- a/admin/operator.go
+++ b/admin/operator.go
@@ -18,7 +18,8 @@
 const (
 	// RoleViewer may read.
 	RoleViewer Role = iota + 1
-	// RoleOperator may also change accounts, keys, routes, services and presets.
+	// RoleOperator may also change accounts, keys, routes, services and presets, and
+	// evacuate failure domains.
 	RoleOperator
 	// RoleAdministrator may also change holders and shards, which are described at
 	// fleetconfig.Document, and replace the whole configuration.
@@ -91,7 +92,8 @@
 			fleetconfig.GiveKey, fleetconfig.WithdrawKey,
 			fleetconfig.CreateRoute, fleetconfig.UpdateRoute, fleetconfig.RemoveRoute,
 			fleetconfig.CreateService, fleetconfig.UpdateService, fleetconfig.RemoveService,
-			fleetconfig.CreatePreset, fleetconfig.UpdatePreset, fleetconfig.RemovePreset, fleetconfig.UsePreset:
+			fleetconfig.CreatePreset, fleetconfig.UpdatePreset, fleetconfig.RemovePreset, fleetconfig.UsePreset,
+			fleetconfig.EvacuateDomain, fleetconfig.EndEvacuation:
 		default:
 			return RoleAdministrator
 		}
--- a/admin/server.go
+++ b/admin/server.go
@@ -169,6 +169,8 @@
 		Services:      len(document.Services),
 		Presets:       len(document.Presets),
 		Holders:       len(document.Holders),
+
+		EvacuatedDomains: document.EvacuatedDomains,
 	}
 }
 
--- a/internal/ctl/args.go
+++ b/internal/ctl/args.go
@@ -26,6 +26,7 @@
 	Apply      *FileCommand       `arg:"subcommand:apply" help:"apply a configuration file to the fleet"`
 	Diff       *FileCommand       `arg:"subcommand:diff" help:"show what apply would change; exit with code 6 if there are changes"`
 	Resend     *FileCommand       `arg:"subcommand:resend" help:"resend a change whose outcome is unknown, from the file named in the error message"`
+	Evacuate   *EvacuateCommand   `arg:"subcommand:evacuate" help:"send no new requests to the backend servers of a failure domain, or take it back into service"`
 	Members    *MembersCommand    `arg:"subcommand:members" help:"show instances, their backend servers and network paths that fail in one direction"`
 	Control    *ControlCommand    `arg:"subcommand:control" help:"show the replicated log of the control instances or change its members"`
 	Quarantine *QuarantineCommand `arg:"subcommand:quarantine" help:"list requests that crash backend servers or let one run again"`
@@ -56,6 +57,12 @@
 	File string `arg:"positional,required" placeholder:"FILE"`
 }
 
+// EvacuateCommand holds the arguments of "hemlockctl evacuate".
+type EvacuateCommand struct {
+	Domain string `arg:"positional,required" help:"name of the failure domain"`
+	End    bool   `arg:"--end" help:"take the failure domain back into service"`
+}
+
 // AccountCommand holds the subcommands of "hemlockctl account".
 type AccountCommand struct {
 	List   *ListCommand       `arg:"subcommand:list" help:"list the accounts"`
--- a/internal/ctl/configuration.go
+++ b/internal/ctl/configuration.go
@@ -30,6 +30,9 @@
 	s.printf("version %d\npreset in force %s\ncurrent %v\naccounts %d\nkeys %d\nroutes %d\nservices %d\npresets %d\nholders %d\n",
 		status.Version, status.PresetInForce, status.Current, status.Accounts, status.Keys, status.Routes,
 		status.Services, status.Presets, status.Holders)
+	for _, domain := range status.EvacuatedDomains {
+		s.printf("evacuated failure domain %s\n", domain)
+	}
 	return nil
 }
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -60,9 +60,10 @@
 
 func newCLI(t *testing.T) (*cli, *fakeFleet) {
 	f := &fakeFleet{replica: configsync.NewReplica(), changed: make(chan struct{})}
+	members := func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`[{"failure_domain":"a"}]`)) }
 	handler := admin.NewHandler(admin.Config{Configuration: f, Proposer: f, History: f, Operators: []admin.Operator{
 		{Name: "olga", Role: admin.RoleOperator, TokenHash: admin.HashToken("secret")},
-	}})
+	}, Resources: []admin.Resource{{Pattern: "GET /v1/members", Role: admin.RoleViewer, Handler: members}}})
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if f.dropResponses.Load() && r.Method == http.MethodPost {
 			handler.ServeHTTP(httptest.NewRecorder(), r)
@@ -98,6 +99,24 @@
 	return stdout
 }
 
+// An evacuation is accepted whatever version the configuration has, and repeating it changes
+// nothing.
+func TestEvacuateCommand(t *testing.T) {
+	c, _ := newCLI(t)
+	c.expect(ExitOK, "account set shop --rate 5 --burst 2", "version 1 is accepted")
+	c.expect(ExitOK, "evacuate a", "version 2 is accepted")
+	c.expect(ExitOK, "evacuate a", "version 2 is accepted")
+	c.expect(ExitOK, "evacuate b", "no instance in failure domain b is known")
+	c.expect(ExitOK, "status", "evacuated failure domain a\nevacuated failure domain b\n")
+	c.expect(ExitOK, "--json status", `"evacuated_domains": [`)
+	c.expect(ExitRefused, "evacuate a/b", "not allowed")
+	c.expect(ExitOK, "evacuate a --end", "version 4 is accepted")
+	c.expect(ExitOK, "evacuate b --end", "version 5 is accepted")
+	_, stdout, _ := c.run("status")
+	must.StrNotContains(t, stdout, "evacuated")
+	c.expect(ExitOK, "history", "end-evacuation b")
+}
+
 func TestCommandsChangeAndListConfiguration(t *testing.T) {
 	c, f := newCLI(t)
 	c.expect(ExitOK, "account set shop --rate 5 --burst 2", "version 1 is accepted")
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -66,7 +66,8 @@
 	return s.runItemCommand(ctx, commands)
 }
 
-// runItemCommand runs the commands that list, set and remove accounts, routes or services.
+// runItemCommand runs the commands that list, set and remove accounts, routes or services, or
+// evacuate a failure domain.
 func (s *session) runItemCommand(ctx context.Context, commands *Commands) error {
 	switch {
 	case commands.Account != nil:
@@ -75,6 +76,8 @@
 		return s.route(ctx, commands.Route)
 	case commands.Service != nil:
 		return s.service(ctx, commands.Service)
+	case commands.Evacuate != nil:
+		return s.evacuate(ctx, commands.Evacuate)
 	}
 	return &UsageError{Message: "no command given; see hemlockctl --help"}
 }
