--- a/node/node.go
+++ b/node/node.go
@@ -221,6 +221,7 @@
 		Shards:        n.quota,
 		Caller:        n.endpoint,
 		View:          n.configuration.View,
+		FailureDomain: n.settings.Instance.FailureDomain,
 		OnStateChange: n.handleServerStateChange,
 		OnDetect:      n.recordDetection,
 		Logger:        n.logger,
@@ -240,6 +241,7 @@
 	n.backendProxy = backendproxy.New(backendproxy.Config{
 		Registry:       n.registry,
 		View:           n.configuration.View,
+		FailureDomain:  n.settings.Instance.FailureDomain,
 		PauseDetector:  n.pauseDetector,
 		HealthMonitor:  n.ejection,
 		Clock:          quota.NewDispatchClock(n.incarnation, n.startedAt),
