Cold servers: the proxy beside a server limits its starts to the cold rate of its service

Change: fleetconfig.Service 5 and 6 (cold rate, cold start), Preset 13 and 14 (overage, slack), from the platform's columns and bounds. throttle keeps a second limit beside the advertised rate: a token bucket at the cold rate that starts empty, and a count of the starts of the last second, also of those before the server was known to be cold. A proxy that has restarted sends a cold server nothing in its first second. A server that had no request for a second counts as cold until its next check-in. Ingresses learn the limit as that of an advertised rate, flagged (membership.ServerLoad 11, Server 12), and do not send it back as a known rate. hemlockctl members and backend_cold_servers show it. Off for services without a cold rate. Measured: go test ./throttle ./backendproxy ./selection ./platform ./fleetconfig/... ./queue ./membership ./gossip ./internal/ctl pass.

--- a/backendproxy/admission.go
+++ b/backendproxy/admission.go
@@ -160,6 +160,34 @@
 	a.queue.SetRateOverage(share, clock.Now())
 }
 
+// setColdLimit sets the limit that holds while the server is cold.
+func (a *admissionQueue) setColdLimit(limit throttle.ColdLimit, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.deliver(a.queue.SetColdLimit(limit, now))
+}
+
+// setKnownSince sets since when all requests that were sent to the server have passed the queue.
+func (a *admissionQueue) setKnownSince(since time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue.SetKnownSince(since)
+}
+
+// setColdUntil records the server's statement that it is cold until the given time.
+func (a *admissionQueue) setColdUntil(until, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.deliver(a.queue.SetColdUntil(until, now))
+}
+
+// statedRate returns the rate limit that the server has stated.
+func (a *admissionQueue) statedRate() throttle.State {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.queue.StatedRate(clock.Now())
+}
+
 // withheldSlots returns how many slots stay unused because of the rate limit.
 func (a *admissionQueue) withheldSlots() uint32 {
 	a.mu.Lock()
--- a/backendproxy/load.go
+++ b/backendproxy/load.go
@@ -30,11 +30,14 @@
 const (
 	statusLeaving = "leaving/"
 	statusUnknown = "unknown"
+	// statusCold follows the rate of a server that is cold.
+	statusCold = "/cold"
 )
 
 // formatStatus encodes the advertised rate and the exit of the load as a value of
 // HeaderServerStatus: "leaving" and the start of the process in Unix milliseconds, or the
-// rate in thousandths of a request per second and the wait in milliseconds.
+// rate in thousandths of a request per second and the wait in milliseconds, with statusCold
+// for a cold server.
 func (l Load) formatStatus() string {
 	switch {
 	case l.Leaving:
@@ -42,7 +45,11 @@
 	case !l.Rate.Known:
 		return statusUnknown
 	case l.Rate.Limited:
-		return fmt.Sprintf("%d/%d", membership.MilliRateOf(l.Rate.PerSecond), min(l.Rate.Wait, maxReportedWait).Milliseconds())
+		status := fmt.Sprintf("%d/%d", membership.MilliRateOf(l.Rate.PerSecond), min(l.Rate.Wait, maxReportedWait).Milliseconds())
+		if l.Rate.Cold {
+			status += statusCold
+		}
+		return status
 	default:
 		return ""
 	}
@@ -66,10 +73,11 @@
 	const fields = 2
 	var rate membership.MilliRate
 	var wait uint32
+	text, cold := strings.CutSuffix(text, statusCold)
 	if n, err := fmt.Sscanf(text, "%d/%d", &rate, &wait); err != nil || n != fields {
 		return false
 	}
-	l.Rate = throttle.State{Known: true, Limited: true, PerSecond: rate.PerSecond(), Wait: time.Duration(wait) * time.Millisecond}
+	l.Rate = throttle.State{Known: true, Limited: true, PerSecond: rate.PerSecond(), Wait: time.Duration(wait) * time.Millisecond, Cold: cold}
 	return true
 }
 
@@ -129,6 +137,7 @@
 		WaitMillis:                uint32(min(l.Rate.Wait, maxReportedWait).Milliseconds()),
 		Leaving:                   l.Leaving,
 		LeavingProcess:            l.LeavingProcess,
+		Cold:                      l.Rate.Cold,
 	}
 }
 
--- a/backendproxy/registry.go
+++ b/backendproxy/registry.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hemlockring/hemlockring/clock"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/membership"
 	"github.com/hemlockring/hemlockring/retry"
@@ -53,6 +54,15 @@
 	sent uint64
 	// repeats limits the repeats that the server receives.
 	repeats retry.RepeatBudget
+	// coldLimit is the limit on the rate of requests while the server is cold.
+	coldLimit throttle.ColdLimit
+	// processStartedAt is when the process started, or when it first announced itself if it
+	// does not report its start.
+	processStartedAt time.Time
+	// statesColdness says that the server has stated how long it stays cold, coldUntil until
+	// when.
+	statesColdness bool
+	coldUntil      time.Time
 	// publishedRate is the state of the rate limit that was last published.
 	publishedRate throttle.State
 }
@@ -80,6 +90,9 @@
 type Registry struct {
 	onChange func([]LocalServer)
 	limits   Limits
+	// createdAt is when the registry was created. A former process of this instance may have
+	// sent requests before.
+	createdAt time.Time
 	// sent counts the requests for which a slot was assigned, rateRefusals those refused
 	// because of an advertised rate, leavingServers the servers that stated that they are
 	// leaving.
@@ -106,6 +119,9 @@
 	// RateOverage returns by how much the rate that a backend server advertises may be
 	// exceeded, as a share of it, for requests that no other server can run at once.
 	RateOverage() float64
+	// ColdLimit returns the limit on the rate of requests to a backend server of the service
+	// while it is cold, or the zero value if there is none.
+	ColdLimit(service fleetconfig.ServiceName) throttle.ColdLimit
 	// RepeatLimits returns the limits on the repeats that each backend server of the service
 	// receives, and false if there are none.
 	RepeatLimits(service fleetconfig.ServiceName) (retry.RepeatLimits, bool)
@@ -116,10 +132,11 @@
 // registry. It may be nil.
 func NewRegistry(onChange func([]LocalServer), limits Limits) *Registry {
 	return &Registry{
-		onChange: onChange,
-		limits:   limits,
-		servers:  make(map[fleetconfig.BackendServerID]*Server),
-		departed: make(map[fleetconfig.BackendServerID]departure),
+		onChange:  onChange,
+		limits:    limits,
+		createdAt: clock.Now(),
+		servers:   make(map[fleetconfig.BackendServerID]*Server),
+		departed:  make(map[fleetconfig.BackendServerID]departure),
 	}
 }
 
@@ -167,13 +184,14 @@
 	case draining && !server.draining:
 		server.admission.leave()
 	case !draining && server.draining:
-		server.admission = newAdmissionQueue(int(r.effectiveSlots(&announcement)), r.limits.QueueLength())
+		server.setAdmission(newAdmissionQueue(int(r.effectiveSlots(&announcement)), r.limits.QueueLength()), now)
 	}
 	changed = changed || server.Announcement.differs(&announcement) || server.draining != draining
 	server.Announcement = announcement
 	server.effectiveSlots = r.effectiveSlots(&announcement)
 	server.draining = draining
 	server.expiresAt = now.Add(time.Duration(announcement.LifetimeMillis) * time.Millisecond)
+	changed = r.recordColdness(server, now) || changed
 	if changed {
 		r.publish()
 	}
@@ -187,14 +205,20 @@
 		ID:               id,
 		firstAnnouncedAt: now,
 		warmUpEndsAt:     announcement.warmUpEndsAt(now),
+		processStartedAt: announcement.processStartedAt(now),
 		admission:        newAdmissionQueue(int(r.effectiveSlots(announcement)), r.limits.QueueLength()),
 	}
+	knownSince := r.createdAt
 	if departed, found := r.departed[id]; found {
+		if !departed.endedBefore(announcement) {
+			knownSince = departed.at
+		}
 		server.replacesProcess = departed.endedBefore(announcement)
 		if !departed.leavingStatedAt.IsZero() && departed.last.ProcessStartUnixMilli == announcement.ProcessStartUnixMilli {
 			server.leaving, server.leavingStatedAt = true, departed.leavingStatedAt
 		}
 	}
+	server.admission.setKnownSince(knownSince)
 	r.servers[id] = server
 	return server
 }
@@ -330,6 +354,7 @@
 		server.effectiveSlots = slots
 		server.admission.setLimits(int(slots), length)
 		server.admission.setRateOverage(overage)
+		changed = r.applyColdLimit(server, now) || changed
 		server.admission.tick(now)
 	}
 	if changed {
@@ -358,7 +383,7 @@
 		if server.draining {
 			state = membership.ServerDraining
 		}
-		rate := server.admission.load().Rate
+		rate := server.admission.statedRate()
 		server.publishedRate = rate
 		servers = append(servers, LocalServer{WarmUpEndsAt: server.warmUpEndsAt, Server: membership.Server{
 			ID:                    server.ID,
@@ -372,6 +397,7 @@
 			MilliRate:             membership.MilliRateOf(rate.PerSecond),
 			Withheld:              server.admission.withheldSlots(),
 			Leaving:               server.leaving,
+			Cold:                  rate.Cold,
 		}})
 	}
 	slices.SortFunc(servers, func(a, b LocalServer) int { return cmp.Compare(a.ID, b.ID) })
--- a/backendproxy/registry_test.go
+++ b/backendproxy/registry_test.go
@@ -10,6 +10,7 @@
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/membership"
 	"github.com/hemlockring/hemlockring/retry"
+	"github.com/hemlockring/hemlockring/throttle"
 )
 
 // testRegistry is a registry together with the servers that it last published.
@@ -30,6 +31,7 @@
 	maxConnections uint32
 	// repeats limits repeats, unless it is zero.
 	repeats retry.RepeatLimits
+	cold    throttle.ColdLimit
 }
 
 func (*testLimits) QueueLength() int { return 8 }
@@ -38,6 +40,8 @@
 
 func (l *testLimits) MaxConnections(fleetconfig.ServiceName) uint32 { return l.maxConnections }
 
+func (l *testLimits) ColdLimit(fleetconfig.ServiceName) throttle.ColdLimit { return l.cold }
+
 func (l *testLimits) RepeatLimits(fleetconfig.ServiceName) (retry.RepeatLimits, bool) {
 	return l.repeats, l.repeats != retry.RepeatLimits{}
 }
--- a/backendproxy/slots.go
+++ b/backendproxy/slots.go
@@ -94,10 +94,10 @@
 }
 
 // AdvertisedRate returns the sum of the rates that the backend servers advertise, in
-// requests per second, and how many of them advertise one.
+// requests per second, and how many of them advertise one. Cold servers are left out.
 func (r *Registry) AdvertisedRate() (perSecond float64, limited int) {
 	for _, load := range r.loads() {
-		if load.Rate.Limited {
+		if load.Rate.Limited && !load.Rate.Cold {
 			perSecond += load.Rate.PerSecond
 			limited++
 		}
--- a/backendproxy/status.go
+++ b/backendproxy/status.go
@@ -118,8 +118,8 @@
 // rateChangedSincePublished reports whether the rate limit differs from the published one
 // so much that the fleet is told about it.
 func (s *Server) rateChangedSincePublished() bool {
-	rate := s.admission.load().Rate
-	if rate.Limited != s.publishedRate.Limited {
+	rate := s.admission.statedRate()
+	if rate.Limited != s.publishedRate.Limited || rate.Cold != s.publishedRate.Cold {
 		return true
 	}
 	return math.Abs(rate.PerSecond-s.publishedRate.PerSecond) >= minPublishedRateChange*s.publishedRate.PerSecond
--- a/fleetconfig/document.go
+++ b/fleetconfig/document.go
@@ -217,6 +217,12 @@
 	// MaxConnections is the maximum number of connections that one backend server of
 	// the service accepts, summed over all callers. Zero means that no limit is set.
 	MaxConnections uint32 `cbor:"4,keyasint,omitempty" json:"max_connections,omitempty"`
+	// ColdRate is the rate, in requests per second from all ingresses together, that a
+	// backend server of the service tolerates while it is cold, that is, while it warms up.
+	// Zero means that a cold server tolerates any rate.
+	ColdRate float64 `cbor:"5,keyasint,omitempty" json:"cold_rate,omitempty"`
+	// ColdStart is how long a backend server of the service is cold after it starts.
+	ColdStart time.Duration `cbor:"6,keyasint,omitempty" json:"cold_start,omitempty"`
 }
 
 // Preset is a set of policies for one operating condition, such as peak load or
@@ -249,6 +255,12 @@
 	// be exceeded, in percent of it, for requests that no other backend server can run
 	// at once. With zero such requests are refused.
 	RateOveragePercent uint32 `cbor:"12,keyasint,omitempty" json:"rate_overage_percent,omitempty"`
+	// ColdOverage and ColdSlack bound the requests that a cold backend server gets in one
+	// second: at most ColdOverage times its cold rate, and ColdSlack requests more. They
+	// leave room for requests that were sent before the server was known to be cold. An
+	// overage below 1 counts as 1.
+	ColdOverage float64 `cbor:"13,keyasint,omitempty" json:"cold_overage,omitempty"`
+	ColdSlack   uint32  `cbor:"14,keyasint,omitempty" json:"cold_slack,omitempty"`
 	// HedgeAfter is the delay after which an idempotent request is sent to a second
 	// backend server. Zero disables hedging.
 	HedgeAfter time.Duration `cbor:"3,keyasint" json:"hedge_after"`
--- a/fleetconfig/validate.go
+++ b/fleetconfig/validate.go
@@ -30,6 +30,8 @@
 	maxSlowStart        = time.Hour
 	maxQuotaGracePeriod = time.Minute
 	maxRetryWindow      = 10 * time.Minute
+	maxColdStart        = time.Hour
+	maxColdOverage      = 100
 )
 
 // Validate returns the faults of a document: the first MaxFaults and, if there are
@@ -160,6 +162,11 @@
 		c.serviceNames[service.Name] = struct{}{}
 		c.name(subject, "name", string(service.Name))
 		c.percent(subject, "floor_percent", service.FloorPercent)
+		c.duration(subject, "cold_start", service.ColdStart, maxColdStart)
+		if !(service.ColdRate >= 0 && service.ColdRate <= maxRatePerSecond) {
+			c.add(subject, "cold_rate", fmt.Sprintf("%g is out of range", service.ColdRate),
+				fmt.Sprintf("use 0 to %d requests a second; 0 means that cold servers are not limited", maxRatePerSecond))
+		}
 	}
 }
 
@@ -191,14 +198,7 @@
 			c.add(subject, "retry_floor_per_second", fmt.Sprintf("%g is out of range", preset.RetryFloorPerSecond),
 				fmt.Sprintf("use 0 to %d retries a second", maxRatePerSecond))
 		}
-		if preset.QuotaSlack > maxBurst {
-			c.add(subject, "quota_slack", fmt.Sprintf("%d is out of range", preset.QuotaSlack),
-				fmt.Sprintf("use 0 to %d requests", maxBurst))
-		}
-		if preset.QueueLength > maxQueueLength {
-			c.add(subject, "queue_length", fmt.Sprintf("%d is out of range", preset.QueueLength),
-				fmt.Sprintf("use 0 to %d requests", maxQueueLength))
-		}
+		c.presetRequests(subject, preset)
 		if preset.Name == c.document.ActivePreset {
 			activeCount++
 		}
@@ -210,3 +210,23 @@
 			"use another preset before removing this one")
 	}
 }
+
+// presetRequests checks the fields of a preset that are numbers of requests or refer to them.
+func (c *validation) presetRequests(subject string, preset *Preset) {
+	if preset.QuotaSlack > maxBurst {
+		c.add(subject, "quota_slack", fmt.Sprintf("%d is out of range", preset.QuotaSlack),
+			fmt.Sprintf("use 0 to %d requests", maxBurst))
+	}
+	if preset.QueueLength > maxQueueLength {
+		c.add(subject, "queue_length", fmt.Sprintf("%d is out of range", preset.QueueLength),
+			fmt.Sprintf("use 0 to %d requests", maxQueueLength))
+	}
+	if !(preset.ColdOverage >= 0 && preset.ColdOverage <= maxColdOverage) {
+		c.add(subject, "cold_overage", fmt.Sprintf("%g is out of range", preset.ColdOverage),
+			fmt.Sprintf("use 0 to %d times the cold rate", maxColdOverage))
+	}
+	if preset.ColdSlack > maxBurst {
+		c.add(subject, "cold_slack", fmt.Sprintf("%d is out of range", preset.ColdSlack),
+			fmt.Sprintf("use 0 to %d requests", maxBurst))
+	}
+}
--- a/gossip/snapshot.go
+++ b/gossip/snapshot.go
@@ -60,7 +60,7 @@
 }
 
 // CountServers returns the number of known backend servers, how many of them are ejected,
-// and how many advertise a rate.
+// and how many that are not cold advertise a rate.
 func (s *Snapshot) CountServers() (known, ejected, limited int) {
 	for _, servers := range s.services {
 		known += len(servers)
@@ -68,7 +68,7 @@
 			if placed.Server.Ejected {
 				ejected++
 			}
-			if placed.Server.Limited {
+			if placed.Server.Limited && !placed.Server.Cold {
 				limited++
 			}
 		}
--- a/internal/ctl/operations.go
+++ b/internal/ctl/operations.go
@@ -62,6 +62,8 @@
 	Leaving  bool   `json:"leaving"`
 	// AdvertisedRate is in requests per second, or nil.
 	AdvertisedRate *float64 `json:"advertised_rate"`
+	// ColdRate is in requests per second, or nil.
+	ColdRate *float64 `json:"cold_rate"`
 }
 
 // members prints the member list of one control instance.
@@ -113,6 +115,9 @@
 		if server.AdvertisedRate != nil {
 			states = append(states, fmt.Sprintf("advertises %.1f requests/s", *server.AdvertisedRate))
 		}
+		if server.ColdRate != nil {
+			states = append(states, fmt.Sprintf("cold: at most %.1f requests/s", *server.ColdRate))
+		}
 		s.printf("    %-16s %-20s %3d slots %s\n", server.Server, server.Service, server.Slots, strings.Join(states, ", "))
 	}
 }
--- a/membership/load.go
+++ b/membership/load.go
@@ -18,9 +18,9 @@
 	// RateUnknown tells whether the proxy has seen no response of the server yet. The
 	// fields of the rate are then zero.
 	RateUnknown bool `cbor:"9,keyasint,omitempty"`
-	// Limited tells whether it advertises a rate of requests that it accepts.
+	// Limited tells whether it accepts only a rate of requests: it advertises one or is cold.
 	Limited bool `cbor:"5,keyasint,omitempty"`
-	// MilliRate is the advertised rate.
+	// MilliRate is this rate.
 	MilliRate MilliRate `cbor:"6,keyasint,omitempty"`
 	// WaitMillis is the time until the rate admits the next request, in
 	// milliseconds.
@@ -30,6 +30,9 @@
 	// LeavingProcess is the start time of the process that has stated it, in Unix
 	// milliseconds, zero if the server does not announce it.
 	LeavingProcess int64 `cbor:"10,keyasint,omitempty"`
+	// Cold tells whether it is cold, that is, warming up. MilliRate is then at most the rate
+	// that it tolerates meanwhile.
+	Cold bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Fan-out of load reports. The driver reports the loads several times a second. Each
--- a/membership/record.go
+++ b/membership/record.go
@@ -33,14 +33,17 @@
 	// ProcessStartUnixMilli is the start time of its process, as announced. It
 	// distinguishes restarts. Zero when it does not announce it.
 	ProcessStartUnixMilli int64 `cbor:"7,keyasint,omitempty"`
-	// Limited tells whether it advertises a rate of requests that it accepts.
+	// Limited tells whether it accepts only a rate of requests: it advertises one or is cold.
 	Limited bool `cbor:"8,keyasint,omitempty"`
-	// MilliRate is the advertised rate.
+	// MilliRate is this rate.
 	MilliRate MilliRate `cbor:"9,keyasint,omitempty"`
 	// Withheld is the number of slots that stay unused because of this rate.
 	Withheld uint32 `cbor:"10,keyasint,omitempty"`
 	// Leaving tells whether it has stated in a response that it is leaving.
 	Leaving bool `cbor:"11,keyasint,omitempty"`
+	// Cold tells whether it is cold, that is, warming up. MilliRate is then at most the rate
+	// that it tolerates meanwhile.
+	Cold bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Record is an instance's announcement of itself. Only the instance itself creates
--- a/node/admin.go
+++ b/node/admin.go
@@ -72,6 +72,9 @@
 	// AdvertisedRate is the rate that the server advertises, in requests per second, or nil
 	// if it advertises none.
 	AdvertisedRate *float64 `json:"advertised_rate,omitempty"`
+	// ColdRate is the rate that the server, which is cold, is sent at most, in requests per
+	// second, or nil if it is not cold.
+	ColdRate *float64 `json:"cold_rate,omitempty"`
 }
 
 // newServerView returns the description of a backend server.
@@ -86,7 +89,11 @@
 	}
 	if server.Limited {
 		rate := server.MilliRate.PerSecond()
-		view.AdvertisedRate = &rate
+		if server.Cold {
+			view.ColdRate = &rate
+		} else {
+			view.AdvertisedRate = &rate
+		}
 	}
 	return view
 }
--- a/node/local.go
+++ b/node/local.go
@@ -95,6 +95,9 @@
 		_, limited := n.registry.AdvertisedRate()
 		return float64(limited)
 	})
+	n.metrics.RegisterGauge("backend_cold_servers", "Backend servers that are cold and limited to the cold rate of their service.", func() float64 {
+		return float64(n.registry.ColdServers())
+	})
 }
 
 // registerRetryMetrics registers the metrics of the ingress's retry budgets.
--- a/node/node.go
+++ b/node/node.go
@@ -36,6 +36,7 @@
 	"github.com/hemlockring/hemlockring/settings"
 	"github.com/hemlockring/hemlockring/shard"
 	"github.com/hemlockring/hemlockring/shardkeeper"
+	"github.com/hemlockring/hemlockring/throttle"
 	"github.com/hemlockring/hemlockring/transport"
 )
 
@@ -293,6 +294,21 @@
 	return retry.RepeatLimitsOf(l.configuration.View().ActivePreset(), len(l.members.Snapshot().Servers(service)))
 }
 
+// ColdLimit implements backendproxy.Limits.
+func (l serverLimits) ColdLimit(name fleetconfig.ServiceName) throttle.ColdLimit {
+	view := l.configuration.View()
+	service := view.Service(name)
+	if service == nil {
+		return throttle.ColdLimit{}
+	}
+	preset := view.ActivePreset()
+	return throttle.ColdLimit{
+		PerSecond: service.ColdRate,
+		Bound:     service.ColdRate*max(1, preset.ColdOverage) + float64(preset.ColdSlack),
+		Start:     service.ColdStart,
+	}
+}
+
 // MaxConnections implements backendproxy.Limits.
 func (l serverLimits) MaxConnections(name fleetconfig.ServiceName) uint32 {
 	if service := l.configuration.View().Service(name); service != nil {
--- a/queue/rate.go
+++ b/queue/rate.go
@@ -26,6 +26,27 @@
 	return true, q.applyRate(now)
 }
 
+// SetColdLimit sets the limit that holds while the backend server is cold.
+func (q *Queue) SetColdLimit(limit throttle.ColdLimit, now time.Time) []Action {
+	if !q.throttle.SetColdLimit(limit, now) {
+		return nil
+	}
+	return q.applyRate(now)
+}
+
+// SetKnownSince sets since when all requests that were sent to the backend server have passed the
+// queue; see throttle.Throttle.SetKnownSince.
+func (q *Queue) SetKnownSince(since time.Time) { q.throttle.SetKnownSince(since) }
+
+// SetColdUntil records the backend server's statement that it is cold until the given time,
+// which is not after now if it is warm.
+func (q *Queue) SetColdUntil(until, now time.Time) []Action {
+	if !q.throttle.SetColdUntil(until, now) {
+		return nil
+	}
+	return q.applyRate(now)
+}
+
 // applyRate starts the requests that a changed rate limit admits. It refuses the waiting
 // requests for which there is no token, so that another backend server can run them; those
 // with WaitForRate stay.
@@ -65,6 +86,10 @@
 	return q.throttle.State(now)
 }
 
+// StatedRate is like RateState, but only with the limits that follow from statements of the
+// backend server; see throttle.Throttle.StatedState.
+func (q *Queue) StatedRate(now time.Time) throttle.State { return q.throttle.StatedState(now) }
+
 // SetRateOverage sets by how much the advertised rate may be exceeded, as a share of it; see
 // Item.WaitForRate.
 func (q *Queue) SetRateOverage(share float64, now time.Time) { q.throttle.SetOverage(share, now) }
@@ -76,7 +101,7 @@
 // WithheldSlots returns how many slots stay unused because of the rate limit, by the mean
 // service time.
 func (q *Queue) WithheldSlots() int {
-	state := q.throttle.State(q.lastEventAt)
+	state := q.throttle.StatedState(q.lastEventAt)
 	if !state.Limited {
 		return 0
 	}
--- a/selection/statements.go
+++ b/selection/statements.go
@@ -33,8 +33,10 @@
 
 // statement is what a backend server has stated about itself, as reported to this ingress.
 type statement struct {
-	// limited says that the server advertises perSecond, in requests per second.
+	// limited says that the server accepts perSecond, in requests per second, because it
+	// advertises this rate or is cold.
 	limited   bool
+	cold      bool
 	perSecond float64
 	// admitsAt is when the rate admits the next request, as far as is known here.
 	admitsAt   time.Time
@@ -68,7 +70,7 @@
 		s.admitsAt = now.Add(time.Duration(load.WaitMillis) * time.Millisecond)
 	}
 	s.reportedAt = now
-	s.limited = load.Limited
+	s.limited, s.cold = load.Limited, load.Cold
 	s.perSecond = load.MilliRate.PerSecond()
 }
 
@@ -107,9 +109,10 @@
 }
 
 // knownRate returns the rate to report to the proxy beside the server, which may have
-// restarted since. It returns nil if there is none.
+// restarted since. It returns nil if there is none. The proxy knows by itself that the server is
+// cold.
 func (s *statement) knownRate(now time.Time) *backendproxy.KnownRate {
-	if s == nil || !s.limited {
+	if s == nil || !s.limited || s.cold {
 		return nil
 	}
 	return &backendproxy.KnownRate{PerSecond: s.perSecond, Age: now.Sub(s.reportedAt)}
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -1,7 +1,6 @@
 package throttle
 
 import (
-	"math"
 	"time"
 )
 
@@ -39,6 +38,10 @@
 	regular, total bucket
 	// appointedUntil is the last time that Appoint has given.
 	appointedUntil time.Time
+
+	// cold is the limit while the server is cold. It holds in addition to the advertised
+	// rate, without an overage.
+	cold coldState
 }
 
 // State describes a Throttle.
@@ -47,12 +50,15 @@
 	Known bool
 	// Limited says that a rate limit is in force. The fields below are zero without one.
 	Limited bool
-	// PerSecond is the advertised rate in requests per second.
+	// PerSecond is the rate in requests per second.
 	PerSecond float64
 	// Age is the time since the rate was learned.
 	Age time.Duration
 	// Wait is the time until the next request may be sent.
 	Wait time.Duration
+	// Cold says that the server is treated as cold. PerSecond is then at most the rate that
+	// it tolerates while it is cold.
+	Cold bool
 }
 
 // SetOverage sets by how much the advertised rate may be exceeded, as a share of it, for
@@ -129,28 +135,31 @@
 	t.total.setRate(total, MaxBurst, now)
 }
 
-// Limited reports whether a limit is in force.
+// Limited reports whether a server's advertised rate is in force.
 func (t *Throttle) Limited() bool { return t.limited }
 
-// Tokens returns how many requests the advertised rate admits now, or math.MaxInt without
-// a limit.
+// Tokens returns how many requests the limits admit now without the overage, or math.MaxInt
+// without a limit.
 func (t *Throttle) Tokens(now time.Time) int {
-	if !t.limited {
-		return math.MaxInt
+	tokens := t.coldTokens(now)
+	if t.limited {
+		tokens = min(tokens, t.regular.available(now), t.total.available(now))
 	}
-	return min(t.regular.available(now), t.total.available(now))
+	return tokens
 }
 
 // TokensWithOverage is like Tokens, but includes the overage.
 func (t *Throttle) TokensWithOverage(now time.Time) int {
-	if !t.limited {
-		return math.MaxInt
+	tokens := t.coldTokens(now)
+	if t.limited {
+		tokens = min(tokens, t.total.available(now))
 	}
-	return t.total.available(now)
+	return tokens
 }
 
 // Take records that a request is sent.
 func (t *Throttle) Take(now time.Time) {
+	t.takeCold(now)
 	if !t.limited {
 		return
 	}
@@ -163,24 +172,32 @@
 
 // Wait returns the time until the n-th request from now may be sent, with the overage.
 func (t *Throttle) Wait(n int, now time.Time) time.Duration {
-	if !t.limited {
-		return 0
+	wait := t.coldWait(n, now)
+	if t.limited {
+		wait = max(wait, t.total.wait(n, now))
 	}
-	return t.total.wait(n, now)
+	return wait
 }
 
 // Appoint returns the time after which an ingress should send its next request. Consecutive
-// calls spread the ingresses over the tokens to come, so that few of them find none.
+// calls spread the ingresses over the tokens to come, so that few of them find none. While
+// only the limit of a cold server is in force, no ingress waits longer than until the server
+// is warm.
 func (t *Throttle) Appoint(now time.Time) time.Duration {
-	if !t.limited {
+	state := t.State(now)
+	if !state.Limited {
 		return 0
 	}
-	interval := time.Duration(float64(time.Second) / max(t.rate, MinRate))
+	interval := time.Duration(float64(time.Second) / max(state.PerSecond, MinRate))
 	next := t.appointedUntil.Add(interval)
-	if earliest := now.Add(t.regular.wait(1, now)); next.Before(earliest) {
+	if earliest := now.Add(state.Wait); next.Before(earliest) {
 		next = earliest
 	}
-	if latest := now.Add(maxAppointment); next.After(latest) {
+	latest := now.Add(maxAppointment)
+	if !t.limited && t.cold.end().Before(latest) {
+		latest = t.cold.end()
+	}
+	if next.After(latest) {
 		next = latest
 	}
 	t.appointedUntil = next
@@ -189,8 +206,27 @@
 
 // State returns the state of the throttle.
 func (t *Throttle) State(now time.Time) State {
-	if !t.limited {
-		return State{Known: t.observed}
+	state := State{Known: t.observed}
+	if t.limited {
+		state = State{Known: true, Limited: true, PerSecond: t.rate, Age: max(0, now.Sub(t.learnedAt)), Wait: t.regular.wait(1, now)}
+	}
+	if !t.coldNow(now) {
+		return state
+	}
+	rate := t.cold.limit.PerSecond
+	if state.Limited {
+		rate = min(rate, state.PerSecond)
+	}
+	return State{Known: true, Limited: true, PerSecond: rate, Age: state.Age, Wait: max(state.Wait, t.coldWait(1, now)), Cold: true}
+}
+
+// StatedState is like State, but leaves out that a server may have become cold since its last
+// statement.
+func (t *Throttle) StatedState(now time.Time) State {
+	if now.Before(t.cold.until) {
+		return t.State(now)
 	}
-	return State{Known: true, Limited: true, PerSecond: t.rate, Age: max(0, now.Sub(t.learnedAt)), Wait: t.regular.wait(1, now)}
+	stated := *t
+	stated.cold = coldState{}
+	return stated.State(now)
 }
