--- a/balance/pool.go
+++ b/balance/pool.go
@@ -18,6 +18,8 @@
 	// backend server that fails requests immediately appears idle, so the penalty must
 	// outweigh a full queue on another server.
 	failureCost = 4.0
+	// minCostWeight bounds the effect of a low weight on the cost.
+	minCostWeight = 0.05
 )
 
 // Tier is the distance of a backend server from the ingress.
@@ -46,6 +48,9 @@
 	// ExcludedRate means that the rate that the backend server advertises admits no request
 	// now.
 	ExcludedRate
+	// ExcludedRefused means that the proxy of the backend server has just refused a request
+	// without regard to its load.
+	ExcludedRefused
 )
 
 // BackendID identifies a backend server in the whole fleet.
@@ -96,10 +101,22 @@
 	return float64(requests) / float64(max(1, b.Slots))
 }
 
+// SentSinceReport returns how many more requests of this ingress are in flight than at the
+// time of the last report.
+func (b *Backend) SentSinceReport() uint32 {
+	return b.inFlight - min(b.inFlight, b.inFlightAtReport)
+}
+
 // cost returns the value by which backend servers are compared: the load plus the penalty
 // for probable failure.
 func (b *Backend) cost() float64 { return b.load() + failureCost*b.FailureProbability }
 
+// weightedCost is the cost if the backend server had only the slots that its weight permits.
+// It is used where all servers are compared, without random draws by weight.
+func (b *Backend) weightedCost() float64 {
+	return b.load()/max(b.Weight, minCostWeight) + failureCost*b.FailureProbability
+}
+
 // drawProbability returns the probability that a random draw accepts the backend server.
 func (b *Backend) drawProbability() float64 { return b.Weight * (1 - b.FailureProbability) }
 
@@ -118,7 +135,8 @@
 	}
 }
 
-func (t *TriedBackends) contains(id BackendID) bool {
+// Contains reports whether a backend server is in the set. The set may be nil.
+func (t *TriedBackends) Contains(id BackendID) bool {
 	if t == nil {
 		return false
 	}
@@ -272,17 +290,23 @@
 // PickBest is meant for requests that have already failed once and cannot afford another
 // failed attempt.
 func (p *Pool) PickBest(rng *rand.Rand, tried *TriedBackends) (int, bool) {
-	return p.pickBest(rng, func(backend *Backend) bool { return !tried.contains(backend.ID) })
+	return p.pickBest(rng, func(backend *Backend) bool { return !tried.Contains(backend.ID) })
 }
 
 // PickSound is like PickBest, but selects only backend servers whose failure probability is
 // below the given one and whose load is less than what certain failure costs.
 func (p *Pool) PickSound(rng *rand.Rand, tried *TriedBackends, maxFailureProbability float64) (int, bool) {
 	return p.pickBest(rng, func(backend *Backend) bool {
-		return backend.FailureProbability < maxFailureProbability && backend.load() < failureCost && !tried.contains(backend.ID)
+		return backend.FailureProbability < maxFailureProbability && backend.load() < failureCost && !tried.Contains(backend.ID)
 	})
 }
 
+// PickBestOf is like PickBest, but selects only backend servers that accept permits. accept
+// must not call the pool.
+func (p *Pool) PickBestOf(rng *rand.Rand, tried *TriedBackends, accept func(*Backend) bool) (int, bool) {
+	return p.pickBest(rng, func(backend *Backend) bool { return !tried.Contains(backend.ID) && accept(backend) })
+}
+
 // pickBest selects the backend server of the lowest cost among those that accept permits.
 func (p *Pool) pickBest(rng *rand.Rand, accept func(*Backend) bool) (int, bool) {
 	best := noBackend
@@ -297,11 +321,11 @@
 			if !accept(&p.backends[index]) {
 				continue
 			}
-			if best == noBackend || p.backends[index].cost() < p.backends[best].cost() {
+			if best == noBackend || p.backends[index].weightedCost() < p.backends[best].weightedCost() {
 				best = index
 			}
 		}
-		if best != noBackend && p.backends[best].cost() < p.policy.SpilloverLoad {
+		if best != noBackend && p.backends[best].weightedCost() < p.policy.SpilloverLoad {
 			break
 		}
 	}
@@ -334,7 +358,7 @@
 	for range maxSamples {
 		index := int(usable[rng.IntN(len(usable))])
 		backend := &p.backends[index]
-		if index == except || tried.contains(backend.ID) {
+		if index == except || tried.Contains(backend.ID) {
 			continue
 		}
 		if probability := backend.drawProbability(); probability >= 1 || rng.Float64() < probability {
@@ -347,7 +371,7 @@
 	start := rng.IntN(len(usable))
 	for i := range usable {
 		index := int(usable[(start+i)%len(usable)])
-		if !tried.contains(p.backends[index].ID) {
+		if !tried.Contains(p.backends[index].ID) {
 			return index
 		}
 	}
--- a/fleetconfig/document.go
+++ b/fleetconfig/document.go
@@ -264,6 +264,10 @@
 	// overage below 1 counts as 1.
 	ColdOverage float64 `cbor:"13,keyasint,omitempty" json:"cold_overage,omitempty"`
 	ColdSlack   uint32  `cbor:"14,keyasint,omitempty" json:"cold_slack,omitempty"`
+	// AdmissionByRoom lets an ingress refuse a request at once when it knows that no backend
+	// server would run it in time. Without it the request is sent to one server after another
+	// until one accepts it.
+	AdmissionByRoom bool `cbor:"15,keyasint,omitempty" json:"admission_by_room,omitempty"`
 	// HedgeAfter is the delay after which an idempotent request is sent to a second
 	// backend server. Zero disables hedging.
 	HedgeAfter time.Duration `cbor:"3,keyasint" json:"hedge_after"`
--- a/selection/selector.go
+++ b/selection/selector.go
@@ -17,6 +17,7 @@
 	"github.com/hemlockring/hemlockring/ingress"
 	"github.com/hemlockring/hemlockring/membership"
 	"github.com/hemlockring/hemlockring/pipeline"
+	"github.com/hemlockring/hemlockring/placement"
 	"github.com/hemlockring/hemlockring/throttle"
 )
 
@@ -39,6 +40,8 @@
 type Selector struct {
 	config Config
 	paths  *pathMonitors
+	// roomRefusals counts the requests for which Room found none.
+	roomRefusals atomic.Uint64
 
 	// learned holds evacuations that are not in the configuration of this ingress yet. It is
 	// written with mu held.
@@ -60,8 +63,16 @@
 	refreshedAt      time.Time
 	failureEstimates map[balance.BackendID]failureEstimate
 	statements       map[balance.BackendID]*statement
-	probes           probeSchedule
-	rng              *rand.Rand
+	// holds holds the servers whose proxies have refused requests without regard to load.
+	holds map[balance.BackendID]refusalHold
+	// news holds the last outlook of each server, times the service times of the routes.
+	news  map[balance.BackendID]serverNews
+	times placement.ServiceTimes
+	// lastTrialAt is when a request was last sent to a server of which nothing was known
+	// although the known ones had no room.
+	lastTrialAt time.Time
+	probes      probeSchedule
+	rng         *rand.Rand
 }
 
 // failureEstimate is the failure probability of a backend server as of its last report.
@@ -87,11 +98,18 @@
 	now := clock.Now()
 	s.refresh(service, exchange.Service, now)
 	service.releaseAdmitted(now)
+	service.releaseHeld(false, now)
 	index, ok := service.probeTarget(exchange, tried, service.snapshot.Self, now)
 	var lastResort bool
 	if !ok {
 		index, lastResort, ok = service.pickFromPool(exchange, tried)
 	}
+	if ok && exchange.ReachedAttempts == 0 && !lastResort && admitsByRoom(exchange) {
+		index = service.preferRoom(exchange, tried, index, now)
+	}
+	if !ok {
+		index, lastResort, ok = service.pickHeld(tried, now)
+	}
 	var rateWait time.Duration
 	if maxWait := maxRateWait(exchange, now); maxWait > 0 && (!ok || service.pool.Saturated(index)) {
 		if overRate, found := service.pickOverRate(tried, now); found {
@@ -102,18 +120,26 @@
 		return ingress.Candidate{}, false
 	}
 	service.pool.RequestStarted(index)
+	if exchange.Route != nil && admitsByRoom(exchange) {
+		exchange.ServiceTime = service.times.Of(exchange.Route.ID)
+	}
 	candidate := newCandidate(service.snapshot, service.hosted[index])
 	candidate.MaxRateWait = rateWait
 	candidate.LastResort = lastResort
 	if known := service.statements[backendID(candidate)]; known != nil {
 		candidate.KnownRate = known.knownRate(now)
 		known.requestSent(now)
-		service.applyStatement(index, now)
+		service.applyOwnExclusions(index, now)
 	}
 	s.paths.beginProbe(candidate.Instance, now)
 	return candidate, true
 }
 
+// admitsByRoom reports whether the active preset admits requests by the room for them.
+func admitsByRoom(exchange *pipeline.Exchange) bool {
+	return exchange.View != nil && exchange.View.ActivePreset().AdmissionByRoom
+}
+
 // maxRateWait returns how long the request may still wait until the rate of a backend
 // server admits it.
 func maxRateWait(exchange *pipeline.Exchange, now time.Time) time.Duration {
@@ -157,6 +183,26 @@
 	return index, ok && p.suspected(index), ok
 }
 
+// pickHeld returns a backend server that is held because of a refusal, for a request for
+// which no other one is left. It is a last resort if the server may be failing. The caller
+// must hold the pool's lock.
+func (p *servicePool) pickHeld(tried []ingress.Candidate, now time.Time) (index int, lastResort, ok bool) {
+	if !p.releaseHeld(true, now) {
+		return 0, false, false
+	}
+	var skip balance.TriedBackends
+	for _, candidate := range tried {
+		skip.Add(backendID(candidate))
+	}
+	index, ok = p.pool.PickBest(p.rng, &skip)
+	for id := range p.holds {
+		if held, found := p.pool.Find(id); found {
+			p.applyOwnExclusions(held, now)
+		}
+	}
+	return index, ok && p.holds[p.pool.Backend(index).ID].suspect, ok
+}
+
 // suspected reports whether a backend server is suspected of failure, so that its proxy
 // refuses requests. The caller must hold the pool's lock.
 func (p *servicePool) suspected(index int) bool {
@@ -185,6 +231,10 @@
 			reported := load.MembershipLoad(attempt.Candidate.Server)
 			service.recordLoad(backendID(attempt.Candidate), &reported, true, now)
 		}
+		service.recordServiceTime(attempt)
+		if !attempt.Canceled && !attempt.PathFailed && !attempt.Unanswered {
+			service.recordRefusal(index, backendID(attempt.Candidate), attempt.Refusal, now)
+		}
 	}
 	if attempt.Refusal == pipeline.KindEvacuated && service.snapshot != nil {
 		if member := service.snapshot.Member(attempt.Candidate.Instance); member != nil {
@@ -230,9 +280,11 @@
 		return
 	}
 	p.pool.UpdateLoad(index, load.InFlight, float64(load.WeightPercent)/percent)
+	p.news[id] = newsOf(load, now)
 	reported := failureEstimate{probability: float64(load.FailureProbabilityPercent) / percent, reportedAt: now}
 	p.failureEstimates[id] = reported
 	p.pool.SetFailureProbability(index, health.ExcessFailureProbability(reported.probability))
+	p.endHoldOnReport(index, id, reported.probability, load.WeightPercent, now)
 	p.recordStatement(index, id, load, appointed, now)
 }
 
@@ -247,6 +299,8 @@
 			rng:              rng,
 			failureEstimates: make(map[balance.BackendID]failureEstimate),
 			statements:       make(map[balance.BackendID]*statement),
+			holds:            make(map[balance.BackendID]refusalHold),
+			news:             make(map[balance.BackendID]serverNews),
 		}
 		s.services[name] = service
 	}
@@ -268,7 +322,7 @@
 	}
 	service.refreshedAt = now
 	for i, hosted := range service.hosted {
-		service.pool.Exclude(i, s.exclusions(hosted, snapshot.Self, now)|service.statedExclusions(hosted, now))
+		service.pool.Exclude(i, s.exclusions(hosted, snapshot.Self, now)|service.ownExclusions(hosted, now))
 	}
 	service.dropStatements(now)
 	service.decayFailureProbabilities(now)
@@ -287,6 +341,7 @@
 	for id := range p.failureEstimates {
 		if _, found := p.pool.Find(id); !found {
 			delete(p.failureEstimates, id)
+			delete(p.news, id)
 			delete(p.probes.lastProbeAt, id)
 		}
 	}
