--- a/fleetconfig/evacuation.go
+++ b/fleetconfig/evacuation.go
@@ -29,13 +29,7 @@
 }
 
 func (e *editor) endEvacuation(domain FailureDomain) {
-	at, found := slices.BinarySearch(e.evacuated, domain)
-	switch {
-	case !found:
-	case len(e.evacuated) == 1:
-		// An empty list is nil on every replica, so that their encodings are identical.
-		e.evacuated = nil
-	default:
+	if at, found := slices.BinarySearch(e.evacuated, domain); found {
 		e.evacuated = slices.Delete(slices.Clone(e.evacuated), at, at+1)
 	}
 }
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -124,16 +124,18 @@
 const testPriority = 3
 
 // The backend proxy must receive the urgency that follows from the priority of the
-// route.
-func TestForwardSendsUrgencyHeader(t *testing.T) {
-	var urgency string
+// route, and the version of the configuration, also with a request without a key.
+func TestForwardSendsUrgencyAndVersion(t *testing.T) {
+	var urgency, version string
 	fleet := &fakeFleet{responders: []func(*http.Request) (*http.Response, error){func(request *http.Request) (*http.Response, error) {
 		urgency = request.Header.Get(pipeline.HeaderUrgency)
+		version = request.Header.Get(pipeline.HeaderConfigurationVersion)
 		return respondStatus(http.StatusOK)(request)
 	}}}
 	must.Eq(t, http.StatusOK, fleet.serve(fleetconfig.IdempotentAlways, 1, 0).Code)
 	expected := fleetconfig.UrgencyOf(nil, &fleetconfig.Route{Priority: testPriority})
 	must.Eq(t, strconv.FormatUint(uint64(expected), 10), urgency)
+	must.Eq(t, "1", version)
 }
 
 // maxTestBody is the body size limit of the test configuration, in bytes.
