Configuration: control instances serve the instances of their failure domain themselves

Cause: without holders, each control instance put itself last among the roots, so all five offered a version to the same eight instances, and the other 92 of 100 waited for polls, level by level. In the intended tree, seven instances with thin links would have sent the version to eight children each.

Change: package configtree decides the tree. Without holders each failure domain has its own, below the control instances in it. A control instance has as many children as its link can serve in the time in which the thinnest child receives ([fleet] link_mbps, in the membership record), 8 to 64. The leader offers a version to the other control instances at once.

--- a/configsync/depend.go
+++ b/configsync/depend.go
@@ -4,15 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/hemlockring/hemlockring/configtree"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 )
 
 // Peer is another instance that is not known to be dead or to have left.
-type Peer struct {
-	fleetconfig.InstanceAddress
-	// Control reports whether the instance has the role control.
-	Control bool
-}
+type Peer = configtree.Instance
 
 // Peers provides the other instances from the membership of the fleet.
 type Peers interface {
--- a/configsync/poll.go
+++ b/configsync/poll.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hemlockring/hemlockring/clock"
+	"github.com/hemlockring/hemlockring/configtree"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 )
 
@@ -23,8 +24,9 @@
 	peers := s.config.Peers.Peers()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	neighbourhood := findNeighbours(s.config.Self, s.config.Replica != nil, s.held.Holders, peers)
-	s.offerToChildren(ctx, neighbourhood.children)
+	self := Peer{InstanceAddress: s.config.Self, Control: s.config.Replica != nil, LinkMbps: s.config.LinkMbps}
+	neighbourhood := configtree.Find(self, s.held.Holders, peers)
+	s.offerToNeighbours(ctx, &neighbourhood)
 	targets := s.holdersToPoll()
 	if leader, found := s.remoteLeader(); found {
 		targets = append(targets, leader)
@@ -70,15 +72,15 @@
 // upstreamCandidates returns the instances to poll, in order of preference, the maximum
 // age of an attestation from them, and the number of fallbacks to poll at once. A
 // holder prefers the leader from which it receives offers. The caller holds mu.
-func (s *Service) upstreamCandidates(neighbourhood *neighbours, peers []Peer) ([]fleetconfig.InstanceAddress, time.Duration, int) {
+func (s *Service) upstreamCandidates(neighbourhood *configtree.Neighbours, peers []Peer) ([]fleetconfig.InstanceAddress, time.Duration, int) {
 	if _, serving := s.currencyNode.Serving(); !serving {
-		return startupCandidates(s.config.Self, peers, s.config.PollControlFirst), maxUpstreamAge(neighbourhood.level, s.config.PollInterval), 1
+		return configtree.StartupCandidates(s.config.Self, peers, s.config.PollControlFirst), maxUpstreamAge(neighbourhood.Level, s.config.PollInterval), 1
 	}
-	candidates := slices.Clone(neighbourhood.parents)
+	candidates := slices.Clone(neighbourhood.Parents)
 	if leader := slices.IndexFunc(candidates, func(a fleetconfig.InstanceAddress) bool { return a.ID == s.offeringLeader }); leader > 0 {
 		candidates[0], candidates[leader] = candidates[leader], candidates[0]
 	}
-	return candidates, maxUpstreamAge(neighbourhood.level, s.config.PollInterval), fallbacksPerRound
+	return candidates, maxUpstreamAge(neighbourhood.Level, s.config.PollInterval), fallbacksPerRound
 }
 
 // remoteLeader returns the leader of control if this is a control instance and another
@@ -218,9 +220,10 @@
 	return fleetconfig.DecodeDocument(data)
 }
 
-// offerToChildren offers the children the version that came into force since the last
-// call. The caller holds mu.
-func (s *Service) offerToChildren(ctx context.Context, children []fleetconfig.InstanceAddress) {
+// offerToNeighbours offers the version that came into force since the last call to the children.
+// In a fleet without holders, the leader of control offers it to the other control instances
+// first, as these are the roots of the tree. The caller holds mu.
+func (s *Service) offerToNeighbours(ctx context.Context, neighbourhood *configtree.Neighbours) {
 	version, before := s.View().Version(), s.offeredVersion
 	s.offeredVersion = version
 	// The first version that an instance obtains after its start is not new to its
@@ -229,46 +232,72 @@
 	if version == before || !isNew {
 		return
 	}
-	for _, child := range children {
-		if request := s.nextOffer(child.ID, before); request != nil {
-			go s.offerToChild(ctx, child, request)
+	if s.leader != nil && len(s.held.Holders) == 0 {
+		for _, root := range neighbourhood.Parents {
+			s.beginOffering(ctx, root, before, true)
 		}
 	}
+	for _, child := range neighbourhood.Children {
+		s.beginOffering(ctx, child, before, false)
+	}
+}
+
+// beginOffering offers the version in force to an instance, if nextOffer has an offer. The
+// caller holds mu.
+func (s *Service) beginOffering(ctx context.Context, to fleetconfig.InstanceAddress, before uint64, announce bool) {
+	if request := s.nextOffer(to.ID, before, announce); request != nil {
+		go s.offerTo(ctx, to, request, announce)
+	}
 }
 
 // nextOffer returns the offer of the version in force to an instance that holds the version
-// before, unless more is known about it. It returns nil if the instance has the version, if it
-// is getting it, or if this instance has no delta for it. The caller holds mu.
-func (s *Service) nextOffer(id fleetconfig.InstanceID, before uint64) *offerRequest {
+// before, unless more is known about it. It returns nil if the instance is getting the version,
+// or if this instance has no delta for it. If the instance holds the version, the offer has no
+// delta with announce set, as a control instance may not know that the version is accepted,
+// and is nil otherwise. The caller holds mu.
+func (s *Service) nextOffer(id fleetconfig.InstanceID, before uint64, announce bool) *offerRequest {
 	version := s.View().Version()
 	held, permitted := s.transfers.beginOffer(id, before, version, clock.Now())
 	if !permitted {
 		return nil
 	}
-	delta := s.deltaSince(held, version)
-	if delta == nil {
-		s.transfers.endOffer(id)
-		return nil
+	if held >= version && announce {
+		return &offerRequest{Accepted: version}
 	}
-	return &offerRequest{Delta: delta, Accepted: version}
+	if delta := s.deltaSince(held, version); delta != nil {
+		return &offerRequest{Delta: delta, Accepted: version}
+	}
+	s.transfers.endOffer(id)
+	return nil
 }
 
-// offerToChild sends an offer to a child, and then the version that came into force meanwhile.
-// If an offer fails, the child gets the delta when it polls.
-func (s *Service) offerToChild(ctx context.Context, child fleetconfig.InstanceAddress, request *offerRequest) {
+// offerTo sends an offer to an instance, and then the version that came into force meanwhile.
+// If an offer fails, the instance gets the delta when it polls.
+func (s *Service) offerTo(ctx context.Context, to fleetconfig.InstanceAddress, request *offerRequest, announce bool) {
 	for request != nil {
-		reply, err := s.callOffer(ctx, child, request)
-		s.mu.Lock()
-		s.transfers.endOffer(child.ID)
-		offered := request.Delta
-		request = nil
+		reply, err := s.callOffer(ctx, to, request)
 		if err != nil {
-			s.config.Logger.Debug("configuration offer to a child failed", "instance", child.ID, "error", err)
-		} else if s.transfers.recordHeld(child.ID, reply.Newest); reply.Newest != offered.From {
-			request = s.nextOffer(child.ID, reply.Newest)
+			s.config.Logger.Debug("configuration offer failed", "instance", to.ID, "error", err)
 		}
-		s.mu.Unlock()
+		request = s.offerAfter(to.ID, request, reply, err, announce)
+	}
+}
+
+// offerAfter processes the reply to an offer and returns the next one, or nil. There is none
+// if the instance has all that this one has, or if it has not accepted the delta.
+func (s *Service) offerAfter(id fleetconfig.InstanceID, request *offerRequest, reply *pollReply, err error, announce bool) *offerRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.transfers.endOffer(id)
+		return nil
+	}
+	s.transfers.confirmOffer(id, reply.Newest, clock.Now())
+	isRefused := request.Delta != nil && reply.Newest == request.Delta.From
+	if isRefused || request.Accepted >= s.View().Version() && reply.Newest >= request.Accepted {
+		return nil
 	}
+	return s.nextOffer(id, reply.Newest, announce)
 }
 
 // callOffer sends an offer and returns the reply.
--- a/configsync/service.go
+++ b/configsync/service.go
@@ -36,6 +36,8 @@
 type Config struct {
 	// Self is this instance.
 	Self fleetconfig.InstanceAddress
+	// LinkMbps is the capacity of this instance's link in Mbit/s, or 0 if it is not known.
+	LinkMbps uint32
 	// Incarnation identifies the process. It must differ from that of every other
 	// process of this instance.
 	Incarnation uint64
--- a/configsync/transfers.go
+++ b/configsync/transfers.go
@@ -20,10 +20,11 @@
 	// offer. known reports whether there was one.
 	held  uint64
 	known bool
-	// offerFrom is the version that the offer under way applies to. The offer was sent at
-	// offeredAt, which is zero if none is under way.
-	offerFrom uint64
-	offeredAt time.Time
+	// offerFrom is the version that the latest offer applies to. The offer was sent at
+	// offeredAt, which is zero if it is no longer under way. Then confirmedAt is when the
+	// instance confirmed that it holds a later version, or zero.
+	offerFrom              uint64
+	offeredAt, confirmedAt time.Time
 	// repliedTo is the version of the delta in the latest reply to a poll, which was sent at
 	// repliedAt. A further poll shows that the reply is no longer under way.
 	repliedTo uint64
@@ -41,10 +42,13 @@
 }
 
 // recordPoll records that an instance that holds version have polled, and reports whether an
-// offer under way brings it a later version. An instance that has restarted since the offer
-// was sent holds less than that applies to.
+// offer brings it a later version. The offer may also have arrived since the poll was sent. An
+// instance that has restarted since the offer was sent holds less than that applies to.
 func (t *transfers) recordPoll(id fleetconfig.InstanceID, have uint64, now time.Time) (offered bool) {
 	peer := t.peers[id]
+	if have >= peer.offerFrom && have < peer.held && isUnderWay(peer.confirmedAt, now) {
+		return true
+	}
 	peer.held, peer.known, peer.repliedAt = have, true, time.Time{}
 	t.set(id, peer)
 	return isUnderWay(peer.offeredAt, now) && have >= peer.offerFrom
@@ -57,8 +61,9 @@
 	t.set(id, peer)
 }
 
-// beginOffer returns the version that an instance holds or is about to, if a later one may be
-// offered to it now. If nothing is known about the instance, that is the version before.
+// beginOffer returns the version that an instance holds or is about to, and reports whether the
+// given version may be offered to it now. If nothing is known about the instance, it is taken to
+// hold the version before. The offer must be ended.
 func (t *transfers) beginOffer(id fleetconfig.InstanceID, before, version uint64, now time.Time) (held uint64, permitted bool) {
 	peer := t.peers[id]
 	held = before
@@ -67,16 +72,19 @@
 	}
 	if isUnderWay(peer.repliedAt, now) {
 		held = max(held, peer.repliedTo)
+		if held >= version {
+			return held, false
+		}
 	}
-	if isUnderWay(peer.offeredAt, now) || held >= version {
+	if isUnderWay(peer.offeredAt, now) {
 		return held, false
 	}
-	peer.offerFrom, peer.offeredAt = held, now
+	peer.offerFrom, peer.offeredAt, peer.confirmedAt = held, now, time.Time{}
 	t.set(id, peer)
 	return held, true
 }
 
-// endOffer records that an offer has ended.
+// endOffer records that an offer has ended without a reply.
 func (t *transfers) endOffer(id fleetconfig.InstanceID) {
 	if peer, found := t.peers[id]; found {
 		peer.offeredAt = time.Time{}
@@ -84,10 +92,10 @@
 	}
 }
 
-// recordHeld records which version an instance holds.
-func (t *transfers) recordHeld(id fleetconfig.InstanceID, held uint64) {
+// confirmOffer records that an offer has ended and which version the instance then held.
+func (t *transfers) confirmOffer(id fleetconfig.InstanceID, held uint64, now time.Time) {
 	peer := t.peers[id]
-	peer.held, peer.known = held, true
+	peer.held, peer.known, peer.offeredAt, peer.confirmedAt = held, true, time.Time{}, now
 	t.set(id, peer)
 }
 
--- a/membership/record.go
+++ b/membership/record.go
@@ -63,6 +63,8 @@
 	Control bool `cbor:"7,keyasint,omitempty"`
 	// Proxy tells whether the instance has the proxy role.
 	Proxy bool `cbor:"11,keyasint,omitempty"`
+	// LinkMbps is the capacity of the instance's link in Mbit/s, or 0 if it is not known.
+	LinkMbps uint32 `cbor:"12,keyasint,omitempty"`
 	// Left tells whether the instance has left the fleet intentionally.
 	Left bool `cbor:"8,keyasint,omitempty"`
 	// Draining tells whether the instance is stopping and accepts no new work.
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -33,6 +33,7 @@
 	}
 	config := configsync.Config{
 		Self:            n.selfAddress(),
+		LinkMbps:        n.settings.Fleet.LinkMbps,
 		Incarnation:     rand.Uint64(),
 		Peers:           memberPeers{n.members},
 		Caller:          n.endpoint,
@@ -217,7 +218,9 @@
 		member := &snapshot.Members[i]
 		usable := member.Liveness != membership.Dead && !member.Record.Left
 		if usable && member.Record.ID != snapshot.Self {
-			peers = append(peers, configsync.Peer{InstanceAddress: addressOf(&member.Record), Control: member.Record.Control})
+			peers = append(peers, configsync.Peer{
+				InstanceAddress: addressOf(&member.Record), Control: member.Record.Control, LinkMbps: member.Record.LinkMbps,
+			})
 		}
 	}
 	return peers
--- a/node/node.go
+++ b/node/node.go
@@ -191,6 +191,7 @@
 		Region:        n.settings.Instance.Region,
 		Control:       n.settings.Instance.HasRole(settings.RoleControl),
 		Proxy:         n.settings.Instance.HasRole(settings.RoleProxy),
+		LinkMbps:      n.settings.Fleet.LinkMbps,
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return membership.New(membership.Config{}, self, n.settings.Fleet.Join, random, now)
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -76,6 +76,11 @@
 		help: "UDP port that replaces the ports given in join. 0 leaves them unchanged.",
 		set:  func(s *Settings, text string) error { return setJoinPort(&s.Fleet.Join, text) },
 	},
+	{
+		section: sectionFleet, key: "link_mbps", defaultValue: "0",
+		help: "Capacity of the instance's network link in Mbit/s. Control instances with a larger link send the configuration to more instances themselves. 0 means unknown.",
+		set:  func(s *Settings, text string) error { return setLinkMbps(&s.Fleet.LinkMbps, text) },
+	},
 	{
 		section: sectionFleet, key: "trust", defaultValue: string(TrustCertificates),
 		help: "certificates admits instances by their certificate; network admits every process that can reach the fleet port and is only for networks to which nobody else can send.",
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -140,6 +140,22 @@
 	return nil
 }
 
+// maxLinkMbps is the largest capacity of a link that can be set, 1 Tbit/s.
+const maxLinkMbps = 1_000_000
+
+// setLinkMbps sets a capacity in Mbit/s, which may have decimals.
+func setLinkMbps(target *uint32, text string) error {
+	value, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(value >= 0 && value <= maxLinkMbps) {
+		return errors.Newf("write a number of Mbit/s from 0 to %d, not %q", maxLinkMbps, text)
+	}
+	*target = uint32(value)
+	if value > 0 {
+		*target = max(*target, 1)
+	}
+	return nil
+}
+
 func setInt(target *int, text string, minimum, maximum int) error {
 	value, err := strconv.Atoi(text)
 	if err != nil || value < minimum || value > maximum {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -88,6 +88,9 @@
 	// Join contains the fleet addresses of a few instances of the fleet. They may include
 	// the address of this instance.
 	Join []string
+	// LinkMbps is the capacity of the instance's link in Mbit/s, rounded down but not below 1,
+	// or 0 if it is not known.
+	LinkMbps uint32
 	// Trust determines which processes are accepted as instances.
 	Trust Trust
 	// Certificate is the file with the instance's certificate.
