Metrics: bytes exchanged with other instances by kind and whether they leave the failure domain

Cause: bytes between failure domains are the dearest, and nothing told polls, offers, membership and requests apart.

Change: hemlock_fleet_kind_bytes{kind,direction,far} counts bodies of calls by path, requests and datagrams where they begin.

--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -94,6 +94,32 @@
 	m.registry.MustRegister(prometheus.NewCounterFunc(options, func() float64 { return float64(read()) }))
 }
 
+// RegisterCounters adds counters with labels whose values read passes to its argument at each
+// scrape, at most one for each combination of label values. The name gets the common prefix
+// and must not be registered twice; RegisterCounters panics if it is.
+func (m *Metrics) RegisterCounters(name, help string, labels []string, read func(add func(value uint64, labels ...string))) {
+	description := prometheus.NewDesc(prometheus.BuildFQName("hemlock", "", name), help, labels, nil)
+	m.registry.MustRegister(&labelledCounters{description: description, read: read})
+}
+
+// labelledCounters is a collector of counters with the same name.
+type labelledCounters struct {
+	description *prometheus.Desc
+	read        func(add func(value uint64, labels ...string))
+}
+
+// Describe implements prometheus.Collector.
+func (c *labelledCounters) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- c.description
+}
+
+// Collect implements prometheus.Collector.
+func (c *labelledCounters) Collect(metrics chan<- prometheus.Metric) {
+	c.read(func(value uint64, labels ...string) {
+		metrics <- prometheus.MustNewConstMetric(c.description, prometheus.CounterValue, float64(value), labels...)
+	})
+}
+
 // RegisterGauge adds a gauge whose value is read from read at each scrape. The name gets
 // the common prefix and must not be registered twice; RegisterGauge panics if it is.
 func (m *Metrics) RegisterGauge(name, help string, read func() float64) {
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -50,3 +50,16 @@
 		return strings.Contains(body, `hemlock_request_seconds_bucket{account="class:open"`) && strings.Contains(body, `service="catalogue"`)
 	}), wait.Timeout(10*time.Second), wait.Gap(20*time.Millisecond)))
 }
+
+func TestCountersHaveLabels(t *testing.T) {
+	metrics := New("instance-1", "a")
+	defer func() { _ = metrics.Close() }()
+	metrics.RegisterCounters("bytes", "Help.", []string{"kind", "far"}, func(add func(value uint64, labels ...string)) {
+		add(3, "request", "true")
+		add(4, "request", "false")
+	})
+	recorder := httptest.NewRecorder()
+	metrics.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	must.StrContains(t, recorder.Body.String(), `hemlock_bytes{far="true",kind="request"} 3`)
+	must.StrContains(t, recorder.Body.String(), `hemlock_bytes{far="false",kind="request"} 4`)
+}
--- a/node/local.go
+++ b/node/local.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/pprof"
+	"strconv"
 
 	"github.com/hemlockring/hemlockring/clock"
 	"github.com/hemlockring/hemlockring/selection"
@@ -117,6 +118,25 @@
 	n.metrics.RegisterCounter("fleet_received_bytes", "UDP payload bytes received on the fleet port.", func() uint64 {
 		return n.endpoint.Traffic().ReceivedBytes
 	})
+	n.metrics.RegisterCounters("fleet_kind_bytes", "Bytes of bodies and datagrams exchanged with other instances at the initiative of this one, by kind: request, datagram or the path of a call.",
+		[]string{"kind", "direction", "far"}, func(add func(value uint64, labels ...string)) {
+			for kind, traffic := range n.endpoint.TrafficByKind() {
+				far := strconv.FormatBool(kind.Far)
+				add(traffic.SentBytes, kind.Name, "sent", far)
+				add(traffic.ReceivedBytes, kind.Name, "received", far)
+			}
+		})
+}
+
+// isFar reports whether the instance at an address is known to be in another failure domain.
+func (n *Node) isFar(address string) bool {
+	snapshot := n.members.Snapshot()
+	for i := range snapshot.Members {
+		if record := &snapshot.Members[i].Record; record.Address == address {
+			return record.FailureDomain != n.settings.Instance.FailureDomain
+		}
+	}
+	return false
 }
 
 func (n *Node) handleReady(w http.ResponseWriter, _ *http.Request) {
--- a/node/node.go
+++ b/node/node.go
@@ -151,18 +151,19 @@
 		Address:  cmp.Or(n.settings.Fleet.Listen, n.settings.Fleet.Address),
 		ID:       n.settings.Instance.ID,
 		Identity: identity,
+		IsFar:    n.isFar,
 		Handler:  http.HandlerFunc(n.serveFleet),
 		Logger:   n.logger,
 	})
 	if err != nil {
 		return err
 	}
-	n.registerTrafficMetrics()
 	datagrams, err := transport.NewDatagrams(n.endpoint, gossipKey)
 	if err != nil {
 		return err
 	}
 	n.members = gossip.New(n.newMembership(), datagrams, n.endpoint, n.fleetMux, n.logger)
+	n.registerTrafficMetrics()
 	return nil
 }
 
--- a/transport/client.go
+++ b/transport/client.go
@@ -21,7 +21,13 @@
 // matches ErrNotSent (errors.Is), the other instance has not processed the request.
 // After any other error it may have.
 func (e *Endpoint) RoundTrip(address string, request *http.Request, class ConnectionClass) (*http.Response, error) {
-	return e.transport.roundTrip(address, request, class)
+	sent := max(request.ContentLength, 0)
+	response, err := e.transport.roundTrip(address, request, class)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = &countedBody{ReadCloser: response.Body, stats: &e.calls, kind: e.kindOf(KindRequest, address), sent: sent}
+	return response, nil
 }
 
 // Call implements Caller.
@@ -44,7 +50,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	received, err := readCallReply(response, path, reply)
-	e.calls.record(path, len(data), received)
+	e.calls.record(e.kindOf(path, address), int64(len(data)), int64(received))
 	return err
 }
 
--- a/transport/datagram.go
+++ b/transport/datagram.go
@@ -53,6 +53,7 @@
 	}
 	packet := append(make([]byte, 0, datagramBufferBytes), datagramPrefix)
 	packet = d.aead.Seal(packet, nil, payload, packet[:1])
+	d.endpoint.calls.record(d.endpoint.kindOf(KindDatagram, address), int64(len(packet)), 0)
 	return errors.Wrap(d.endpoint.transport.sendDatagram(packet, remote), "send the datagram")
 }
 
--- a/transport/endpoint.go
+++ b/transport/endpoint.go
@@ -33,6 +33,9 @@
 	// Identity is the certificate of the instance and the certificate authority of
 	// the fleet. Nil means that the network is trusted and TLS is not used.
 	Identity *pki.Identity
+	// IsFar reports whether the instance at an address is in another failure domain. It is
+	// used for the statistics only, and may be nil. It must not block.
+	IsFar func(address string) bool
 	// Handler serves the requests and calls of other instances.
 	Handler http.Handler
 	// Logger receives the log messages of the endpoint.
--- a/transport/tcp_test.go
+++ b/transport/tcp_test.go
@@ -67,6 +67,25 @@
 	must.Eq(t, uint64(1), client.CallTraffic()["/echo"].Calls)
 }
 
+func TestTrafficIsCountedByKind(t *testing.T) {
+	mux := http.NewServeMux()
+	HandleCall(mux, "/echo", func(_ context.Context, _ fleetconfig.InstanceID, request *echo) (*echo, error) { return request, nil })
+	server := newTrustedEndpoint(t, "server", mux)
+	client := newTrustedEndpoint(t, "client", http.NotFoundHandler())
+	address := server.Address().String()
+	client.config.IsFar = func(other string) bool { return other == address }
+	must.NoError(t, client.Call(context.Background(), address, "/echo", &echo{Text: "call"}, new(echo)))
+	response, err := client.RoundTrip(address, newRequest(t.Context(), "body"), ClassSmall)
+	must.NoError(t, err)
+	answer, err := io.ReadAll(response.Body)
+	must.NoError(t, err)
+	must.NoError(t, response.Body.Close())
+	call := client.TrafficByKind()[TrafficKind{Name: "/echo", Far: true}]
+	must.Positive(t, call.SentBytes)
+	must.Eq(t, call.SentBytes, call.ReceivedBytes)
+	must.Eq(t, CallTraffic{Calls: 1, SentBytes: 4, ReceivedBytes: uint64(len(answer))}, client.CallTraffic()[KindRequest])
+}
+
 func newRequest(ctx context.Context, body string) *http.Request {
 	request := &http.Request{Method: http.MethodPost, URL: &url.URL{Path: "/x"}, Header: make(http.Header), ContentLength: int64(len(body))}
 	if body != "" {
