--- a/node/node.go
+++ b/node/node.go
@@ -159,18 +159,19 @@
 		Address:  cmp.Or(n.settings.Fleet.Listen, n.settings.Fleet.Address),
 		ID:       n.settings.Instance.ID,
 		Identity: identity,
+		IsFar:    n.isFar,
 		Handler:  http.HandlerFunc(n.serveFleet),
 		Logger:   n.logger,
 	})
 	if err != nil {
 		return err
 	}
-	n.registerTrafficMetrics()
 	datagrams, err := transport.NewDatagrams(n.endpoint, gossipKey)
 	if err != nil {
 		return err
 	}
 	n.members = gossip.New(n.newMembership(), datagrams, n.endpoint, n.fleetMux, n.logger)
+	n.registerTrafficMetrics()
 	return nil
 }
 
@@ -198,6 +199,7 @@
 		Region:        n.settings.Instance.Region,
 		Control:       n.settings.Instance.HasRole(settings.RoleControl),
 		Proxy:         n.settings.Instance.HasRole(settings.RoleProxy),
+		LinkMbps:      n.settings.Fleet.LinkMbps,
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return membership.New(membership.Config{}, self, n.settings.Fleet.Join, random, n.startedAt)
