Emulated backend servers may be cold; a whole fleet does not crash one that returns cold

Change: emulator.Config.ColdRate and FaultCold; while cold a server crashes above 1.5 times its rate and 8 requests in a second, and announces how long it stays cold.

--- a/internal/emulator/announcer.go
+++ b/internal/emulator/announcer.go
@@ -29,6 +29,9 @@
 	Announcement backendproxy.Announcement
 	// ProcessStart returns the start time to announce. Nil means that none is announced.
 	ProcessStart func() time.Time
+	// ColdRemaining returns how much longer the server stays cold. Nil means that it is not
+	// announced.
+	ColdRemaining func() time.Duration
 	// Down reports whether the server is down and announces nothing. Nil means that it is
 	// always up.
 	Down func() bool
@@ -60,6 +63,10 @@
 	if a.ProcessStart != nil {
 		announcement.ProcessStartUnixMilli = a.ProcessStart().UnixMilli()
 	}
+	if a.ColdRemaining != nil {
+		millis := a.ColdRemaining().Milliseconds()
+		announcement.WarmUpMillis = &millis
+	}
 	body, err := json.Marshal(announcement)
 	if err != nil {
 		return errors.Wrap(err, "encode the announcement")
--- a/internal/emulator/crash.go
+++ b/internal/emulator/crash.go
@@ -47,6 +47,11 @@
 }
 
 func (s *Server) restart() {
+	if s.config.ColdRate > 0 {
+		s.mu.Lock()
+		s.cold.start(time.Now().Add(s.config.ColdStart))
+		s.mu.Unlock()
+	}
 	for {
 		s.mu.Lock()
 		ctx, address := s.listening.ctx, s.listening.address
--- a/internal/emulator/fault.go
+++ b/internal/emulator/fault.go
@@ -31,6 +31,8 @@
 	// FaultBackgroundErrors answers a share of the requests with status 500, in addition to
 	// another fault. It lasts until it is set again with a share of zero.
 	FaultBackgroundErrors FaultKind = "background-errors"
+	// FaultCold makes the server cold for Config.ColdStart.
+	FaultCold FaultKind = "cold"
 	// FaultLeaving states in every response that the server is leaving.
 	FaultLeaving FaultKind = "leaving"
 )
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -48,6 +48,9 @@
 	ColdStart time.Duration
 	// ColdFactor multiplies the service time during the cold start.
 	ColdFactor float64
+	// ColdRate is the rate, in requests per second, that the server tolerates for ColdStart
+	// after a crash or since FaultCold; see ColdTolerance. Zero means that it tolerates any.
+	ColdRate float64
 	// IgnoreCancel makes it finish requests that were canceled.
 	IgnoreCancel bool
 	// Downtime is how long the server is down after a crash. The default is
@@ -77,6 +80,9 @@
 	// OverRate is the largest number of requests above what RateTolerance allows that ran
 	// in a RateWindow while the server named a rate.
 	OverRate int `json:"over_rate"`
+	// MostCold is the largest number of requests that arrived in one second while the server
+	// was cold and had a ColdRate.
+	MostCold int `json:"most_cold"`
 	// Crashes counts the crashes, and CrashRuns the requests that crash servers.
 	Crashes   int `json:"crashes"`
 	CrashRuns int `json:"crash_runs"`
@@ -103,6 +109,7 @@
 	// arrivals holds the first maxTrackedIDs requests that arrived.
 	arrivals  []Arrival
 	rate      rateRecord
+	cold      coldRecord
 	listening listening
 	// down says that the server is down after a crash.
 	down bool
@@ -122,7 +129,8 @@
 	}
 }
 
-// SetFault sets the fault. FaultNone removes it. FaultBackgroundErrors leaves it as it is.
+// SetFault sets the fault. FaultNone removes it. FaultBackgroundErrors and FaultCold leave it as
+// it is.
 func (s *Server) SetFault(fault Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -130,6 +138,10 @@
 		s.backgroundErrors = fault.Share
 		return
 	}
+	if fault.Kind == FaultCold {
+		s.cold.start(time.Now().Add(s.config.ColdStart))
+		return
+	}
 	if s.fault.Kind == FaultLeaving && fault.Kind != FaultLeaving {
 		s.processStart = time.Now()
 	}
@@ -163,6 +175,7 @@
 	defer s.mu.Unlock()
 	copied := s.executions
 	copied.OverRate, copied.AfterLeaving = s.rate.overRate, s.rate.afterLeaving
+	copied.MostCold = s.cold.most
 	copied.Requests = make(map[string]int, len(s.executions.Requests))
 	for id, count := range s.executions.Requests {
 		copied.Requests[id] = count
@@ -203,7 +216,10 @@
 // handleRequest runs one request: it counts the execution, waits for the service time and
 // echoes the body.
 func (s *Server) handleRequest(w http.ResponseWriter, request *http.Request) {
-	s.recordArrival(request)
+	if overloaded := s.recordArrival(request); overloaded {
+		s.crash()
+		panic(http.ErrAbortHandler)
+	}
 	select {
 	case s.slots <- struct{}{}:
 	default:
@@ -245,12 +261,16 @@
 	return s.fault, s.fault.Kind != "" && s.fault.Kind != FaultNone && rand.Float64() < s.fault.Share
 }
 
-func (s *Server) recordArrival(request *http.Request) {
+// recordArrival records a request that has arrived. It reports whether the server, which is
+// cold, has got more requests than it tolerates.
+func (s *Server) recordArrival(request *http.Request) (overloaded bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
 	if id := request.Header.Get(pipeline.HeaderRequestID); id != "" && len(s.arrivals) < maxTrackedIDs {
-		s.arrivals = append(s.arrivals, Arrival{Request: id, UnixMilli: time.Now().UnixMilli()})
+		s.arrivals = append(s.arrivals, Arrival{Request: id, UnixMilli: now.UnixMilli()})
 	}
+	return s.cold.recordArrival(s.config.ColdRate, now)
 }
 
 // Arrivals returns the requests that have arrived, in the order of arrival.
@@ -271,7 +291,7 @@
 
 func (s *Server) simulateServiceTime(request *http.Request, fault Fault, faultApplies bool) error {
 	duration := time.Duration(float64(s.config.ServiceTime) * (0.5 + rand.Float64()))
-	if time.Since(s.started) < s.config.ColdStart {
+	if time.Since(s.started) < s.config.ColdStart || s.ColdRemaining() > 0 {
 		duration = time.Duration(float64(duration) * s.config.ColdFactor)
 	}
 	if faultApplies {
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -151,6 +151,9 @@
 	announcer := &emulator.Announcer{LocalAddress: instance.LocalAddress, ID: "b1", ProcessStart: server.ProcessStart, Down: server.Down, Announcement: backendproxy.Announcement{
 		Service: "catalogue", Address: address, Slots: uint32(config.Slots), State: backendproxy.StateReady, LifetimeMillis: 3000,
 	}}
+	if config.ColdRate > 0 {
+		announcer.ColdRemaining = server.ColdRemaining
+	}
 	go announcer.Run(ctx)
 	f.backends = append(f.backends, server)
 }
