--- a/throttle/cold.go
+++ b/throttle/cold.go
@@ -13,6 +13,9 @@
 	// without this being known. It is not less than coldWindow, so that no request of the
 	// last window is forgotten.
 	returnAfter = coldWindow
+	// arrivalMargin is by how many requests less than its bound a server gets that may be
+	// cold, because a request may arrive later than it was admitted.
+	arrivalMargin = 2
 )
 
 // ColdLimit is the limit on the rate of requests to a backend server while it is cold, that
@@ -29,13 +32,19 @@
 	Start time.Duration
 }
 
-// perWindow returns the most requests that are sent in a coldWindow. It keeps below Bound as
-// far as the rate permits: a request that is admitted now may arrive some time later, for
-// example if the process is frozen in between.
+// perWindow returns the most requests that are sent to a cold server in a coldWindow. It keeps
+// below Bound as far as the rate permits: a request that is admitted now may arrive some time
+// later, for example if the process is frozen in between.
 func (l *ColdLimit) perWindow() int {
 	return int(max(1, min(math.Floor(max(l.Bound, l.PerSecond)), math.Ceil(l.PerSecond)+MaxBurst)))
 }
 
+// perDoubtfulWindow is perWindow for a server that may be cold. It is near Bound, since most
+// such servers are warm.
+func (l *ColdLimit) perDoubtfulWindow() int {
+	return int(max(1, math.Floor(max(l.Bound, l.PerSecond))-arrivalMargin))
+}
+
 // coldState is what is known of a server that is cold from time to time.
 type coldState struct {
 	limit ColdLimit
@@ -44,7 +53,8 @@
 	// doubtUntil is until when the server is treated as cold because it may have become
 	// cold since its last statement.
 	doubtUntil time.Time
-	// active says that the limit was in force at the last event. tokens is valid then.
+	// active says that the server was cold by its statement at the last event. tokens is
+	// valid then.
 	active bool
 	tokens bucket
 	// starts holds the times of the requests of the last coldWindow, oldest first.
@@ -90,34 +100,47 @@
 	return wasCold || isCold
 }
 
-// coldNow reports whether the server is treated as cold. When it becomes cold, the limit
-// starts without tokens.
+// coldNow reports whether the server is treated as cold. When it is cold by its statement, the
+// rate limit starts without tokens.
 func (t *Throttle) coldNow(now time.Time) bool {
 	c := &t.cold
 	if c.limit.PerSecond <= 0 {
 		return false
 	}
 	c.forgetStarts(now)
-	if !now.Before(c.end()) {
-		c.active = false
-		return false
-	}
-	if !c.active {
-		t.beginCold(now)
-	}
-	return true
+	stated := now.Before(c.until)
+	if stated && !c.active {
+		c.tokens = bucket{}
+		c.tokens.setRate(c.limit.PerSecond, MaxBurst, now)
+		t.beginAppointments(now)
+	}
+	c.active = stated
+	return now.Before(c.end())
 }
 
-// beginCold starts the limit without tokens.
-func (t *Throttle) beginCold(now time.Time) {
-	t.cold.active = true
-	t.cold.tokens = bucket{}
-	t.cold.tokens.setRate(t.cold.limit.PerSecond, MaxBurst, now)
+// beginAppointments starts the appointments at a server that becomes cold.
+func (t *Throttle) beginAppointments(now time.Time) {
 	if !t.limited {
 		t.appointedUntil = now
 	}
 }
 
+// perWindow returns the most requests that are sent in a coldWindow.
+func (c *coldState) perWindow() int {
+	if c.active {
+		return c.limit.perWindow()
+	}
+	return c.limit.perDoubtfulWindow()
+}
+
+// perSecond returns the rate at which requests are sent.
+func (c *coldState) perSecond() float64 {
+	if c.active {
+		return c.limit.PerSecond
+	}
+	return float64(c.limit.perDoubtfulWindow()) / coldWindow.Seconds()
+}
+
 // end returns when the server is no longer treated as cold.
 func (c *coldState) end() time.Time {
 	if c.doubtUntil.After(c.until) {
@@ -145,7 +168,11 @@
 	if now.Sub(t.cold.knownSince) <= coldWindow {
 		return 0
 	}
-	return max(0, min(t.cold.tokens.available(now), t.cold.limit.perWindow()-len(t.cold.starts)))
+	tokens := max(0, t.cold.perWindow()-len(t.cold.starts))
+	if t.cold.active {
+		tokens = min(tokens, t.cold.tokens.available(now))
+	}
+	return tokens
 }
 
 // coldWait returns the time until the limit of a cold server admits n requests, at most until
@@ -155,8 +182,11 @@
 		return 0
 	}
 	c := &t.cold
-	wait := max(c.tokens.wait(n, now), coldWindow-now.Sub(c.knownSince)+1)
-	if excess := len(c.starts) + n - c.limit.perWindow(); excess > 0 && len(c.starts) > 0 {
+	wait := max(0, coldWindow-now.Sub(c.knownSince)+1)
+	if c.active {
+		wait = max(wait, c.tokens.wait(n, now))
+	}
+	if excess := len(c.starts) + n - c.perWindow(); excess > 0 && len(c.starts) > 0 {
 		oldest := c.starts[min(excess, len(c.starts))-1]
 		wait = max(wait, coldWindow-now.Sub(oldest)+1)
 	}
@@ -164,8 +194,8 @@
 }
 
 // takeCold records that a request is sent. A server that had no request for returnAfter may
-// have become cold in the meantime, for example while it was out of service. The limit then
-// applies until its next statement, and starts with all tokens.
+// have become cold in the meantime, for example while it was out of service. It then gets no
+// more requests than a cold one may get until its next statement.
 func (t *Throttle) takeCold(now time.Time) {
 	c := &t.cold
 	if c.limit.PerSecond <= 0 {
@@ -173,8 +203,7 @@
 	}
 	if !t.coldNow(now) && now.Sub(c.usedAt) > returnAfter && c.limit.Start > 0 {
 		c.doubtUntil = now.Add(c.limit.Start)
-		t.beginCold(now)
-		c.tokens.tokens = MaxBurst
+		t.beginAppointments(now)
 	}
 	if c.active {
 		c.tokens.refill(now)
--- a/throttle/doc.go
+++ b/throttle/doc.go
@@ -10,5 +10,9 @@
 // learned: the response to an earlier request may be older than the current rate. A proxy
 // that has restarted adopts the rate that ingresses remember, until the first response.
 //
+// A second limit holds while the server is cold: a token bucket with the rate that a cold
+// server tolerates, and a count of the requests of the last second, so that requests that were
+// sent before it was known to be cold count too.
+//
 // The package does no I/O.
 package throttle
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -56,8 +56,8 @@
 	Age time.Duration
 	// Wait is the time until the next request may be sent.
 	Wait time.Duration
-	// Cold says that the server is treated as cold. PerSecond is then at most the rate that
-	// it tolerates while it is cold.
+	// Cold says that the server is treated as cold. PerSecond is then at most the rate at
+	// which it is sent requests for this reason.
 	Cold bool
 }
 
@@ -213,7 +213,7 @@
 	if !t.coldNow(now) {
 		return state
 	}
-	rate := t.cold.limit.PerSecond
+	rate := t.cold.perSecond()
 	if state.Limited {
 		rate = min(rate, state.PerSecond)
 	}
