--- a/fleetconfig/inifile/doc.go
+++ b/fleetconfig/inifile/doc.go
@@ -13,6 +13,8 @@
 //
 //	[service stock]
 //	floor_percent = 60
+//	cold_rate = 12
+//	cold_start = 3s
 //
 //	[route lookups]
 //	path_prefix = /stock
--- a/fleetconfig/inifile/inifile_test.go
+++ b/fleetconfig/inifile/inifile_test.go
@@ -219,3 +219,23 @@
 	current.Routes[0].Service = "catalogue"
 	must.SliceEmpty(t, file.wanted(current).Routes[0].Split)
 }
+
+// The cold rate of a service that the file does not name is zero, and one out of range is a fault.
+func TestColdRateOfServiceIsReadAndChecked(t *testing.T) {
+	parse := func(keys string) ([]fleetconfig.Change, error) {
+		file, err := Parse("fleet.ini", []byte(strings.Replace(example, "floor_percent = 60", keys, 1)))
+		if err != nil {
+			return nil, err
+		}
+		return file.Changes(fleetconfig.NewDocument())
+	}
+	machine := fleetconfig.NewStateMachine()
+	changes, err := parse("cold_rate = 12.5\ncold_start = 3s")
+	must.NoError(t, err)
+	accept(t, machine, "cold", changes)
+	must.Eq(t, []fleetconfig.Service{{Name: "stock", ColdRate: 12.5, ColdStart: 3 * time.Second}}, machine.Document().Services)
+	for _, keys := range []string{"cold_rate = -1", "cold_rate = NaN", "cold_rate = 1e9", "cold_rate = few", "cold_start = -1s", "cold_start = 2h"} {
+		_, err := parse(keys)
+		must.ErrorContains(t, err, "cold_", must.Sprint(keys))
+	}
+}
--- a/fleetconfig/inifile/merge.go
+++ b/fleetconfig/inifile/merge.go
@@ -33,6 +33,7 @@
 
 func mergeService(current, file fleetconfig.Service) fleetconfig.Service {
 	current.FloorSlots, current.FloorPercent = file.FloorSlots, file.FloorPercent
+	current.ColdRate, current.ColdStart = file.ColdRate, file.ColdStart
 	return current
 }
 
--- a/fleetconfig/inifile/parse.go
+++ b/fleetconfig/inifile/parse.go
@@ -145,6 +145,8 @@
 		Name:         fleetconfig.ServiceName(name),
 		FloorSlots:   s.number("floor_slots", 0),
 		FloorPercent: s.number("floor_percent", 0),
+		ColdRate:     s.optionalFloat("cold_rate", "12"),
+		ColdStart:    s.duration("cold_start"),
 	})
 }
 
--- a/fleetconfig/inifile/section.go
+++ b/fleetconfig/inifile/section.go
@@ -64,6 +64,20 @@
 	if !given {
 		return 1
 	}
+	return s.parseFloat(key, value, example)
+}
+
+// optionalFloat returns the value of a key that is zero unless the file sets it.
+func (s *section) optionalFloat(key, example string) float64 {
+	value, given := s.value(key)
+	if !given {
+		return 0
+	}
+	return s.parseFloat(key, value, example)
+}
+
+// parseFloat returns 1 for a value that is not a number, and reports a fault.
+func (s *section) parseFloat(key, value, example string) float64 {
 	number, err := strconv.ParseFloat(value, 64)
 	if err != nil {
 		s.fault(key, fmt.Sprintf("%.64q is not a number", value), "write a number such as "+example)
