Scarce repeats go to the more urgent requests

Change: a budget remembers for about a second which urgencies have asked for credit; a less urgent repeat must leave as much, but for every fourth, so that none starves. The pause of an ingress after a refusal spares more urgent retries. The bound is kept by the same credit. With equal urgencies, or without a retry window, nothing changes. Tests: TestRepeatBudgetBoundsEveryPeriod draws urgencies and the simulated fleet has one to three ranks, so the bound is proved with them too; Take and Ask got the urgency, otherwise those tests are as they were. Seen red without reserve, without every fourth, without the pause's urgency and without its memory. ./backendproxy ./selection ./ingress ./internal/experiment and ./node -run 'Retry|Repeat|Bound' pass.

--- a/backendproxy/repeats.go
+++ b/backendproxy/repeats.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/hemlockring/hemlockring/clock"
-	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/pipeline"
 )
 
@@ -18,7 +17,7 @@
 func (*repeatFilter) Name() string { return "repeat" }
 
 func (f *repeatFilter) Request(exchange *pipeline.Exchange) error {
-	if exchange.Repeat == pipeline.RepeatNone || f.registry.mayRepeat(exchange.BackendServer, exchange.Service, clock.Now()) {
+	if exchange.Repeat == pipeline.RepeatNone || f.registry.mayRepeat(exchange, clock.Now()) {
 		return nil
 	}
 	return f.refuse()
@@ -27,7 +26,7 @@
 // beginDispatch charges the request to the budget of its server, right before the dispatch. It
 // returns a refusal if the server may receive no repeat now.
 func (f *repeatFilter) beginDispatch(exchange *pipeline.Exchange, now time.Time) error {
-	if !f.registry.chargeRepeat(exchange.BackendServer, exchange.Service, exchange.Repeat, now) {
+	if !f.registry.chargeRepeat(exchange, now) {
 		return f.refuse()
 	}
 	return nil
@@ -39,33 +38,33 @@
 		"the backend server has received as many repeats as its requests allow", "send the request to another backend server", retryElsewhere)
 }
 
-// mayRepeat reports whether a backend server may receive a repeat now.
-func (r *Registry) mayRepeat(id fleetconfig.BackendServerID, service fleetconfig.ServiceName, now time.Time) bool {
-	limits, limited := r.limits.RepeatLimits(service)
+// mayRepeat reports whether the backend server may receive a repeat now.
+func (r *Registry) mayRepeat(exchange *pipeline.Exchange, now time.Time) bool {
+	limits, limited := r.limits.RepeatLimits(exchange.Service)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	server := r.servers[id]
-	return !limited || server == nil || server.repeats.Available(limits, now)
+	server := r.servers[exchange.BackendServer]
+	return !limited || server == nil || server.repeats.Ask(limits, exchange.Urgency, now)
 }
 
-// chargeRepeat records that a request is about to be sent to a backend server. It returns false
-// if the request is a repeat and the server may receive none now.
-func (r *Registry) chargeRepeat(id fleetconfig.BackendServerID, service fleetconfig.ServiceName, repeat pipeline.Repeat, now time.Time) bool {
-	limits, limited := r.limits.RepeatLimits(service)
+// chargeRepeat records that a request is about to be sent to its backend server. It returns
+// false if the request is a repeat and the server may receive none now.
+func (r *Registry) chargeRepeat(exchange *pipeline.Exchange, now time.Time) bool {
+	limits, limited := r.limits.RepeatLimits(exchange.Service)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	server := r.servers[id]
+	server := r.servers[exchange.BackendServer]
 	switch {
 	case !limited:
-	case repeat != pipeline.RepeatNone:
+	case exchange.Repeat != pipeline.RepeatNone:
 		// A server that has just left the registry has no budget any more.
-		if server == nil || !server.repeats.Take(limits, now) {
+		if server == nil || !server.repeats.Take(limits, exchange.Urgency, now) {
 			return false
 		}
 	case server != nil:
 		server.repeats.RecordFirst(limits, now)
 	}
-	switch repeat {
+	switch exchange.Repeat {
 	case pipeline.RepeatRetry:
 		r.retries.Add(1)
 	case pipeline.RepeatCall:
--- a/backendproxy/repeats_test.go
+++ b/backendproxy/repeats_test.go
@@ -19,7 +19,10 @@
 	registry.limits.repeats = retry.RepeatLimits{Share: 0.5, Lifetime: time.Minute}
 	registry.announce(t, "s1", 1, 1, nil)
 	now := clock.Now()
-	charge := func(repeat pipeline.Repeat) bool { return registry.chargeRepeat("s1", "catalogue", repeat, now) }
+	repeatOf := func(repeat pipeline.Repeat) *pipeline.Exchange {
+		return &pipeline.Exchange{BackendServer: "s1", Service: "catalogue", Repeat: repeat}
+	}
+	charge := func(repeat pipeline.Repeat) bool { return registry.chargeRepeat(repeatOf(repeat), now) }
 	must.False(t, charge(pipeline.RepeatRetry))
 	for range 4 {
 		must.True(t, charge(pipeline.RepeatNone))
@@ -30,9 +33,9 @@
 	must.False(t, charge(pipeline.RepeatCall))
 	must.True(t, charge(pipeline.RepeatNone))
 	must.True(t, charge(pipeline.RepeatNone))
-	must.True(t, registry.mayRepeat("s1", "catalogue", now))
+	must.True(t, registry.mayRepeat(repeatOf(pipeline.RepeatRetry), now))
 	registry.announce(t, "s1", 2, 1, nil)
-	must.False(t, registry.mayRepeat("s1", "catalogue", now))
+	must.False(t, registry.mayRepeat(repeatOf(pipeline.RepeatRetry), now))
 	must.Eq(t, 1, registry.retries.Load())
 	must.Eq(t, 1, registry.repeatedCalls.Load())
 }
@@ -42,8 +45,8 @@
 	registry := newTestRegistry()
 	registry.limits.repeats = retry.RepeatLimits{Share: 1, Lifetime: time.Minute}
 	now := clock.Now()
-	must.False(t, registry.chargeRepeat("s1", "catalogue", pipeline.RepeatRetry, now))
-	must.True(t, registry.chargeRepeat("s1", "catalogue", pipeline.RepeatNone, now))
+	must.False(t, registry.chargeRepeat(&pipeline.Exchange{BackendServer: "s1", Service: "catalogue", Repeat: pipeline.RepeatRetry}, now))
+	must.True(t, registry.chargeRepeat(&pipeline.Exchange{BackendServer: "s1", Service: "catalogue"}, now))
 }
 
 // A run that a server names tells its requests apart, also after the run has ended.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -61,8 +61,10 @@
 	share float64
 	// fleetWide says that the preset has limits for the whole fleet.
 	fleetWide bool
-	// pausedUntil is the time until which no retry is allowed; see Exhausted.
+	// pausedUntil is the time until which no retry is allowed that is as urgent as pausedFrom
+	// or less; see Exhausted.
 	pausedUntil time.Time
+	pausedFrom  fleetconfig.Urgency
 	service     bucket
 	accounts    []bucket
 }
@@ -78,8 +80,14 @@
 	return budget
 }
 
-// Exhausted records that the servers to which a retry was sent had no credit for it.
-func (b *Budget) Exhausted(now time.Time) { b.pausedUntil = now.Add(exhaustedPause) }
+// Exhausted records that the servers to which a retry of the urgency was sent had no credit for
+// it. They may have some for more urgent ones.
+func (b *Budget) Exhausted(urgency fleetconfig.Urgency, now time.Time) {
+	if now.Before(b.pausedUntil) {
+		urgency = min(urgency, b.pausedFrom)
+	}
+	b.pausedUntil, b.pausedFrom = now.Add(exhaustedPause), urgency
+}
 
 // SetPreset changes the percentage while requests run. Accumulated retries are kept unless
 // the percentage is zero.
@@ -103,9 +111,9 @@
 	accountBucket.balance = min(maxAccountBalance, accountBucket.balance+b.share)
 }
 
-// Take takes one retry from the budget. It reports whether one was available.
-func (b *Budget) Take(account fleetconfig.AccountID, now time.Time) bool {
-	if b.share <= 0 || now.Before(b.pausedUntil) {
+// Take takes one retry of the urgency from the budget. It reports whether one was available.
+func (b *Budget) Take(account fleetconfig.AccountID, urgency fleetconfig.Urgency, now time.Time) bool {
+	if b.share <= 0 || (now.Before(b.pausedUntil) && urgency >= b.pausedFrom) {
 		return false
 	}
 	accountBucket := b.account(account)
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -24,6 +24,8 @@
 type Attempt struct {
 	// Account is the client account of the request.
 	Account fleetconfig.AccountID
+	// Urgency is the urgency of the request.
+	Urgency fleetconfig.Urgency
 	// Idempotent is set if the request may run more than once.
 	Idempotent bool
 	// Outcome is what is known about the attempt. It is ignored for a hedge.
@@ -82,7 +84,7 @@
 		return DecisionAttemptsExhausted
 	case attempt.Remaining <= 0:
 		return DecisionDeadlineExceeded
-	case !b.Take(attempt.Account, now):
+	case !b.Take(attempt.Account, attempt.Urgency, now):
 		return DecisionBudgetExhausted
 	default:
 		return DecisionRetry
--- a/retry/repeats.go
+++ b/retry/repeats.go
@@ -20,6 +20,10 @@
 	// floorShare is the share of the fleet's floor that is divided among the servers. The rest
 	// covers requests that arrive unevenly.
 	floorShare = 0.75
+	// maxReservedTakes is after how many repeats one of any urgency may take the credit that is
+	// kept for more urgent ones, so that none starves. In a queue, too, every fourth slot goes to
+	// the less urgent.
+	maxReservedTakes = 3
 )
 
 // RepeatLimits are the limits on the repeats that one backend server receives.
@@ -73,6 +77,9 @@
 	current   int64
 	startedAt time.Time
 	filledAt  time.Time
+	demand    demand
+	// reservedTakes counts the repeats since the last that took credit kept for others.
+	reservedTakes int
 }
 
 // RecordFirst records a first request, which earns credit.
@@ -82,18 +89,36 @@
 	b.limitCredit()
 }
 
-// Available reports whether a repeat can be taken.
-func (b *RepeatBudget) Available(limits RepeatLimits, now time.Time) bool {
+// Ask records that a repeat of the urgency asks for credit, and reports whether it can be taken
+// now. Credit that more urgent repeats have lately asked for is kept for those to come, so that
+// the less urgent ones do not use it up before.
+func (b *RepeatBudget) Ask(limits RepeatLimits, urgency fleetconfig.Urgency, now time.Time) bool {
+	b.demand.record(urgency, now)
+	return b.available(limits, urgency, now)
+}
+
+func (b *RepeatBudget) available(limits RepeatLimits, urgency fleetconfig.Urgency, now time.Time) bool {
 	b.fill(limits, now)
-	return b.credit >= 1
+	return b.credit >= 1 && (b.reservedTakes >= maxReservedTakes || b.unreserved(urgency, now))
 }
 
-// Take takes one repeat. It reports whether one was available. A repeat that does not reach the
-// server stays taken: returned later, it would be credit that nothing has earned meanwhile.
-func (b *RepeatBudget) Take(limits RepeatLimits, now time.Time) bool {
-	if !b.Available(limits, now) {
+// unreserved reports whether a repeat leaves the credit that is kept for more urgent ones.
+func (b *RepeatBudget) unreserved(urgency fleetconfig.Urgency, now time.Time) bool {
+	return b.credit >= 1+b.demand.moreUrgent(urgency, now)
+}
+
+// Take takes one repeat of the urgency, for which Ask was called before. It reports whether one
+// was available. A repeat that does not reach the server stays taken: returned later, it would be
+// credit that nothing has earned meanwhile.
+func (b *RepeatBudget) Take(limits RepeatLimits, urgency fleetconfig.Urgency, now time.Time) bool {
+	if !b.available(limits, urgency, now) {
 		return false
 	}
+	if b.unreserved(urgency, now) {
+		b.reservedTakes++
+	} else {
+		b.reservedTakes = 0
+	}
 	b.credit--
 	return true
 }
--- a/retry/repeats_test.go
+++ b/retry/repeats_test.go
@@ -31,7 +31,10 @@
 				server.RecordFirst(limits, at)
 				events = append(events, event{at: now})
 			case "repeat":
-				if server.Take(limits, at) {
+				urgency := fleetconfig.Urgency(rapid.IntRange(1, maxRanks+2).Draw(t, "urgency"))
+				mayTake := server.Ask(limits, urgency, at)
+				if taken := server.Take(limits, urgency, at); taken {
+					must.True(t, mayTake)
 					events = append(events, event{at: now, repeat: true})
 				}
 			case "restart":
@@ -100,12 +103,12 @@
 	for range 20 {
 		budget.RecordFirst(limits, epoch)
 	}
-	must.True(t, budget.Take(limits, epoch.Add(time.Second)))
+	must.True(t, budget.Take(limits, 1, epoch.Add(time.Second)))
 	must.Eq(t, 9, budget.Credit())
 	later := epoch.Add(limits.Lifetime)
-	must.True(t, budget.Take(limits, later))
-	must.False(t, budget.Take(limits, later))
-	must.False(t, budget.Take(limits, later.Add(time.Hour)))
+	must.True(t, budget.Take(limits, 1, later))
+	must.False(t, budget.Take(limits, 1, later))
+	must.False(t, budget.Take(limits, 1, later.Add(time.Hour)))
 }
 
 // Servers without credit stop the retries of an ingress for a moment.
@@ -116,7 +119,7 @@
 		budget.RecordRequest("a", epoch)
 	}
 	must.Eq(t, DecisionRetry, budget.Decide(attempt, epoch))
-	budget.Exhausted(epoch)
+	budget.Exhausted(attempt.Urgency, epoch)
 	must.Eq(t, DecisionBudgetExhausted, budget.Decide(attempt, epoch.Add(exhaustedPause-1)))
 	must.Eq(t, DecisionRetry, budget.Decide(attempt, epoch.Add(exhaustedPause)))
 }
--- a/retry/simulation_test.go
+++ b/retry/simulation_test.go
@@ -43,8 +43,12 @@
 	groups []int
 	// failing is the share of the runs that fail.
 	failing float64
+	// ranks is how many urgencies the requests have, from 1 on.
+	ranks int
 	// asked counts the retries that failed requests needed, refused those that the budgets refused.
 	asked, refused int
+	// askedBy and refusedBy count them by urgency.
+	askedBy, refusedBy map[fleetconfig.Urgency]int
 }
 
 type simulatedService struct {
@@ -64,6 +68,7 @@
 	ingress, service int
 	// account is the client account, empty for a call.
 	account  fleetconfig.AccountID
+	urgency  fleetconfig.Urgency
 	attempts int
 	// refusals counts the servers that had no credit for the request.
 	refusals int
@@ -92,7 +97,8 @@
 // newSimulatedFleet returns a fleet in which every third instance has a server of the second
 // service.
 func newSimulatedFleet(instances int, seed uint64) *simulatedFleet {
-	fleet := &simulatedFleet{random: rand.New(rand.NewPCG(seed, 35)), groups: make([]int, instances)}
+	fleet := &simulatedFleet{random: rand.New(rand.NewPCG(seed, 35)), groups: make([]int, instances), ranks: 1,
+		askedBy: make(map[fleetconfig.Urgency]int), refusedBy: make(map[fleetconfig.Urgency]int)}
 	for i := range instances {
 		instance := &simulatedInstance{}
 		if i%3 == 2 {
@@ -142,8 +148,11 @@
 // offer sends requests of callers to random instances at a rate per second, with exponential gaps.
 func (f *simulatedFleet) offer(service int, rate float64) {
 	f.after(time.Duration(f.random.ExpFloat64()/rate*float64(time.Second)), func() {
-		account := fleetconfig.AccountID(rune('a' + f.random.IntN(simulatedAccounts)))
-		f.start(&simulatedRequest{ingress: f.random.IntN(len(f.instances)), service: service, account: account, done: func(bool) {}})
+		number := f.random.IntN(simulatedAccounts)
+		f.start(&simulatedRequest{
+			ingress: f.random.IntN(len(f.instances)), service: service, account: fleetconfig.AccountID(rune('a' + number)),
+			urgency: fleetconfig.Urgency(1 + number%f.ranks), done: func(bool) {},
+		})
 		f.offer(service, rate)
 	})
 }
@@ -165,7 +174,7 @@
 	limits, _ := RepeatLimitsOf(&simulatedPreset, servers)
 	repeats := &f.instances[target].repeats
 	if request.repeatedCall || request.attempts > 0 {
-		return repeats.Take(limits, epoch.Add(f.now))
+		return repeats.Ask(limits, request.urgency, epoch.Add(f.now)) && repeats.Take(limits, request.urgency, epoch.Add(f.now))
 	}
 	repeats.RecordFirst(limits, epoch.Add(f.now))
 	return true
@@ -201,9 +210,8 @@
 func (f *simulatedFleet) arrive(request *simulatedRequest, target int) {
 	if !f.admits(request, target) {
 		if request.refusals++; request.refusals >= simulatedRefusals {
-			f.budget(request.ingress, request.service).Exhausted(epoch.Add(f.now))
-			f.refused++
-			request.done(false)
+			f.budget(request.ingress, request.service).Exhausted(request.urgency, epoch.Add(f.now))
+			f.recordRefused(request)
 			return
 		}
 		f.attempt(request, target)
@@ -222,7 +230,7 @@
 		return
 	}
 	if request.service == 0 && f.random.IntN(2) == 0 {
-		f.start(&simulatedRequest{ingress: target, service: 1, repeatedCall: repeat, done: func(answered bool) {
+		f.start(&simulatedRequest{ingress: target, service: 1, urgency: request.urgency, repeatedCall: repeat, done: func(answered bool) {
 			if answered {
 				request.done(true)
 			} else {
@@ -241,14 +249,21 @@
 		return
 	}
 	f.asked++
-	if !f.budget(request.ingress, request.service).Take(request.account, epoch.Add(f.now)) {
-		f.refused++
-		request.done(false)
+	f.askedBy[request.urgency]++
+	if !f.budget(request.ingress, request.service).Take(request.account, request.urgency, epoch.Add(f.now)) {
+		f.recordRefused(request)
 		return
 	}
 	f.attempt(request, failedAt)
 }
 
+// recordRefused ends a request that the budgets permit no retry.
+func (f *simulatedFleet) recordRefused(request *simulatedRequest) {
+	f.refused++
+	f.refusedBy[request.urgency]++
+	request.done(false)
+}
+
 // excess returns by how much the repeats of the worst window exceed the bound. The ratio is taken
 // of the requests in the window, the one before or the one half a window before.
 func (s *simulatedService) excess() (worst float64, at time.Duration) {
@@ -329,6 +344,7 @@
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(seeds) {
 				fleet := newSimulatedFleet(instances, seed)
+				fleet.ranks = 1 + int(seed)%3
 				fleet.offer(0, 80)
 				fleet.offer(1, 30)
 				fleet.at(8*time.Second, func() { fleet.failing = 0.6 })
--- a/selection/retry_budgets.go
+++ b/selection/retry_budgets.go
@@ -64,6 +64,7 @@
 	defer r.mu.Unlock()
 	decision := r.budget(exchange).Decide(retry.Attempt{
 		Account:     exchange.Account,
+		Urgency:     urgencyOf(exchange),
 		Idempotent:  exchange.Idempotent,
 		Outcome:     outcome,
 		ServerError: true,
@@ -81,13 +82,17 @@
 	return false
 }
 
+func urgencyOf(exchange *pipeline.Exchange) fleetconfig.Urgency {
+	return fleetconfig.UrgencyOf(exchange.View.Account(exchange.Account), exchange.Route)
+}
+
 // RetryRefused implements ingress.RetryPolicy.
 func (r *RetryBudgets) RetryRefused(exchange *pipeline.Exchange) {
 	now := clock.Now()
 	r.refused.Add(1)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.budget(exchange).Exhausted(now)
+	r.budget(exchange).Exhausted(urgencyOf(exchange), now)
 	r.logRefused(exchange, "backend-proxies", now)
 }
 
