Calls of runs under way go before new requests; a request whose calls find no room is not started

Change: a call takes the rank of its caller's run and precedes all requests that have not started. The proxy beside a server learns what the runs of a route call (callgraph) and refuses a request, as not run, while a called service leaves no room for its rank. Preset field call_precedence, on where requests are ranked.

--- a/backendproxy/filters.go
+++ b/backendproxy/filters.go
@@ -189,6 +189,10 @@
 		TargetTime:  exchange.TargetTime,
 		ServiceTime: exchange.ServiceTime,
 	}
+	if exchange.Urgency.IsCall() {
+		// The run that sent a call needs its response even if it is late.
+		item.TargetTime = time.Time{}
+	}
 	if exchange.MaxRateWait > 0 {
 		item.WaitForRate = true
 		if latest := exchange.Received.Add(exchange.MaxRateWait); latest.Before(item.StartBy) {
--- a/backendproxy/proxy.go
+++ b/backendproxy/proxy.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hemlockring/hemlockring/callgraph"
 	"github.com/hemlockring/hemlockring/clock"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/internal/linelimit"
@@ -36,6 +37,10 @@
 	// Clock is a clock of this instance. Ingresses send dispatch deadlines as readings of
 	// this clock.
 	Clock quota.DispatchClock
+	// CallRoom reports whether a call of a run of the given urgency would find room at the
+	// called service. Otherwise it returns the time after which the request that needs the
+	// call should come back. Nil means that there is always room.
+	CallRoom func(call callgraph.Call, urgency fleetconfig.Urgency) (retryAfter time.Duration, room bool)
 	// Logger receives a message for each request that was refused, truncated, or answered
 	// with a server error, up to maxLogLinesPerSecond. Nil disables logging.
 	Logger *slog.Logger
@@ -60,6 +65,7 @@
 	loadReporter *loadReporter
 	status       *statusObserver
 	evacuation   *evacuationFilter
+	calls        *callRoomFilter
 	log          *slog.Logger
 	logLimiter   *linelimit.Limiter
 	clock        quota.DispatchClock
@@ -97,6 +103,7 @@
 	quarantined := &quarantineFilter{key: config.FingerprintKey, quarantine: config.Quarantine}
 	repeats := &repeatFilter{registry: config.Registry}
 	proxy.evacuation = &evacuationFilter{view: config.View, domain: config.FailureDomain}
+	proxy.calls = &callRoomFilter{runs: config.Runs, view: config.View, room: config.CallRoom}
 	proxy.chain = pipeline.NewChain(
 		&verifyFilter{keys: keys, pauseDetector: config.PauseDetector, clock: config.Clock},
 		&drainFilter{draining: &proxy.draining},
@@ -104,6 +111,7 @@
 		quarantined,
 		&healthFilter{monitor: config.HealthMonitor},
 		repeats,
+		proxy.calls,
 		&queueFilter{registry: config.Registry, status: proxy.status},
 		&runFilter{dispatcher: newDispatcher(config.Dialect), quarantined: quarantined, evacuation: proxy.evacuation, crashes: newCrashDetector(&config), runs: config.Runs, repeats: repeats, keys: keys, pauseDetector: config.PauseDetector, monitor: config.HealthMonitor, loadReporter: proxy.loadReporter, status: proxy.status, clock: config.Clock},
 	)
@@ -130,6 +138,7 @@
 		Trial:         header.Get(pipeline.HeaderTrial) != "",
 		Repeat:        pipeline.ParseRepeat(header.Get(pipeline.HeaderRepeat)),
 		Urgency:       parseUrgency(header),
+		RouteID:       header.Get(pipeline.HeaderRoute),
 		State:         &exchangeState{},
 	}
 	if waitMillis, err := strconv.ParseInt(header.Get(pipeline.HeaderWaitForRate), 10, 64); err == nil && waitMillis > 0 {
@@ -167,6 +176,7 @@
 		RepeatRefusals: registry.repeatRefusals.Load(),
 
 		EvacuationRefusals: p.evacuation.refusals.Load(),
+		CallRefusals:       p.calls.refusals.Load(),
 	}
 }
 
--- a/backendproxy/repeats_test.go
+++ b/backendproxy/repeats_test.go
@@ -91,7 +91,8 @@
 func newTestTracker() testTracker { return testTracker{NewRunTracker()} }
 
 func (t testTracker) run(id string, repeat pipeline.Repeat) (end func()) {
-	return t.begin(&pipeline.Exchange{RequestID: id, Repeat: repeat, Deadline: clock.Now().Add(time.Minute)})
+	endRun := t.begin(&pipeline.Exchange{RequestID: id, Repeat: repeat, Deadline: clock.Now().Add(time.Minute)})
+	return func() { endRun(true) }
 }
 
 func (t testTracker) repeatedCall(caller, account string) bool {
@@ -102,7 +103,7 @@
 func TestRunTrackerForgetsRunsAfterDeadline(t *testing.T) {
 	tracker := NewRunTracker()
 	for i := range 100 {
-		tracker.begin(&pipeline.Exchange{RequestID: fmt.Sprint(i), Repeat: pipeline.RepeatRetry, Deadline: clock.Now()})()
+		tracker.begin(&pipeline.Exchange{RequestID: fmt.Sprint(i), Repeat: pipeline.RepeatRetry, Deadline: clock.Now()})(true)
 	}
 	tracker.sweep(clock.Now().Add(2 * runSweepInterval))
 	must.MapEmpty(t, tracker.runs)
--- a/backendproxy/run.go
+++ b/backendproxy/run.go
@@ -57,7 +57,8 @@
 	exchange.Hasher = f.quarantined.newHasher(exchange)
 	run := f.crashes.begin(exchange, slot)
 	defer run.end()
-	defer f.runs.begin(exchange)()
+	endRun, completed := f.runs.begin(exchange), false
+	defer func() { endRun(completed) }()
 	response, dispatched, err := f.dispatcher.dispatch(ctx, exchange, slot.Address, exchange.DispatchBy)
 	exchange.Outcome = dispatched.outcome
 	if err != nil {
@@ -93,6 +94,7 @@
 	if cause := writeResponse(exchange, response); cause != nil {
 		f.recordTruncation(exchange, cause, run)
 	} else if response.StatusCode < http.StatusInternalServerError {
+		completed = true
 		run.complete()
 	}
 	return nil
--- a/backendproxy/runs.go
+++ b/backendproxy/runs.go
@@ -1,10 +1,13 @@
 package backendproxy
 
 import (
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/hemlockring/hemlockring/callgraph"
 	"github.com/hemlockring/hemlockring/clock"
+	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/pipeline"
 )
 
@@ -14,6 +17,8 @@
 	maxTrackedRuns = 10_000
 	// runSweepInterval is how often expired runs are forgotten.
 	runSweepInterval = time.Second
+	// maxCallKinds bounds the kinds of calls that are counted for one run.
+	maxCallKinds = 8
 	// formerRunPeriod is how long after the start of this process requests may come from runs
 	// that a former process began.
 	formerRunPeriod = 10 * time.Second
@@ -30,6 +35,8 @@
 	startedAt       time.Time
 	// callersNamed says that a request has named a run that is known.
 	callersNamed bool
+	// calls is what was learned about the requests that runs send.
+	calls callgraph.Graph
 }
 
 // trackedRun is remembered until its deadline even if it ends earlier, because a backend server
@@ -38,6 +45,10 @@
 	repeated bool
 	underWay int
 	deadline time.Time
+	route    string
+	urgency  fleetconfig.Urgency
+	// made counts the calls of the run, of at most maxCallKinds kinds.
+	made map[callgraph.Call]int
 }
 
 // NewRunTracker returns a tracker without runs.
@@ -46,8 +57,8 @@
 }
 
 // begin records that a request is about to be sent to a backend server. The function that it
-// returns must be called when the run has ended.
-func (t *RunTracker) begin(exchange *pipeline.Exchange) (end func()) {
+// returns must be called when the run has ended, with whether it has ended well.
+func (t *RunTracker) begin(exchange *pipeline.Exchange) (end func(completed bool)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(clock.Now())
@@ -60,15 +71,20 @@
 		run = &trackedRun{}
 		t.runs[exchange.RequestID] = run
 	}
+	run.route, run.urgency = exchange.RouteID, exchange.Urgency
 	run.repeated = run.repeated || repeated
 	run.underWay++
 	if exchange.Deadline.After(run.deadline) {
 		run.deadline = exchange.Deadline
 	}
-	return func() {
+	return func(completed bool) {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		run.underWay--
+		if completed && run.route != "" {
+			t.calls.RecordRun(run.route, run.made)
+			run.made = nil
+		}
 		if repeated {
 			t.repeatsUnderWay--
 		}
@@ -111,3 +127,35 @@
 	}
 	return t.repeatsUnderWay > 0 && !t.callersNamed
 }
+
+// RecordCall implements ingress.Runs. A request that names a run of a former process of this
+// instance is one of its calls, with the least urgency that a call can have.
+func (t *RunTracker) RecordCall(exchange *pipeline.Exchange) fleetconfig.Urgency {
+	if exchange.CallerRequest == "" || exchange.Account != "" {
+		return 0
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	run := t.runs[exchange.CallerRequest]
+	if run == nil {
+		if exchange.Received.Sub(t.startedAt) < formerRunPeriod {
+			return fleetconfig.UrgencyOfCall(fleetconfig.LeastUrgent)
+		}
+		return 0
+	}
+	call := callgraph.Call{Service: exchange.Service, Route: exchange.Route.ID}
+	if run.made == nil {
+		run.made = make(map[callgraph.Call]int)
+	}
+	if _, known := run.made[call]; known || len(run.made) < maxCallKinds {
+		run.made[call]++
+	}
+	return fleetconfig.UrgencyOfCall(run.urgency)
+}
+
+// expectedCalls returns the calls that a run of the route will probably make.
+func (t *RunTracker) expectedCalls(route string) []callgraph.Expectation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.calls.Calls(route))
+}
--- a/backendproxy/status.go
+++ b/backendproxy/status.go
@@ -37,6 +37,9 @@
 	// EvacuationRefusals counts the requests that were refused because the failure domain of
 	// this instance is evacuated.
 	EvacuationRefusals uint64
+	// CallRefusals counts the requests that were refused because a call that their run needs
+	// would have found no room.
+	CallRefusals uint64
 }
 
 // statusObserver records what backend servers state about themselves in their responses.
--- a/fleetconfig/document.go
+++ b/fleetconfig/document.go
@@ -268,6 +268,10 @@
 	// server would run it in time. Without it the request is sent to one server after another
 	// until one accepts it.
 	AdmissionByRoom bool `cbor:"15,keyasint,omitempty" json:"admission_by_room,omitempty"`
+	// CallPrecedence gives a request that a run sends precedence over requests that have not
+	// started, and keeps a request from starting while the calls that its run will need find no
+	// room.
+	CallPrecedence bool `cbor:"16,keyasint,omitempty" json:"call_precedence,omitempty"`
 	// HedgeAfter is the delay after which an idempotent request is sent to a second
 	// backend server. Zero disables hedging.
 	HedgeAfter time.Duration `cbor:"3,keyasint" json:"hedge_after"`
--- a/fleetconfig/urgency.go
+++ b/fleetconfig/urgency.go
@@ -23,3 +23,29 @@
 	}
 	return byAccount<<32 | byRoute
 }
+
+// urgencyOfFirstRequest is the smallest urgency that UrgencyOf returns for a route or an account
+// with a priority. Smaller ones are those of calls.
+const urgencyOfFirstRequest Urgency = 1 << 32
+
+// maxCallRank bounds the ranks that the urgency of a call tells apart. All larger ones count
+// as equal.
+const maxCallRank = math.MaxUint16
+
+// UrgencyOfCall returns the urgency of the requests that a run sends, given the urgency of the
+// request that it runs. All calls precede all requests that have not started, because a run
+// that has to wait for a call holds a slot meanwhile and is lost if the call fails. Calls keep
+// the order of their callers.
+func UrgencyOfCall(caller Urgency) Urgency {
+	if caller.IsCall() {
+		return caller
+	}
+	byAccount, byRoute := caller>>32, caller&math.MaxUint32
+	if byAccount >= maxCallRank {
+		byRoute = maxCallRank
+	}
+	return min(byAccount, maxCallRank)<<16 | min(byRoute, maxCallRank)
+}
+
+// IsCall reports whether the urgency is that of a request that a run sends.
+func (u Urgency) IsCall() bool { return u < urgencyOfFirstRequest }
--- a/fleetconfig/urgency_test.go
+++ b/fleetconfig/urgency_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
 )
 
 func TestUrgencyOfRanksAccountBeforeRoute(t *testing.T) {
@@ -22,3 +23,23 @@
 	must.Eq(t, LeastUrgent, UrgencyOf(nil, nil))
 	must.Eq(t, urgency(0, 4), UrgencyOf(nil, &Route{Priority: 4}))
 }
+
+// Calls precede all requests that have not started and keep the order of their callers. A call
+// of a call has the urgency of its caller.
+func TestUrgencyOfCallPrecedesRequests(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(name string) Urgency {
+			rank := rapid.Uint32Range(0, 2*maxCallRank)
+			return UrgencyOf(&Account{Priority: rank.Draw(t, name+" account")}, &Route{Priority: rank.Draw(t, name+" route")})
+		}
+		first, second := draw("first"), draw("second")
+		must.Less(t, second, UrgencyOfCall(first))
+		must.True(t, UrgencyOfCall(first).IsCall())
+		must.False(t, first.IsCall())
+		if first <= second {
+			must.LessEq(t, UrgencyOfCall(second), UrgencyOfCall(first))
+		}
+		must.Eq(t, UrgencyOfCall(first), UrgencyOfCall(UrgencyOfCall(first)))
+		must.NotEq(t, 0, UrgencyOfCall(first))
+	})
+}
--- a/fleetconfig/view.go
+++ b/fleetconfig/view.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math/bits"
 	"slices"
+	"sort"
 )
 
 // View is an immutable Document with lookup tables. It is safe for concurrent use.
@@ -63,6 +64,16 @@
 	return &services[at]
 }
 
+// Route returns a route by its ID, or nil if there is none.
+func (v *View) Route(id string) *Route {
+	routes := v.document.Routes
+	at := sort.Search(len(routes), func(i int) bool { return routes[i].ID >= id })
+	if at == len(routes) || routes[at].ID != id {
+		return nil
+	}
+	return &routes[at]
+}
+
 // ActivePreset returns the active preset. It is never nil.
 func (v *View) ActivePreset() *Preset { return v.preset }
 
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -36,6 +36,9 @@
 type Runs interface {
 	// IsRepeatedCall reports whether a repeated run sends the exchange's request.
 	IsRepeatedCall(exchange *pipeline.Exchange) bool
+	// RecordCall returns the urgency of the exchange's request if a run sends it, otherwise
+	// zero, and adds it to the calls of that run.
+	RecordCall(exchange *pipeline.Exchange) fleetconfig.Urgency
 }
 
 const (
@@ -52,6 +55,10 @@
 	// maxRetryRefusals is how many backend proxies may refuse a request because their
 	// servers may receive no more repeats now, before it is given up.
 	maxRetryRefusals = 8
+	// maxCalledServiceRefusals is how many backend proxies may refuse a request because a
+	// service that its run would call has no room, before it is given up. All of them call the
+	// same service, but the news of one may be old.
+	maxCalledServiceRefusals = 2
 )
 
 // forwardFilter selects backend servers and sends the request to their backend
@@ -79,7 +86,12 @@
 	ctx, cancel := clock.WithDeadline(exchange.Request.Context(), exchange.Deadline)
 	defer cancel()
 
-	exchange.RepeatedCall = f.runs != nil && f.runs.IsRepeatedCall(exchange)
+	if f.runs != nil {
+		exchange.RepeatedCall = f.runs.IsRepeatedCall(exchange)
+		if exchange.View.ActivePreset().CallPrecedence {
+			exchange.CallUrgency = f.runs.RecordCall(exchange)
+		}
+	}
 	f.retry.RequestStarted(exchange)
 	attempts := &attemptTracker{}
 	for {
@@ -104,6 +116,9 @@
 			return nil
 		}
 		attempts.add(exchange, candidate, refusal)
+		if attempts.calledServiceRefusals >= maxCalledServiceRefusals {
+			return refusal
+		}
 		if attempts.retryRefusals >= maxRetryRefusals {
 			f.retry.RetryRefused(exchange)
 			return refusal
@@ -146,6 +161,9 @@
 	// retryRefusals counts the attempts that were refused because the backend server may
 	// receive no more repeats now.
 	retryRefusals int
+	// calledServiceRefusals counts the attempts that were refused because a service that the
+	// run would call has no room.
+	calledServiceRefusals int
 	// lastRefusedAsRepeat says that the last attempt was refused so.
 	lastRefusedAsRepeat bool
 	// lastResortStarted says that startLastResort has permitted further attempts,
@@ -167,6 +185,9 @@
 	if t.lastRefusedAsRepeat {
 		t.retryRefusals++
 	}
+	if refusal.Kind == pipeline.KindCalledServiceBusy {
+		t.calledServiceRefusals++
+	}
 	if refusal.Kind == pipeline.KindBusy && !refusal.ReachedServer {
 		t.busyRefusals++
 	}
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -33,6 +33,8 @@
 	rateWait time.Duration
 	// busyRefusals is the number of refusals for want of room after which Room finds none.
 	busyRefusals int
+	// callPrecedence sets CallPrecedence in the active preset.
+	callPrecedence bool
 	// byRoom sets AdmissionByRoom in the active preset.
 	byRoom bool
 	// lastResort is set in every candidate.
@@ -158,6 +160,7 @@
 	document.CallerLimits.BodyBytes = maxTestBody
 	for i := range document.Presets {
 		document.Presets[i].AdmissionByRoom = s.byRoom
+		document.Presets[i].CallPrecedence = s.callPrecedence
 	}
 	document.Routes = []fleetconfig.Route{{
 		ID: "r", PathPrefix: "/", Service: "catalogue", OpenToAll: true, Idempotency: idempotency, MaxAttempts: maxAttempts, Priority: testPriority,
@@ -375,6 +378,51 @@
 
 func (r fakeRuns) IsRepeatedCall(*pipeline.Exchange) bool { return bool(r) }
 
+// callerUrgency is the urgency of the run that sends each request, if fakeRuns says so.
+const callerUrgency fleetconfig.Urgency = 2<<32 | 1
+
+func (r fakeRuns) RecordCall(*pipeline.Exchange) fleetconfig.Urgency {
+	if r {
+		return fleetconfig.UrgencyOfCall(callerUrgency)
+	}
+	return 0
+}
+
+// A call has the urgency that follows from its caller's, and the backend proxy learns its route,
+// while the preset gives calls precedence.
+func TestForwardSendsUrgencyOfCall(t *testing.T) {
+	for _, c := range []struct {
+		precedence, call bool
+		urgency          fleetconfig.Urgency
+		route            string
+	}{
+		{true, true, fleetconfig.UrgencyOfCall(callerUrgency), "r"},
+		{true, false, fleetconfig.UrgencyOf(nil, &fleetconfig.Route{Priority: testPriority}), "r"},
+		{false, true, fleetconfig.UrgencyOf(nil, &fleetconfig.Route{Priority: testPriority}), ""},
+	} {
+		var sent http.Header
+		fleet := &fakeFleet{runs: fakeRuns(c.call), callPrecedence: c.precedence, responders: []func(*http.Request) (*http.Response, error){func(request *http.Request) (*http.Response, error) {
+			sent = request.Header
+			return respondStatus(http.StatusOK)(request)
+		}}}
+		must.Eq(t, http.StatusOK, fleet.serve(idempotent, 1, 0).Code)
+		must.Eq(t, strconv.FormatUint(uint64(c.urgency), 10), sent.Get(pipeline.HeaderUrgency))
+		must.Eq(t, c.route, sent.Get(pipeline.HeaderRoute))
+	}
+}
+
+// A request whose calls find no room is refused as not run after two backend proxies said so.
+func TestForwardGivesUpWhenCalledServiceIsBusy(t *testing.T) {
+	fleet := &fakeFleet{}
+	for range 5 {
+		fleet.responders = append(fleet.responders, respondRefusal(pipeline.KindCalledServiceBusy, pipeline.OutcomeNotRun, false))
+	}
+	recorder := fleet.serve(nonIdempotent, 2, 0)
+	must.Eq(t, http.StatusServiceUnavailable, recorder.Code)
+	must.Eq(t, string(pipeline.KindCalledServiceBusy), recorder.Header().Get(pipeline.HeaderRefusal))
+	must.Len(t, maxCalledServiceRefusals, fleet.attempted)
+}
+
 // Backend proxies must learn which attempts are retries and which come from repeated runs.
 func TestForwardMarksRepeats(t *testing.T) {
 	var repeats []string
--- a/ingress/forwarded.go
+++ b/ingress/forwarded.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/hemlockring/hemlockring/backendproxy"
-	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/internal/httpheader"
 	"github.com/hemlockring/hemlockring/pipeline"
 )
@@ -28,8 +27,10 @@
 	if exchange.Idempotent {
 		header.Set(pipeline.HeaderIdempotent, "1")
 	}
-	urgency := fleetconfig.UrgencyOf(exchange.View.Account(exchange.Account), exchange.Route)
-	header.Set(pipeline.HeaderUrgency, strconv.FormatUint(uint64(urgency), 10))
+	header.Set(pipeline.HeaderUrgency, strconv.FormatUint(uint64(exchange.IngressUrgency()), 10))
+	if exchange.View.ActivePreset().CallPrecedence {
+		header.Set(pipeline.HeaderRoute, exchange.Route.ID)
+	}
 	if exchange.LastResort || candidate.LastResort {
 		header.Set(pipeline.HeaderLastResort, "1")
 	}
--- a/node/local.go
+++ b/node/local.go
@@ -90,6 +90,9 @@
 	n.metrics.RegisterCounter("backend_evacuation_refusals", "Requests refused because the failure domain of this instance is evacuated.", func() uint64 {
 		return n.backendProxy.Statistics().EvacuationRefusals
 	})
+	n.metrics.RegisterCounter("backend_call_room_refusals", "Requests refused because a service that their run would call has no room.", func() uint64 {
+		return n.backendProxy.Statistics().CallRefusals
+	})
 	n.metrics.RegisterGauge("evacuated", "1 while the failure domain of this instance is evacuated, otherwise 0.", func() float64 {
 		if n.configuration.View().Evacuated(n.settings.Instance.FailureDomain) {
 			return 1
--- a/node/node.go
+++ b/node/node.go
@@ -239,6 +239,7 @@
 	})
 	n.members.HandlePayloads(n.quarantine.HandleMessage)
 	runs := backendproxy.NewRunTracker()
+	selector := selection.New(selection.Config{Members: n.members.Snapshot, View: n.configuration.View})
 	n.backendProxy = backendproxy.New(backendproxy.Config{
 		Registry:       n.registry,
 		View:           n.configuration.View,
@@ -250,6 +251,7 @@
 		FingerprintKey: n.fingerprintKey,
 		Quarantine:     n.quarantine,
 		Runs:           runs,
+		CallRoom:       selector.CallRoom,
 		Logger:         n.logger,
 	})
 	n.registerBackendMetrics()
@@ -257,7 +259,6 @@
 	quotaFilter := ingress.NewQuotaFilter(n.quota)
 	quarantineFilter := ingress.NewQuarantineFilter(n.fingerprintKey, n.quarantine)
 	orderFilter := &orders.Filter{Service: n.orders, MaxBodyBytes: orders.DefaultMaxBodyBytes}
-	selector := selection.New(selection.Config{Members: n.members.Snapshot, View: n.configuration.View})
 	n.members.EnableLoadReports(n.backendProxy.Loads, selector.HandleLoadReports)
 	n.metrics.RegisterCounter("room_refusals", "Requests refused at once because no backend server was known to have room.", selector.RoomRefusals)
 	retries := selection.NewRetryBudgets(n.logger)
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -55,6 +55,12 @@
 	// Urgency orders the request relative to others of its service. Only the backend
 	// proxy sets it.
 	Urgency fleetconfig.Urgency
+	// CallUrgency is the urgency of a request that a run of a backend server sends, or zero.
+	// Only the ingress sets it.
+	CallUrgency fleetconfig.Urgency
+	// RouteID is the ID of the route by which the ingress has matched the request. Only the
+	// backend proxy sets it.
+	RouteID string
 	// LastResort says that earlier attempts were refused because their backend
 	// servers are suspected of failure. A backend server should therefore run the
 	// request even if it is suspected of failure.
@@ -160,6 +166,17 @@
 	}
 }
 
+// IngressUrgency returns the urgency of the request, as the ingress knows it.
+func (e *Exchange) IngressUrgency() fleetconfig.Urgency {
+	switch {
+	case e.CallUrgency != 0:
+		return e.CallUrgency
+	case e.View == nil:
+		return fleetconfig.UrgencyOf(nil, e.Route)
+	}
+	return fleetconfig.UrgencyOf(e.View.Account(e.Account), e.Route)
+}
+
 // NextRepeat returns the Repeat of the next attempt.
 func (e *Exchange) NextRepeat() Repeat {
 	switch {
--- a/pipeline/headers.go
+++ b/pipeline/headers.go
@@ -58,6 +58,9 @@
 	// HeaderServiceTime carries the usual service time of such requests at the servers of the
 	// service, in milliseconds, as far as the ingress knows it.
 	HeaderServiceTime = "Hemlock-Service-Time-Ms"
+	// HeaderRoute carries the ID of the request's route to the backend proxy. It is set while
+	// calls take precedence.
+	HeaderRoute = "Hemlock-Route"
 	// HeaderTrial tells the backend proxy that the request is quarantined and that this is
 	// its trial run.
 	HeaderTrial = "Hemlock-Trial"
--- a/pipeline/refusal.go
+++ b/pipeline/refusal.go
@@ -25,6 +25,7 @@
 	KindQuotaUnavailable        RefusalKind = "quota-unavailable"
 	KindNoCapacity              RefusalKind = "no-capacity"
 	KindBusy                    RefusalKind = "busy"
+	KindCalledServiceBusy       RefusalKind = "called-service-busy"
 	KindServerSuspect           RefusalKind = "backend-server-doubtful"
 	KindDraining                RefusalKind = "draining"
 	KindEvacuated               RefusalKind = "failure-domain-evacuated"
--- a/placement/room.go
+++ b/placement/room.go
@@ -51,6 +51,9 @@
 	Deadline, TargetTime time.Time
 	// StartBy is the latest time at which it may start.
 	StartBy time.Time
+	// Yielding says that all requests that are at least as urgent go first, and that none of the
+	// slots that are left to less urgent requests is for this one.
+	Yielding bool
 	// BusyRefusals is how many servers have refused it for want of room.
 	BusyRefusals int
 }
@@ -70,7 +73,11 @@
 		}
 		return time.Duration(s.Sent-free+1) * r.ServiceTime / time.Duration(slots), true
 	}
-	wait := s.Outlook.Wait(r.Urgency) + time.Duration(s.Sent)*r.ServiceTime/time.Duration(slots)
+	wait := s.Outlook.Wait(r.Urgency)
+	if r.Yielding {
+		wait = s.Outlook.BacklogAhead(r.Urgency)
+	}
+	wait += time.Duration(s.Sent) * r.ServiceTime / time.Duration(slots)
 	if age > freshFor {
 		wait = time.Duration(float64(wait) * float64(NewsLifetime-age) / float64(NewsLifetime-freshFor))
 	}
--- a/queue/outlook.go
+++ b/queue/outlook.go
@@ -102,6 +102,18 @@
 	return waitBehind(o.NextSlot, moreUrgent, equallyUrgent, lessUrgent)
 }
 
+// BacklogAhead returns the expected time until the requests that are at least as urgent as the
+// given urgency have got a slot. Unlike Wait it leaves no slots to less urgent requests.
+func (o *Outlook) BacklogAhead(urgency fleetconfig.Urgency) time.Duration {
+	backlog := o.NextSlot
+	for _, waiting := range o.Waiting {
+		if waiting.Urgency <= urgency {
+			backlog += waiting.Total
+		}
+	}
+	return backlog
+}
+
 // Displaces reports whether a full queue would refuse another request instead of one of the
 // urgency: a less urgent one waits.
 func (o *Outlook) Displaces(urgency fleetconfig.Urgency) bool {
--- a/selection/room.go
+++ b/selection/room.go
@@ -5,6 +5,7 @@
 
 	"github.com/hemlockring/hemlockring/backendproxy"
 	"github.com/hemlockring/hemlockring/balance"
+	"github.com/hemlockring/hemlockring/callgraph"
 	"github.com/hemlockring/hemlockring/clock"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/ingress"
@@ -20,6 +21,9 @@
 	minReturnSpread = 2 * time.Second
 	// maxReturnDelay bounds what a refused caller is told to wait for room.
 	maxReturnDelay = 10 * time.Second
+	// defaultCallLatency is the time within which a call should be answered if its route has no
+	// latency target.
+	defaultCallLatency = time.Second
 )
 
 // serverNews is what the proxy beside a backend server last said about the wait there.
@@ -53,17 +57,56 @@
 	}
 	exchange.ExpectedWait = survey.Wait()
 	verdict, roomIn := survey.Decide(&request)
-	if verdict == placement.Trial && now.Sub(service.lastTrialAt) >= placement.TrialInterval {
-		service.lastTrialAt = now
-		verdict = placement.Admit
-	}
-	if verdict == placement.Admit {
+	if service.admits(verdict, now) {
 		return 0, true
 	}
 	s.roomRefusals.Add(1)
+	return service.returnAfter(roomIn), false
+}
+
+// CallRoom reports whether the called service has room for a call of a request of the given
+// urgency that has not started, as far as this ingress knows: whether the requests that are at
+// least as urgent leave the call half of the time that the latency target of its route leaves
+// for waiting. The other half is for the calls of runs that have started and not called yet. If
+// there is no room, CallRoom returns the time after which the request should come back.
+func (s *Selector) CallRoom(call callgraph.Call, urgency fleetconfig.Urgency) (retryAfter time.Duration, room bool) {
+	service := s.service(call.Service)
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	now := clock.Now()
+	s.refresh(service, call.Service, now)
+	limit := defaultCallLatency
+	if route := s.config.View().Route(call.Route); route != nil && route.LatencyTarget > 0 {
+		limit = route.LatencyTarget
+	}
+	serviceTime := service.times.Of(call.Route)
+	deadline := now.Add(serviceTime + max(0, limit-serviceTime)/2)
+	request := placement.Request{Urgency: urgency, Yielding: true, ServiceTime: serviceTime, Deadline: deadline, StartBy: deadline}
+	survey, decided := service.survey(&request, nil, now)
+	if !decided {
+		return 0, true
+	}
+	if verdict, roomIn := survey.Decide(&request); !service.admits(verdict, now) {
+		return service.returnAfter(roomIn), false
+	}
+	return 0, true
+}
+
+// admits reports whether a request with the verdict is sent, and records a trial. The caller
+// must hold the pool's lock.
+func (p *servicePool) admits(verdict placement.Verdict, now time.Time) bool {
+	if verdict == placement.Trial && now.Sub(p.lastTrialAt) >= placement.TrialInterval {
+		p.lastTrialAt = now
+		return true
+	}
+	return verdict == placement.Admit
+}
+
+// returnAfter returns when a refused caller should come back, given the time until there is
+// room. The caller must hold the pool's lock.
+func (p *servicePool) returnAfter(roomIn time.Duration) time.Duration {
 	roomIn = min(roomIn, maxReturnDelay)
-	spread := max(roomIn, minReturnSpread)
-	return roomIn + time.Duration(service.rng.Float64()*float64(spread)), false
+	return roomIn + time.Duration(p.rng.Float64()*float64(max(roomIn, minReturnSpread)))
 }
 
 // RoomRefusals returns how many requests this ingress has refused because it knew of no room.
@@ -76,9 +119,7 @@
 		return request
 	}
 	request.ServiceTime = p.times.Of(exchange.Route.ID)
-	if exchange.View != nil {
-		request.Urgency = fleetconfig.UrgencyOf(exchange.View.Account(exchange.Account), exchange.Route)
-	}
+	request.Urgency = exchange.IngressUrgency()
 	if exchange.Route.LatencyTarget > 0 {
 		request.TargetTime = exchange.Received.Add(exchange.Route.LatencyTarget)
 	}
