--- a/balance/pool.go
+++ b/balance/pool.go
@@ -202,8 +202,9 @@
 // SetPolicy changes the parameters.
 func (p *Pool) SetPolicy(policy Policy) { p.policy = policy }
 
-// Set replaces the backend servers. Servers that remain keep their in-flight requests and
-// failure probability, and with Policy.KeepReports what was reported of them. Indexes from earlier picks become invalid; use Find.
+// Set replaces the backend servers. Servers that remain keep their in-flight requests, weight
+// and failure probability, and with Policy.KeepReports what was reported of them. Indexes from
+// earlier picks become invalid; use Find.
 func (p *Pool) Set(backends []Backend) {
 	previous := make(map[BackendID]Backend, len(p.backends))
 	for _, backend := range p.backends {
@@ -211,11 +212,14 @@
 	}
 	p.backends = make([]Backend, len(backends))
 	for i, backend := range backends {
-		backend.inFlight = previous[backend.ID].inFlight
+		if known, found := previous[backend.ID]; found {
+			backend.inFlight = known.inFlight
+			backend.Weight = known.Weight
+			backend.FailureProbability = known.FailureProbability
+		}
 		backend.inFlightAtReport = backend.inFlight
-		backend.FailureProbability = previous[backend.ID].FailureProbability
-		if last, found := previous[backend.ID]; found && p.policy.KeepReports && last.Started == backend.Started {
-			backend.keepReport(&last)
+		if known, found := previous[backend.ID]; found && p.policy.KeepReports && known.Started == backend.Started {
+			backend.keepReport(&known)
 		}
 		p.backends[i] = backend
 	}
@@ -225,7 +229,7 @@
 // keepReport takes over what was last reported of the backend server.
 func (b *Backend) keepReport(last *Backend) {
 	b.ReportedInFlight, b.inFlightAtReport = last.ReportedInFlight, last.inFlightAtReport
-	b.Weight, b.Slowness = last.Weight, last.Slowness
+	b.Slowness = last.Slowness
 }
 
 // ForgetLoad removes the load that a backend server reported, which then counts as idle but
--- a/configsync/poll.go
+++ b/configsync/poll.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hemlockring/hemlockring/clock"
+	"github.com/hemlockring/hemlockring/configtree"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 )
 
@@ -23,8 +24,9 @@
 	peers := s.config.Peers.Peers()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	neighbourhood := findNeighbours(s.config.Self, s.config.Replica != nil, s.held.Holders, peers)
-	s.offerToChildren(ctx, neighbourhood.children)
+	self := Peer{InstanceAddress: s.config.Self, Control: s.config.Replica != nil, LinkMbps: s.config.LinkMbps}
+	neighbourhood := configtree.Find(self, s.held.Holders, peers)
+	s.offerToNeighbours(ctx, &neighbourhood)
 	targets := s.holdersToPoll()
 	if leader, found := s.remoteLeader(); found {
 		targets = append(targets, leader)
@@ -70,15 +72,15 @@
 // upstreamCandidates returns the instances to poll, in order of preference, the maximum
 // age of an attestation from them, and the number of fallbacks to poll at once. A
 // holder prefers the leader from which it receives offers. The caller holds mu.
-func (s *Service) upstreamCandidates(neighbourhood *neighbours, peers []Peer) ([]fleetconfig.InstanceAddress, time.Duration, int) {
+func (s *Service) upstreamCandidates(neighbourhood *configtree.Neighbours, peers []Peer) ([]fleetconfig.InstanceAddress, time.Duration, int) {
 	if _, serving := s.currencyNode.Serving(); !serving {
-		return startupCandidates(s.config.Self, peers, s.config.PollControlFirst), maxUpstreamAge(neighbourhood.level, s.config.PollInterval), 1
+		return configtree.StartupCandidates(s.config.Self, peers, s.config.PollControlFirst), maxUpstreamAge(neighbourhood.Level, s.config.PollInterval), 1
 	}
-	candidates := slices.Clone(neighbourhood.parents)
+	candidates := slices.Clone(neighbourhood.Parents)
 	if leader := slices.IndexFunc(candidates, func(a fleetconfig.InstanceAddress) bool { return a.ID == s.offeringLeader }); leader > 0 {
 		candidates[0], candidates[leader] = candidates[leader], candidates[0]
 	}
-	return candidates, maxUpstreamAge(neighbourhood.level, s.config.PollInterval), fallbacksPerRound
+	return candidates, maxUpstreamAge(neighbourhood.Level, s.config.PollInterval), fallbacksPerRound
 }
 
 // remoteLeader returns the leader of control if this is a control instance and another
@@ -171,21 +173,21 @@
 // applyPollReply processes the reply to a poll and reports whether a snapshot must be
 // fetched.
 func (s *Service) applyPollReply(from fleetconfig.InstanceID, reply *pollReply, sentAt time.Time) (needsSnapshot bool) {
+	delta, err := s.unpackDelta(reply.Delta)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	// The delta is applied before the currency state is processed, because that state
 	// may refer to the new version.
-	if reply.Delta != nil && reply.Delta.From == s.held.Version {
-		document, err := reply.Delta.Apply(s.held)
-		if err != nil {
-			s.config.Logger.Warn("applying the configuration delta failed, fetching a snapshot", "instance", from, "error", err)
-			return true
-		}
-		s.storeDocument(document, reply.Accepted)
+	if err == nil {
+		err = s.applyDelta(reply.Delta, delta, reply.Accepted)
+	}
+	if err != nil {
+		s.config.Logger.Warn("applying the configuration delta failed, fetching a snapshot", "instance", from, "error", err)
+		return true
 	}
 	s.currencyNode.HandlePollReply(from, &reply.Currency, sentAt, clock.Now())
 	s.publish()
-	return reply.Newest > s.held.Version
+	return reply.Newest > s.held.Version && !reply.DeltaUnderWay
 }
 
 // fetchSnapshot fetches a complete document from an instance.
@@ -198,7 +200,7 @@
 		s.handlePollFailure(ctx, from.ID)
 		return
 	}
-	document, err := fleetconfig.DecodeDocument(reply.Document)
+	document, err := decodeSnapshot(reply)
 	if err != nil {
 		s.config.Logger.Warn("decoding the configuration snapshot failed", "instance", from.ID, "error", err)
 		s.handlePollFailure(ctx, from.ID)
@@ -209,26 +211,100 @@
 	s.storeDocument(document, reply.Accepted)
 }
 
-// offerToChildren offers the children the version that came into force since the last
-// call. The caller holds mu.
-func (s *Service) offerToChildren(ctx context.Context, children []fleetconfig.InstanceAddress) {
-	version := s.View().Version()
-	delta, found := s.deltas.Since(s.offeredVersion, version)
+// decodeSnapshot returns the document of a snapshot.
+func decodeSnapshot(reply *snapshotReply) (*fleetconfig.Document, error) {
+	data, err := reply.Document.Unpack()
+	if err != nil {
+		return nil, err
+	}
+	return fleetconfig.DecodeDocument(data)
+}
+
+// offerToNeighbours offers the version that came into force since the last call to the children.
+// In a fleet without holders, the leader of control offers it to the other control instances
+// first, as these are the roots of the tree. The caller holds mu.
+func (s *Service) offerToNeighbours(ctx context.Context, neighbourhood *configtree.Neighbours) {
+	version, before := s.View().Version(), s.offeredVersion
+	s.offeredVersion = version
 	// The first version that an instance obtains after its start is not new to its
 	// children, unless it is the first version of the fleet.
-	isNew := s.offeredVersion != 0 || version == 1
-	s.offeredVersion = version
-	if !found || !isNew {
+	isNew := before != 0 || version == 1
+	if version == before || !isNew {
 		return
 	}
-	for _, child := range children {
-		go func() {
-			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			request := &offerRequest{Delta: delta, Accepted: version}
-			if err := s.config.Caller.Call(callCtx, child.Address, pathOffer, request, new(pollReply)); err != nil {
-				s.config.Logger.Debug("configuration offer to a child failed", "instance", child.ID, "error", err)
-			}
-		}()
+	if s.leader != nil && len(s.held.Holders) == 0 {
+		for _, root := range neighbourhood.Parents {
+			s.beginOffering(ctx, root, before, true)
+		}
+	}
+	for _, child := range neighbourhood.Children {
+		s.beginOffering(ctx, child, before, false)
+	}
+}
+
+// beginOffering offers the version in force to an instance, if nextOffer has an offer. The
+// caller holds mu.
+func (s *Service) beginOffering(ctx context.Context, to fleetconfig.InstanceAddress, before uint64, announce bool) {
+	if request := s.nextOffer(to.ID, before, announce); request != nil {
+		go s.offerTo(ctx, to, request, announce)
 	}
 }
+
+// nextOffer returns the offer of the version in force to an instance that holds the version
+// before, unless more is known about it. It returns nil if the instance is getting the version,
+// or if this instance has no delta for it. If the instance holds the version, the offer has no
+// delta with announce set, as a control instance may not know that the version is accepted,
+// and is nil otherwise. The caller holds mu.
+func (s *Service) nextOffer(id fleetconfig.InstanceID, before uint64, announce bool) *offerRequest {
+	version := s.View().Version()
+	held, permitted := s.transfers.beginOffer(id, before, version, clock.Now())
+	if !permitted {
+		return nil
+	}
+	if held >= version && announce {
+		return &offerRequest{Accepted: version}
+	}
+	if delta := s.deltaSince(held, version); delta != nil {
+		return &offerRequest{Delta: delta, Accepted: version}
+	}
+	s.transfers.endOffer(id)
+	return nil
+}
+
+// offerTo sends an offer to an instance, and then the version that came into force meanwhile.
+// If an offer fails, the instance gets the delta when it polls.
+func (s *Service) offerTo(ctx context.Context, to fleetconfig.InstanceAddress, request *offerRequest, announce bool) {
+	for request != nil {
+		reply, err := s.callOffer(ctx, to, request)
+		if err != nil {
+			s.config.Logger.Debug("configuration offer failed", "instance", to.ID, "error", err)
+		}
+		request = s.offerAfter(to.ID, request, reply, err, announce)
+	}
+}
+
+// offerAfter processes the reply to an offer and returns the next one, or nil. There is none
+// if the instance has all that this one has, or if it has not accepted the delta.
+func (s *Service) offerAfter(id fleetconfig.InstanceID, request *offerRequest, reply *pollReply, err error, announce bool) *offerRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.transfers.endOffer(id)
+		return nil
+	}
+	s.transfers.confirmOffer(id, reply.Newest, clock.Now())
+	isRefused := request.Delta != nil && reply.Newest == request.Delta.From
+	if isRefused || request.Accepted >= s.View().Version() && reply.Newest >= request.Accepted {
+		return nil
+	}
+	return s.nextOffer(id, reply.Newest, announce)
+}
+
+// callOffer sends an offer and returns the reply.
+func (s *Service) callOffer(ctx context.Context, to fleetconfig.InstanceAddress, request *offerRequest) (*pollReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply := new(pollReply)
+	err := s.config.Caller.Call(ctx, to.Address, pathOffer, request, reply)
+	return reply, err
+}
--- a/configsync/service.go
+++ b/configsync/service.go
@@ -36,6 +36,8 @@
 type Config struct {
 	// Self is this instance.
 	Self fleetconfig.InstanceAddress
+	// LinkMbps is the capacity of this instance's link in Mbit/s, or 0 if it is not known.
+	LinkMbps uint32
 	// Incarnation identifies the process. It must differ from that of every other
 	// process of this instance.
 	Incarnation uint64
@@ -73,6 +75,8 @@
 	wake chan struct{}
 	// snapshotSlots has an element for each snapshot that is being sent.
 	snapshotSlots chan struct{}
+	// snapshot is the packed snapshot that was sent last, or nil.
+	snapshot atomic.Pointer[packedSnapshot]
 
 	// mu guards the fields below. It is not held during calls to other instances.
 	mu           sync.Mutex
@@ -82,6 +86,10 @@
 	// led to it.
 	held   *fleetconfig.Document
 	deltas fleetconfig.DeltaLog
+	// packed has deltas as they are sent, and transfers the receivers that they are under
+	// way to.
+	packed    packedDeltas
+	transfers transfers
 	// leader is the currency state of the leader, or nil if this instance is not the
 	// leader of control. confirmedAt is the Leadership.ConfirmedAt that was last read
 	// while this instance was the leader.
@@ -250,6 +258,7 @@
 	}
 	// The version to serve from is always the held one here, because the currency state
 	// only selects the version that is held, and publish runs after each change of it.
+	previous := s.View()
 	s.view.Store(fleetconfig.NewView(s.held))
 	close(s.viewChanged)
 	s.viewChanged = make(chan struct{})
@@ -257,6 +266,22 @@
 		s.offeringLeader = ""
 	}
 	s.config.Logger.Info("configuration in force", "version", version)
+	s.logEvacuations(previous)
 	s.signalAccepted()
 	s.triggerRound()
 }
+
+// logEvacuations logs the evacuations that came into force or ended with the current view.
+func (s *Service) logEvacuations(previous *fleetconfig.View) {
+	own := s.config.Self.FailureDomain
+	for _, domain := range s.View().Document().EvacuatedDomains {
+		if !previous.Evacuated(domain) {
+			s.config.Logger.Info("evacuation in force", "failure_domain", domain, "own", domain == own, "version", s.View().Version())
+		}
+	}
+	for _, domain := range previous.Document().EvacuatedDomains {
+		if !s.View().Evacuated(domain) {
+			s.config.Logger.Info("evacuation ended", "failure_domain", domain, "own", domain == own, "version", s.View().Version())
+		}
+	}
+}
--- a/fleetconfig/document.go
+++ b/fleetconfig/document.go
@@ -76,6 +76,9 @@
 	OperatorVersion uint64 `cbor:"11,keyasint,omitempty" json:"declared,omitempty"`
 	// CallerLimits limits what callers may send.
 	CallerLimits CallerLimits `cbor:"12,keyasint,omitempty" json:"caller_limits"`
+	// EvacuatedDomains are the failure domains whose backend servers get no new requests,
+	// in ascending order.
+	EvacuatedDomains []FailureDomain `cbor:"13,keyasint,omitempty" json:"evacuated_domains,omitempty"`
 }
 
 // CallerLimits limits the size of requests and the time that callers may take. A
@@ -217,6 +220,12 @@
 	// MaxConnections is the maximum number of connections that one backend server of
 	// the service accepts, summed over all callers. Zero means that no limit is set.
 	MaxConnections uint32 `cbor:"4,keyasint,omitempty" json:"max_connections,omitempty"`
+	// ColdRate is the rate, in requests per second from all ingresses together, that a
+	// backend server of the service tolerates while it is cold, that is, while it warms up.
+	// Zero means that a cold server tolerates any rate.
+	ColdRate float64 `cbor:"5,keyasint,omitempty" json:"cold_rate,omitempty"`
+	// ColdStart is how long a backend server of the service is cold after it starts.
+	ColdStart time.Duration `cbor:"6,keyasint,omitempty" json:"cold_start,omitempty"`
 }
 
 // Preset is a set of policies for one operating condition, such as peak load or
@@ -249,10 +258,20 @@
 	// be exceeded, in percent of it, for requests that no other backend server can run
 	// at once. With zero such requests are refused.
 	RateOveragePercent uint32 `cbor:"12,keyasint,omitempty" json:"rate_overage_percent,omitempty"`
+	// ColdOverage and ColdSlack bound the requests that a cold backend server gets in one
+	// second: at most ColdOverage times its cold rate, and ColdSlack requests more. They
+	// leave room for requests that were sent before the server was known to be cold. An
+	// overage below 1 counts as 1.
+	ColdOverage float64 `cbor:"13,keyasint,omitempty" json:"cold_overage,omitempty"`
+	ColdSlack   uint32  `cbor:"14,keyasint,omitempty" json:"cold_slack,omitempty"`
 	// AdmissionByRoom lets an ingress refuse a request at once when it knows that no backend
 	// server would run it in time. Without it the request is sent to one server after another
 	// until one accepts it.
 	AdmissionByRoom bool `cbor:"15,keyasint,omitempty" json:"admission_by_room,omitempty"`
+	// CallPrecedence gives a request that a run sends precedence over requests that have not
+	// started, and keeps a request from starting while the calls that its run will need find no
+	// room.
+	CallPrecedence bool `cbor:"16,keyasint,omitempty" json:"call_precedence,omitempty"`
 	// HedgeAfter is the delay after which an idempotent request is sent to a second
 	// backend server. Zero disables hedging.
 	HedgeAfter time.Duration `cbor:"3,keyasint" json:"hedge_after"`
--- a/membership/record.go
+++ b/membership/record.go
@@ -33,14 +33,17 @@
 	// ProcessStartUnixMilli is the start time of its process, as announced. It
 	// distinguishes restarts. Zero when it does not announce it.
 	ProcessStartUnixMilli int64 `cbor:"7,keyasint,omitempty"`
-	// Limited tells whether it advertises a rate of requests that it accepts.
+	// Limited tells whether it accepts only a rate of requests: it advertises one or is cold.
 	Limited bool `cbor:"8,keyasint,omitempty"`
-	// MilliRate is the advertised rate.
+	// MilliRate is this rate.
 	MilliRate MilliRate `cbor:"9,keyasint,omitempty"`
 	// Withheld is the number of slots that stay unused because of this rate.
 	Withheld uint32 `cbor:"10,keyasint,omitempty"`
 	// Leaving tells whether it has stated in a response that it is leaving.
 	Leaving bool `cbor:"11,keyasint,omitempty"`
+	// Cold tells whether it is cold, that is, warming up. MilliRate is then at most the rate
+	// that it tolerates meanwhile.
+	Cold bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Record is an instance's announcement of itself. Only the instance itself creates
@@ -63,6 +66,8 @@
 	Control bool `cbor:"7,keyasint,omitempty"`
 	// Proxy tells whether the instance has the proxy role.
 	Proxy bool `cbor:"11,keyasint,omitempty"`
+	// LinkMbps is the capacity of the instance's link in Mbit/s, or 0 if it is not known.
+	LinkMbps uint32 `cbor:"12,keyasint,omitempty"`
 	// Left tells whether the instance has left the fleet intentionally.
 	Left bool `cbor:"8,keyasint,omitempty"`
 	// Draining tells whether the instance is stopping and accepts no new work.
--- a/node/local.go
+++ b/node/local.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/pprof"
+	"strconv"
 
 	"github.com/hemlockring/hemlockring/clock"
 	"github.com/hemlockring/hemlockring/selection"
@@ -87,6 +88,21 @@
 		return n.backendProxy.Statistics().RepeatRefusals
 	})
 	n.metrics.RegisterGauge("backend_repeat_credit", "Repeats that the backend servers beside this instance may receive now.", n.registry.RepeatCredit)
+	n.metrics.RegisterCounter("backend_evacuation_refusals", "Requests refused because the failure domain of this instance is evacuated.", func() uint64 {
+		return n.backendProxy.Statistics().EvacuationRefusals
+	})
+	n.metrics.RegisterCounter("backend_call_room_refusals", "Requests refused because a service that their run would call has no room.", func() uint64 {
+		return n.backendProxy.Statistics().CallRefusals
+	})
+	n.metrics.RegisterGauge("evacuated", "1 while the failure domain of this instance is evacuated, otherwise 0.", func() float64 {
+		if n.configuration.View().Evacuated(n.settings.Instance.FailureDomain) {
+			return 1
+		}
+		return 0
+	})
+	n.metrics.RegisterGauge("evacuated_domains", "Failure domains that are evacuated according to the configuration of this instance.", func() float64 {
+		return float64(len(n.configuration.View().Document().EvacuatedDomains))
+	})
 	n.metrics.RegisterGauge("backend_advertised_rate", "Sum of the rates that backend servers advertise, in requests per second.", func() float64 {
 		sum, _ := n.registry.AdvertisedRate()
 		return sum
@@ -95,6 +111,9 @@
 		_, limited := n.registry.AdvertisedRate()
 		return float64(limited)
 	})
+	n.metrics.RegisterGauge("backend_cold_servers", "Backend servers that are cold and limited to the cold rate of their service.", func() float64 {
+		return float64(n.registry.ColdServers())
+	})
 }
 
 // registerRetryMetrics registers the metrics of the ingress's retry budgets.
@@ -117,6 +136,25 @@
 	n.metrics.RegisterCounter("fleet_received_bytes", "UDP payload bytes received on the fleet port.", func() uint64 {
 		return n.endpoint.Traffic().ReceivedBytes
 	})
+	n.metrics.RegisterCounters("fleet_kind_bytes", "Bytes of bodies and datagrams exchanged with other instances at the initiative of this one, by kind: request, datagram or the path of a call.",
+		[]string{"kind", "direction", "far"}, func(add func(value uint64, labels ...string)) {
+			for kind, traffic := range n.endpoint.TrafficByKind() {
+				far := strconv.FormatBool(kind.Far)
+				add(traffic.SentBytes, kind.Name, "sent", far)
+				add(traffic.ReceivedBytes, kind.Name, "received", far)
+			}
+		})
+}
+
+// isFar reports whether the instance at an address is known to be in another failure domain.
+func (n *Node) isFar(address string) bool {
+	snapshot := n.members.Snapshot()
+	for i := range snapshot.Members {
+		if record := &snapshot.Members[i].Record; record.Address == address {
+			return record.FailureDomain != n.settings.Instance.FailureDomain
+		}
+	}
+	return false
 }
 
 func (n *Node) handleReady(w http.ResponseWriter, _ *http.Request) {
--- a/node/node.go
+++ b/node/node.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/thejerf/suture/v4"
@@ -36,6 +37,7 @@
 	"github.com/hemlockring/hemlockring/settings"
 	"github.com/hemlockring/hemlockring/shard"
 	"github.com/hemlockring/hemlockring/shardkeeper"
+	"github.com/hemlockring/hemlockring/throttle"
 	"github.com/hemlockring/hemlockring/transport"
 )
 
@@ -75,6 +77,9 @@
 	localPort         *httpPort
 	adminPort         *httpPort
 	extraPorts        []*httpPort
+	// incarnation tells this process from earlier ones of the instance; it started at startedAt.
+	incarnation uint64
+	startedAt   time.Time
 	// stopping is set when a planned stop begins.
 	stopping atomic.Bool
 }
@@ -106,7 +111,10 @@
 
 // New creates an instance and opens its ports. It serves nothing until Run.
 func New(settings *settings.Settings, options Options, logger *slog.Logger) (*Node, error) {
+	startedAt := clock.Now()
 	node := &Node{
+		incarnation:   uint64(startedAt.UnixMicro()),
+		startedAt:     startedAt,
 		options:       options,
 		settings:      settings,
 		logger:        logger.With("instance", string(settings.Instance.ID)),
@@ -151,18 +159,19 @@
 		Address:  cmp.Or(n.settings.Fleet.Listen, n.settings.Fleet.Address),
 		ID:       n.settings.Instance.ID,
 		Identity: identity,
+		IsFar:    n.isFar,
 		Handler:  http.HandlerFunc(n.serveFleet),
 		Logger:   n.logger,
 	})
 	if err != nil {
 		return err
 	}
-	n.registerTrafficMetrics()
 	datagrams, err := transport.NewDatagrams(n.endpoint, gossipKey)
 	if err != nil {
 		return err
 	}
 	n.members = gossip.New(n.newMembership(), datagrams, n.endpoint, n.fleetMux, n.logger)
+	n.registerTrafficMetrics()
 	return nil
 }
 
@@ -182,18 +191,18 @@
 }
 
 func (n *Node) newMembership() *membership.State {
-	now := clock.Now()
 	self := membership.Record{
 		ID:            n.settings.Instance.ID,
-		Incarnation:   uint64(now.UnixMicro()),
+		Incarnation:   n.incarnation,
 		Address:       n.settings.Fleet.Address,
 		FailureDomain: n.settings.Instance.FailureDomain,
 		Region:        n.settings.Instance.Region,
 		Control:       n.settings.Instance.HasRole(settings.RoleControl),
 		Proxy:         n.settings.Instance.HasRole(settings.RoleProxy),
+		LinkMbps:      n.settings.Fleet.LinkMbps,
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return membership.New(membership.Config{}, self, n.settings.Fleet.Join, random, now)
+	return membership.New(membership.Config{}, self, n.settings.Fleet.Join, random, n.startedAt)
 }
 
 // serveFleet distinguishes requests that an ingress forwards from the fleet's internal
@@ -215,6 +224,7 @@
 		Shards:        n.quota,
 		Caller:        n.endpoint,
 		View:          n.configuration.View,
+		FailureDomain: n.settings.Instance.FailureDomain,
 		OnStateChange: n.handleServerStateChange,
 		OnDetect:      n.recordDetection,
 		Logger:        n.logger,
@@ -231,16 +241,19 @@
 	})
 	n.members.HandlePayloads(n.quarantine.HandleMessage)
 	runs := backendproxy.NewRunTracker()
+	selector := selection.New(selection.Config{Members: n.members.Snapshot, View: n.configuration.View})
 	n.backendProxy = backendproxy.New(backendproxy.Config{
 		Registry:       n.registry,
 		View:           n.configuration.View,
+		FailureDomain:  n.settings.Instance.FailureDomain,
 		PauseDetector:  n.pauseDetector,
 		HealthMonitor:  n.ejection,
-		Clock:          quota.NewDispatchClock(rand.Uint64(), clock.Now()),
+		Clock:          quota.NewDispatchClock(n.incarnation, n.startedAt),
 		Dialect:        n.options.Dialect,
 		FingerprintKey: n.fingerprintKey,
 		Quarantine:     n.quarantine,
 		Runs:           runs,
+		CallRoom:       selector.CallRoom,
 		Logger:         n.logger,
 	})
 	n.registerBackendMetrics()
@@ -248,7 +261,6 @@
 	quotaFilter := ingress.NewQuotaFilter(n.quota)
 	quarantineFilter := ingress.NewQuarantineFilter(n.fingerprintKey, n.quarantine)
 	orderFilter := &orders.Filter{Service: n.orders, MaxBodyBytes: orders.DefaultMaxBodyBytes}
-	selector := selection.New(selection.Config{Members: n.members.Snapshot, View: n.configuration.View})
 	n.members.EnableLoadReports(n.loadsForReport(selector), selector.HandleLoadReports)
 	n.metrics.RegisterCounter("room_refusals", "Requests refused at once because no backend server was known to have room.", selector.RoomRefusals)
 	retries := selection.NewRetryBudgets(n.logger)
@@ -267,6 +279,7 @@
 		Retry:            retries,
 		Presentation:     n.options.Presentation,
 		CallerService:    n.settings.Callers.Service,
+		PeerClock:        n.members.PeerClock,
 		Recorder:         recorders{metrics: n.metrics, collector: n.collector, requestLog: newRequestLog(n.logger)},
 		Logger:           n.logger,
 	})
@@ -307,6 +320,21 @@
 	return retry.RepeatLimitsOf(l.configuration.View().ActivePreset(), len(l.members.Snapshot().Servers(service)))
 }
 
+// ColdLimit implements backendproxy.Limits.
+func (l serverLimits) ColdLimit(name fleetconfig.ServiceName) throttle.ColdLimit {
+	view := l.configuration.View()
+	service := view.Service(name)
+	if service == nil {
+		return throttle.ColdLimit{}
+	}
+	preset := view.ActivePreset()
+	return throttle.ColdLimit{
+		PerSecond: service.ColdRate,
+		Bound:     service.ColdRate*max(1, preset.ColdOverage) + float64(preset.ColdSlack),
+		Start:     service.ColdStart,
+	}
+}
+
 // MaxConnections implements backendproxy.Limits.
 func (l serverLimits) MaxConnections(name fleetconfig.ServiceName) uint32 {
 	if service := l.configuration.View().Service(name); service != nil {
