selection: servers that are unregistered or unreachable are held; each server is tried once; calls are not refused for a target

Change: the refusal of a server that its instance does not know has a kind of its own between proxies (backend-server-unregistered; callers still get no-capacity) and holds the server until the instance's next record. An instance that could not be reached has all its servers held; a load report ends that. When a hold is over, one request probes and the others stay away until it has an answer, at most 1 s. MaxTried is 16. Calls have no target for room, count unknown servers as room, and do not believe earlier refusals. A report older than 3 s takes its weight with it (admission by room).

Tests: three more in selection/refusals_test.go. The one for MaxTried is red with 8; the others need the new code.

--- a/backendproxy/filters.go
+++ b/backendproxy/filters.go
@@ -207,7 +207,7 @@
 		}
 		return refuseNoSlot(refuse)
 	case slot == nil:
-		return pipeline.NewNotRunRefusal(pipeline.KindNoCapacity, http.StatusServiceUnavailable,
+		return pipeline.NewNotRunRefusal(pipeline.KindServerUnregistered, http.StatusServiceUnavailable,
 			"the backend server is not registered at this instance for the service", "retry the request", retryElsewhere)
 	}
 	stateOf(exchange).slot = slot
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -8,8 +8,9 @@
 
 // Limits of a pool and of one pick.
 const (
-	// MaxTried is the maximum number of backend servers in a TriedBackends.
-	MaxTried = 8
+	// MaxTried is the maximum number of backend servers in a TriedBackends. It is more than
+	// the attempts of a request that reaches no server.
+	MaxTried = 16
 	// maxSamples limits the random draws for one choice before a linear scan.
 	maxSamples = 8
 	// noBackend is the index that stands for no backend server.
@@ -232,11 +233,12 @@
 	b.Slowness = last.Slowness
 }
 
-// ForgetLoad removes the load that a backend server reported, which then counts as idle but
-// for the requests of this ingress.
+// ForgetLoad removes the load and weight that a backend server reported, which then counts as
+// idle but for the requests of this ingress.
 func (p *Pool) ForgetLoad(index int) {
 	backend := &p.backends[index]
 	backend.ReportedInFlight = 0
+	backend.Weight = 1
 	backend.inFlightAtReport = backend.inFlight
 }
 
--- a/balance/times_test.go
+++ b/balance/times_test.go
@@ -52,6 +52,7 @@
 	must.Zero(t, restarted.Slowness)
 	pool.ForgetLoad(0)
 	must.Zero(t, pool.Backend(0).ReportedInFlight)
+	must.Eq(t, 1, pool.Backend(0).Weight)
 }
 
 // A server of a farther tier must gain more than the way costs.
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -179,6 +179,9 @@
 		refusal.Status = t.lastRefusal.Status
 		exchange.Outcome = t.lastRefusal.Outcome
 	}
+	if refusal.Kind == pipeline.KindServerUnregistered {
+		refusal.Kind = pipeline.KindNoCapacity
+	}
 	t.lastRefusal = refusal
 	t.tried = append(t.tried, candidate)
 	t.lastRefusedAsRepeat = refusal.Kind == pipeline.KindRetryBudget
--- a/ingress/forwarded.go
+++ b/ingress/forwarded.go
@@ -46,13 +46,7 @@
 	if candidate.MaxRateWait > 0 {
 		header.Set(pipeline.HeaderWaitForRate, strconv.FormatInt(max(1, candidate.MaxRateWait.Milliseconds()), 10))
 	}
-	if exchange.Route != nil && exchange.Route.LatencyTarget > 0 {
-		remaining := exchange.Route.LatencyTarget - now.Sub(exchange.Received)
-		header.Set(pipeline.HeaderTarget, strconv.FormatInt(max(0, remaining.Milliseconds()), 10))
-	}
-	if exchange.ServiceTime > 0 {
-		header.Set(pipeline.HeaderServiceTime, strconv.FormatInt(max(1, exchange.ServiceTime.Milliseconds()), 10))
-	}
+	setTimeHeaders(header, exchange, now)
 	if exchange.CallerService != "" {
 		header.Set(pipeline.HeaderCallerService, string(exchange.CallerService))
 	}
@@ -86,6 +80,18 @@
 	return request.WithContext(ctx)
 }
 
+// setTimeHeaders sets what the backend proxy needs to know about the time of the request:
+// its latency target and its usual service time.
+func setTimeHeaders(header http.Header, exchange *pipeline.Exchange, now time.Time) {
+	if exchange.Route != nil && exchange.Route.LatencyTarget > 0 {
+		remaining := exchange.Route.LatencyTarget - now.Sub(exchange.Received)
+		header.Set(pipeline.HeaderTarget, strconv.FormatInt(max(0, remaining.Milliseconds()), 10))
+	}
+	if exchange.ServiceTime > 0 {
+		header.Set(pipeline.HeaderServiceTime, strconv.FormatInt(max(1, exchange.ServiceTime.Milliseconds()), 10))
+	}
+}
+
 // readRefusal returns the refusal of a backend proxy, or nil if the response comes
 // from a backend server. Backend proxies mark the responses of backend servers and remove the
 // refusal headers from them, so these cannot forge a refusal. A response without either, for
--- a/pipeline/refusal.go
+++ b/pipeline/refusal.go
@@ -48,6 +48,10 @@
 	// was a server error and was discarded in favour of another attempt. The caller
 	// receives it only if no other attempt could be made.
 	KindServerError RefusalKind = "backend-server-error"
+	// KindServerUnregistered is sent by a backend proxy to an ingress: the backend server is
+	// not registered at the instance for the service. The caller receives KindNoCapacity
+	// instead.
+	KindServerUnregistered RefusalKind = "backend-server-unregistered"
 	// KindClockUnknown is sent by a backend proxy to an ingress: the backend proxy has
 	// restarted, or the ingress has not yet received a reading of the backend proxy's
 	// clock. The caller receives it only if no other attempt could be made.
--- a/selection/refusals_test.go
+++ b/selection/refusals_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/hemlockring/hemlockring/balance"
+	"github.com/hemlockring/hemlockring/clock"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/ingress"
 	"github.com/hemlockring/hemlockring/membership"
@@ -69,3 +72,75 @@
 	must.True(t, ok)
 	must.Eq(t, "near-1", string(candidate.Instance))
 }
+
+// A server that its instance does not know gets one request, not one from each caller, until
+// the instance has announced itself anew. One whose instance can not be reached is avoided
+// with all other servers of the instance, and then probed by one request.
+func TestUnregisteredAndUnreachableServersAreNotTriedByEachRequest(t *testing.T) {
+	now := clock.Now()
+	selector := newLimitedSelector(t, 2)
+	attempt := func(id string) *ingress.Attempt {
+		return &ingress.Attempt{Service: "catalogue", Candidate: ingress.Candidate{Instance: fleetconfig.InstanceID(id), Server: fleetconfig.BackendServerID(id), Address: "192.0.2.1:7000"}}
+	}
+	pool := selector.service("catalogue")
+	excluded := func(id string) bool {
+		index, found := pool.pool.Find(backendID(attempt(id).Candidate))
+		must.True(t, found)
+		return pool.pool.Backend(index).Excluded&balance.ExcludedRefused != 0
+	}
+	unregistered := attempt("near-1")
+	unregistered.Refusal = pipeline.KindServerUnregistered
+	selector.Done(unregistered)
+	pool.releaseHeld(now.Add(maxRefusalHold))
+	must.True(t, excluded("near-1"))
+	// A new record of the instance ends the hold.
+	index, _ := pool.pool.Find(backendID(unregistered.Candidate))
+	pool.hosted[index].Member.Record.Sequence++
+	pool.applyOwnExclusions(index, now)
+	must.False(t, excluded("near-1"))
+
+	unreachable := attempt("far-0")
+	unreachable.PathFailed, unreachable.ConnectFailed = true, true
+	pool.recordRefusal(0, unreachable, now)
+	must.True(t, excluded("far-0"))
+	after := now.Add(minRefusalHold)
+	pool.releaseHeld(after)
+	must.False(t, excluded("far-0"))
+	index, _ = pool.pool.Find(backendID(unreachable.Candidate))
+	pool.probeHeld(index, after)
+	must.True(t, excluded("far-0"))
+	pool.recordRefusal(index, unreachable, after)
+	pool.recordRefusal(index, unreachable, after)
+	must.Eq(t, 2*minRefusalHold, pool.holds[backendID(unreachable.Candidate)].length)
+	reportLoads(selector, "far", 1, membership.ServerLoad{WeightPercent: 100})
+	must.False(t, excluded("far-0"))
+}
+
+// A request is not sent to the same server again while it has tried fewer than all.
+func TestRequestTriesEachServerOnce(t *testing.T) {
+	const servers = 7
+	selector := newTwoDomainSelector(servers)
+	var tried []ingress.Candidate
+	for range 2*servers - 1 {
+		candidate, ok := selector.Pick(&pipeline.Exchange{Service: "catalogue"}, tried)
+		must.True(t, ok)
+		must.SliceNotContains(t, tried, candidate)
+		tried = append(tried, candidate)
+	}
+}
+
+// Calls are admitted as long as their deadline can be met: the run that sent them needs the
+// response, also after its target.
+func TestCallIsNotRefusedForItsTarget(t *testing.T) {
+	selector := newLimitedSelector(t, 2)
+	late := membership.ServerLoad{WeightPercent: 100, InFlight: 2 * testSlots, NextSlotMillis: 900, Overloaded: true}
+	reportLoads(selector, "near", 2, late)
+	reportLoads(selector, "far", 2, late)
+	now := clock.Now()
+	exchange := &pipeline.Exchange{Service: "catalogue", Received: now, Deadline: now.Add(2 * time.Second), Route: &fleetconfig.Route{ID: "r", LatencyTarget: 800 * time.Millisecond, Priority: 1}}
+	_, room := selector.Room(exchange, nil, 0)
+	must.False(t, room)
+	exchange.CallUrgency = fleetconfig.UrgencyOfCall(fleetconfig.UrgencyOf(nil, exchange.Route))
+	_, room = selector.Room(exchange, nil, 2)
+	must.True(t, room)
+}
--- a/selection/room.go
+++ b/selection/room.go
@@ -91,14 +91,18 @@
 	now := clock.Now()
 	s.refresh(service, exchange.Service, now)
 	request := service.placementRequest(exchange)
-	request.BusyRefusals = busyRefusals
+	if !request.Urgency.IsCall() {
+		request.BusyRefusals = busyRefusals
+	}
 	survey, decided := service.survey(&request, tried, now)
 	if !decided {
 		return 0, true
 	}
 	exchange.ExpectedWait = survey.Wait()
 	verdict, roomIn := survey.Decide(&request)
-	if service.admits(verdict, now) {
+	// A refused call would end the run that sent it, so it may go to any server of which
+	// nothing is known.
+	if service.admits(verdict, now) || (verdict == placement.Trial && request.Urgency.IsCall()) {
 		return 0, true
 	}
 	s.roomRefusals.Add(1)
@@ -161,7 +165,8 @@
 	}
 	request.ServiceTime = p.times.Of(exchange.Route.ID)
 	request.Urgency = exchange.IngressUrgency()
-	if exchange.Route.LatencyTarget > 0 {
+	// The run that sent a call needs its response even if it is late.
+	if exchange.Route.LatencyTarget > 0 && !request.Urgency.IsCall() {
 		request.TargetTime = exchange.Received.Add(exchange.Route.LatencyTarget)
 	}
 	return request
--- a/selection/selector.go
+++ b/selection/selector.go
@@ -98,7 +98,7 @@
 	now := clock.Now()
 	s.refresh(service, exchange.Service, now)
 	service.releaseAdmitted(now)
-	service.releaseHeld(false, now)
+	service.releaseHeld(now)
 	index, ok := service.probeTarget(exchange, tried, service.snapshot.Self, now)
 	var lastResort bool
 	if !ok {
@@ -108,7 +108,7 @@
 		index, lastResort = service.preferRoom(exchange, tried, index, now)
 	}
 	if !ok {
-		index, lastResort, ok = service.pickHeld(tried, now)
+		index, lastResort, ok = service.pickHeld(tried)
 	}
 	var rateWait time.Duration
 	if maxWait := maxRateWait(exchange, now); maxWait > 0 && (!ok || service.pool.Saturated(index)) {
@@ -120,6 +120,7 @@
 		return ingress.Candidate{}, false
 	}
 	service.pool.RequestStarted(index)
+	service.probeHeld(index, now)
 	if exchange.Route != nil && admitsByRoom(exchange) {
 		exchange.ServiceTime = service.times.Of(exchange.Route.ID)
 	}
@@ -183,26 +184,6 @@
 	return index, ok && p.suspected(index), ok
 }
 
-// pickHeld returns a backend server that is held because of a refusal, for a request for
-// which no other one is left. It is a last resort if the server may be failing. The caller
-// must hold the pool's lock.
-func (p *servicePool) pickHeld(tried []ingress.Candidate, now time.Time) (index int, lastResort, ok bool) {
-	if !p.releaseHeld(true, now) {
-		return 0, false, false
-	}
-	var skip balance.TriedBackends
-	for _, candidate := range tried {
-		skip.Add(backendID(candidate))
-	}
-	index, ok = p.pool.PickBest(p.rng, &skip)
-	for id := range p.holds {
-		if held, found := p.pool.Find(id); found {
-			p.applyOwnExclusions(held, now)
-		}
-	}
-	return index, ok && p.holds[p.pool.Backend(index).ID].suspect, ok
-}
-
 // suspected reports whether a backend server is suspected of failure, so that its proxy
 // refuses requests. The caller must hold the pool's lock.
 func (p *servicePool) suspected(index int) bool {
@@ -232,9 +213,7 @@
 			service.recordLoad(backendID(attempt.Candidate), &reported, true, now)
 		}
 		service.recordServiceTime(attempt)
-		if !attempt.Canceled && !attempt.PathFailed && !attempt.Unanswered {
-			service.recordRefusal(index, backendID(attempt.Candidate), attempt.Refusal, now)
-		}
+		service.recordRefusal(index, attempt, now)
 	}
 	if attempt.Refusal == pipeline.KindEvacuated && service.snapshot != nil {
 		if member := service.snapshot.Member(attempt.Candidate.Instance); member != nil {
--- a/selection/statements.go
+++ b/selection/statements.go
@@ -143,7 +143,7 @@
 // ownExclusions returns the reasons not to select a server that this ingress has learned
 // from the server and its proxy. The caller must hold the pool's lock.
 func (p *servicePool) ownExclusions(hosted gossip.HostedServer, now time.Time) balance.Exclusion {
-	return p.statedExclusions(hosted, now) | p.heldExclusion(hostedID(hosted), hosted.Server.StartedUnixMilli, now)
+	return p.statedExclusions(hosted, now) | p.heldExclusion(&hosted, now)
 }
 
 // statedExclusions returns the reasons not to select a server that follow from its
