--- a/selection/refusals_test.go
+++ b/selection/refusals_test.go
@@ -1,6 +1,7 @@
 package selection
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -116,16 +117,21 @@
 	must.False(t, excluded("far-0"))
 }
 
-// A request is not sent to the same server again while it has tried fewer than all.
+// A request that has tried all servers but one goes to that one, also after more than eight
+// attempts.
 func TestRequestTriesEachServerOnce(t *testing.T) {
-	const servers = 7
-	selector := newTwoDomainSelector(servers)
+	const servers = 6
+	selector := newLimitedSelector(t, servers)
 	var tried []ingress.Candidate
-	for range 2*servers - 1 {
+	for i := range 2*servers - 1 {
+		id := fmt.Sprintf("%s-%d", []string{"near", "far"}[i/servers], i%servers)
+		tried = append(tried, ingress.Candidate{Instance: fleetconfig.InstanceID(id), Server: fleetconfig.BackendServerID(id), Address: "192.0.2.1:7000"})
+	}
+	for range 20 {
 		candidate, ok := selector.Pick(&pipeline.Exchange{Service: "catalogue"}, tried)
 		must.True(t, ok)
-		must.SliceNotContains(t, tried, candidate)
-		tried = append(tried, candidate)
+		must.Eq(t, "far-5", string(candidate.Instance))
+		selector.Done(&ingress.Attempt{Candidate: candidate, Service: "catalogue"})
 	}
 }
 
