membership: changes of a server's state are announced to all failure domains

Change: membership.LoadWatch notices when a server becomes doubtful, leaving, full or overloaded, or is so no longer. The next two load reports then go to one instance of each other failure domain, marked (Message 12), which relays them to eight instances of its domain. At most one announcement per instance in 2 s. Only with admission_by_room.

--- a/gossip/service.go
+++ b/gossip/service.go
@@ -64,6 +64,8 @@
 	// EnableLoadReports has been called.
 	loads        func() []membership.ServerLoad
 	onLoadReport func(from fleetconfig.InstanceID, loads []membership.ServerLoad)
+	// announce reports whether a load report is announced to all failure domains, or is nil.
+	announce func(loads []membership.ServerLoad) bool
 	// onPayload handles the payloads of other instances, or is nil.
 	onPayload func(from fleetconfig.InstanceID, payload []byte) error
 }
@@ -90,6 +92,12 @@
 	s.loads, s.onLoadReport = localLoads, onReport
 }
 
+// AnnounceLoads makes the instance announce those load reports to all failure domains for
+// which announce returns true. It must be called before Serve.
+func (s *Service) AnnounceLoads(announce func(loads []membership.ServerLoad) bool) {
+	s.announce = announce
+}
+
 // HandlePayloads makes the instance pass the payloads that other instances send with
 // SendPayload to handle. It must be called before Serve.
 func (s *Service) HandlePayloads(handle func(from fleetconfig.InstanceID, payload []byte) error) {
@@ -157,7 +165,13 @@
 	// Read the loads before update locks mu. Reading them locks the registry, which calls
 	// SetServers with its lock held, and SetServers locks mu.
 	loads := s.loads()
-	s.update(func(state *membership.State) []membership.Envelope { return state.ReportLoads(loads) })
+	announce := s.announce != nil && s.announce(loads)
+	s.update(func(state *membership.State) []membership.Envelope {
+		if announce {
+			return state.AnnounceLoads(loads)
+		}
+		return state.ReportLoads(loads)
+	})
 }
 
 // SetServers sets the backend servers beside this instance in its own record.
@@ -246,6 +260,9 @@
 		if s.onLoadReport != nil {
 			s.onLoadReport(message.From, message.Loads)
 		}
+		if message.Relay {
+			s.update(func(state *membership.State) []membership.Envelope { return state.RelayLoads(message) })
+		}
 	case membership.Payload:
 		if s.onPayload == nil {
 			return
--- a/membership/load.go
+++ b/membership/load.go
@@ -77,24 +77,12 @@
 	if len(loads) == 0 {
 		return nil
 	}
-	own := s.members[s.self].Record
+	own := s.members[s.self].Record.FailureDomain
 	message := Message{
 		Kind:  LoadReport,
 		From:  s.self,
 		Loads: loads[:min(len(loads), maxReportedServers)],
 	}
-	var envelopes []Envelope
-	send := func(n int, sameDomain bool) {
-		receivers := s.randomMembers(n, func(m *Member) bool {
-			record := &m.Record
-			inSameDomain := record.FailureDomain == own.FailureDomain
-			return record.ID != s.self && record.Proxy && m.Liveness == Alive && !record.Left && inSameDomain == sameDomain
-		})
-		for _, receiver := range receivers {
-			envelopes = append(envelopes, Envelope{Address: receiver.Record.Address, Message: message})
-		}
-	}
-	send(sameDomainReports, true)
-	send(otherDomainReports, false)
-	return envelopes
+	envelopes := s.reportTo(&message, sameDomainReports, func(domain fleetconfig.FailureDomain) bool { return domain == own })
+	return append(envelopes, s.reportTo(&message, otherDomainReports, func(domain fleetconfig.FailureDomain) bool { return domain != own })...)
 }
--- a/membership/load_test.go
+++ b/membership/load_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/internal/codec"
 )
 
 // A load report is sent to a bounded number of live proxies, most of them in the
@@ -39,3 +40,68 @@
 	}
 	must.Eq(t, map[string]int{"nea": sameDomainReports, "far": otherDomainReports}, counts)
 }
+
+// A change of a server's state is announced to one instance of each other failure domain, which
+// relays it inside its domain once, and not more often than announceInterval permits.
+func TestChangedLoadsReachEachFailureDomain(t *testing.T) {
+	now := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	newState := func(id, domain string) *State {
+		state := New(Config{}, Record{ID: fleetconfig.InstanceID(id), Incarnation: 1, Address: id, FailureDomain: fleetconfig.FailureDomain(domain), Proxy: true}, nil, rand.New(rand.NewPCG(1, 1)), now)
+		for _, domain := range []string{"a", "b", "c", "d"} {
+			for i := range 20 {
+				other := fmt.Sprintf("%s-%02d", domain, i)
+				if other != id {
+					state.mergeUpdate(Update{Record: Record{ID: fleetconfig.InstanceID(other), Incarnation: 1, Address: other, FailureDomain: fleetconfig.FailureDomain(domain), Proxy: true}, Liveness: Alive}, now)
+				}
+			}
+		}
+		return state
+	}
+	sender, relay := newState("a-00", "a"), newState("b-03", "b")
+	loads := []ServerLoad{{Server: "s", WeightPercent: 100, FailureProbabilityPercent: 80, NextSlotMillis: 80, Waiting: []RankedWork{{Urgency: 1<<32 | 1, TotalMillis: 400, FirstMillis: 300}}}}
+	counts := make(map[string]int)
+	between, plain := 0, 0
+	for _, envelope := range sender.AnnounceLoads(loads) {
+		counts[envelope.Address[:1]]++
+		must.Eq(t, envelope.Address[0] != 'a', envelope.Message.Relay)
+		if envelope.Message.Relay {
+			encoded, err := codec.Marshal(&envelope.Message)
+			must.NoError(t, err)
+			between += len(encoded)
+		}
+	}
+	must.Eq(t, map[string]int{"a": sameDomainReports, "b": 1, "c": 1, "d": 1}, counts)
+	for _, envelope := range sender.ReportLoads(loads) {
+		if envelope.Address[0] != 'a' {
+			encoded, err := codec.Marshal(&envelope.Message)
+			must.NoError(t, err)
+			plain += len(encoded)
+		}
+	}
+	t.Logf("bytes between domains: %d for an announced report, %d for another", between, plain)
+	must.LessEq(t, 3*100, between)
+	report := Message{Kind: LoadReport, From: "a-00", Loads: loads, Relay: true}
+	relayed := relay.RelayLoads(&report)
+	must.Len(t, sameDomainReports, relayed)
+	for _, envelope := range relayed {
+		must.Eq(t, 'b', rune(envelope.Address[0]))
+		must.Eq(t, "a-00", string(envelope.Message.From))
+		must.SliceEmpty(t, relay.RelayLoads(&envelope.Message))
+	}
+
+	watch := &LoadWatch{}
+	announced := 0
+	for range 50 {
+		now = now.Add(200 * time.Millisecond)
+		must.False(t, watch.Observe(loads, now), must.Sprint("nothing has changed"))
+	}
+	for range 50 {
+		now = now.Add(200 * time.Millisecond)
+		loads[0].Full = !loads[0].Full
+		if watch.Observe(loads, now) {
+			announced++
+		}
+	}
+	must.LessEq(t, 5*announcedReports+1, announced)
+	must.GreaterEq(t, 4*announcedReports, announced)
+}
--- a/membership/message.go
+++ b/membership/message.go
@@ -47,6 +47,8 @@
 	Updates []Update `cbor:"7,keyasint,omitempty"`
 	// Loads is set in a LoadReport.
 	Loads []ServerLoad `cbor:"8,keyasint,omitempty"`
+	// Relay asks the receiver of a LoadReport to pass it on inside its failure domain.
+	Relay bool `cbor:"12,keyasint,omitempty"`
 	// Payload is set in a Payload.
 	Payload []byte `cbor:"9,keyasint,omitempty"`
 	// Incarnation and UptimeMillis are the incarnation of the sender's process and the
--- a/node/node.go
+++ b/node/node.go
@@ -262,6 +262,10 @@
 	quarantineFilter := ingress.NewQuarantineFilter(n.fingerprintKey, n.quarantine)
 	orderFilter := &orders.Filter{Service: n.orders, MaxBodyBytes: orders.DefaultMaxBodyBytes}
 	n.members.EnableLoadReports(n.loadsForReport(selector), selector.HandleLoadReports)
+	watch := &membership.LoadWatch{}
+	n.members.AnnounceLoads(func(loads []membership.ServerLoad) bool {
+		return n.configuration.View().ActivePreset().AdmissionByRoom && watch.Observe(loads, clock.Now())
+	})
 	n.metrics.RegisterCounter("room_refusals", "Requests refused at once because no backend server was known to have room.", selector.RoomRefusals)
 	retries := selection.NewRetryBudgets(n.logger)
 	n.registerRetryMetrics(retries)
