--- a/selection/refusals.go
+++ b/selection/refusals.go
@@ -128,6 +128,10 @@
 	if !held || hold.probing || !now.Before(hold.until) {
 		hold.probing = false
 		hold.length = min(max(2*hold.length, minRefusalHold), maxRefusalHold)
+		if hosted.Member.Record.ID == p.snapshot.Self {
+			// A refusal by this instance costs nothing, and nobody reports its servers here.
+			hold.length = minRefusalHold
+		}
 		hold.until = now.Add(hold.length)
 	}
 	hold.cause, hold.started, hold.record = cause, hosted.Server.StartedUnixMilli, recordVersionOf(hosted)
--- a/selection/refusals_test.go
+++ b/selection/refusals_test.go
@@ -115,6 +115,12 @@
 	must.Eq(t, 2*minRefusalHold, pool.holds[backendID(unreachable.Candidate)].length)
 	reportLoads(selector, "far", 1, membership.ServerLoad{WeightPercent: 100})
 	must.False(t, excluded("far-0"))
+
+	// A server beside this ingress costs no hop, and is held for the shortest time each time.
+	index, _ = pool.pool.Find(backendID(attempt("near-0").Candidate))
+	pool.hold(index, heldSuspect, now)
+	pool.hold(index, heldSuspect, now.Add(time.Minute))
+	must.Eq(t, minRefusalHold, pool.holds[backendID(attempt("near-0").Candidate)].length)
 }
 
 // A request that has tried all servers but one goes to that one, also after more than eight
