queue: with admission by room a backlog of up to a second is worked off late

Change: with the preset's field a queue counts as overloaded only while its waiting work would occupy all slots for more than 1 s. Without it as before.

--- a/backendproxy/admission.go
+++ b/backendproxy/admission.go
@@ -160,6 +160,12 @@
 	a.queue.SetRateOverage(share, clock.Now())
 }
 
+func (a *admissionQueue) setToleratedBacklog(backlog time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue.SetToleratedBacklog(backlog)
+}
+
 // setColdLimit sets the limit that holds while the server is cold.
 func (a *admissionQueue) setColdLimit(limit throttle.ColdLimit, now time.Time) {
 	a.mu.Lock()
--- a/backendproxy/registry.go
+++ b/backendproxy/registry.go
@@ -122,6 +122,9 @@
 	// ColdLimit returns the limit on the rate of requests to a backend server of the service
 	// while it is cold, or the zero value if there is none.
 	ColdLimit(service fleetconfig.ServiceName) throttle.ColdLimit
+	// ToleratedBacklog returns the backlog up to which requests wait although they miss their
+	// latency target; see queue.Queue.SetToleratedBacklog.
+	ToleratedBacklog() time.Duration
 	// RepeatLimits returns the limits on the repeats that each backend server of the service
 	// receives, and false if there are none.
 	RepeatLimits(service fleetconfig.ServiceName) (retry.RepeatLimits, bool)
@@ -340,7 +343,7 @@
 	defer r.mu.Unlock()
 	changed := false
 	r.forgetDepartures(now)
-	length, overage := r.limits.QueueLength(), r.limits.RateOverage()
+	length, overage, backlog := r.limits.QueueLength(), r.limits.RateOverage(), r.limits.ToleratedBacklog()
 	for id, server := range r.servers {
 		if now.After(server.expiresAt) {
 			r.recordDeparture(server, departureSilent, now)
@@ -354,6 +357,7 @@
 		server.effectiveSlots = slots
 		server.admission.setLimits(int(slots), length)
 		server.admission.setRateOverage(overage)
+		server.admission.setToleratedBacklog(backlog)
 		changed = r.applyColdLimit(server, now) || changed
 		server.admission.tick(now)
 	}
--- a/backendproxy/registry_test.go
+++ b/backendproxy/registry_test.go
@@ -38,6 +38,8 @@
 
 func (*testLimits) RateOverage() float64 { return 0 }
 
+func (*testLimits) ToleratedBacklog() time.Duration { return 0 }
+
 func (l *testLimits) MaxConnections(fleetconfig.ServiceName) uint32 { return l.maxConnections }
 
 func (l *testLimits) ColdLimit(fleetconfig.ServiceName) throttle.ColdLimit { return l.cold }
--- a/node/node.go
+++ b/node/node.go
@@ -319,6 +319,18 @@
 	return float64(l.configuration.View().ActivePreset().RateOveragePercent) / percent
 }
 
+// toleratedBacklog is the backlog of a backend server that is left to be worked off: as much
+// as a burst leaves in the time after which a queue may count as overloaded.
+const toleratedBacklog = time.Second
+
+// ToleratedBacklog implements backendproxy.Limits.
+func (l serverLimits) ToleratedBacklog() time.Duration {
+	if l.configuration.View().ActivePreset().AdmissionByRoom {
+		return toleratedBacklog
+	}
+	return 0
+}
+
 // RepeatLimits implements backendproxy.Limits.
 func (l serverLimits) RepeatLimits(service fleetconfig.ServiceName) (retry.RepeatLimits, bool) {
 	return retry.RepeatLimitsOf(l.configuration.View().ActivePreset(), len(l.members.Snapshot().Servers(service)))
--- a/queue/overload_test.go
+++ b/queue/overload_test.go
@@ -91,3 +91,25 @@
 		must.Eq(t, []Action{Run{ID: id + 1}}, queue.Done(id, now))
 	}
 }
+
+// A backlog that will soon be worked off is, although its requests miss their targets; a longer
+// one is not.
+func TestToleratedBacklogIsWorkedOff(t *testing.T) {
+	for _, c := range []struct {
+		waiting int
+		refused bool
+	}{{8, false}, {15, true}} {
+		queue := New(1, 32)
+		queue.SetToleratedBacklog(time.Second)
+		now := epoch
+		for id := ItemID(1); id <= 50; id++ {
+			now = runFor(t, queue, id, 100*time.Millisecond, now)
+		}
+		must.Len(t, 1, queue.Offer(Item{ID: 100, Deadline: now.Add(time.Minute)}, now))
+		for id := ItemID(101); id <= ItemID(100+c.waiting); id++ {
+			must.SliceEmpty(t, queue.Offer(Item{ID: id, Deadline: now.Add(time.Minute), TargetTime: now.Add(200 * time.Millisecond)}, now))
+		}
+		actions := queue.Tick(now.Add(overloadAfter))
+		must.Eq(t, c.refused, len(actions) > 0)
+	}
+}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -133,6 +133,8 @@
 	// backlogSince is since when requests have been waiting without interruption. It is
 	// valid only while requests wait.
 	backlogSince time.Time
+	// toleratedBacklog is set by SetToleratedBacklog.
+	toleratedBacklog time.Duration
 }
 
 // runningItem is a request that holds a slot.
@@ -262,9 +264,27 @@
 // by the time it starts. The last waiting request is exempt, so that slots are not left
 // unused until another request arrives.
 func (q *Queue) overloaded() bool {
-	return q.waiting > 1 && q.lastEventAt.Sub(q.backlogSince) >= overloadAfter
+	if q.waiting <= 1 || q.lastEventAt.Sub(q.backlogSince) < overloadAfter {
+		return false
+	}
+	return q.toleratedBacklog <= 0 || q.backlogWork() > q.toleratedBacklog
+}
+
+// backlogWork returns the time for which the waiting requests will occupy all slots.
+func (q *Queue) backlogWork() time.Duration {
+	var work time.Duration
+	for _, account := range q.backlog {
+		work += q.workOf(account.items)
+	}
+	return q.perSlot(work)
 }
 
+// SetToleratedBacklog sets the waiting work, as the time for which it will occupy all slots, up
+// to which the queue does not count as overloaded. Requests then wait although they miss their
+// latency targets: the backlog will soon be worked off. With zero it counts as overloaded
+// whatever the backlog.
+func (q *Queue) SetToleratedBacklog(backlog time.Duration) { q.toleratedBacklog = backlog }
+
 // uselessWait returns why a request that starts at the given time should not wait until
 // then, or zero if it should: it misses its deadline, or the queue is overloaded and it misses
 // its latency target. The slots then run requests that meet theirs.
--- a/selection/load_model_test.go
+++ b/selection/load_model_test.go
@@ -162,6 +162,9 @@
 	}
 	for i := range modelInstances {
 		m.restartIngress(i)
+		if way == placeByRoom {
+			m.servers[i].queue.SetToleratedBacklog(time.Second)
+		}
 	}
 	return m
 }
