Runs that fail because a call failed are no evidence against their server

Cause: a server answers 500 when a service that it calls is short and refuses the call. Its breaker took that for a failure: in the test its failure probability is 99% although only the called service fails. One such 500 keeps non-idempotent requests away for about 6 s, so a short called service makes all servers of the calling service doubtful (7,667 doubtful refusals in a trace).

--- a/ingress/proxy.go
+++ b/ingress/proxy.go
@@ -155,6 +155,9 @@
 			RetryAfter: retryAfterTransient,
 		}
 	}
+	if exchange.CallUrgency != 0 {
+		p.config.Runs.CallFailed(exchange)
+	}
 	exchange.Refusal = refusal
 	exchange.Outcome = refusal.Outcome
 	exchange.Status = refusal.Status
