--- a/backendproxy/run.go
+++ b/backendproxy/run.go
@@ -82,7 +82,7 @@
 	if err := f.checkResponse(exchange, dispatched.verdict, response.Header, observation); err != nil {
 		return err
 	}
-	result := f.resultOfRun(exchange, response)
+	result := resultOfResponse(response)
 	observation.End(result, clock.Now())
 	if result == health.ResultOK {
 		slot.recordResponse(exchange.DispatchAge, exchange.ServiceTime)
@@ -160,16 +160,6 @@
 	}
 }
 
-// resultOfRun returns the result that the health monitor records for the response to a run. A
-// run that fails after one of its calls has failed says nothing about its server.
-func (f *runFilter) resultOfRun(exchange *pipeline.Exchange, response *http.Response) health.Result {
-	result := resultOfResponse(response)
-	if result == health.ResultFailed && f.runs.callFailed(exchange.RequestID) {
-		return health.ResultCanceled
-	}
-	return result
-}
-
 // resultOfResponse returns the result that the health monitor records for a response. A
 // 503 with Retry-After is load shedding, not a failure.
 func resultOfResponse(response *http.Response) health.Result {
--- a/backendproxy/runs.go
+++ b/backendproxy/runs.go
@@ -47,8 +47,6 @@
 	deadline time.Time
 	route    string
 	urgency  fleetconfig.Urgency
-	// callFailed says that a call of the run got no proper response.
-	callFailed bool
 	// made counts the calls of the run, of at most maxCallKinds kinds.
 	made map[callgraph.Call]int
 }
@@ -75,7 +73,6 @@
 	}
 	run.route, run.urgency = exchange.RouteID, exchange.Urgency
 	run.repeated = run.repeated || repeated
-	run.callFailed = run.callFailed && run.underWay > 0
 	run.underWay++
 	if exchange.Deadline.After(run.deadline) {
 		run.deadline = exchange.Deadline
@@ -156,23 +153,6 @@
 	return fleetconfig.UrgencyOfCall(run.urgency)
 }
 
-// CallFailed implements ingress.Runs.
-func (t *RunTracker) CallFailed(exchange *pipeline.Exchange) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if run := t.runs[exchange.CallerRequest]; run != nil {
-		run.callFailed = true
-	}
-}
-
-// callFailed reports whether a call of a run got no proper response.
-func (t *RunTracker) callFailed(requestID string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	run := t.runs[requestID]
-	return run != nil && run.callFailed
-}
-
 // expectedCalls returns the calls that a run of the route will probably make.
 func (t *RunTracker) expectedCalls(route string) []callgraph.Expectation {
 	t.mu.Lock()
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -36,9 +36,6 @@
 type Runs interface {
 	// IsRepeatedCall reports whether a repeated run sends the exchange's request.
 	IsRepeatedCall(exchange *pipeline.Exchange) bool
-	// CallFailed records that the run that sends the exchange's request gets no proper response
-	// to it. It is called before the run can learn of this.
-	CallFailed(exchange *pipeline.Exchange)
 	// RecordCall returns the urgency of the exchange's request if a run sends it, otherwise
 	// zero, and adds it to the calls of that run.
 	RecordCall(exchange *pipeline.Exchange) fleetconfig.Urgency
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -383,8 +383,6 @@
 // callerUrgency is the urgency of the run that sends each request, if fakeRuns says so.
 const callerUrgency fleetconfig.Urgency = 2<<32 | 1
 
-func (fakeRuns) CallFailed(*pipeline.Exchange) {}
-
 func (r fakeRuns) RecordCall(*pipeline.Exchange) fleetconfig.Urgency {
 	if r {
 		return fleetconfig.UrgencyOfCall(callerUrgency)
--- a/ingress/forwarded.go
+++ b/ingress/forwarded.go
@@ -137,9 +137,6 @@
 // sendResponseHeader sends the status and header of a backend server's response to
 // the caller.
 func (f *forwardFilter) sendResponseHeader(exchange *pipeline.Exchange, status int, source http.Header) {
-	if status >= http.StatusInternalServerError && exchange.CallUrgency != 0 {
-		f.runs.CallFailed(exchange)
-	}
 	exchange.Outcome = pipeline.OutcomeAnswered
 	exchange.Status = status
 	header := exchange.Writer.Header()
--- a/ingress/proxy.go
+++ b/ingress/proxy.go
@@ -155,9 +155,6 @@
 			RetryAfter: retryAfterTransient,
 		}
 	}
-	if exchange.CallUrgency != 0 {
-		p.config.Runs.CallFailed(exchange)
-	}
 	exchange.Refusal = refusal
 	exchange.Outcome = refusal.Outcome
 	exchange.Status = refusal.Status
