--- a/selection/room.go
+++ b/selection/room.go
@@ -8,6 +8,7 @@
 	"github.com/hemlockring/hemlockring/callgraph"
 	"github.com/hemlockring/hemlockring/clock"
 	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/health"
 	"github.com/hemlockring/hemlockring/ingress"
 	"github.com/hemlockring/hemlockring/membership"
 	"github.com/hemlockring/hemlockring/pipeline"
@@ -24,24 +25,64 @@
 	// defaultCallLatency is the time within which a call should be answered if its route has no
 	// latency target.
 	defaultCallLatency = time.Second
+	// hopCost is what a request to another failure domain must gain, in requests per slot:
+	// the difference of one request between servers of ten slots is not worth the way.
+	hopCost = 0.1
 )
 
 // serverNews is what the proxy beside a backend server last said about the wait there.
 type serverNews struct {
 	outlook  queue.Outlook
 	slowness float64
-	heardAt  time.Time
+	inFlight uint32
+	// started tells the processes of the server and of its proxy apart.
+	started int64
+	heardAt time.Time
 }
 
 // newsOf returns the news in a load report.
-func newsOf(load *membership.ServerLoad, now time.Time) serverNews {
+func newsOf(load *membership.ServerLoad, started int64, now time.Time) serverNews {
 	return serverNews{
 		outlook:  backendproxy.OutlookOf(load),
 		slowness: float64(load.SlownessPercent) / percent,
+		inFlight: load.InFlight,
+		started:  started,
 		heardAt:  now,
 	}
 }
 
+// recordNews records what a report says about the wait and the times at a server. The caller must hold the
+// pool's lock.
+func (p *servicePool) recordNews(index int, id balance.BackendID, load *membership.ServerLoad, now time.Time) {
+	news := newsOf(load, p.pool.Backend(index).Started, now)
+	p.news[id] = news
+	p.pool.SetSlowness(index, news.slowness)
+}
+
+// forgetOldNews removes reports from the pool that are too old to say anything. Without
+// KeepReports each change of the membership does so. The caller must hold the pool's lock.
+func (p *servicePool) forgetOldNews(now time.Time) {
+	for id, news := range p.news {
+		if now.Sub(news.heardAt) < placement.NewsLifetime {
+			continue
+		}
+		if index, found := p.pool.Find(id); found && p.pool.KeepsReports() {
+			p.pool.ForgetLoad(index)
+		}
+		delete(p.news, id)
+	}
+}
+
+// policyFor returns the parameters of the selection under a configuration.
+func policyFor(view *fleetconfig.View) balance.Policy {
+	policy := balance.DefaultPolicy()
+	if view.ActivePreset().AdmissionByRoom {
+		policy.HopCost = hopCost
+		policy.KeepReports = true
+	}
+	return policy
+}
+
 // Room implements ingress.Selector.
 func (s *Selector) Room(exchange *pipeline.Exchange, tried []ingress.Candidate, busyRefusals int) (retryAfter time.Duration, room bool) {
 	service := s.service(exchange.Service)
@@ -128,7 +169,7 @@
 
 // survey asks the servers that may be selected for room. It returns false if room does not
 // decide, because servers wait for their advertised rate. Servers that are probably failing
-// do not count. The caller must hold the pool's lock.
+// count as long as they may be probed. The caller must hold the pool's lock.
 func (p *servicePool) survey(request *placement.Request, tried []ingress.Candidate, now time.Time) (placement.Survey, bool) {
 	var skip balance.TriedBackends
 	for _, candidate := range tried {
@@ -140,7 +181,7 @@
 		if backend.Excluded == balance.ExcludedRate {
 			return survey, false
 		}
-		if backend.Excluded != 0 || p.suspected(i) || skip.Contains(backend.ID) {
+		if backend.Excluded != 0 || backend.FailureProbability > maxProbeFailureProbability || skip.Contains(backend.ID) {
 			continue
 		}
 		server := p.placementServer(&backend)
@@ -152,37 +193,43 @@
 // placementServer returns what is known of a server. The caller must hold the pool's lock.
 func (p *servicePool) placementServer(backend *balance.Backend) placement.Server {
 	news := p.news[backend.ID]
+	if news.started != backend.Started {
+		news = serverNews{}
+	}
 	return placement.Server{
 		Outlook:  news.outlook,
 		Slowness: news.slowness,
 		Slots:    backend.Slots,
-		InFlight: backend.ReportedInFlight,
+		InFlight: news.inFlight,
 		Sent:     backend.SentSinceReport(),
 		HeardAt:  news.heardAt,
 	}
 }
 
 // preferRoom returns a server that is known to have room if the picked one is known to have
-// none. Otherwise it returns the picked one. The caller must hold the pool's lock.
-func (p *servicePool) preferRoom(exchange *pipeline.Exchange, tried []ingress.Candidate, picked int, now time.Time) int {
+// none: a sound one, or else one that may be failing, as a last resort. Otherwise it returns
+// the picked one. The caller must hold the pool's lock.
+func (p *servicePool) preferRoom(exchange *pipeline.Exchange, tried []ingress.Candidate, picked int, now time.Time) (index int, lastResort bool) {
 	request := p.placementRequest(exchange)
 	backend := p.pool.Backend(picked)
 	server := p.placementServer(&backend)
 	if _, known := server.Wait(&request, now); !known || server.HasRoom(&request, now) {
-		return picked
+		return picked, false
 	}
 	var skip balance.TriedBackends
 	for _, candidate := range tried {
 		skip.Add(backendID(candidate))
 	}
-	index, found := p.pool.PickBestOf(p.rng, &skip, func(backend *balance.Backend) bool {
-		server := p.placementServer(backend)
-		return server.HasRoom(&request, now)
-	})
-	if !found || p.suspected(index) {
-		return picked
+	for _, limit := range []float64{health.SuspectFailureProbability, maxProbeFailureProbability} {
+		index, found := p.pool.PickBestOf(p.rng, &skip, func(backend *balance.Backend) bool {
+			server := p.placementServer(backend)
+			return backend.FailureProbability <= limit && server.HasRoom(&request, now)
+		})
+		if found {
+			return index, p.suspected(index)
+		}
 	}
-	return index
+	return picked, false
 }
 
 // recordServiceTime records the service time of an answered attempt. The caller must hold the
--- a/selection/selector.go
+++ b/selection/selector.go
@@ -105,7 +105,7 @@
 		index, lastResort, ok = service.pickFromPool(exchange, tried)
 	}
 	if ok && exchange.ReachedAttempts == 0 && !lastResort && admitsByRoom(exchange) {
-		index = service.preferRoom(exchange, tried, index, now)
+		index, lastResort = service.preferRoom(exchange, tried, index, now)
 	}
 	if !ok {
 		index, lastResort, ok = service.pickHeld(tried, now)
@@ -280,7 +280,7 @@
 		return
 	}
 	p.pool.UpdateLoad(index, load.InFlight, float64(load.WeightPercent)/percent)
-	p.news[id] = newsOf(load, now)
+	p.recordNews(index, id, load, now)
 	reported := failureEstimate{probability: float64(load.FailureProbabilityPercent) / percent, reportedAt: now}
 	p.failureEstimates[id] = reported
 	p.pool.SetFailureProbability(index, health.ExcessFailureProbability(reported.probability))
@@ -321,10 +321,12 @@
 		return
 	}
 	service.refreshedAt = now
+	service.pool.SetPolicy(policyFor(s.config.View()))
 	for i, hosted := range service.hosted {
 		service.pool.Exclude(i, s.exclusions(hosted, snapshot.Self, now)|service.ownExclusions(hosted, now))
 	}
 	service.dropStatements(now)
+	service.forgetOldNews(now)
 	service.decayFailureProbabilities(now)
 }
 
@@ -373,10 +375,11 @@
 			weight = returnWeight
 		}
 		backends = append(backends, balance.Backend{
-			ID:     hostedID(server),
-			Tier:   tierBetween(&self.Record, &server.Member.Record),
-			Slots:  server.Server.Slots,
-			Weight: weight,
+			ID:      hostedID(server),
+			Tier:    tierBetween(&self.Record, &server.Member.Record),
+			Slots:   server.Server.Slots,
+			Started: server.Server.StartedUnixMilli,
+			Weight:  weight,
 		})
 	}
 	return backends
