Health: shed requests, runs that lost a call and errors after work are weak evidence; repeats go where credit is

Repeats were offered to eight servers in turn without knowing which has credit. Change: an error after the usual work is weak evidence, an immediate one as before; a run that lost a call is none; shedding is a cost in the choice of a server instead of a suspicion. Loads say whether a server may receive repeats, and repeats are sent to those that may.

--- a/backendproxy/filters.go
+++ b/backendproxy/filters.go
@@ -118,6 +118,9 @@
 	// FailureProbabilityPercent returns the probability that the backend server fails
 	// most requests now, in percent.
 	FailureProbabilityPercent(server fleetconfig.BackendServerID, now time.Time) int
+	// SheddingPercent returns the share of its recent requests that the backend server has
+	// refused to run, in percent.
+	SheddingPercent(server fleetconfig.BackendServerID, now time.Time) int
 }
 
 // Attempt describes a request that is about to be sent to a backend server.
--- a/backendproxy/load.go
+++ b/backendproxy/load.go
@@ -130,6 +130,8 @@
 		Overloaded:                l.Outlook.Overloaded,
 		Full:                      l.Outlook.Full,
 		SlownessPercent:           uint16(percent * min(l.Slowness, queue.MaxSlowness)),
+		SheddingPercent:           uint8(min(max(l.SheddingPercent, 0), 100)),
+		NoRepeats:                 l.NoRepeats,
 	}
 }
 
@@ -168,8 +170,9 @@
 func (r *loadReporter) addHealth(server fleetconfig.BackendServerID, load Load, now time.Time) Load {
 	load.WeightPercent = r.monitor.WeightPercent(server, now)
 	load.FailureProbabilityPercent = r.monitor.FailureProbabilityPercent(server, now)
+	load.SheddingPercent = r.monitor.SheddingPercent(server, now)
 	if !r.view().ActivePreset().AdmissionByRoom {
-		load.Outlook, load.Slowness = queue.Outlook{}, 0
+		load.Outlook, load.Slowness, load.NoRepeats = queue.Outlook{}, 0, false
 	}
 	return load
 }
--- a/backendproxy/loadheader.go
+++ b/backendproxy/loadheader.go
@@ -21,16 +21,21 @@
 	// Flags of an outlook in HeaderLoad.
 	flagOverloaded = "o"
 	flagFull       = "f"
+	// flagNoRepeats says that the server may receive no repeats now.
+	flagNoRepeats = "n"
+	// flagShedding precedes the share of requests that the server sheds, in percent, and is
+	// the last flag.
+	flagShedding = "s"
 )
 
 // String encodes the load as a value of HeaderLoad: running and waiting requests, slots,
-// weight and failure probability in percent, separated by slashes. If the slowness is known
-// or no slot is free, the slowness in percent, the time until a slot is released in
-// milliseconds and flags follow, and then the waiting work by urgency.
+// weight and failure probability in percent, separated by slashes. If there is anything else
+// to say, the slowness in percent, the time until a slot is released in milliseconds and flags
+// follow, and then the waiting work by urgency.
 func (l Load) String() string {
 	var text strings.Builder
 	fmt.Fprintf(&text, "%d/%d/%d/%d/%d", l.Running, l.Queued, l.Slots, l.WeightPercent, l.FailureProbabilityPercent)
-	if l.Slowness == 0 && l.Outlook.NextSlot == 0 {
+	if l.Slowness == 0 && l.Outlook.NextSlot == 0 && !l.NoRepeats && l.SheddingPercent == 0 {
 		return text.String()
 	}
 	fmt.Fprintf(&text, ";%d/%d/", int(percent*l.Slowness), roundedUpMillis(l.Outlook.NextSlot))
@@ -40,6 +45,12 @@
 	if l.Outlook.Full {
 		text.WriteString(flagFull)
 	}
+	if l.NoRepeats {
+		text.WriteString(flagNoRepeats)
+	}
+	if l.SheddingPercent > 0 {
+		text.WriteString(flagShedding + strconv.Itoa(l.SheddingPercent))
+	}
 	for _, work := range rankedWork(&l.Outlook) {
 		fmt.Fprintf(&text, ";%s/%d/%d", strconv.FormatUint(uint64(work.Urgency), urgencyBase), work.TotalMillis, work.FirstMillis)
 	}
@@ -77,8 +88,17 @@
 	}
 	l.Slowness = min(float64(slowness)/percent, queue.MaxSlowness)
 	l.Outlook.NextSlot = time.Duration(nextSlot) * time.Millisecond
-	l.Outlook.Overloaded = strings.Contains(first[2], flagOverloaded)
-	l.Outlook.Full = strings.Contains(first[2], flagFull)
+	flags, shedding, sheds := strings.Cut(first[2], flagShedding)
+	if sheds {
+		share, err := strconv.ParseUint(shedding, 10, 8)
+		if err != nil || share > percent {
+			return false
+		}
+		l.SheddingPercent = int(share)
+	}
+	l.Outlook.Overloaded = strings.Contains(flags, flagOverloaded)
+	l.Outlook.Full = strings.Contains(flags, flagFull)
+	l.NoRepeats = strings.Contains(flags, flagNoRepeats)
 	for _, part := range parts[1:] {
 		text := strings.Split(part, "/")
 		if len(text) != fields {
--- a/backendproxy/run.go
+++ b/backendproxy/run.go
@@ -83,6 +83,10 @@
 		return err
 	}
 	result := resultOfResponse(response)
+	if result == health.ResultServerError && f.runs.lostCall(exchange.RequestID) {
+		// The server could not complete the run without the call.
+		result = health.ResultCanceled
+	}
 	observation.End(result, clock.Now())
 	if result == health.ResultOK {
 		slot.recordResponse(exchange.DispatchAge, exchange.ServiceTime)
@@ -169,7 +173,7 @@
 	case response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != "":
 		return health.ResultShed
 	default:
-		return health.ResultFailed
+		return health.ResultServerError
 	}
 }
 
--- a/backendproxy/runs.go
+++ b/backendproxy/runs.go
@@ -47,6 +47,8 @@
 	deadline time.Time
 	route    string
 	urgency  fleetconfig.Urgency
+	// lostCall says that a call of the run has failed.
+	lostCall bool
 	// made counts the calls of the run, of at most maxCallKinds kinds.
 	made map[callgraph.Call]int
 }
@@ -159,3 +161,20 @@
 	defer t.mu.Unlock()
 	return slices.Clone(t.calls.Calls(route))
 }
+
+// RecordFailedCall implements ingress.Runs.
+func (t *RunTracker) RecordFailedCall(exchange *pipeline.Exchange) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if run := t.runs[exchange.CallerRequest]; run != nil && exchange.Account == "" {
+		run.lostCall = true
+	}
+}
+
+// lostCall reports whether a call of the run of a request has failed.
+func (t *RunTracker) lostCall(requestID string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	run := t.runs[requestID]
+	return run != nil && run.lostCall
+}
--- a/backendproxy/slots.go
+++ b/backendproxy/slots.go
@@ -50,6 +50,10 @@
 	// FailureProbabilityPercent is the probability that the server fails most requests
 	// now.
 	FailureProbabilityPercent int
+	// SheddingPercent is the share of its recent requests that the server has refused to run.
+	SheddingPercent int
+	// NoRepeats says that the server may receive no repeats now.
+	NoRepeats bool
 	// Rate is the state of the limit on the rate of requests.
 	Rate throttle.State
 	// Leaving says that the backend server has stated its exit. LeavingProcess is then the
@@ -72,7 +76,16 @@
 	if server == nil {
 		return Load{}, false
 	}
-	return server.load(), true
+	return r.load(server), true
+}
+
+// load returns the load of a server, without its health. The caller must hold mu.
+func (r *Registry) load(server *Server) Load {
+	load := server.load()
+	if limits, limited := r.limits.RepeatLimits(server.Announcement.Service); limited {
+		load.NoRepeats = !server.repeats.HasCredit(limits, clock.Now())
+	}
+	return load
 }
 
 // load returns the load of the server, without its health.
@@ -101,7 +114,7 @@
 	defer r.mu.Unlock()
 	loads := make(map[fleetconfig.BackendServerID]Load, len(r.servers))
 	for id, server := range r.servers {
-		loads[id] = server.load()
+		loads[id] = r.load(server)
 	}
 	return loads
 }
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -18,6 +18,9 @@
 	// backend server that fails requests immediately appears idle, so the penalty must
 	// outweigh a full queue on another server.
 	failureCost = 4.0
+	// sheddingCost is the load that is equivalent to a server that sheds all requests. Such a
+	// request takes another hop and a repeat, but is not lost.
+	sheddingCost = 2.0
 	// slownessCost is the load that is equivalent to a server that takes one service time
 	// longer than usual. It is less than one, because requests stay longer on a slow server,
 	// so that the load by itself gives it fewer.
@@ -89,6 +92,8 @@
 	// fails most requests. The part of this probability that exceeds the probability of a
 	// server without evidence is scaled to 0 to 1 (health.ExcessFailureProbability).
 	FailureProbability float64
+	// Shedding is the share of its recent requests that the backend server has refused to run.
+	Shedding float64
 	// Slowness is its service times relative to the usual ones of the same requests. Zero
 	// means that they are not known, and counts as one.
 	Slowness float64
@@ -122,7 +127,7 @@
 
 // penalty returns the part of the cost that does not depend on the load.
 func (b *Backend) penalty() float64 {
-	penalty := failureCost * b.FailureProbability
+	penalty := failureCost*b.FailureProbability + sheddingCost*b.Shedding
 	if b.Slowness > 0 {
 		penalty += slownessCost * (b.Slowness - 1)
 	}
@@ -230,7 +235,7 @@
 // keepReport takes over what was last reported of the backend server.
 func (b *Backend) keepReport(last *Backend) {
 	b.ReportedInFlight, b.inFlightAtReport = last.ReportedInFlight, last.inFlightAtReport
-	b.Weight, b.Slowness = last.Weight, last.Slowness
+	b.Weight, b.Slowness, b.Shedding = last.Weight, last.Slowness, last.Shedding
 }
 
 // ForgetLoad removes the load that a backend server reported, which then counts as idle but
@@ -282,6 +287,9 @@
 	p.rebuildTiers()
 }
 
+// SetShedding sets the Shedding of a backend server.
+func (p *Pool) SetShedding(index int, share float64) { p.backends[index].Shedding = share }
+
 // SetSlowness sets the Slowness of a backend server.
 func (p *Pool) SetSlowness(index int, slowness float64) { p.backends[index].Slowness = slowness }
 
--- a/ejection/watch.go
+++ b/ejection/watch.go
@@ -114,6 +114,20 @@
 	return int(full * monitored.breaker.FailureProbability(now))
 }
 
+// SheddingPercent implements backendproxy.HealthMonitor.
+func (s *Service) SheddingPercent(server fleetconfig.BackendServerID, now time.Time) int {
+	const full = 100
+	s.mu.Lock()
+	monitored := s.servers[server]
+	s.mu.Unlock()
+	if monitored == nil {
+		return 0
+	}
+	monitored.mu.Lock()
+	defer monitored.mu.Unlock()
+	return int(full * monitored.breaker.SheddingShare(now))
+}
+
 // WeightPercent implements backendproxy.HealthMonitor.
 func (s *Service) WeightPercent(server fleetconfig.BackendServerID, now time.Time) int {
 	const full = 100
--- a/health/breaker.go
+++ b/health/breaker.go
@@ -19,6 +19,13 @@
 	// costs the service a retry. A recovered server is still probed within maxProbeInterval.
 	minProbeInterval = 200 * time.Millisecond
 	maxProbeInterval = 800 * time.Millisecond
+	// immediateErrorShare is the share of the average latency below which a server error counts
+	// as immediate. In failing phases servers respond with errors at once, while the errors of
+	// single requests follow the usual work.
+	immediateErrorShare = 0.125
+	// minWorkTime is the average latency below which work and immediate errors cannot be told
+	// apart.
+	minWorkTime = 40 * time.Millisecond
 )
 
 // BreakerRequest describes a request to a Breaker.
@@ -52,6 +59,7 @@
 	lastProbeAt    time.Time
 	// probeInterval is the current minimum time between probes.
 	probeInterval time.Duration
+	shedding      sheddingEstimate
 }
 
 // NewBreaker returns the breaker of a server without recorded outcomes.
@@ -82,9 +90,8 @@
 	return request.Idempotent && b.probesInFlight == 0 && now.Sub(b.lastProbeAt) >= b.probeInterval
 }
 
-// Done records the result of an admitted request. ResultShed counts as a failure: the
-// proxy never sends a server more requests than the server has slots, so a healthy server
-// has no reason to shed.
+// Done records the result of an admitted request. ResultShed is no failure, since the request
+// can run elsewhere, but see SheddingShare.
 func (b *Breaker) Done(admission *Admission, result Result, now time.Time) {
 	if _, open := b.inFlight[admission]; !open {
 		return
@@ -93,12 +100,21 @@
 	if admission.probe {
 		b.probesInFlight--
 	}
+	if result != ResultCanceled {
+		b.shedding.record(result == ResultShed, now)
+	}
 	switch result {
 	case ResultOK:
 		b.probeInterval = minProbeInterval
 		b.estimator.Observe(false, now)
 		b.recordLatency(now.Sub(admission.began))
-	case ResultFailed, ResultShed:
+	case ResultServerError:
+		if b.averageLatency >= minWorkTime && now.Sub(admission.began) >= time.Duration(immediateErrorShare*float64(b.averageLatency)) {
+			b.recordErrorAfterWork(admission, now)
+			return
+		}
+		b.recordFailure(admission, now)
+	case ResultFailed:
 		b.recordFailure(admission, now)
 	case ResultTimedOut:
 		if now.Sub(admission.began) >= b.stallTimeout() {
@@ -121,6 +137,22 @@
 // requests.
 func (b *Breaker) FailureProbability(now time.Time) float64 { return b.estimator.Probability(now) }
 
+// SheddingShare returns the share of its recent requests that the server has refused to run,
+// although it had a slot for each. Other servers may be better, but if all of a service shed,
+// each of them is as good as another.
+func (b *Breaker) SheddingShare(now time.Time) float64 { return b.shedding.at(now) }
+
+func (b *Breaker) recordErrorAfterWork(admission *Admission, now time.Time) {
+	if admission.failureRecorded {
+		return
+	}
+	admission.failureRecorded = true
+	b.estimator.ObserveErrorAfterWork(now)
+	if admission.probe {
+		b.probeInterval = min(2*b.probeInterval, maxProbeInterval)
+	}
+}
+
 func (b *Breaker) recordFailure(admission *Admission, now time.Time) {
 	if admission.failureRecorded {
 		return
--- a/health/detector.go
+++ b/health/detector.go
@@ -56,7 +56,7 @@
 	// ResultOK means a response that the service counts as a success, including client
 	// errors.
 	ResultOK Result = iota
-	// ResultFailed means a server error, a connection reset, or a refused connection.
+	// ResultFailed means a connection reset, a refused connection or an unusable response.
 	ResultFailed
 	// ResultTimedOut means that the request's deadline passed before the response.
 	ResultTimedOut
@@ -64,8 +64,13 @@
 	ResultShed
 	// ResultCanceled means that the caller canceled the request or disconnected.
 	ResultCanceled
+	// ResultServerError means a complete response with a server error.
+	ResultServerError
 )
 
+// failed reports whether the server has failed the request.
+func (r Result) failed() bool { return r == ResultFailed || r == ResultServerError }
+
 // Token identifies an open request of a Detector.
 type Token int
 
@@ -265,7 +270,7 @@
 
 func (d *Detector) recordResultEvidence(request *openRequest, result Result, slow bool) {
 	switch result {
-	case ResultFailed:
+	case ResultFailed, ResultServerError:
 		nats := badOutcomeNats(d.baseline.ErrorShare)
 		d.errors.add(request.account, nats, nats, maxSumFactor*d.Threshold())
 	case ResultOK:
--- a/health/failure_estimator.go
+++ b/health/failure_estimator.go
@@ -14,6 +14,10 @@
 	// normalErrorRate is the share of requests that fail outside failing phases, from
 	// faults of single requests.
 	normalErrorRate = 0.02
+	// errorAfterWorkRatio is how much more frequent errors after the usual work are during a
+	// failing phase than outside. With it, two such errors in a row make a server without
+	// other evidence suspect.
+	errorAfterWorkRatio = 1.5
 	// failureOnsetRate and recoveryRate are the rates at which failing phases begin and
 	// end, per second.
 	failureOnsetRate = 1.0 / 15
@@ -72,11 +76,23 @@
 
 // Observe updates the estimate with the outcome of a request.
 func (e *FailureEstimator) Observe(failed bool, now time.Time) {
-	prior := e.Probability(now)
-	failingLikelihood, normalLikelihood := 1-failingErrorRate, 1-normalErrorRate
 	if failed {
-		failingLikelihood, normalLikelihood = failingErrorRate, normalErrorRate
+		e.update(failingErrorRate, normalErrorRate, now)
+		return
 	}
+	e.update(1-failingErrorRate, 1-normalErrorRate, now)
+}
+
+// ObserveErrorAfterWork updates the estimate with a server error that followed the usual work.
+// One says little, since such errors occur outside failing phases too; more in a row say that
+// the server is failing.
+func (e *FailureEstimator) ObserveErrorAfterWork(now time.Time) {
+	e.update(errorAfterWorkRatio*normalErrorRate, normalErrorRate, now)
+}
+
+// update applies the likelihoods of an outcome during a failing phase and outside.
+func (e *FailureEstimator) update(failingLikelihood, normalLikelihood float64, now time.Time) {
+	prior := e.Probability(now)
 	e.posterior = prior * failingLikelihood / (prior*failingLikelihood + (1-prior)*normalLikelihood)
 	e.updatedAt = now
 }
--- a/health/summary.go
+++ b/health/summary.go
@@ -10,7 +10,7 @@
 	d.rotate(now)
 	half := &d.halves[0]
 	half.latencies.Record(now.Sub(request.began))
-	half.accounts.record(request.account, result == ResultFailed)
+	half.accounts.record(request.account, result.failed())
 }
 
 // rotate starts a new half when the current one has covered summaryHalfWindow.
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -36,6 +36,9 @@
 type Runs interface {
 	// IsRepeatedCall reports whether a repeated run sends the exchange's request.
 	IsRepeatedCall(exchange *pipeline.Exchange) bool
+	// RecordFailedCall records that the exchange's request, which names the run that sends it,
+	// is about to fail.
+	RecordFailedCall(exchange *pipeline.Exchange)
 	// RecordCall returns the urgency of the exchange's request if a run sends it, otherwise
 	// zero, and adds it to the calls of that run.
 	RecordCall(exchange *pipeline.Exchange) fleetconfig.Urgency
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -380,6 +380,8 @@
 
 func (r fakeRuns) IsRepeatedCall(*pipeline.Exchange) bool { return bool(r) }
 
+func (fakeRuns) RecordFailedCall(*pipeline.Exchange) {}
+
 // callerUrgency is the urgency of the run that sends each request, if fakeRuns says so.
 const callerUrgency fleetconfig.Urgency = 2<<32 | 1
 
--- a/ingress/proxy.go
+++ b/ingress/proxy.go
@@ -113,6 +113,9 @@
 		CallerService: p.config.CallerService,
 		Outcome:       pipeline.OutcomeNotRun,
 	}
+	if p.config.Runs != nil && exchange.CallerRequest != "" {
+		exchange.Writer = &callWriter{ResponseWriter: w, runs: p.config.Runs, exchange: exchange}
+	}
 	_ = http.NewResponseController(w).EnableFullDuplex()
 	// A caller that waits for "100 Continue" does not send its body after it has
 	// received the response.
@@ -122,6 +125,9 @@
 		p.refuse(exchange, err)
 	}
 	if exchange.Truncated {
+		if p.config.Runs != nil && exchange.CallerRequest != "" {
+			p.config.Runs.RecordFailedCall(exchange)
+		}
 		panic(http.ErrAbortHandler)
 	}
 	if drainUnread {
@@ -163,3 +169,22 @@
 	}
 	p.config.Presentation.WriteRefusal(exchange.Writer, refusal, exchange.RequestID)
 }
+
+// callWriter records that a call has failed before the backend server that sent it knows, since
+// the server's own response may follow at once.
+type callWriter struct {
+	http.ResponseWriter
+	runs     Runs
+	exchange *pipeline.Exchange
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *callWriter) WriteHeader(status int) {
+	if status >= http.StatusBadRequest {
+		w.runs.RecordFailedCall(w.exchange)
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap returns the underlying writer for http.ResponseController.
+func (w *callWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/membership/load.go
+++ b/membership/load.go
@@ -45,6 +45,11 @@
 	// SlownessPercent is the server's service times relative to the usual ones of the same
 	// requests, in percent, zero if unknown.
 	SlownessPercent uint16 `cbor:"18,keyasint,omitempty"`
+	// SheddingPercent is the share of its recent requests that the server has refused to
+	// run.
+	SheddingPercent uint8 `cbor:"19,keyasint,omitempty"`
+	// NoRepeats tells whether the server may receive no repeats now.
+	NoRepeats bool `cbor:"20,keyasint,omitempty"`
 }
 
 // RankedWork is the work of the waiting requests of one urgency: the time, in milliseconds,
--- a/retry/repeats.go
+++ b/retry/repeats.go
@@ -123,6 +123,12 @@
 	return true
 }
 
+// HasCredit reports whether a repeat of the highest urgency can be taken now.
+func (b *RepeatBudget) HasCredit(limits RepeatLimits, now time.Time) bool {
+	b.fill(limits, now)
+	return b.credit >= 1
+}
+
 // Credit returns how many repeats can be taken, as of the last call of another method.
 func (b *RepeatBudget) Credit() float64 { return b.credit }
 
--- a/selection/room.go
+++ b/selection/room.go
@@ -35,6 +35,8 @@
 	outlook  queue.Outlook
 	slowness float64
 	inFlight uint32
+	// noRepeats says that the server could receive no repeats.
+	noRepeats bool
 	// started tells the processes of the server and of its proxy apart.
 	started int64
 	heardAt time.Time
@@ -48,6 +50,8 @@
 		inFlight: load.InFlight,
 		started:  started,
 		heardAt:  now,
+
+		noRepeats: load.NoRepeats,
 	}
 }
 
@@ -57,6 +61,7 @@
 	news := newsOf(load, p.pool.Backend(index).Started, now)
 	p.news[id] = news
 	p.pool.SetSlowness(index, news.slowness)
+	p.pool.SetShedding(index, float64(load.SheddingPercent)/percent)
 }
 
 // forgetOldNews removes reports from the pool that are too old to say anything. Without
--- a/selection/selector.go
+++ b/selection/selector.go
@@ -102,7 +102,7 @@
 	index, ok := service.probeTarget(exchange, tried, service.snapshot.Self, now)
 	var lastResort bool
 	if !ok {
-		index, lastResort, ok = service.pickFromPool(exchange, tried)
+		index, lastResort, ok = service.pickFromPool(exchange, tried, now)
 	}
 	if ok && exchange.ReachedAttempts == 0 && !lastResort && admitsByRoom(exchange) {
 		index, lastResort = service.preferRoom(exchange, tried, index, now)
@@ -162,11 +162,14 @@
 // is a last resort: a server that is suspected of failure, while no other one has room. The
 // proxy of a suspect refuses other requests, except for probes by the first attempts of
 // idempotent requests. The caller must hold the pool's lock.
-func (p *servicePool) pickFromPool(exchange *pipeline.Exchange, tried []ingress.Candidate) (index int, lastResort, ok bool) {
+func (p *servicePool) pickFromPool(exchange *pipeline.Exchange, tried []ingress.Candidate, now time.Time) (index int, lastResort, ok bool) {
 	var skip balance.TriedBackends
 	for _, candidate := range tried {
 		skip.Add(backendID(candidate))
 	}
+	if exchange.NextRepeat() != pipeline.RepeatNone && p.pool.KeepsReports() {
+		return p.pickForRepeat(&skip, now)
+	}
 	if exchange.ReachedAttempts > 0 {
 		index, ok = p.pool.PickBest(p.rng, &skip)
 	} else {
@@ -183,6 +186,31 @@
 	return index, ok && p.suspected(index), ok
 }
 
+// repeatNewsLifetime is how long the news that a server may receive no repeats holds. A server
+// with a request or two a second earns the credit for the next in a few seconds.
+const repeatNewsLifetime = time.Second
+
+// pickForRepeat returns the index of the backend server for a repeat, and whether it is a last
+// resort, among those that may have credit for one. The caller must hold the pool's lock.
+func (p *servicePool) pickForRepeat(skip *balance.TriedBackends, now time.Time) (index int, lastResort, ok bool) {
+	mayTake := func(backend *balance.Backend) bool { return p.mayTakeRepeat(backend.ID, now) }
+	index, ok = p.pool.PickBestOf(p.rng, skip, func(backend *balance.Backend) bool {
+		return backend.FailureProbability < health.SuspectFailureProbability && mayTake(backend)
+	})
+	if ok {
+		return index, false, true
+	}
+	index, ok = p.pool.PickBestOf(p.rng, skip, mayTake)
+	return index, ok, ok
+}
+
+// mayTakeRepeat reports whether a server may have credit for a repeat, as far as is known. The
+// caller must hold the pool's lock.
+func (p *servicePool) mayTakeRepeat(id balance.BackendID, now time.Time) bool {
+	news, known := p.news[id]
+	return !known || !news.noRepeats || now.Sub(news.heardAt) >= repeatNewsLifetime
+}
+
 // pickHeld returns a backend server that is held because of a refusal, for a request for
 // which no other one is left. It is a last resort if the server may be failing. The caller
 // must hold the pool's lock.
