--- a/internal/soak/changes.go
+++ b/internal/soak/changes.go
@@ -30,6 +30,8 @@
 	// it may or may not have been made.
 	accepted, conflicting []fleetconfig.AccountID
 	latestVersion         uint64
+	// evacuated holds for each failure domain what the last order set, if that is certain.
+	evacuated map[fleetconfig.FailureDomain]bool
 }
 
 // raceChanges sends two changes concurrently with the same base version. At most one may
@@ -102,5 +104,6 @@
 			o.findings.violated("the account %s, rejected with a conflict, is in the final configuration", id)
 		}
 	}
+	o.checkEvacuations(view)
 	o.findings.printf("changes: %d accepted, %d in conflict, final version %d", len(o.accepted), len(o.conflicting), document.Version)
 }
--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -95,9 +95,15 @@
 // disturbed reports whether the plan has a fault of an instance or its network in the time
 // that it takes to quarantine a request, up to now.
 func (r *run) disturbed(instance int, now time.Duration) bool {
+	return r.disturbedBetween(instance, now-quarantineDelay, now)
+}
+
+// disturbedBetween reports whether the plan has a fault of an instance or its network in a period.
+// The times are from the start of the plan.
+func (r *run) disturbedBetween(instance int, from, to time.Duration) bool {
 	for _, event := range Plan(r.arguments.Seed, r.arguments.Duration, len(r.layout.Instances)) {
 		involved := event.Instance == instance || (event.Kind == OneWayPartition && event.Peer == instance)
-		if involved && event.Kind.affectsInstance() && event.Start <= now && now-quarantineDelay <= event.Start+event.Duration+settleTime {
+		if involved && event.Kind.affectsInstance() && event.Start <= to && from <= event.Start+event.Duration+settleTime {
 			return true
 		}
 	}
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -18,6 +18,8 @@
 //   - a response is either complete and correct or visibly incomplete;
 //   - an accepted change is kept, a change rejected with a conflict is not made, and at
 //     most one of two concurrent changes with the same base version is accepted;
+//   - an evacuation is kept until its end, and the servers beside undisturbed instances of an
+//     evacuated failure domain receive nothing evacuationBound after the acceptance;
 //   - the repeats that all backend servers receive stay within the preset's limits in every window;
 //   - a planned stop interrupts no request;
 //   - no daemon exits unexpectedly;
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -74,6 +74,8 @@
 		return nil
 	case RetryPressure:
 		return r.pressRetries(ctx, event)
+	case Evacuate:
+		return r.evacuate(ctx, event)
 	case RaceChanges:
 		r.operators.raceChanges(ctx)
 		return nil
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -50,6 +50,8 @@
 	RetryPressure FaultKind = "retry-pressure"
 	// RaceChanges makes two concurrent configuration changes with the same base version.
 	RaceChanges FaultKind = "change"
+	// Evacuate evacuates the failure domain of the instance.
+	Evacuate FaultKind = "evacuate"
 	// WithdrawKey withdraws a key that is in use.
 	WithdrawKey FaultKind = "withdraw"
 )
@@ -115,6 +117,7 @@
 	events := append(planFaults(seed, duration, instances), planStatements(seed, duration, instances)...)
 	events = append(events, planCrashes(seed, duration, instances)...)
 	events = append(events, planRetryPressure(seed, duration, instances)...)
+	events = append(events, planEvacuations(seed, duration, instances)...)
 	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.Start, b.Start) })
 	return events
 }
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -33,5 +33,5 @@
 		}
 		must.Greater(t, 10, overlaps)
 	}
-	must.MapLen(t, len(weights)+3, kinds)
+	must.MapLen(t, len(weights)+4, kinds)
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -188,7 +188,7 @@
 	if r.fleet, err = testbed.StartFleet(r.layout, testbed.BackendSpec{Service: service, Slots: slots, ServiceTime: serviceTime}); err != nil {
 		return err
 	}
-	r.operators = &operators{findings: r.findings, client: r.fleet.Client}
+	r.operators = &operators{findings: r.findings, client: r.fleet.Client, evacuated: make(map[fleetconfig.FailureDomain]bool)}
 	version, err := r.fleet.ApplyChanges(ctx, r.configuration()...)
 	if err != nil {
 		return err
--- a/node/adapter.go
+++ b/node/adapter.go
@@ -49,6 +49,16 @@
 	})
 }
 
+// Regions returns the regions of the instances that this instance knows, in ascending order.
+func (n *Node) Regions() []string {
+	var regions []string
+	for _, member := range n.members.Snapshot().Members {
+		regions = append(regions, member.Record.Region)
+	}
+	slices.Sort(regions)
+	return slices.Compact(regions)
+}
+
 // MayBeDelayed reports whether a call that is handled now may have waited through a pause of
 // the process.
 func (n *Node) MayBeDelayed(now time.Time) bool { return n.pauseDetector.MayBeDelayed(now) }
