backendproxy: a body without a length that ends by a reset, or before the request was received, is truncated

Cause: a response without a length ends with the connection. When a server resets the connection while the request is being written, the kernel reports the reset once, to whichever of the two system calls comes first. If the write gets it, the read that follows returns io.EOF, and net/http takes the part that has arrived for the whole body.

--- a/backendproxy/conn.go
+++ b/backendproxy/conn.go
@@ -16,7 +16,8 @@
 
 // trackedConn is a connection to a backend server that records whether any byte of the
 // current request has been passed to the operating system. If a dispatch fails before
-// that, its outcome is OutcomeNotRun, otherwise OutcomeUnknown.
+// that, its outcome is OutcomeNotRun, otherwise OutcomeUnknown. It also tells the end of a
+// response from the loss of the connection.
 type trackedConn struct {
 	net.Conn
 
@@ -28,6 +29,7 @@
 	wroteAt    time.Time
 	closed     bool
 	dispatchBy time.Time
+	end        requestEnd
 	// idle says that the connection has no request. idleTimer closes it shortly before
 	// idleTimeout, the time after which the backend server drops it.
 	idle        bool
@@ -43,6 +45,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.wrote = false
+	c.end = requestEnd{settled: make(chan struct{})}
 	c.idle = false
 	c.stopIdleTimer()
 	c.dispatchBy = dispatchBy
@@ -65,8 +68,13 @@
 		c.wrote = true
 		c.wroteAt = clock.Now()
 	}
+	isFlush := c.end.beginWrite()
 	c.mu.Unlock()
-	return c.Conn.Write(data)
+	n, err := c.Conn.Write(data)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.end.endWrite(isFlush, err)
+	return n, err
 }
 
 // dispatchedAt returns the time right before the first byte of the current request was
--- a/backendproxy/dispatch.go
+++ b/backendproxy/dispatch.go
@@ -97,6 +97,11 @@
 				conn.Store(tracked)
 			}
 		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if tracked := conn.Load(); tracked != nil && info.Err == nil {
+				tracked.endRequest(exchange.Request.ContentLength <= 0)
+			}
+		},
 		PutIdleConn: func(err error) {
 			if tracked := conn.Load(); tracked != nil && err == nil {
 				tracked.setIdle()
