node, ingress: the connection of a caller whose upload was not read to its end serves no further request

Cause: the ingress reads up to 256 KiB and 1 s of an upload that was answered early. With full-duplex responses net/http reads on after the handler. If it meets the end of the body within another 256 KiB, it starts its background read after the point where it waits for that read, and a read of the next request's body panics ("invalid concurrent Body.Read call"). That read is made by a goroutine of net/http or quic-go, so the panic ends the whole process. If the read fails at the limit of 1 s, net/http takes the rest of the body for the next request: the ingress then serves a request that the caller never sent as such.

Any caller that keeps its connection and sends uploads which are refused or answered early may cause it.

Change: if the end of the body was not reached, the connection's reads fail from then on and a head that has been read already is not served. Its end of the stream is sent first, and it is closed after the caller's or 500 ms, so that the caller gets the response.

--- a/ingress/proxy.go
+++ b/ingress/proxy.go
@@ -57,10 +57,20 @@
 	// the machines do not all run the same service. The ingress passes it to the
 	// backend proxy, whose dialect may pass it to the backend server.
 	CallerService fleetconfig.ServiceName
+	// CallerConnection returns the HTTP/1 connection of a request. Nil means that the ingress
+	// leaves the connections to the HTTP server.
+	CallerConnection func(*http.Request) CallerConnection
 	// Logger receives the log messages of the ingress.
 	Logger *slog.Logger
 }
 
+// CallerConnection is the connection of an HTTP/1 caller.
+type CallerConnection interface {
+	// EndReads makes the connection serve no further request: its reads fail, and it is
+	// closed once the response has been sent.
+	EndReads()
+}
+
 // Proxy is the http.Handler that serves callers. It is safe for concurrent use.
 type Proxy struct {
 	config Config
@@ -120,20 +130,23 @@
 	if exchange.Truncated {
 		panic(http.ErrAbortHandler)
 	}
-	if drainUnread {
-		drainBody(w, request)
+	if drainUnread && !drainBody(w, request) && p.config.CallerConnection != nil {
+		p.config.CallerConnection(request).EndReads()
 	}
 }
 
 // drainBody flushes the response and reads the rest of the request body, up to
-// maxDrainBytes and maxDrainTime. With full-duplex responses, net/http may otherwise
-// start two concurrent reads of the connection after the handler returns, and then
-// drops the connection. If more of the body is left, net/http closes the connection.
-func drainBody(w http.ResponseWriter, request *http.Request) {
+// maxDrainBytes and maxDrainTime. It reports whether it has reached the end. If not, the
+// connection must serve no further request. With full-duplex responses, net/http reads on after
+// the handler has returned. If it meets the end of the body, it reads the connection for two
+// purposes at once, and a read of the next request's body panics, in whichever goroutine. If
+// that read fails at maxDrainTime, net/http takes the rest of the body for the next request.
+func drainBody(w http.ResponseWriter, request *http.Request) (whole bool) {
 	controller := http.NewResponseController(w)
 	_ = controller.Flush()
 	_ = controller.SetReadDeadline(clock.Now().Add(maxDrainTime))
-	_, _ = io.CopyN(io.Discard, request.Body, maxDrainBytes)
+	_, err := io.CopyN(io.Discard, request.Body, maxDrainBytes+1)
+	return errors.Is(err, io.EOF)
 }
 
 // refuse sends the refusal of a request that was not answered by a backend server.
--- a/node/callerconns.go
+++ b/node/callerconns.go
@@ -3,14 +3,20 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/ingress"
 )
 
+// closeDelay is how long a connection whose caller is still sending stays open after the
+// response, as in net/http.
+const closeDelay = 500 * time.Millisecond
+
 // callerListener accepts connections from callers and enforces the header timeout and
 // the idle timeout of the configuration in force. It uses a timer for each connection,
 // because the timeouts of an http.Server cannot change while it is serving.
@@ -48,12 +54,31 @@
 	// multiplexed reports whether the connection uses HTTP/2, where bytes also arrive
 	// between requests.
 	multiplexed bool
+	// readsEnded says that the connection serves no further request.
+	readsEnded bool
+}
+
+// EndReads implements ingress.CallerConnection.
+func (c *callerConn) EndReads() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readsEnded = true
+}
+
+// serves reports whether the connection may serve a further request.
+func (c *callerConn) serves() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.readsEnded
 }
 
 // Read implements net.Conn. The first byte on an idle HTTP/1.1 connection starts the
 // header timeout. net/http reports a request only after its header is complete, so the
 // start of the header must be detected here.
 func (c *callerConn) Read(buffer []byte) (int, error) {
+	if !c.serves() {
+		return 0, net.ErrClosed
+	}
 	n, err := c.Conn.Read(buffer)
 	if n > 0 {
 		c.mu.Lock()
@@ -66,12 +91,23 @@
 	return n, err
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. After EndReads the caller may still be sending. A close would
+// reset the connection then, and the caller might lose the response, so it takes place only
+// after the caller's end of the stream or closeDelay.
 func (c *callerConn) Close() error {
 	c.mu.Lock()
 	c.stopTimer()
 	c.mu.Unlock()
-	return c.Conn.Close()
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if c.serves() || !ok || half.CloseWrite() != nil {
+		return c.Conn.Close()
+	}
+	go func() {
+		_ = c.SetReadDeadline(time.Now().Add(closeDelay))
+		_, _ = io.Copy(io.Discard, c.Conn)
+		_ = c.Conn.Close() // Nothing can be done about an error.
+	}()
+	return nil
 }
 
 // startIdleTimer marks the connection as idle and starts the idle timeout.
@@ -132,7 +168,10 @@
 	}
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if tracked, _ := r.Context().Value(callerConnKey{}).(*callerConn); tracked != nil {
+		if tracked := callerConnFrom(r); tracked != nil {
+			if !tracked.serves() {
+				panic(http.ErrAbortHandler) // The head arrived with the end of the unread body.
+			}
 			tracked.headerReceived(r)
 		}
 		handler.ServeHTTP(w, r)
@@ -149,6 +188,27 @@
 	return tracked
 }
 
+// callerConnFrom returns the connection of a request, or nil if its port does not track
+// connections.
+func callerConnFrom(request *http.Request) *callerConn {
+	tracked, _ := request.Context().Value(callerConnKey{}).(*callerConn)
+	return tracked
+}
+
+// callerConnection returns the connection of a request to the ingress.
+func callerConnection(request *http.Request) ingress.CallerConnection {
+	if tracked := callerConnFrom(request); tracked != nil {
+		return tracked
+	}
+	return untrackedConn{}
+}
+
+// untrackedConn is a connection that its HTTP server alone manages.
+type untrackedConn struct{}
+
+// EndReads implements ingress.CallerConnection.
+func (untrackedConn) EndReads() {}
+
 func positiveOr(value, fallback time.Duration) time.Duration {
 	if value > 0 {
 		return value
--- /dev/null
+++ b/node/earlyanswer_test.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hemlockring/hemlockring/internal/emulator"
+	"github.com/hemlockring/hemlockring/pipeline"
+)
+
+// startEarlyBackend starts a backend server that sends the answer to each request after it has
+// read the head and some KiB of the body, more for each further request, and ends the connection:
+// with a reset, or with an orderly end that the upload then meets.
+func startEarlyBackend(t *testing.T, answer string, reset bool) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for n := int64(0); ; n++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				request, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				_, _ = io.CopyN(io.Discard, request.Body, n%64<<10)
+				_, _ = io.WriteString(conn, answer)
+				if reset {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against a part of a body that reaches the caller as a complete answer: the server answers during the upload and then resets or ends the connection.
+func TestEarlyAnswerWithoutLengthIsNeverComplete(t *testing.T) {
+	t.Parallel()
+	const (
+		uploads   = 48
+		timeLimit = 20 * time.Second
+	)
+	upload := make([]byte, 600<<10)
+	for _, reset := range []bool{true, false} {
+		fleet := startFleet(t, 2, emulator.Config{})
+		fleet.announceRaw(t, 0, startEarlyBackend(t, "HTTP/1.1 200 OK\r\n\r\n0123456789abcdef", reset))
+		var parts atomic.Int32
+		var group errgroup.Group
+		group.SetLimit(4)
+		ctx, cancel := context.WithTimeout(t.Context(), timeLimit)
+		defer cancel()
+		for i := range uploads {
+			group.Go(func() error {
+				method := http.MethodPost
+				if i/2%4 == 0 {
+					method = http.MethodPut
+				}
+				request, err := http.NewRequestWithContext(ctx, method, fleet.url(i%2, "/open"), bytes.NewReader(upload))
+				must.NoError(t, err)
+				response, err := fleet.client.Do(request)
+				if err != nil {
+					return nil // The connection was aborted before the head was sent.
+				}
+				defer response.Body.Close()
+				body, err := io.ReadAll(response.Body)
+				if response.StatusCode == http.StatusOK {
+					parts.Add(1)
+					must.Error(t, err, must.Sprintf("instance %d, %s: complete with %q", i%2, method, body))
+					return nil
+				}
+				must.NotEq(t, pipeline.OutcomeAnswered.String(), response.Header.Get(pipeline.HeaderOutcome))
+				return nil
+			})
+		}
+		must.NoError(t, group.Wait())
+		must.NoError(t, ctx.Err())
+		t.Logf("reset %v: %d of %d answers passed on in part", reset, parts.Load(), uploads)
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -267,6 +267,7 @@
 		Presentation:     n.options.Presentation,
 		CallerService:    n.settings.Callers.Service,
 		Recorder:         recorders{metrics: n.metrics, collector: n.collector, requestLog: newRequestLog(n.logger)},
+		CallerConnection: callerConnection,
 		Logger:           n.logger,
 	})
 }
