--- a/node/node.go
+++ b/node/node.go
@@ -281,6 +281,7 @@
 		CallerService:    n.settings.Callers.Service,
 		PeerClock:        n.members.PeerClock,
 		Recorder:         recorders{metrics: n.metrics, collector: n.collector, requestLog: newRequestLog(n.logger)},
+		CallerConnection: callerConnection,
 		Logger:           n.logger,
 	})
 }
