--- a/backendproxy/proxy.go
+++ b/backendproxy/proxy.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hemlockring/hemlockring/callgraph"
 	"github.com/hemlockring/hemlockring/clock"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/internal/linelimit"
@@ -25,6 +26,9 @@
 	Registry *Registry
 	// View returns the current configuration.
 	View func() *fleetconfig.View
+	// FailureDomain is the failure domain of this instance and of the backend servers beside
+	// it.
+	FailureDomain fleetconfig.FailureDomain
 	// PauseDetector detects pauses of the process.
 	PauseDetector *processpause.Detector
 	// HealthMonitor decides which requests a backend server gets, from the results of
@@ -33,6 +37,10 @@
 	// Clock is a clock of this instance. Ingresses send dispatch deadlines as readings of
 	// this clock.
 	Clock quota.DispatchClock
+	// CallRoom reports whether a call of a run of the given urgency would find room at the
+	// called service. Otherwise it returns the time after which the request that needs the
+	// call should come back. Nil means that there is always room.
+	CallRoom func(call callgraph.Call, urgency fleetconfig.Urgency) (retryAfter time.Duration, room bool)
 	// Logger receives a message for each request that was refused, truncated, or answered
 	// with a server error, up to maxLogLinesPerSecond. Nil disables logging.
 	Logger *slog.Logger
@@ -56,6 +64,8 @@
 	inFlight     exchangeTracker
 	loadReporter *loadReporter
 	status       *statusObserver
+	evacuation   *evacuationFilter
+	calls        *callRoomFilter
 	log          *slog.Logger
 	logLimiter   *linelimit.Limiter
 	clock        quota.DispatchClock
@@ -87,19 +97,23 @@
 		config.Runs = NewRunTracker()
 	}
 	proxy := &Proxy{clock: config.Clock, log: config.Logger, logLimiter: linelimit.New(maxLogLinesPerSecond)}
-	proxy.loadReporter = &loadReporter{registry: config.Registry, monitor: config.HealthMonitor}
+	proxy.loadReporter = &loadReporter{registry: config.Registry, monitor: config.HealthMonitor, view: config.View}
 	proxy.status = &statusObserver{registry: config.Registry, dialect: config.Dialect, log: config.Logger, lineLimiter: linelimit.New(maxStatusLinesPerSecond)}
 	keys := &keyChecker{view: config.View}
 	quarantined := &quarantineFilter{key: config.FingerprintKey, quarantine: config.Quarantine}
 	repeats := &repeatFilter{registry: config.Registry}
+	proxy.evacuation = &evacuationFilter{view: config.View, domain: config.FailureDomain}
+	proxy.calls = &callRoomFilter{runs: config.Runs, view: config.View, room: config.CallRoom}
 	proxy.chain = pipeline.NewChain(
 		&verifyFilter{keys: keys, pauseDetector: config.PauseDetector, clock: config.Clock},
 		&drainFilter{draining: &proxy.draining},
+		proxy.evacuation,
 		quarantined,
 		&healthFilter{monitor: config.HealthMonitor},
 		repeats,
+		proxy.calls,
 		&queueFilter{registry: config.Registry, status: proxy.status},
-		&runFilter{dispatcher: newDispatcher(config.Dialect), quarantined: quarantined, crashes: newCrashDetector(&config), runs: config.Runs, repeats: repeats, keys: keys, pauseDetector: config.PauseDetector, monitor: config.HealthMonitor, loadReporter: proxy.loadReporter, status: proxy.status, clock: config.Clock},
+		&runFilter{dispatcher: newDispatcher(config.Dialect), quarantined: quarantined, evacuation: proxy.evacuation, crashes: newCrashDetector(&config), runs: config.Runs, repeats: repeats, keys: keys, pauseDetector: config.PauseDetector, monitor: config.HealthMonitor, loadReporter: proxy.loadReporter, status: proxy.status, clock: config.Clock},
 	)
 	return proxy
 }
@@ -124,6 +138,7 @@
 		Trial:         header.Get(pipeline.HeaderTrial) != "",
 		Repeat:        pipeline.ParseRepeat(header.Get(pipeline.HeaderRepeat)),
 		Urgency:       parseUrgency(header),
+		RouteID:       header.Get(pipeline.HeaderRoute),
 		State:         &exchangeState{},
 	}
 	if waitMillis, err := strconv.ParseInt(header.Get(pipeline.HeaderWaitForRate), 10, 64); err == nil && waitMillis > 0 {
@@ -132,6 +147,9 @@
 	if targetMillis, err := strconv.ParseInt(header.Get(pipeline.HeaderTarget), 10, 64); err == nil {
 		exchange.TargetTime = exchange.Received.Add(time.Duration(targetMillis) * time.Millisecond)
 	}
+	if serviceMillis, err := strconv.ParseInt(header.Get(pipeline.HeaderServiceTime), 10, 32); err == nil && serviceMillis > 0 {
+		exchange.ServiceTime = time.Duration(serviceMillis) * time.Millisecond
+	}
 	exchange.ConfigurationVersion, _ = strconv.ParseUint(header.Get(pipeline.HeaderConfigurationVersion), 10, 64)
 	err := p.chain.Serve(exchange)
 	if err != nil {
@@ -156,6 +174,9 @@
 		Retries:        registry.retries.Load(),
 		RepeatedCalls:  registry.repeatedCalls.Load(),
 		RepeatRefusals: registry.repeatRefusals.Load(),
+
+		EvacuationRefusals: p.evacuation.refusals.Load(),
+		CallRefusals:       p.calls.refusals.Load(),
 	}
 }
 
--- a/backendproxy/status.go
+++ b/backendproxy/status.go
@@ -34,6 +34,12 @@
 	// RepeatRefusals counts those that were refused because the server may receive no more
 	// repeats now.
 	RepeatRefusals uint64
+	// EvacuationRefusals counts the requests that were refused because the failure domain of
+	// this instance is evacuated.
+	EvacuationRefusals uint64
+	// CallRefusals counts the requests that were refused because a call that their run needs
+	// would have found no room.
+	CallRefusals uint64
 }
 
 // statusObserver records what backend servers state about themselves in their responses.
@@ -118,8 +124,8 @@
 // rateChangedSincePublished reports whether the rate limit differs from the published one
 // so much that the fleet is told about it.
 func (s *Server) rateChangedSincePublished() bool {
-	rate := s.admission.load().Rate
-	if rate.Limited != s.publishedRate.Limited {
+	rate := s.admission.statedRate()
+	if rate.Limited != s.publishedRate.Limited || rate.Cold != s.publishedRate.Cold {
 		return true
 	}
 	return math.Abs(rate.PerSecond-s.publishedRate.PerSecond) >= minPublishedRateChange*s.publishedRate.PerSecond
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -18,6 +18,12 @@
 	// backend server that fails requests immediately appears idle, so the penalty must
 	// outweigh a full queue on another server.
 	failureCost = 4.0
+	// slownessCost is the load that is equivalent to a server that takes one service time
+	// longer than usual. It is less than one, because requests stay longer on a slow server,
+	// so that the load by itself gives it fewer.
+	slownessCost = 0.3
+	// minCostWeight bounds the effect of a low weight on the cost.
+	minCostWeight = 0.05
 )
 
 // Tier is the distance of a backend server from the ingress.
@@ -46,6 +52,9 @@
 	// ExcludedRate means that the rate that the backend server advertises admits no request
 	// now.
 	ExcludedRate
+	// ExcludedRefused means that the proxy of the backend server has just refused a request
+	// without regard to its load.
+	ExcludedRefused
 )
 
 // BackendID identifies a backend server in the whole fleet.
@@ -56,13 +65,15 @@
 	Server fleetconfig.BackendServerID
 }
 
-// Backend is the state of one backend server as seen by an ingress. It takes about 80
+// Backend is the state of one backend server as seen by an ingress. It takes about 130
 // bytes.
 type Backend struct {
 	// ID identifies the backend server.
 	ID BackendID
 	// Tier is the distance of the backend server.
 	Tier Tier
+	// Started tells the processes of the backend server and of its proxy apart.
+	Started int64
 	// Slots is the number of requests that it runs concurrently.
 	Slots uint32
 	// ReportedInFlight is the number of its running and waiting requests from all
@@ -78,6 +89,9 @@
 	// fails most requests. The part of this probability that exceeds the probability of a
 	// server without evidence is scaled to 0 to 1 (health.ExcessFailureProbability).
 	FailureProbability float64
+	// Slowness is its service times relative to the usual ones of the same requests. Zero
+	// means that they are not known, and counts as one.
+	Slowness float64
 
 	// inFlight is the number of requests from this ingress in flight, inFlightAtReport that
 	// number at the time of the last report or of Pool.Set.
@@ -96,9 +110,30 @@
 	return float64(requests) / float64(max(1, b.Slots))
 }
 
-// cost returns the value by which backend servers are compared: the load plus the penalty
-// for probable failure.
-func (b *Backend) cost() float64 { return b.load() + failureCost*b.FailureProbability }
+// SentSinceReport returns how many more requests of this ingress are in flight than at the
+// time of the last report.
+func (b *Backend) SentSinceReport() uint32 {
+	return b.inFlight - min(b.inFlight, b.inFlightAtReport)
+}
+
+// cost returns the value by which backend servers are compared: the load plus the penalties
+// for probable failure and for slowness.
+func (b *Backend) cost() float64 { return b.load() + b.penalty() }
+
+// penalty returns the part of the cost that does not depend on the load.
+func (b *Backend) penalty() float64 {
+	penalty := failureCost * b.FailureProbability
+	if b.Slowness > 0 {
+		penalty += slownessCost * (b.Slowness - 1)
+	}
+	return penalty
+}
+
+// weightedCost is the cost if the backend server had only the slots that its weight permits.
+// It is used where all servers are compared, without random draws by weight.
+func (b *Backend) weightedCost() float64 {
+	return b.load()/max(b.Weight, minCostWeight) + b.penalty()
+}
 
 // drawProbability returns the probability that a random draw accepts the backend server.
 func (b *Backend) drawProbability() float64 { return b.Weight * (1 - b.FailureProbability) }
@@ -118,7 +153,8 @@
 	}
 }
 
-func (t *TriedBackends) contains(id BackendID) bool {
+// Contains reports whether a backend server is in the set. The set may be nil.
+func (t *TriedBackends) Contains(id BackendID) bool {
 	if t == nil {
 		return false
 	}
@@ -135,6 +171,11 @@
 	// SpilloverLoad limits the cost, in requests per slot. If the best backend server found
 	// so far costs at least this much, the next farther tier is considered too.
 	SpilloverLoad float64
+	// KeepReports keeps the reports of backend servers that remain when the pool is replaced.
+	KeepReports bool
+	// HopCost is by how much the cost of a backend server of a farther tier must be lower, in
+	// requests per slot.
+	HopCost float64
 	// Choices is the number of random backend servers that are compared. Two suffice if
 	// servers differ only in load; the third allows for failing servers among them.
 	Choices int
@@ -161,8 +202,9 @@
 // SetPolicy changes the parameters.
 func (p *Pool) SetPolicy(policy Policy) { p.policy = policy }
 
-// Set replaces the backend servers. Servers that remain keep their in-flight requests and
-// failure probability. Indexes from earlier picks become invalid; use Find.
+// Set replaces the backend servers. Servers that remain keep their in-flight requests, weight
+// and failure probability, and with Policy.KeepReports what was reported of them. Indexes from
+// earlier picks become invalid; use Find.
 func (p *Pool) Set(backends []Backend) {
 	previous := make(map[BackendID]Backend, len(p.backends))
 	for _, backend := range p.backends {
@@ -170,14 +212,38 @@
 	}
 	p.backends = make([]Backend, len(backends))
 	for i, backend := range backends {
-		backend.inFlight = previous[backend.ID].inFlight
+		last, known := previous[backend.ID]
+		if known {
+			backend.inFlight = last.inFlight
+			backend.Weight = last.Weight
+			backend.FailureProbability = last.FailureProbability
+		}
 		backend.inFlightAtReport = backend.inFlight
-		backend.FailureProbability = previous[backend.ID].FailureProbability
+		if known && p.policy.KeepReports && last.Started == backend.Started {
+			backend.keepReport(&last)
+		}
 		p.backends[i] = backend
 	}
 	p.rebuildTiers()
 }
 
+// keepReport takes over what was last reported of the backend server.
+func (b *Backend) keepReport(last *Backend) {
+	b.ReportedInFlight, b.inFlightAtReport = last.ReportedInFlight, last.inFlightAtReport
+	b.Weight, b.Slowness = last.Weight, last.Slowness
+}
+
+// ForgetLoad removes the load that a backend server reported, which then counts as idle but
+// for the requests of this ingress.
+func (p *Pool) ForgetLoad(index int) {
+	backend := &p.backends[index]
+	backend.ReportedInFlight = 0
+	backend.inFlightAtReport = backend.inFlight
+}
+
+// KeepsReports returns Policy.KeepReports.
+func (p *Pool) KeepsReports() bool { return p.policy.KeepReports }
+
 // Find returns the index of a backend server and whether it is in the pool.
 func (p *Pool) Find(id BackendID) (int, bool) {
 	for i := range p.backends {
@@ -216,9 +282,15 @@
 	p.rebuildTiers()
 }
 
-// Saturated reports whether the cost of a backend server is that of one whose slots are all
-// in use.
-func (p *Pool) Saturated(index int) bool { return p.backends[index].cost() > 1 }
+// SetSlowness sets the Slowness of a backend server.
+func (p *Pool) SetSlowness(index int, slowness float64) { p.backends[index].Slowness = slowness }
+
+// Saturated reports whether the load of a backend server and the penalty for its probable
+// failure are those of one whose slots are all in use.
+func (p *Pool) Saturated(index int) bool {
+	backend := &p.backends[index]
+	return backend.load()+failureCost*backend.FailureProbability > 1
+}
 
 // RequestStarted records that a request was sent to a backend server.
 func (p *Pool) RequestStarted(index int) { p.backends[index].inFlight++ }
@@ -253,7 +325,7 @@
 		if choice == noBackend {
 			continue
 		}
-		if best == noBackend || p.backends[choice].cost() < p.backends[best].cost() {
+		if best == noBackend || p.backends[choice].cost()+p.policy.HopCost < p.backends[best].cost() {
 			best = choice
 		}
 		if p.backends[best].cost() < p.policy.SpilloverLoad {
@@ -269,17 +341,23 @@
 // PickBest is meant for requests that have already failed once and cannot afford another
 // failed attempt.
 func (p *Pool) PickBest(rng *rand.Rand, tried *TriedBackends) (int, bool) {
-	return p.pickBest(rng, func(backend *Backend) bool { return !tried.contains(backend.ID) })
+	return p.pickBest(rng, func(backend *Backend) bool { return !tried.Contains(backend.ID) })
 }
 
 // PickSound is like PickBest, but selects only backend servers whose failure probability is
 // below the given one and whose load is less than what certain failure costs.
 func (p *Pool) PickSound(rng *rand.Rand, tried *TriedBackends, maxFailureProbability float64) (int, bool) {
 	return p.pickBest(rng, func(backend *Backend) bool {
-		return backend.FailureProbability < maxFailureProbability && backend.load() < failureCost && !tried.contains(backend.ID)
+		return backend.FailureProbability < maxFailureProbability && backend.load() < failureCost && !tried.Contains(backend.ID)
 	})
 }
 
+// PickBestOf is like PickBest, but selects only backend servers that accept permits. accept
+// must not call the pool.
+func (p *Pool) PickBestOf(rng *rand.Rand, tried *TriedBackends, accept func(*Backend) bool) (int, bool) {
+	return p.pickBest(rng, func(backend *Backend) bool { return !tried.Contains(backend.ID) && accept(backend) })
+}
+
 // pickBest selects the backend server of the lowest cost among those that accept permits.
 func (p *Pool) pickBest(rng *rand.Rand, accept func(*Backend) bool) (int, bool) {
 	best := noBackend
@@ -294,11 +372,11 @@
 			if !accept(&p.backends[index]) {
 				continue
 			}
-			if best == noBackend || p.backends[index].cost() < p.backends[best].cost() {
+			if best == noBackend || p.backends[index].weightedCost() < p.backends[best].weightedCost() {
 				best = index
 			}
 		}
-		if best != noBackend && p.backends[best].cost() < p.policy.SpilloverLoad {
+		if best != noBackend && p.backends[best].weightedCost() < p.policy.SpilloverLoad {
 			break
 		}
 	}
@@ -331,7 +409,7 @@
 	for range maxSamples {
 		index := int(usable[rng.IntN(len(usable))])
 		backend := &p.backends[index]
-		if index == except || tried.contains(backend.ID) {
+		if index == except || tried.Contains(backend.ID) {
 			continue
 		}
 		if probability := backend.drawProbability(); probability >= 1 || rng.Float64() < probability {
@@ -344,7 +422,7 @@
 	start := rng.IntN(len(usable))
 	for i := range usable {
 		index := int(usable[(start+i)%len(usable)])
-		if !tried.contains(p.backends[index].ID) {
+		if !tried.Contains(p.backends[index].ID) {
 			return index
 		}
 	}
--- a/fleetconfig/view.go
+++ b/fleetconfig/view.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math/bits"
 	"slices"
+	"sort"
 )
 
 // View is an immutable Document with lookup tables. It is safe for concurrent use.
@@ -63,9 +64,25 @@
 	return &services[at]
 }
 
+// Route returns a route by its ID, or nil if there is none.
+func (v *View) Route(id string) *Route {
+	routes := v.document.Routes
+	at := sort.Search(len(routes), func(i int) bool { return routes[i].ID >= id })
+	if at == len(routes) || routes[at].ID != id {
+		return nil
+	}
+	return &routes[at]
+}
+
 // ActivePreset returns the active preset. It is never nil.
 func (v *View) ActivePreset() *Preset { return v.preset }
 
+// Evacuated reports whether the backend servers in the failure domain get no new requests.
+func (v *View) Evacuated(domain FailureDomain) bool {
+	_, found := slices.BinarySearch(v.document.EvacuatedDomains, domain)
+	return found
+}
+
 // accountIndex is an open-addressing hash table of indexes into the accounts of a
 // document. A slot holds the index of an account plus one; zero marks an empty slot.
 // At least a third of the slots are empty, so that probing terminates.
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -36,6 +36,9 @@
 type Runs interface {
 	// IsRepeatedCall reports whether a repeated run sends the exchange's request.
 	IsRepeatedCall(exchange *pipeline.Exchange) bool
+	// RecordCall returns the urgency of the exchange's request if a run sends it, otherwise
+	// zero, and adds it to the calls of that run.
+	RecordCall(exchange *pipeline.Exchange) fleetconfig.Urgency
 }
 
 const (
@@ -52,6 +55,10 @@
 	// maxRetryRefusals is how many backend proxies may refuse a request because their
 	// servers may receive no more repeats now, before it is given up.
 	maxRetryRefusals = 8
+	// maxCalledServiceRefusals is how many backend proxies may refuse a request because a
+	// service that its run would call has no room, before it is given up. All of them call the
+	// same service, but the news of one may be old.
+	maxCalledServiceRefusals = 2
 )
 
 // forwardFilter selects backend servers and sends the request to their backend
@@ -79,10 +86,18 @@
 	ctx, cancel := clock.WithDeadline(exchange.Request.Context(), exchange.Deadline)
 	defer cancel()
 
-	exchange.RepeatedCall = f.runs != nil && f.runs.IsRepeatedCall(exchange)
+	if f.runs != nil {
+		exchange.RepeatedCall = f.runs.IsRepeatedCall(exchange)
+		if exchange.View.ActivePreset().CallPrecedence {
+			exchange.CallUrgency = f.runs.RecordCall(exchange)
+		}
+	}
 	f.retry.RequestStarted(exchange)
 	attempts := &attemptTracker{}
 	for {
+		if refusal := f.refuseWithoutRoom(exchange, attempts); refusal != nil {
+			return refusal
+		}
 		candidate, ok := f.selector.Pick(exchange, attempts.tried)
 		if !ok && attempts.startLastResort(exchange) {
 			continue
@@ -101,6 +116,9 @@
 			return nil
 		}
 		attempts.add(exchange, candidate, refusal)
+		if attempts.calledServiceRefusals >= maxCalledServiceRefusals {
+			return refusal
+		}
 		if attempts.retryRefusals >= maxRetryRefusals {
 			f.retry.RetryRefused(exchange)
 			return refusal
@@ -111,6 +129,24 @@
 	}
 }
 
+// refuseWithoutRoom returns the refusal of a request for which no backend server has room, as
+// far as is known, or nil. If an earlier attempt may have run, that attempt's refusal is
+// returned.
+func (f *forwardFilter) refuseWithoutRoom(exchange *pipeline.Exchange, attempts *attemptTracker) *pipeline.Refusal {
+	if exchange.LastResort || !exchange.View.ActivePreset().AdmissionByRoom {
+		return nil
+	}
+	retryAfter, room := f.selector.Room(exchange, attempts.tried, attempts.busyRefusals)
+	if room {
+		return nil
+	}
+	if last := attempts.lastRefusal; last != nil && (last.Outcome != pipeline.OutcomeNotRun || last.ReachedServer) {
+		return last
+	}
+	return pipeline.NewNotRunRefusal(pipeline.KindBusy, http.StatusServiceUnavailable,
+		"no backend server of the service can run the request in time", "send the request again", retryAfter)
+}
+
 // attemptTracker tracks the attempts of one exchange.
 type attemptTracker struct {
 	tried []Candidate
@@ -120,9 +156,14 @@
 	// suspectRefusals counts the attempts that were refused because the backend
 	// server is suspected of failure.
 	suspectRefusals int
+	// busyRefusals counts the attempts that were refused for want of room.
+	busyRefusals int
 	// retryRefusals counts the attempts that were refused because the backend server may
 	// receive no more repeats now.
 	retryRefusals int
+	// calledServiceRefusals counts the attempts that were refused because a service that the
+	// run would call has no room.
+	calledServiceRefusals int
 	// lastRefusedAsRepeat says that the last attempt was refused so.
 	lastRefusedAsRepeat bool
 	// lastResortStarted says that startLastResort has permitted further attempts,
@@ -144,6 +185,12 @@
 	if t.lastRefusedAsRepeat {
 		t.retryRefusals++
 	}
+	if refusal.Kind == pipeline.KindCalledServiceBusy {
+		t.calledServiceRefusals++
+	}
+	if refusal.Kind == pipeline.KindBusy && !refusal.ReachedServer {
+		t.busyRefusals++
+	}
 	if refusal.Kind == pipeline.KindServerSuspect {
 		t.suspectRefusals++
 		exchange.LastResort = exchange.LastResort || t.suspectRefusals >= maxSuspectRefusals
@@ -281,8 +328,8 @@
 	exchange.Instance = candidate.Instance
 	exchange.BackendServer = candidate.Server
 	exchange.Outcome = pipeline.OutcomeUnknown
-	result := Attempt{Candidate: candidate, Service: exchange.Service}
-	dispatchBy := f.clocks.peerDispatchDeadline(candidate.Instance, exchange)
+	result := Attempt{Candidate: candidate, Service: exchange.Service, Route: exchange.Route.ID}
+	dispatchBy := f.clocks.peerDispatchDeadline(candidate.Instance, exchange, started)
 	request := newProxyRequest(ctx, exchange, candidate, body, dispatchBy, started)
 
 	var refusal *pipeline.Refusal
@@ -353,6 +400,7 @@
 	result.ServerStatus = header.Get(backendproxy.HeaderServerStatus)
 	dispatchAge, _ := strconv.ParseInt(header.Get(pipeline.HeaderDispatchAge), 10, 64)
 	exchange.DispatchAge = time.Duration(max(dispatchAge, 0)) * time.Microsecond
+	result.ServiceTime = exchange.DispatchAge
 	f.clocks.observe(result.Candidate.Instance, header.Get(pipeline.HeaderClock), clock.Now())
 }
 
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -31,6 +31,12 @@
 	responders []func(request *http.Request) (*http.Response, error)
 	// rateWait is the result of RateWait; zero means that there is none.
 	rateWait time.Duration
+	// busyRefusals is the number of refusals for want of room after which Room finds none.
+	busyRefusals int
+	// callPrecedence sets CallPrecedence in the active preset.
+	callPrecedence bool
+	// byRoom sets AdmissionByRoom in the active preset.
+	byRoom bool
 	// lastResort is set in every candidate.
 	lastResort bool
 	attempted  []int
@@ -43,6 +49,8 @@
 	results []Attempt
 	// local, if set, serves the first attempt as the backend proxy of the same instance.
 	local http.HandlerFunc
+	// peerClock is what membership knows about the clocks of the instances.
+	peerClock func(fleetconfig.InstanceID, uint64, time.Time) (quota.PeerClock, bool)
 }
 
 func (s *fakeFleet) RoundTrip(address string, request *http.Request, _ transport.ConnectionClass) (*http.Response, error) {
@@ -68,6 +76,12 @@
 func (s *fakeFleet) RateWait(fleetconfig.ServiceName) (time.Duration, bool) {
 	return s.rateWait, s.rateWait > 0
 }
+
+// Room finds room until the fleet's room is used up.
+func (s *fakeFleet) Room(_ *pipeline.Exchange, _ []Candidate, busyRefusals int) (time.Duration, bool) {
+	return roomIn, busyRefusals < s.busyRefusals
+}
+
 func (s *fakeFleet) Done(attempt *Attempt)           { s.results = append(s.results, *attempt) }
 func (*fakeFleet) RequestStarted(*pipeline.Exchange) {}
 
@@ -124,16 +138,18 @@
 const testPriority = 3
 
 // The backend proxy must receive the urgency that follows from the priority of the
-// route.
-func TestForwardSendsUrgencyHeader(t *testing.T) {
-	var urgency string
+// route, and the version of the configuration, also with a request without a key.
+func TestForwardSendsUrgencyAndVersion(t *testing.T) {
+	var urgency, version string
 	fleet := &fakeFleet{responders: []func(*http.Request) (*http.Response, error){func(request *http.Request) (*http.Response, error) {
 		urgency = request.Header.Get(pipeline.HeaderUrgency)
+		version = request.Header.Get(pipeline.HeaderConfigurationVersion)
 		return respondStatus(http.StatusOK)(request)
 	}}}
 	must.Eq(t, http.StatusOK, fleet.serve(fleetconfig.IdempotentAlways, 1, 0).Code)
 	expected := fleetconfig.UrgencyOf(nil, &fleetconfig.Route{Priority: testPriority})
 	must.Eq(t, strconv.FormatUint(uint64(expected), 10), urgency)
+	must.Eq(t, "1", version)
 }
 
 // maxTestBody is the body size limit of the test configuration, in bytes.
@@ -144,6 +160,10 @@
 	document := fleetconfig.NewDocument()
 	document.Version = 1
 	document.CallerLimits.BodyBytes = maxTestBody
+	for i := range document.Presets {
+		document.Presets[i].AdmissionByRoom = s.byRoom
+		document.Presets[i].CallPrecedence = s.callPrecedence
+	}
 	document.Routes = []fleetconfig.Route{{
 		ID: "r", PathPrefix: "/", Service: "catalogue", OpenToAll: true, Idempotency: idempotency, MaxAttempts: maxAttempts, Priority: testPriority,
 	}}
@@ -156,6 +176,7 @@
 		Retry:         s,
 		Runs:          s.runs,
 		Recorder:      s,
+		PeerClock:     s.peerClock,
 		Logger:        slog.New(slog.DiscardHandler),
 	})
 	recorder := httptest.NewRecorder()
@@ -266,6 +287,29 @@
 	return respondStatus(http.StatusOK)(request)
 }
 
+// The first request to an instance has a dispatch deadline by the clock that membership knows,
+// which is never later than that of the instance itself.
+func TestForwardUsesAnnouncedClockAtFirstContact(t *testing.T) {
+	dispatchClock := quota.NewDispatchClock(7, clock.Now().Add(-time.Minute))
+	var received quota.ClockReading
+	fleet := &fakeFleet{
+		responders: []func(*http.Request) (*http.Response, error){func(request *http.Request) (*http.Response, error) {
+			received, _ = backendproxy.ParseClockReading(request.Header.Get(pipeline.HeaderDispatchBy))
+			return respondStatus(http.StatusOK)(request)
+		}},
+		peerClock: func(_ fleetconfig.InstanceID, known uint64, now time.Time) (quota.PeerClock, bool) {
+			var peer quota.PeerClock
+			peer.Observe(quota.ClockReading{Incarnation: 7, Elapsed: 59 * time.Second}, now)
+			return peer, known < 7
+		},
+	}
+	must.Eq(t, http.StatusOK, fleet.serve(idempotent, 1, 0).Code)
+	must.Eq(t, []int{0}, fleet.attempted)
+	must.Eq(t, 7, received.Incarnation)
+	latest := dispatchClock.Reading(clock.Now().Add(fleetconfig.DefaultRouteTimeout))
+	must.Less(t, latest.Elapsed, received.Elapsed)
+}
+
 // A request body that cannot be read to its end, or that exceeds the size limit,
 // must not count as a failure of the path to an instance, and the request must not
 // be sent to another instance.
@@ -295,11 +339,11 @@
 func TestLocalDispatchDeadlineIsEarliestLimit(t *testing.T) {
 	now := time.Now()
 	exchange := &pipeline.Exchange{Deadline: now.Add(time.Minute), TokenExpires: now.Add(2 * time.Second), CurrentUntil: now.Add(time.Second)}
-	must.Eq(t, exchange.CurrentUntil, localDispatchDeadline(exchange))
+	must.Eq(t, exchange.CurrentUntil, LocalDispatchDeadline(exchange))
 	exchange.CurrentUntil = now.Add(3 * time.Second)
-	must.Eq(t, exchange.TokenExpires, localDispatchDeadline(exchange))
+	must.Eq(t, exchange.TokenExpires, LocalDispatchDeadline(exchange))
 	exchange.CurrentUntil, exchange.TokenExpires = time.Time{}, time.Time{}
-	must.Eq(t, exchange.Deadline, localDispatchDeadline(exchange))
+	must.Eq(t, exchange.Deadline, LocalDispatchDeadline(exchange))
 }
 
 // An instance that cannot confirm that its configuration is current must not respond
@@ -336,6 +380,51 @@
 
 func (r fakeRuns) IsRepeatedCall(*pipeline.Exchange) bool { return bool(r) }
 
+// callerUrgency is the urgency of the run that sends each request, if fakeRuns says so.
+const callerUrgency fleetconfig.Urgency = 2<<32 | 1
+
+func (r fakeRuns) RecordCall(*pipeline.Exchange) fleetconfig.Urgency {
+	if r {
+		return fleetconfig.UrgencyOfCall(callerUrgency)
+	}
+	return 0
+}
+
+// A call has the urgency that follows from its caller's, and the backend proxy learns its route,
+// while the preset gives calls precedence.
+func TestForwardSendsUrgencyOfCall(t *testing.T) {
+	for _, c := range []struct {
+		precedence, call bool
+		urgency          fleetconfig.Urgency
+		route            string
+	}{
+		{true, true, fleetconfig.UrgencyOfCall(callerUrgency), "r"},
+		{true, false, fleetconfig.UrgencyOf(nil, &fleetconfig.Route{Priority: testPriority}), "r"},
+		{false, true, fleetconfig.UrgencyOf(nil, &fleetconfig.Route{Priority: testPriority}), ""},
+	} {
+		var sent http.Header
+		fleet := &fakeFleet{runs: fakeRuns(c.call), callPrecedence: c.precedence, responders: []func(*http.Request) (*http.Response, error){func(request *http.Request) (*http.Response, error) {
+			sent = request.Header
+			return respondStatus(http.StatusOK)(request)
+		}}}
+		must.Eq(t, http.StatusOK, fleet.serve(idempotent, 1, 0).Code)
+		must.Eq(t, strconv.FormatUint(uint64(c.urgency), 10), sent.Get(pipeline.HeaderUrgency))
+		must.Eq(t, c.route, sent.Get(pipeline.HeaderRoute))
+	}
+}
+
+// A request whose calls find no room is refused as not run after two backend proxies said so.
+func TestForwardGivesUpWhenCalledServiceIsBusy(t *testing.T) {
+	fleet := &fakeFleet{}
+	for range 5 {
+		fleet.responders = append(fleet.responders, respondRefusal(pipeline.KindCalledServiceBusy, pipeline.OutcomeNotRun, false))
+	}
+	recorder := fleet.serve(nonIdempotent, 2, 0)
+	must.Eq(t, http.StatusServiceUnavailable, recorder.Code)
+	must.Eq(t, string(pipeline.KindCalledServiceBusy), recorder.Header().Get(pipeline.HeaderRefusal))
+	must.Len(t, maxCalledServiceRefusals, fleet.attempted)
+}
+
 // Backend proxies must learn which attempts are retries and which come from repeated runs.
 func TestForwardMarksRepeats(t *testing.T) {
 	var repeats []string
@@ -455,3 +544,38 @@
 		must.False(t, exchange.Idempotent)
 	}
 }
+
+// roomIn is the time until the fake fleet has room.
+const roomIn = 2500 * time.Millisecond
+
+// A request for which no backend server is known to have room is refused as not run, before
+// or after attempts, and told when to come back. Without the preset's field it goes on.
+func TestForwardRefusesRequestWithoutRoom(t *testing.T) {
+	fleet := &fakeFleet{byRoom: true}
+	for range 5 {
+		fleet.responders = append(fleet.responders, respondRefusal(pipeline.KindBusy, pipeline.OutcomeNotRun, false))
+	}
+	for attempts := range 3 {
+		fleet.busyRefusals = attempts
+		recorder := fleet.serve(nonIdempotent, 2, 0)
+		must.Eq(t, http.StatusServiceUnavailable, recorder.Code)
+		must.Eq(t, "3", recorder.Header().Get("Retry-After"))
+		must.Eq(t, "not-run", recorder.Header().Get(pipeline.HeaderOutcome))
+		must.Len(t, attempts, fleet.attempted)
+	}
+	fleet.byRoom = false
+	fleet.serve(nonIdempotent, 2, 0)
+	must.Len(t, 5, fleet.attempted)
+}
+
+// A request that may have run is not reported as refused for want of room.
+func TestForwardKeepsUnknownOutcomeWithoutRoom(t *testing.T) {
+	fleet := &fakeFleet{byRoom: true, busyRefusals: 1, responders: []func(*http.Request) (*http.Response, error){
+		respondRefusal(pipeline.KindOutcomeUnknown, pipeline.OutcomeUnknown, true),
+		respondRefusal(pipeline.KindBusy, pipeline.OutcomeNotRun, false),
+		respondStatus(http.StatusOK),
+	}}
+	recorder := fleet.serve(idempotent, 0, 9)
+	must.Eq(t, "unknown", recorder.Header().Get(pipeline.HeaderOutcome))
+	must.Eq(t, []int{0, 1}, fleet.attempted)
+}
--- a/ingress/forwarded.go
+++ b/ingress/forwarded.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/hemlockring/hemlockring/backendproxy"
-	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/internal/httpheader"
 	"github.com/hemlockring/hemlockring/pipeline"
 )
@@ -28,8 +27,10 @@
 	if exchange.Idempotent {
 		header.Set(pipeline.HeaderIdempotent, "1")
 	}
-	urgency := fleetconfig.UrgencyOf(exchange.View.Account(exchange.Account), exchange.Route)
-	header.Set(pipeline.HeaderUrgency, strconv.FormatUint(uint64(urgency), 10))
+	header.Set(pipeline.HeaderUrgency, strconv.FormatUint(uint64(exchange.IngressUrgency()), 10))
+	if exchange.View.ActivePreset().CallPrecedence {
+		header.Set(pipeline.HeaderRoute, exchange.Route.ID)
+	}
 	if exchange.LastResort || candidate.LastResort {
 		header.Set(pipeline.HeaderLastResort, "1")
 	}
@@ -49,6 +50,9 @@
 		remaining := exchange.Route.LatencyTarget - now.Sub(exchange.Received)
 		header.Set(pipeline.HeaderTarget, strconv.FormatInt(max(0, remaining.Milliseconds()), 10))
 	}
+	if exchange.ServiceTime > 0 {
+		header.Set(pipeline.HeaderServiceTime, strconv.FormatInt(max(1, exchange.ServiceTime.Milliseconds()), 10))
+	}
 	if exchange.CallerService != "" {
 		header.Set(pipeline.HeaderCallerService, string(exchange.CallerService))
 	}
@@ -56,8 +60,8 @@
 	if exchange.Account != "" {
 		header.Set(pipeline.HeaderAccount, string(exchange.Account))
 		header.Set(pipeline.HeaderKeyID, string(exchange.KeyID))
-		header.Set(pipeline.HeaderConfigurationVersion, strconv.FormatUint(exchange.View.Version(), 10))
 	}
+	header.Set(pipeline.HeaderConfigurationVersion, strconv.FormatUint(exchange.View.Version(), 10))
 	if _, present := header["User-Agent"]; !present {
 		// An empty value stops the HTTP client from adding a default one.
 		header.Set("User-Agent", "")
--- a/membership/load.go
+++ b/membership/load.go
@@ -18,9 +18,9 @@
 	// RateUnknown tells whether the proxy has seen no response of the server yet. The
 	// fields of the rate are then zero.
 	RateUnknown bool `cbor:"9,keyasint,omitempty"`
-	// Limited tells whether it advertises a rate of requests that it accepts.
+	// Limited tells whether it accepts only a rate of requests: it advertises one or is cold.
 	Limited bool `cbor:"5,keyasint,omitempty"`
-	// MilliRate is the advertised rate.
+	// MilliRate is this rate.
 	MilliRate MilliRate `cbor:"6,keyasint,omitempty"`
 	// WaitMillis is the time until the rate admits the next request, in
 	// milliseconds.
@@ -30,6 +30,31 @@
 	// LeavingProcess is the start time of the process that has stated it, in Unix
 	// milliseconds, zero if the server does not announce it.
 	LeavingProcess int64 `cbor:"10,keyasint,omitempty"`
+	// Cold tells whether it is cold, that is, warming up. MilliRate is then at most the rate
+	// that it tolerates meanwhile.
+	Cold bool `cbor:"11,keyasint,omitempty"`
+	// NextSlotMillis is the expected time until a slot is released, in milliseconds. It is
+	// zero while a slot is free.
+	NextSlotMillis uint32 `cbor:"14,keyasint,omitempty"`
+	// Waiting is the work of the requests that wait for a slot, the most urgent first.
+	Waiting []RankedWork `cbor:"15,keyasint,omitempty"`
+	// Overloaded tells whether only requests wait that can meet their latency target.
+	Overloaded bool `cbor:"16,keyasint,omitempty"`
+	// Full tells whether the queue is full.
+	Full bool `cbor:"17,keyasint,omitempty"`
+	// SlownessPercent is the server's service times relative to the usual ones of the same
+	// requests, in percent, zero if unknown.
+	SlownessPercent uint16 `cbor:"18,keyasint,omitempty"`
+}
+
+// RankedWork is the work of the waiting requests of one urgency: the time, in milliseconds,
+// for which they would occupy all slots of the server.
+type RankedWork struct {
+	_       struct{} `cbor:",toarray"`
+	Urgency fleetconfig.Urgency
+	// TotalMillis is the work of all of them, FirstMillis that of the first request of each
+	// account.
+	TotalMillis, FirstMillis uint32
 }
 
 // Fan-out of load reports. The driver reports the loads several times a second. Each
--- a/node/local.go
+++ b/node/local.go
@@ -88,6 +88,21 @@
 		return n.backendProxy.Statistics().RepeatRefusals
 	})
 	n.metrics.RegisterGauge("backend_repeat_credit", "Repeats that the backend servers beside this instance may receive now.", n.registry.RepeatCredit)
+	n.metrics.RegisterCounter("backend_evacuation_refusals", "Requests refused because the failure domain of this instance is evacuated.", func() uint64 {
+		return n.backendProxy.Statistics().EvacuationRefusals
+	})
+	n.metrics.RegisterCounter("backend_call_room_refusals", "Requests refused because a service that their run would call has no room.", func() uint64 {
+		return n.backendProxy.Statistics().CallRefusals
+	})
+	n.metrics.RegisterGauge("evacuated", "1 while the failure domain of this instance is evacuated, otherwise 0.", func() float64 {
+		if n.configuration.View().Evacuated(n.settings.Instance.FailureDomain) {
+			return 1
+		}
+		return 0
+	})
+	n.metrics.RegisterGauge("evacuated_domains", "Failure domains that are evacuated according to the configuration of this instance.", func() float64 {
+		return float64(len(n.configuration.View().Document().EvacuatedDomains))
+	})
 	n.metrics.RegisterGauge("backend_advertised_rate", "Sum of the rates that backend servers advertise, in requests per second.", func() float64 {
 		sum, _ := n.registry.AdvertisedRate()
 		return sum
@@ -96,6 +111,9 @@
 		_, limited := n.registry.AdvertisedRate()
 		return float64(limited)
 	})
+	n.metrics.RegisterGauge("backend_cold_servers", "Backend servers that are cold and limited to the cold rate of their service.", func() float64 {
+		return float64(n.registry.ColdServers())
+	})
 }
 
 // registerRetryMetrics registers the metrics of the ingress's retry budgets.
--- a/queue/urgency.go
+++ b/queue/urgency.go
@@ -1,6 +1,10 @@
 package queue
 
-import "github.com/hemlockring/hemlockring/fleetconfig"
+import (
+	"time"
+
+	"github.com/hemlockring/hemlockring/fleetconfig"
+)
 
 // maxConsecutive is how many consecutive slots the requests of one urgency receive while
 // less urgent requests wait. The next slot goes to a less urgent request, so that a quarter
@@ -51,7 +55,7 @@
 
 // urgencyToShed returns the urgency that loses a request when the queue is full: the least
 // urgent one with more waiting requests than its share of the queue, or else the least
-// urgent one.
+// urgent one. Calls of runs lose none while other requests wait.
 func (q *Queue) urgencyToShed() fleetconfig.Urgency {
 	var least fleetconfig.Urgency
 	waiting := make(map[fleetconfig.Urgency]int)
@@ -62,6 +66,10 @@
 	var chosen fleetconfig.Urgency
 	found := false
 	for urgency, count := range waiting {
+		if urgency.IsCall() && !least.IsCall() {
+			// The run that sent the call would be lost with it.
+			continue
+		}
 		if count > q.length/(maxConsecutive+1) && (!found || urgency > chosen) {
 			chosen, found = urgency, true
 		}
@@ -72,23 +80,21 @@
 	return chosen
 }
 
-// releasesBeforeStart estimates, while no slot is free, how many times a slot must be
-// released until a request of the account gets one. This is one more than the requests that
-// get a slot before it. own is how many requests of the same account precede it.
-func (q *Queue) releasesBeforeStart(account *accountQueue, own int) int {
-	var moreUrgent, equallyUrgent, lessUrgent int
+// waitForSlot estimates, while no slot is free, the time until a request of the account gets
+// one. own is how many requests of the same account precede it.
+func (q *Queue) waitForSlot(account *accountQueue, own int) time.Duration {
+	var moreUrgent, equallyUrgent, lessUrgent time.Duration
 	for _, other := range q.backlog {
 		switch {
 		case other == account:
+			equallyUrgent += q.workOf(other.items[:own])
 		case other.urgency < account.urgency:
-			moreUrgent += len(other.items)
+			moreUrgent += q.workOf(other.items)
 		case other.urgency == account.urgency:
-			equallyUrgent += min(len(other.items), own+1)
+			equallyUrgent += q.workOf(other.items[:min(len(other.items), own+1)])
 		default:
-			lessUrgent += len(other.items)
+			lessUrgent += q.workOf(other.items)
 		}
 	}
-	total := equallyUrgent + own + 1
-	total += min(moreUrgent, maxConsecutive*total)
-	return total + min(lessUrgent, total/maxConsecutive)
+	return waitBehind(q.perSlot(q.serviceTime), q.perSlot(moreUrgent), q.perSlot(equallyUrgent), q.perSlot(lessUrgent))
 }
--- a/selection/selector.go
+++ b/selection/selector.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hemlockring/hemlockring/backendproxy"
@@ -16,6 +17,7 @@
 	"github.com/hemlockring/hemlockring/ingress"
 	"github.com/hemlockring/hemlockring/membership"
 	"github.com/hemlockring/hemlockring/pipeline"
+	"github.com/hemlockring/hemlockring/placement"
 	"github.com/hemlockring/hemlockring/throttle"
 )
 
@@ -38,6 +40,12 @@
 type Selector struct {
 	config Config
 	paths  *pathMonitors
+	// roomRefusals counts the requests for which Room found none.
+	roomRefusals atomic.Uint64
+
+	// learned holds evacuations that are not in the configuration of this ingress yet. It is
+	// written with mu held.
+	learned atomic.Pointer[learnedEvacuations]
 
 	mu       sync.Mutex
 	services map[fleetconfig.ServiceName]*servicePool
@@ -48,13 +56,23 @@
 	mu   sync.Mutex
 	pool *balance.Pool
 	// hosted holds the backend servers of the pool; the indexes are those of the pool.
-	hosted           []gossip.HostedServer
-	snapshot         *gossip.Snapshot
+	hosted   []gossip.HostedServer
+	snapshot *gossip.Snapshot
+	// evacuated holds the domains whose servers are not in the pool.
+	evacuated        []fleetconfig.FailureDomain
 	refreshedAt      time.Time
 	failureEstimates map[balance.BackendID]failureEstimate
 	statements       map[balance.BackendID]*statement
-	probes           probeSchedule
-	rng              *rand.Rand
+	// holds holds the servers whose proxies have refused requests without regard to load.
+	holds map[balance.BackendID]refusalHold
+	// news holds the last outlook of each server, times the service times of the routes.
+	news  map[balance.BackendID]serverNews
+	times placement.ServiceTimes
+	// lastTrialAt is when a request was last sent to a server of which nothing was known
+	// although the known ones had no room.
+	lastTrialAt time.Time
+	probes      probeSchedule
+	rng         *rand.Rand
 }
 
 // failureEstimate is the failure probability of a backend server as of its last report.
@@ -80,11 +98,18 @@
 	now := clock.Now()
 	s.refresh(service, exchange.Service, now)
 	service.releaseAdmitted(now)
+	service.releaseHeld(false, now)
 	index, ok := service.probeTarget(exchange, tried, service.snapshot.Self, now)
 	var lastResort bool
 	if !ok {
 		index, lastResort, ok = service.pickFromPool(exchange, tried)
 	}
+	if ok && exchange.ReachedAttempts == 0 && !lastResort && admitsByRoom(exchange) {
+		index, lastResort = service.preferRoom(exchange, tried, index, now)
+	}
+	if !ok {
+		index, lastResort, ok = service.pickHeld(tried, now)
+	}
 	var rateWait time.Duration
 	if maxWait := maxRateWait(exchange, now); maxWait > 0 && (!ok || service.pool.Saturated(index)) {
 		if overRate, found := service.pickOverRate(tried, now); found {
@@ -95,18 +120,26 @@
 		return ingress.Candidate{}, false
 	}
 	service.pool.RequestStarted(index)
+	if exchange.Route != nil && admitsByRoom(exchange) {
+		exchange.ServiceTime = service.times.Of(exchange.Route.ID)
+	}
 	candidate := newCandidate(service.snapshot, service.hosted[index])
 	candidate.MaxRateWait = rateWait
 	candidate.LastResort = lastResort
 	if known := service.statements[backendID(candidate)]; known != nil {
 		candidate.KnownRate = known.knownRate(now)
 		known.requestSent(now)
-		service.applyStatement(index, now)
+		service.applyOwnExclusions(index, now)
 	}
 	s.paths.beginProbe(candidate.Instance, now)
 	return candidate, true
 }
 
+// admitsByRoom reports whether the active preset admits requests by the room for them.
+func admitsByRoom(exchange *pipeline.Exchange) bool {
+	return exchange.View != nil && exchange.View.ActivePreset().AdmissionByRoom
+}
+
 // maxRateWait returns how long the request may still wait until the rate of a backend
 // server admits it.
 func maxRateWait(exchange *pipeline.Exchange, now time.Time) time.Duration {
@@ -150,6 +183,26 @@
 	return index, ok && p.suspected(index), ok
 }
 
+// pickHeld returns a backend server that is held because of a refusal, for a request for
+// which no other one is left. It is a last resort if the server may be failing. The caller
+// must hold the pool's lock.
+func (p *servicePool) pickHeld(tried []ingress.Candidate, now time.Time) (index int, lastResort, ok bool) {
+	if !p.releaseHeld(true, now) {
+		return 0, false, false
+	}
+	var skip balance.TriedBackends
+	for _, candidate := range tried {
+		skip.Add(backendID(candidate))
+	}
+	index, ok = p.pool.PickBest(p.rng, &skip)
+	for id := range p.holds {
+		if held, found := p.pool.Find(id); found {
+			p.applyOwnExclusions(held, now)
+		}
+	}
+	return index, ok && p.holds[p.pool.Backend(index).ID].suspect, ok
+}
+
 // suspected reports whether a backend server is suspected of failure, so that its proxy
 // refuses requests. The caller must hold the pool's lock.
 func (p *servicePool) suspected(index int) bool {
@@ -178,6 +231,15 @@
 			reported := load.MembershipLoad(attempt.Candidate.Server)
 			service.recordLoad(backendID(attempt.Candidate), &reported, true, now)
 		}
+		service.recordServiceTime(attempt)
+		if !attempt.Canceled && !attempt.PathFailed && !attempt.Unanswered {
+			service.recordRefusal(index, backendID(attempt.Candidate), attempt.Refusal, now)
+		}
+	}
+	if attempt.Refusal == pipeline.KindEvacuated && service.snapshot != nil {
+		if member := service.snapshot.Member(attempt.Candidate.Instance); member != nil {
+			s.learnEvacuation(member.Record.FailureDomain, now)
+		}
 	}
 	if known := service.statements[backendID(attempt.Candidate)]; known != nil && attempt.Candidate.MaxRateWait > 0 {
 		known.recordOverRate(attempt.Refusal != "", now)
@@ -218,9 +280,11 @@
 		return
 	}
 	p.pool.UpdateLoad(index, load.InFlight, float64(load.WeightPercent)/percent)
+	p.recordNews(index, id, load, now)
 	reported := failureEstimate{probability: float64(load.FailureProbabilityPercent) / percent, reportedAt: now}
 	p.failureEstimates[id] = reported
 	p.pool.SetFailureProbability(index, health.ExcessFailureProbability(reported.probability))
+	p.endHoldOnReport(index, id, reported.probability, load.WeightPercent, now)
 	p.recordStatement(index, id, load, appointed, now)
 }
 
@@ -235,28 +299,34 @@
 			rng:              rng,
 			failureEstimates: make(map[balance.BackendID]failureEstimate),
 			statements:       make(map[balance.BackendID]*statement),
+			holds:            make(map[balance.BackendID]refusalHold),
+			news:             make(map[balance.BackendID]serverNews),
 		}
 		s.services[name] = service
 	}
 	return service
 }
 
-// refresh updates the pool from the latest membership snapshot and recomputes the
-// exclusions. The caller must hold the pool's lock.
+// refresh updates the pool from the latest membership snapshot and the evacuated domains, and
+// recomputes the exclusions. Servers in an evacuated domain are not in the pool, so that no way
+// of picking a server finds them. The caller must hold the pool's lock.
 func (s *Selector) refresh(service *servicePool, name fleetconfig.ServiceName, now time.Time) {
 	snapshot := s.config.Members()
-	if snapshot != service.snapshot {
-		service.snapshot = snapshot
-		service.hosted = subset(snapshot, name)
-		service.pool.Set(poolBackends(snapshot, service.hosted))
+	evacuated := s.evacuatedDomains(now)
+	if snapshot != service.snapshot || !slices.Equal(evacuated, service.evacuated) {
+		service.hosted = subset(snapshot, name, evacuated)
+		service.pool.Set(poolBackends(snapshot, service.hosted, service.evacuated))
+		service.snapshot, service.evacuated = snapshot, evacuated
 	} else if now.Sub(service.refreshedAt) < refreshInterval {
 		return
 	}
 	service.refreshedAt = now
+	service.pool.SetPolicy(policyFor(s.config.View()))
 	for i, hosted := range service.hosted {
-		service.pool.Exclude(i, s.exclusions(hosted, snapshot.Self, now)|service.statedExclusions(hosted, now))
+		service.pool.Exclude(i, s.exclusions(hosted, snapshot.Self, now)|service.ownExclusions(hosted, now))
 	}
 	service.dropStatements(now)
+	service.forgetOldNews(now)
 	service.decayFailureProbabilities(now)
 }
 
@@ -273,6 +343,7 @@
 	for id := range p.failureEstimates {
 		if _, found := p.pool.Find(id); !found {
 			delete(p.failureEstimates, id)
+			delete(p.news, id)
 			delete(p.probes.lastProbeAt, id)
 		}
 	}
@@ -293,15 +364,22 @@
 	return reasons
 }
 
-func poolBackends(snapshot *gossip.Snapshot, hosted []gossip.HostedServer) []balance.Backend {
+// poolBackends returns the backend servers for the pool. Those in the domains that were evacuated
+// until now start at returnWeight.
+func poolBackends(snapshot *gossip.Snapshot, hosted []gossip.HostedServer, returning []fleetconfig.FailureDomain) []balance.Backend {
 	self := snapshot.Member(snapshot.Self)
 	backends := make([]balance.Backend, 0, len(hosted))
 	for _, server := range hosted {
+		weight := 1.0
+		if inDomains(server, returning) {
+			weight = returnWeight
+		}
 		backends = append(backends, balance.Backend{
-			ID:     hostedID(server),
-			Tier:   tierBetween(&self.Record, &server.Member.Record),
-			Slots:  server.Server.Slots,
-			Weight: 1,
+			ID:      hostedID(server),
+			Tier:    tierBetween(&self.Record, &server.Member.Record),
+			Slots:   server.Server.Slots,
+			Started: server.Server.StartedUnixMilli,
+			Weight:  weight,
 		})
 	}
 	return backends
