Configuration: an instance that tries others gets the delta from one of them

Cause: an instance whose parent is slow polls three others at once, and each reply had the delta. On a full thin link, which is what makes a parent look slow, that made it slower.

Change: such trials have no delta. The instance that is then in use is polled again for it; if none is in use, one instance at a time.

--- a/configsync/fake_test.go
+++ b/configsync/fake_test.go
@@ -120,6 +120,19 @@
 	c.offers[receiver]++
 }
 
+// total returns how often a receiver got the delta to a version.
+func (c *deltaCounter) total(receiver fleetconfig.InstanceID, version uint64) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	total := 0
+	for sent, count := range c.sent {
+		if sent.receiver == receiver && sent.version == version {
+			total += count
+		}
+	}
+	return total
+}
+
 // most returns how often a receiver got the delta to a version from the same sender at most.
 func (c *deltaCounter) most(receiver fleetconfig.InstanceID, version uint64) int {
 	c.mu.Lock()
--- a/configsync/handlers.go
+++ b/configsync/handlers.go
@@ -17,7 +17,7 @@
 	now := clock.Now()
 	offered := s.transfers.recordPoll(from, request.Have, now)
 	switch {
-	case request.Have >= reply.Newest:
+	case request.Have >= reply.Newest || request.NoDelta:
 	case offered:
 		reply.DeltaUnderWay = true
 	default:
--- a/configsync/messages.go
+++ b/configsync/messages.go
@@ -21,6 +21,9 @@
 	// WantHeld asks for the version that the receiver holds instead of the one that it
 	// serves from.
 	WantHeld bool `cbor:"2,keyasint,omitempty"`
+	// NoDelta asks for a reply without a delta. The sender polls several instances at once and
+	// asks for the delta again from the one that it chooses.
+	NoDelta bool `cbor:"3,keyasint,omitempty"`
 }
 
 // pollReply is the reply to a poll or an offer.
@@ -35,8 +38,8 @@
 	// is accepted. If it is false, Newest may or may not be accepted.
 	Accepted bool `cbor:"3,keyasint,omitempty"`
 	// Delta is the delta to Newest from the version of the instance that receives this
-	// reply. It is nil if there is no newer version, if DeltaUnderWay is set, or if that
-	// instance is too far behind and needs a snapshot. In the reply to an offer it is
+	// reply. It is nil if there is no newer version, if DeltaUnderWay is set, if the poll has
+	// NoDelta set, or if that instance is too far behind and needs a snapshot. In the reply to an offer it is
 	// always nil.
 	Delta *fleetconfig.PackedDelta `cbor:"4,keyasint,omitempty"`
 	// DeltaUnderWay reports that the delta to Newest is being sent to that instance by
--- a/configsync/poll.go
+++ b/configsync/poll.go
@@ -110,32 +110,70 @@
 	return addresses
 }
 
-// pollOne polls one instance and processes the reply. It runs in a goroutine of its
-// own.
+// pollOne polls one instance and processes the reply. If the poll was a trial, beginFollowUp
+// decides whether the instance is polled again for its delta. It runs in a goroutine of its own.
 func (s *Service) pollOne(ctx context.Context, target fleetconfig.InstanceAddress) {
 	defer s.callEnded(target.ID)
+	request := s.newPollRequest(target.ID)
+	reply := s.pollWith(ctx, target, request)
+	if reply == nil || !request.NoDelta || !s.beginFollowUp(target.ID, reply.Newest) {
+		return
+	}
+	request = s.newPollRequest(target.ID)
+	request.NoDelta = false
+	s.pollWith(ctx, target, request)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.followingUp = false
+}
+
+// beginFollowUp reports whether to ask an instance for the delta to a version that it has
+// according to a trial. That is so if the instance is in use now. If none is in use, because
+// no attestation is recent, it is so for one instance at a time.
+func (s *Service) beginFollowUp(target fleetconfig.InstanceID, newest uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	inUse := s.upstream.active()
+	if newest <= s.held.Version || s.followingUp || inUse != "" && inUse != target {
+		return false
+	}
+	s.followingUp = true
+	return true
+}
+
+// newPollRequest returns a poll of an instance, which is about to be sent. Once this instance
+// serves, trials have no delta: an instance that is slow because its link is full would
+// otherwise receive the delta from each of the instances that it tries.
+func (s *Service) newPollRequest(target fleetconfig.InstanceID) *pollRequest {
 	s.mu.Lock()
-	request := pollRequest{Have: s.held.Version, WantHeld: s.wantsHeld()}
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	s.inFlight[target] = clock.Now()
+	_, serving := s.currencyNode.Serving()
+	return &pollRequest{Have: s.held.Version, WantHeld: s.wantsHeld(), NoDelta: serving && s.upstream.isTrial(target)}
+}
+
+// pollWith sends a poll, processes the reply and returns it. It returns nil if there is none.
+func (s *Service) pollWith(ctx context.Context, target fleetconfig.InstanceAddress, request *pollRequest) *pollReply {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	// The time is taken before the call and the age in the reply is subtracted from it,
 	// so that the age of the attestation is never underestimated.
 	sentAt := clock.Now()
 	reply := new(pollReply)
-	if err := s.config.Caller.Call(callCtx, target.Address, pathPoll, &request, reply); err != nil {
+	if err := s.config.Caller.Call(callCtx, target.Address, pathPoll, request, reply); err != nil {
 		s.config.Logger.Debug("configuration poll failed", "instance", target.ID, "error", err)
 		s.handlePollFailure(ctx, target.ID)
-		return
+		return nil
 	}
 	if reply.Currency.Attested {
 		s.handlePollAge(ctx, target.ID, reply.Currency.Age)
 	} else {
 		s.handlePollFailure(ctx, target.ID)
 	}
-	if s.applyPollReply(target.ID, reply, sentAt) {
+	if s.applyPollReply(target.ID, reply, sentAt) && !request.NoDelta {
 		s.fetchSnapshot(ctx, target, request.WantHeld)
 	}
+	return reply
 }
 
 // wantsHeld reports whether this instance stores versions that are not accepted yet: a
--- a/configsync/service.go
+++ b/configsync/service.go
@@ -104,6 +104,8 @@
 	upstream       upstream
 	// inFlight maps the instances with a running poll or offer to its start time.
 	inFlight map[fleetconfig.InstanceID]time.Time
+	// followingUp reports whether an instance is polled for the delta of which a trial told.
+	followingUp bool
 	// offeredVersion is the version that was last offered to the children, or 0.
 	offeredVersion uint64
 	// viewChanged is closed and replaced when the view changes, acceptedChanged when a
--- a/configsync/transfers_test.go
+++ b/configsync/transfers_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"github.com/hemlockring/hemlockring/configtree"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/internal/codec"
 	_ "github.com/hemlockring/hemlockring/internal/fixedseed"
@@ -186,3 +187,35 @@
 		}
 	}
 }
+
+// An instance whose parent does not reply tries several others and gets the delta from one.
+func TestTrialsBringOneDelta(t *testing.T) {
+	fleet := newFakeFleet(t)
+	leader := fleet.start(0, true)
+	others := []*fakeInstance{fleet.startWithLeader(1, true, leader), fleet.startWithLeader(2, true, leader)}
+	for number := 3; number <= 12; number++ {
+		others = append(others, fleet.start(number, false))
+	}
+	fleet.propose(leader, "first", usePreset(1))
+	waitForVersion(t, 1, others...)
+	isolated := others[len(others)-1]
+	parent := configtree.Find(isolated.peer, nil, isolated.Peers()).Parents[0].ID
+	partitioned := func(a, b fleetconfig.InstanceID) bool {
+		return a == parent && b == isolated.peer.ID || a == isolated.peer.ID && b == parent
+	}
+	fleet.latency.Store(int64(10 * time.Millisecond))
+	fleet.partitioned.Store(&partitioned)
+	for version := uint64(2); version <= 4; version++ {
+		fleet.propose(leader, fmt.Sprint(version), usePreset(version))
+		// The other instances have the version when the isolated one tries them.
+		waitForVersion(t, version, others[:len(others)-1]...)
+		// Its fallback stops being usable, too.
+		isolated.service.mu.Lock()
+		isolated.service.upstream.fallback = ""
+		isolated.service.mu.Unlock()
+		waitForVersion(t, version, isolated)
+	}
+	for version := uint64(2); version <= 4; version++ {
+		must.Eq(t, 1, fleet.deltas.total(isolated.peer.ID, version), must.Sprint(version))
+	}
+}
--- a/configsync/upstream.go
+++ b/configsync/upstream.go
@@ -79,6 +79,12 @@
 	}
 }
 
+// isTrial reports whether a poll of an instance only serves to choose the upstream: the instance
+// is a candidate that is not in use.
+func (u *upstream) isTrial(id fleetconfig.InstanceID) bool {
+	return u.active() != id && slices.ContainsFunc(u.candidates, func(a fleetconfig.InstanceAddress) bool { return a.ID == id })
+}
+
 // targets returns the instances to poll in this round.
 func (u *upstream) targets(now time.Time) []fleetconfig.InstanceAddress {
 	if len(u.candidates) == 0 {
