--- a/configsync/service.go
+++ b/configsync/service.go
@@ -75,8 +75,9 @@
 	wake chan struct{}
 	// snapshotSlots has an element for each snapshot that is being sent.
 	snapshotSlots chan struct{}
-	// snapshot is the packed snapshot that was sent last, or nil.
-	snapshot atomic.Pointer[packedSnapshot]
+	// snapshotMu guards snapshot, which is the small packed snapshot that was sent last.
+	snapshotMu sync.Mutex
+	snapshot   packedSnapshot
 
 	// mu guards the fields below. It is not held during calls to other instances.
 	mu           sync.Mutex
@@ -103,6 +104,8 @@
 	upstream       upstream
 	// inFlight maps the instances with a running poll or offer to its start time.
 	inFlight map[fleetconfig.InstanceID]time.Time
+	// followingUp reports whether an instance is polled for the delta of which a trial told.
+	followingUp bool
 	// offeredVersion is the version that was last offered to the children, or 0.
 	offeredVersion uint64
 	// viewChanged is closed and replaced when the view changes, acceptedChanged when a
