--- a/balance/pool.go
+++ b/balance/pool.go
@@ -8,8 +8,9 @@
 
 // Limits of a pool and of one pick.
 const (
-	// MaxTried is the maximum number of backend servers in a TriedBackends.
-	MaxTried = 8
+	// MaxTried is the maximum number of backend servers in a TriedBackends. It is more than
+	// the attempts of a request that reaches no server.
+	MaxTried = 16
 	// maxSamples limits the random draws for one choice before a linear scan.
 	maxSamples = 8
 	// noBackend is the index that stands for no backend server.
@@ -235,14 +236,15 @@
 // keepReport takes over what was last reported of the backend server.
 func (b *Backend) keepReport(last *Backend) {
 	b.ReportedInFlight, b.inFlightAtReport = last.ReportedInFlight, last.inFlightAtReport
-	b.Weight, b.Slowness, b.Shedding = last.Weight, last.Slowness, last.Shedding
+	b.Slowness, b.Shedding = last.Slowness, last.Shedding
 }
 
-// ForgetLoad removes the load that a backend server reported, which then counts as idle but
-// for the requests of this ingress.
+// ForgetLoad removes the load and weight that a backend server reported, which then counts as
+// idle but for the requests of this ingress.
 func (p *Pool) ForgetLoad(index int) {
 	backend := &p.backends[index]
 	backend.ReportedInFlight = 0
+	backend.Weight = 1
 	backend.inFlightAtReport = backend.inFlight
 }
 
--- a/selection/room.go
+++ b/selection/room.go
@@ -22,12 +22,12 @@
 	minReturnSpread = 2 * time.Second
 	// maxReturnDelay bounds what a refused caller is told to wait for room.
 	maxReturnDelay = 10 * time.Second
-	// defaultCallLatency is the time within which a call should be answered if its route has no
-	// latency target.
-	defaultCallLatency = time.Second
 	// hopCost is what a request to another failure domain must gain, in requests per slot:
 	// the difference of one request between servers of ten slots is not worth the way.
 	hopCost = 0.1
+	// defaultCallLatency is the time within which a call should be answered if its route has no
+	// latency target.
+	defaultCallLatency = time.Second
 )
 
 // serverNews is what the proxy beside a backend server last said about the wait there.
@@ -96,14 +96,18 @@
 	now := clock.Now()
 	s.refresh(service, exchange.Service, now)
 	request := service.placementRequest(exchange)
-	request.BusyRefusals = busyRefusals
+	if !request.Urgency.IsCall() {
+		request.BusyRefusals = busyRefusals
+	}
 	survey, decided := service.survey(&request, tried, now)
 	if !decided {
 		return 0, true
 	}
 	exchange.ExpectedWait = survey.Wait()
 	verdict, roomIn := survey.Decide(&request)
-	if service.admits(verdict, now) {
+	// A refused call would end the run that sent it, so it may go to any server of which
+	// nothing is known.
+	if service.admits(verdict, now) || (verdict == placement.Trial && request.Urgency.IsCall()) {
 		return 0, true
 	}
 	s.roomRefusals.Add(1)
@@ -166,7 +170,8 @@
 	}
 	request.ServiceTime = p.times.Of(exchange.Route.ID)
 	request.Urgency = exchange.IngressUrgency()
-	if exchange.Route.LatencyTarget > 0 {
+	// The run that sent a call needs its response even if it is late.
+	if exchange.Route.LatencyTarget > 0 && !request.Urgency.IsCall() {
 		request.TargetTime = exchange.Received.Add(exchange.Route.LatencyTarget)
 	}
 	return request
