--- a/backendproxy/callroom_test.go
+++ b/backendproxy/callroom_test.go
@@ -91,3 +91,16 @@
 	room = true
 	must.NoError(t, request(issue))
 }
+
+// A run that ends with an error because one of its calls failed says nothing about the server.
+func TestRunTrackerKnowsLostCalls(t *testing.T) {
+	tracker := newTestTracker()
+	end := tracker.run("1", pipeline.RepeatNone)
+	must.False(t, tracker.lostCall("1"))
+	tracker.RecordFailedCall(&pipeline.Exchange{CallerRequest: "2"})
+	tracker.RecordFailedCall(&pipeline.Exchange{CallerRequest: "1", Account: "acme"})
+	must.False(t, tracker.lostCall("1"))
+	tracker.RecordFailedCall(&pipeline.Exchange{CallerRequest: "1"})
+	must.True(t, tracker.lostCall("1"))
+	end()
+}
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -248,6 +248,9 @@
 	backend.inFlightAtReport = backend.inFlight
 }
 
+// Policy returns the parameters.
+func (p *Pool) Policy() Policy { return p.policy }
+
 // KeepsReports returns Policy.KeepReports.
 func (p *Pool) KeepsReports() bool { return p.policy.KeepReports }
 
