--- a/selection/repeats_test.go
+++ b/selection/repeats_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/hemlockring/hemlockring/clock"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/ingress"
 	"github.com/hemlockring/hemlockring/membership"
@@ -27,7 +27,7 @@
 		var skip []ingress.Candidate
 		pool.mu.Lock()
 		defer pool.mu.Unlock()
-		index, _, ok := pool.pickFromPool(repeat, skip, time.Now())
+		index, _, ok := pool.pickFromPool(repeat, skip, clock.Now())
 		if !ok {
 			return ingress.Candidate{}, false
 		}
@@ -49,7 +49,7 @@
 	must.False(t, ok)
 	// Old news does not keep repeats away.
 	pool.mu.Lock()
-	_, _, ok = pool.pickFromPool(repeat, nil, time.Now().Add(repeatNewsLifetime))
+	_, _, ok = pool.pickFromPool(repeat, nil, clock.Now().Add(repeatNewsLifetime))
 	pool.mu.Unlock()
 	must.True(t, ok)
 }
