Cold servers: ingresses see the doubt about a server only while it can be sent nothing

Cause: a server that may be cold was reported as limited with every response, so that ingresses paced themselves and admission by room (branch room) did not decide. Measured: go test ./throttle ./queue ./backendproxy passes.

--- a/throttle/cold_test.go
+++ b/throttle/cold_test.go
@@ -119,7 +119,12 @@
 	must.False(t, limit.State(now).Limited)
 	limit.Take(now)
 	must.Eq(t, 26-arrivalMargin-1, limit.Tokens(now))
+	must.False(t, limit.State(now).Limited)
+	for limit.Tokens(now) > 0 {
+		limit.Take(now)
+	}
 	must.True(t, limit.State(now).Cold)
+	must.Between(t, time.Second, limit.State(now).Wait, time.Second+1)
 	must.False(t, limit.StatedState(now).Limited)
 	limit.SetColdUntil(now, now)
 	must.Eq(t, math.MaxInt, limit.Tokens(now))
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -56,8 +56,8 @@
 	Age time.Duration
 	// Wait is the time until the next request may be sent.
 	Wait time.Duration
-	// Cold says that the server is treated as cold. PerSecond is then at most the rate at
-	// which it is sent requests for this reason.
+	// Cold says that the server is limited because it is cold, or may be. PerSecond is then at
+	// most the rate at which it is sent requests for this reason.
 	Cold bool
 }
 
@@ -204,13 +204,14 @@
 	return next.Sub(now)
 }
 
-// State returns the state of the throttle.
+// State returns the state of the throttle. A server that may be cold counts as limited only while
+// it can be sent no request.
 func (t *Throttle) State(now time.Time) State {
 	state := State{Known: t.observed}
 	if t.limited {
 		state = State{Known: true, Limited: true, PerSecond: t.rate, Age: max(0, now.Sub(t.learnedAt)), Wait: t.regular.wait(1, now)}
 	}
-	if !t.coldNow(now) {
+	if !t.coldNow(now) || (!t.cold.active && t.coldTokens(now) > 0) {
 		return state
 	}
 	rate := t.cold.perSecond()
