--- a/internal/bench/backend.go
+++ b/internal/bench/backend.go
@@ -35,6 +35,8 @@
 	// ColdStart is the time after the start during which requests take coldFactor times
 	// as long.
 	ColdStart time.Duration `arg:"--cold-start" help:"time after the start during which requests take four times as long"`
+	// ColdRate is the rate that the backend server tolerates for ColdStart after a crash.
+	ColdRate float64 `arg:"--cold-rate" help:"requests per second that are tolerated after a crash, and announced remaining cold time [default: any]"`
 	// IgnoreCancel makes the backend server finish requests that were canceled.
 	IgnoreCancel bool `arg:"--ignore-cancel" help:"finish requests that their caller canceled"`
 }
@@ -52,6 +54,7 @@
 		ServiceTime:  arguments.ServiceTime,
 		ColdStart:    arguments.ColdStart,
 		ColdFactor:   coldFactor,
+		ColdRate:     arguments.ColdRate,
 		IgnoreCancel: arguments.IgnoreCancel,
 	})
 	address, err := server.Listen(ctx, arguments.Listen)
@@ -70,6 +73,9 @@
 		State:          backendproxy.StateReady,
 		LifetimeMillis: announcementTTLMillis,
 	}}
+	if arguments.ColdRate > 0 {
+		announcer.ColdRemaining = server.ColdRemaining
+	}
 	announcer.Run(ctx)
 	return nil
 }
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -59,6 +59,15 @@
 		r.callers.ordersSent, len(r.callers.answered), executions.Total, len(r.callers.notRun))
 }
 
+// checkColdServers checks that no server got more requests in a second than it tolerated after a
+// crash.
+func (r *run) checkColdServers(executions *emulator.Executions) {
+	if bound := emulator.ColdTolerance*coldRate + emulator.ColdAllowance; float64(executions.MostCold) > bound {
+		r.findings.violated("a cold backend server got %d requests in a second, and tolerated %g", executions.MostCold, bound)
+	}
+	r.findings.printf("cold backend servers: at most %d requests in a second", executions.MostCold)
+}
+
 // checkRateLimit checks that overRateAccount stayed within its rate and burst in every
 // time window.
 func (r *run) checkRateLimit() {
--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -25,6 +25,10 @@
 	crashesUntilRefused = 3
 	quarantineDelay     = 3 * time.Second
 	maxLateCrashes      = 3
+	// coldStart is how long a server is cold after a crash, and coldRate the requests per
+	// second that it then tolerates, fewer than it usually gets.
+	coldStart = 1500 * time.Millisecond
+	coldRate  = 10
 )
 
 // planCrashes returns the QueryOfDeath events.
--- a/internal/soak/repeats.go
+++ b/internal/soak/repeats.go
@@ -38,6 +38,7 @@
 	preset.EjectionEnabled = false
 	preset.RetryBudgetPercent = repeatPercent
 	preset.RetryWindow = repeatWindow
+	preset.ColdOverage, preset.ColdSlack = emulator.ColdTolerance, emulator.ColdAllowance
 	preset.RetryFloorPerSecond = float64(repeatsByServer*instances) / repeatWindow.Seconds()
 	return &preset
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -185,7 +185,7 @@
 	}
 	r.daemonLocks = make([]sync.Mutex, instances)
 	r.callers = newCallers(direct, relayed)
-	if r.fleet, err = testbed.StartFleet(r.layout, testbed.BackendSpec{Service: service, Slots: slots, ServiceTime: serviceTime}); err != nil {
+	if r.fleet, err = testbed.StartFleet(r.layout, testbed.BackendSpec{Service: service, Slots: slots, ServiceTime: serviceTime, ColdStart: coldStart, ColdRate: coldRate}); err != nil {
 		return err
 	}
 	r.operators = &operators{findings: r.findings, client: r.fleet.Client}
@@ -202,7 +202,7 @@
 
 func (r *run) configuration() []fleetconfig.Change {
 	changes := []fleetconfig.Change{
-		{Kind: fleetconfig.CreateService, Service: &fleetconfig.Service{Name: service, FloorPercent: 50}},
+		{Kind: fleetconfig.CreateService, Service: &fleetconfig.Service{Name: service, FloorPercent: 50, ColdRate: coldRate, ColdStart: coldStart}},
 		{Kind: fleetconfig.CreateRoute, Route: &fleetconfig.Route{ID: "all", PathPrefix: "/", Service: service, Timeout: 5 * time.Second}},
 	}
 	preset := soakPreset(len(r.layout.Instances))
@@ -289,6 +289,7 @@
 	r.checkExecutions(executions)
 	r.checkOrders(executions)
 	r.checkRateLimit()
+	r.checkColdServers(executions)
 	if err := r.checkRepeats(); err != nil {
 		return err
 	}
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -38,6 +38,10 @@
 	Slots int
 	// ServiceTime is the mean service time of a request.
 	ServiceTime time.Duration
+	// ColdStart and ColdRate make the backend servers cold after a crash, if they are not
+	// zero; see emulator.Config.
+	ColdStart time.Duration
+	ColdRate  float64
 	// Instances lists the indexes of the instances that get a backend server. If it is
 	// nil, every instance gets one.
 	Instances []int
@@ -127,7 +131,8 @@
 	logFile := filepath.Join(f.Layout.Folder, string(layout.ID)+"-backend.log")
 	process, err := StartProcess(f.executable, logFile, "backend",
 		"--listen", address, "--local", layout.LocalAddress, "--service", string(spec.Service),
-		"--slots", fmt.Sprint(spec.Slots), "--service-time", spec.ServiceTime.String())
+		"--slots", fmt.Sprint(spec.Slots), "--service-time", spec.ServiceTime.String(),
+		"--cold-start", spec.ColdStart.String(), "--cold-rate", fmt.Sprint(spec.ColdRate))
 	if err != nil {
 		return err
 	}
@@ -328,6 +333,7 @@
 			return nil, err
 		}
 		total.Total += part.Total
+		total.MostCold = max(total.MostCold, part.MostCold)
 		total.WithCredentials += part.WithCredentials
 		total.Crashes += part.Crashes
 		total.CrashRuns += part.CrashRuns
