backendproxy: a response whose head is not valid HTTP is no answer

Cause: net/http reads heads laxly. It keeps field names with a blank and passes them on, takes "Content-Length : 3" for an unknown field (so the body has no length), joins folded lines, drops Content-Length beside Transfer-Encoding, ignores Transfer-Encoding in HTTP/1.0 (so the chunk sizes count as body) and takes any three digits for a status.

Change: package internal/strictresponse has one check of heads and a Reader that finds the heads in received bytes. The connection to the server passes all received bytes through it and doesn't hand on the bytes that end an invalid head, so net/http can't parse it. The caller gets 502 with an unknown outcome, requests that may be repeated are repeated, the server's failure is counted, and the connection is closed. A response whose head arrived before its request was sent has not been checked, and counts as mismatched.

--- a/backendproxy/conn.go
+++ b/backendproxy/conn.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hemlockring/hemlockring/clock"
+	"github.com/hemlockring/hemlockring/internal/strictresponse"
 )
 
 // errDispatchDeadline is returned when the dispatch deadline of a request passed before
@@ -17,7 +18,7 @@
 // trackedConn is a connection to a backend server that records whether any byte of the
 // current request has been passed to the operating system. If a dispatch fails before
 // that, its outcome is OutcomeNotRun, otherwise OutcomeUnknown. It also tells the end of a
-// response from the loss of the connection.
+// response from the loss of the connection, and ends with an error at a head that is not valid.
 type trackedConn struct {
 	net.Conn
 
@@ -30,6 +31,9 @@
 	closed     bool
 	dispatchBy time.Time
 	end        requestEnd
+	// head checks the heads of the responses to the current request. It is nil before the
+	// first one.
+	head *strictresponse.Reader
 	// idle says that the connection has no request. idleTimer closes it shortly before
 	// idleTimeout, the time after which the backend server drops it.
 	idle        bool
@@ -46,6 +50,7 @@
 	defer c.mu.Unlock()
 	c.wrote = false
 	c.end = requestEnd{settled: make(chan struct{})}
+	c.head = &strictresponse.Reader{MaxBytes: maxResponseHeaderBytes}
 	c.idle = false
 	c.stopIdleTimer()
 	c.dispatchBy = dispatchBy
--- a/backendproxy/connend.go
+++ b/backendproxy/connend.go
@@ -78,15 +78,38 @@
 
 // Read implements net.Conn. It returns io.EOF only if the backend server has ended the stream
 // after it received the whole request. A body without a length ends with the stream, and a
-// part of it must not pass for the whole.
+// part of it must not pass for the whole. It returns no bytes with the end of a head that is
+// not valid, so that net/http can't parse it.
 func (c *trackedConn) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
+	if invalid := c.checkHead(buffer[:n]); invalid != nil {
+		return 0, invalid
+	}
 	if err == io.EOF && !c.endedInOrder() { //nolint:errorlint // The end of the stream itself, and no error that wraps it.
 		err = errConnectionLost
 	}
 	return n, err
 }
 
+// checkHead passes received bytes to the check of heads.
+func (c *trackedConn) checkHead(data []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.head == nil || len(data) == 0 {
+		return nil
+	}
+	_, err := c.head.Write(data)
+	return err
+}
+
+// receivedHead reports whether the head of the final response has arrived since the current
+// request began.
+func (c *trackedConn) receivedHead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head != nil && c.head.Complete()
+}
+
 // endedInOrder reports whether the end of the stream, which a read has met, follows the whole
 // request and is no reset.
 func (c *trackedConn) endedInOrder() bool {
--- a/backendproxy/dialect.go
+++ b/backendproxy/dialect.go
@@ -23,8 +23,10 @@
 	// VerdictMismatched means that the response belongs to another request.
 	VerdictMismatched
 	// VerdictNotFinal means that the response has a status that can not answer the request:
-	// one below 100, or 101, which no request asks for.
+	// one below 200.
 	VerdictNotFinal
+	// VerdictInvalid means that the head of the response is not valid HTTP.
+	VerdictInvalid
 )
 
 // Dialect defines the HTTP conventions between the proxy and backend servers: the
--- a/backendproxy/dispatch.go
+++ b/backendproxy/dispatch.go
@@ -15,6 +15,7 @@
 
 	"github.com/hemlockring/hemlockring/clock"
 	"github.com/hemlockring/hemlockring/internal/httpheader"
+	"github.com/hemlockring/hemlockring/internal/strictresponse"
 	"github.com/hemlockring/hemlockring/pipeline"
 	"github.com/hemlockring/hemlockring/quarantine"
 )
@@ -78,7 +79,8 @@
 
 // dispatchResult says what became of a dispatched request.
 type dispatchResult struct {
-	// verdict classifies the response, if there is one.
+	// verdict classifies the response, if there is one. It is VerdictInvalid if the response
+	// was given up for its head.
 	verdict Verdict
 	// outcome says, if there is no response, whether the request may have run.
 	outcome pipeline.Outcome
@@ -118,7 +120,11 @@
 	if err == nil {
 		exchange.DispatchAge = clock.Since(usedConn.dispatchedAt())
 		verdict := VerdictNotFinal
-		if response.StatusCode >= http.StatusOK {
+		switch {
+		case response.StatusCode < http.StatusOK:
+		case !usedConn.receivedHead():
+			verdict = VerdictMismatched // It had arrived before the request was sent.
+		default:
 			verdict = d.dialect.Classify(response, exchange, !reused.Load())
 		}
 		switch verdict {
@@ -141,7 +147,11 @@
 	if usedConn == nil || !usedConn.stopWrites() {
 		return nil, dispatchResult{outcome: pipeline.OutcomeNotRun}, err
 	}
-	return nil, dispatchResult{outcome: pipeline.OutcomeUnknown}, err
+	result := dispatchResult{outcome: pipeline.OutcomeUnknown}
+	if errors.Is(err, strictresponse.ErrInvalid) {
+		result.verdict = VerdictInvalid
+	}
+	return nil, result, err
 }
 
 // outgoingRequest builds the request to the backend server. Its body is always one that
--- a/backendproxy/run.go
+++ b/backendproxy/run.go
@@ -59,6 +59,9 @@
 	defer f.runs.begin(exchange)()
 	response, dispatched, err := f.dispatcher.dispatch(ctx, exchange, slot.Address, exchange.DispatchBy)
 	exchange.Outcome = dispatched.outcome
+	if dispatched.verdict == VerdictInvalid {
+		return refuseUnusable(exchange, observation, err)
+	}
 	if err != nil {
 		stateOf(exchange).cause = err
 		result := resultOfError(exchange, err)
--- a/node/malformed_test.go
+++ b/node/malformed_test.go
@@ -103,6 +103,46 @@
 	}
 }
 
+// A response whose head is not valid is no answer, whichever instance has the server: the caller of an order gets 502, and a request that may be repeated is.
+func TestResponseWithInvalidHeadIsNotPassedOn(t *testing.T) {
+	t.Parallel()
+	fleet := startFleet(t, 2, emulator.Config{})
+	for _, head := range []string{
+		"HTTP/1.1 000 OK\r\nContent-Length: 3",
+		"HTTP/1.1 999 OK\r\nContent-Length: 3",
+		"HTTP/1.1 200 OK\r\nBad Name: x\r\nContent-Length: 3",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent Length: 2",
+		"HTTP/1.1 200 OK\r\nContent-Length : 3",
+		"HTTP/1.1 200 OK\r\nBad\x01Name: x\r\nContent-Length: 3",
+		"HTTP/1.1 200 OK\r\nName: x\r\n Content-Length: 3",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked",
+	} {
+		t.Run(head, func(t *testing.T) {
+			backend, address := startRawBackend(t, func(run int32, w io.Writer) bool {
+				if run%2 == 0 {
+					respondOK(w)
+				} else {
+					_, _ = io.WriteString(w, head+"\r\n\r\nbad")
+				}
+				return true
+			})
+			fleet.announceRaw(t, 0, address)
+			for instance := range 2 {
+				response, _ := fleet.send(t, instance, http.MethodPost, "/open", "order")
+				must.Eq(t, http.StatusBadGateway, response.StatusCode, must.Sprintf("%q", head))
+				must.Eq(t, pipeline.OutcomeUnknown.String(), response.Header.Get(pipeline.HeaderOutcome))
+				must.Eq(t, 1+2*int32(instance), backend.runs.Load())
+				response, body := fleet.send(t, instance, http.MethodPost, "/open", "order")
+				must.Eq(t, http.StatusOK, response.StatusCode)
+				must.Eq(t, "ok", body)
+			}
+			response, body := fleet.send(t, 1, http.MethodGet, "/open", "")
+			must.True(t, response.StatusCode == http.StatusOK && body == "ok" || response.StatusCode == http.StatusBadGateway, must.Sprint(response.StatusCode, body))
+		})
+	}
+}
+
 // When a caller cancels its request during a download, the backend server's connection
 // is closed too.
 func TestCallerCancelStopsBackendResponse(t *testing.T) {
