backendproxy: a response whose trailer is not valid is truncated

Cause: net/http reads trailers as laxly as heads: fields whose names hold a blank, and Content-Length, were passed on after a complete body.

Change: the trailer is checked by strictresponse.CheckTrailer before the end of the response is sent; if it is not valid, the response is aborted as for a truncated body. A folded line of a trailer can't be told any more: net/http has joined it by a blank, as RFC 9112 has it.

Before: TestResponseWithInvalidTrailerIsTruncated ends at "Bad Name: x" (nil error); with other orders of the cases at "Content-Length: 3". After: passes.

--- a/backendproxy/run.go
+++ b/backendproxy/run.go
@@ -11,6 +11,7 @@
 	"github.com/hemlockring/hemlockring/health"
 	"github.com/hemlockring/hemlockring/internal/httpheader"
 	"github.com/hemlockring/hemlockring/internal/processpause"
+	"github.com/hemlockring/hemlockring/internal/strictresponse"
 	"github.com/hemlockring/hemlockring/pipeline"
 	"github.com/hemlockring/hemlockring/quarantine"
 	"github.com/hemlockring/hemlockring/quota"
@@ -256,7 +257,7 @@
 }
 
 // writeResponse streams the response to the ingress. When the body cannot be read or
-// written to its end, writeResponse marks the exchange as truncated and returns the cause.
+// written to its end, or its trailer is not valid, writeResponse marks the exchange as truncated and returns the cause.
 // ServeHTTP then panics with http.ErrAbortHandler, which resets the stream, so that the
 // caller does not mistake a truncated body for a complete one.
 func writeResponse(exchange *pipeline.Exchange, response *http.Response) error {
@@ -276,7 +277,11 @@
 	if streamed {
 		_ = http.NewResponseController(exchange.Writer).Flush()
 	}
-	if err := httpheader.CopyBody(exchange.Writer, response.Body, streamed); err != nil {
+	err := httpheader.CopyBody(exchange.Writer, response.Body, streamed)
+	if err == nil {
+		err = strictresponse.CheckTrailer(response.Trailer)
+	}
+	if err != nil {
 		exchange.Truncated = true
 		return err
 	}
--- a/node/malformed_test.go
+++ b/node/malformed_test.go
@@ -143,6 +143,31 @@
 	}
 }
 
+// A response whose trailer is not valid has no clean end, whichever instance has the server.
+func TestResponseWithInvalidTrailerIsTruncated(t *testing.T) {
+	t.Parallel()
+	fleet := startFleet(t, 2, emulator.Config{})
+	for _, trailer := range []string{"X-Sum: 1", "Bad Name: x", "X-Sum : 1", "Bad\x01Name: x", "X-Sum: 1\x00", "no colon", "Content-Length: 3"} {
+		valid := trailer == "X-Sum: 1"
+		_, address := startRawBackend(t, func(_ int32, w io.Writer) bool {
+			_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n2\r\nok\r\n0\r\n"+trailer+"\r\n\r\n")
+			return false
+		})
+		fleet.announceRaw(t, 0, address)
+		for instance := range 2 {
+			response, err := fleet.client.Post(fleet.url(instance, "/open"), "", nil)
+			if err == nil {
+				_, err = io.ReadAll(response.Body)
+				must.NoError(t, response.Body.Close())
+			}
+			must.Eq(t, valid, err == nil, must.Sprintf("%q: %v", trailer, err))
+			if valid {
+				must.Eq(t, "1", response.Trailer.Get("X-Sum"))
+			}
+		}
+	}
+}
+
 // When a caller cancels its request during a download, the backend server's connection
 // is closed too.
 func TestCallerCancelStopsBackendResponse(t *testing.T) {
