--- a/backendproxy/callroom.go
+++ b/backendproxy/callroom.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hemlockring/hemlockring/callgraph"
+	"github.com/hemlockring/hemlockring/clock"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/pipeline"
 )
@@ -22,7 +23,7 @@
 type callRoomFilter struct {
 	runs *RunTracker
 	view func() *fleetconfig.View
-	room func(call callgraph.Call, urgency fleetconfig.Urgency) (retryAfter time.Duration, room bool)
+	room func(call callgraph.Call, urgency fleetconfig.Urgency, slack time.Duration) (retryAfter time.Duration, room bool)
 	// refusals counts the refused requests.
 	refusals atomic.Uint64
 }
@@ -37,7 +38,7 @@
 		if expected.PerRun < minCallsPerRun {
 			continue
 		}
-		if retryAfter, room := f.room(expected.Call, exchange.Urgency); !room {
+		if retryAfter, room := f.room(expected.Call, exchange.Urgency, callSlack(exchange, clock.Now())); !room {
 			f.refusals.Add(1)
 			return pipeline.NewNotRunRefusal(pipeline.KindCalledServiceBusy, http.StatusServiceUnavailable,
 				"service "+string(expected.Call.Service)+", which the run would call, has no room", "send the request again", retryAfter)
@@ -45,3 +46,13 @@
 	}
 	return nil
 }
+
+// callSlack returns how long the calls of a run may wait so that the request is answered within
+// its latency target or, if it has none or can not meet it, before its deadline.
+func callSlack(exchange *pipeline.Exchange, now time.Time) time.Duration {
+	answered := now.Add(exchange.ServiceTime)
+	if slack := exchange.TargetTime.Sub(answered); slack > 0 {
+		return slack
+	}
+	return exchange.Deadline.Sub(answered)
+}
--- a/backendproxy/proxy.go
+++ b/backendproxy/proxy.go
@@ -38,9 +38,9 @@
 	// this clock.
 	Clock quota.DispatchClock
 	// CallRoom reports whether a call of a run of the given urgency would find room at the
-	// called service. Otherwise it returns the time after which the request that needs the
+	// called service, where it may wait for about slack. Otherwise it returns the time after which the request that needs the
 	// call should come back. Nil means that there is always room.
-	CallRoom func(call callgraph.Call, urgency fleetconfig.Urgency) (retryAfter time.Duration, room bool)
+	CallRoom func(call callgraph.Call, urgency fleetconfig.Urgency, slack time.Duration) (retryAfter time.Duration, room bool)
 	// Logger receives a message for each request that was refused, truncated, or answered
 	// with a server error, up to maxLogLinesPerSecond. Nil disables logging.
 	Logger *slog.Logger
--- a/queue/urgency.go
+++ b/queue/urgency.go
@@ -55,7 +55,7 @@
 
 // urgencyToShed returns the urgency that loses a request when the queue is full: the least
 // urgent one with more waiting requests than its share of the queue, or else the least
-// urgent one. Calls of runs lose none while other requests wait.
+// urgent one.
 func (q *Queue) urgencyToShed() fleetconfig.Urgency {
 	var least fleetconfig.Urgency
 	waiting := make(map[fleetconfig.Urgency]int)
@@ -66,10 +66,6 @@
 	var chosen fleetconfig.Urgency
 	found := false
 	for urgency, count := range waiting {
-		if urgency.IsCall() && !least.IsCall() {
-			// The run that sent the call would be lost with it.
-			continue
-		}
 		if count > q.length/(maxConsecutive+1) && (!found || urgency > chosen) {
 			chosen, found = urgency, true
 		}
--- a/selection/room.go
+++ b/selection/room.go
@@ -1,6 +1,7 @@
 package selection
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/hemlockring/hemlockring/backendproxy"
@@ -25,9 +26,11 @@
 	// hopCost is what a request to another failure domain must gain, in requests per slot:
 	// the difference of one request between servers of ten slots is not worth the way.
 	hopCost = 0.1
-	// defaultCallLatency is the time within which a call should be answered if its route has no
-	// latency target.
-	defaultCallLatency = time.Second
+	// callWaitParts is the divisor of the time that a call may wait, see CallRoom.
+	callWaitParts = 4
+	// minCallWait is a wait for a call that is no reason to refuse the request that needs it: news
+	// of a queue is about as old.
+	minCallWait = 200 * time.Millisecond
 )
 
 // serverNews is what the proxy beside a backend server last said about the wait there.
@@ -115,22 +118,24 @@
 }
 
 // CallRoom reports whether the called service has room for a call of a request of the given
-// urgency that has not started, as far as this ingress knows: whether the requests that are at
-// least as urgent leave the call half of the time that the latency target of its route leaves
-// for waiting. The other half is for the calls of runs that have started and not called yet. If
-// there is no room, CallRoom returns the time after which the request should come back.
-func (s *Selector) CallRoom(call callgraph.Call, urgency fleetconfig.Urgency) (retryAfter time.Duration, room bool) {
+// urgency that has not started, as far as this ingress knows. slack is how long the call may wait
+// without making the request late. There is room while the requests that are at least as urgent
+// leave the call a quarter of that, or of what the timeout of its route leaves. The rest is for
+// the calls of runs that have started and not called yet. If there is no room, CallRoom returns
+// the time after which the request should come back.
+func (s *Selector) CallRoom(call callgraph.Call, urgency fleetconfig.Urgency, slack time.Duration) (retryAfter time.Duration, room bool) {
 	service := s.service(call.Service)
 	service.mu.Lock()
 	defer service.mu.Unlock()
 	now := clock.Now()
 	s.refresh(service, call.Service, now)
-	limit := defaultCallLatency
-	if route := s.config.View().Route(call.Route); route != nil && route.LatencyTarget > 0 {
-		limit = route.LatencyTarget
-	}
 	serviceTime := service.times.Of(call.Route)
-	deadline := now.Add(serviceTime + max(0, limit-serviceTime)/2)
+	wait := slack / callWaitParts
+	if route := s.config.View().Route(call.Route); route != nil {
+		timeout := cmp.Or(route.Timeout, fleetconfig.DefaultRouteTimeout)
+		wait = min(wait, (timeout-serviceTime)/callWaitParts)
+	}
+	deadline := now.Add(serviceTime + max(wait, minCallWait))
 	request := placement.Request{Urgency: urgency, Yielding: true, ServiceTime: serviceTime, Deadline: deadline, StartBy: deadline}
 	survey, decided := service.survey(&request, nil, now)
 	if !decided {
