--- a/configsync/fake_test.go
+++ b/configsync/fake_test.go
@@ -78,6 +78,10 @@
 	latency atomic.Int64
 	// leaderOffers counts the leader's offers that are under way to each address.
 	leaderOffers callCounter
+	// linkMbps and controlLinkMbps are the links of instances that are started later.
+	linkMbps, controlLinkMbps uint32
+	// links delays bodies by the time that they take on the links of both instances.
+	links fakeLinks
 	// pollInterval is the poll interval of instances that are started later.
 	pollInterval time.Duration
 	// deltas counts the deltas that instances sent to each other.
@@ -86,6 +90,43 @@
 	calls, bytes atomic.Int64
 }
 
+// fakeLinks are the links of the instances, each of which carries one body after the other.
+type fakeLinks struct {
+	mu sync.Mutex
+	// freeAt is when the link of an instance has carried what was sent so far.
+	freeAt map[fleetconfig.InstanceID]time.Time
+}
+
+// carry waits until the links have carried a body. A link of 0 Mbit/s is unlimited.
+func (l *fakeLinks) carry(ctx context.Context, bytes int, instances ...*Peer) error {
+	const bytesPerMbit = 125_000
+	l.mu.Lock()
+	if l.freeAt == nil {
+		l.freeAt = make(map[fleetconfig.InstanceID]time.Time)
+	}
+	arrival := time.Now()
+	for _, instance := range instances {
+		if instance.LinkMbps == 0 {
+			continue
+		}
+		start := l.freeAt[instance.ID]
+		if now := time.Now(); start.Before(now) {
+			start = now
+		}
+		l.freeAt[instance.ID] = start.Add(time.Duration(float64(bytes) / (float64(instance.LinkMbps) * bytesPerMbit) * float64(time.Second)))
+		if arrival.Before(l.freeAt[instance.ID]) {
+			arrival = l.freeAt[instance.ID]
+		}
+	}
+	l.mu.Unlock()
+	select {
+	case <-time.After(time.Until(arrival)):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // deltaCounter counts deltas by sender, receiver and version.
 type deltaCounter struct {
 	mu   sync.Mutex
@@ -213,8 +254,13 @@
 		Address:       fmt.Sprintf("192.0.2.%d:7400", number),
 		FailureDomain: fleetconfig.FailureDomain(fmt.Sprintf("fd%d", number%3)),
 	}}
+	instance.peer.LinkMbps = f.linkMbps
+	if isControl {
+		instance.peer.LinkMbps = f.controlLinkMbps
+	}
 	config := Config{
 		Self:         instance.peer.InstanceAddress,
+		LinkMbps:     instance.peer.LinkMbps,
 		Incarnation:  uint64(time.Now().UnixNano()),
 		Peers:        instance,
 		Caller:       instance,
@@ -283,6 +329,9 @@
 	if err := i.fleet.delay(ctx); err != nil {
 		return err
 	}
+	if err := i.fleet.links.carry(ctx, len(data), &i.peer, &other.peer); err != nil {
+		return err
+	}
 	call := httptest.NewRequest(http.MethodPost, path, bytes.NewReader(data))
 	certificate := &x509.Certificate{Subject: pkix.Name{CommonName: string(i.peer.ID)}}
 	call.TLS = &tls.ConnectionState{PeerCertificates: []*x509.Certificate{certificate}}
@@ -291,6 +340,9 @@
 	if err := i.fleet.delay(ctx); err != nil {
 		return err
 	}
+	if err := i.fleet.links.carry(ctx, recorder.Body.Len(), &i.peer, &other.peer); err != nil {
+		return err
+	}
 	if recorder.Code != http.StatusOK {
 		return errors.New(recorder.Body.String())
 	}
--- a/configsync/transfers_test.go
+++ b/configsync/transfers_test.go
@@ -219,3 +219,45 @@
 		must.Eq(t, 1, fleet.deltas.total(isolated.peer.ID, version), must.Sprint(version))
 	}
 }
+
+// manyRoutes returns a complete configuration with a number of routes.
+func manyRoutes(operatorVersion uint64, routes int) fleetconfig.Change {
+	next := &fleetconfig.Replacement{
+		BaseOperatorVersion: operatorVersion - 1, OperatorVersion: operatorVersion,
+		Services: []fleetconfig.Service{{Name: "stock"}}, Preset: fleetconfig.Preset{Name: "p", SlowStart: time.Second},
+	}
+	for i := range routes {
+		// Digests, as names that do not compress.
+		name := string(fleetconfig.HashKey(fmt.Sprint(i)).ID())
+		next.Routes = append(next.Routes, fleetconfig.Route{
+			ID: "r-" + name[:7], Host: name[:6] + ".example", PathPrefix: "/" + name, Service: "stock", Timeout: time.Second,
+		})
+	}
+	return fleetconfig.Change{Kind: fleetconfig.ReplaceAll, Replacement: next}
+}
+
+// A version with 1,520 routes more is in force on all instances within a second, though the
+// links of most of them carry 2 Mbit/s, and instances poll twice a second.
+func TestManyRoutesReachAllOverThinLinks(t *testing.T) {
+	const (
+		proxies = 60
+		within  = time.Second
+	)
+	fleet := newFakeFleet(t)
+	fleet.linkMbps, fleet.controlLinkMbps, fleet.pollInterval = 2, 1000, DefaultPollInterval
+	leader := fleet.start(0, true)
+	var others []*fakeInstance
+	for number := 1; number <= 4+proxies; number++ {
+		isControl := number <= 4
+		others = append(others, fleet.startWithLeader(number, isControl, leader))
+	}
+	fleet.propose(leader, "first", manyRoutes(1, 200))
+	waitForVersion(t, 1, others...)
+	fleet.propose(leader, "second", manyRoutes(2, 1720))
+	acceptedAt := time.Now()
+	waitForVersion(t, 2, others...)
+	must.Less(t, within, time.Since(acceptedAt))
+	for _, instance := range others {
+		must.LessEq(t, 1, fleet.deltas.total(instance.peer.ID, 2), must.Sprint(instance.peer.ID))
+	}
+}
