--- a/balance/pool.go
+++ b/balance/pool.go
@@ -19,6 +19,9 @@
 	// backend server that fails requests immediately appears idle, so the penalty must
 	// outweigh a full queue on another server.
 	failureCost = 4.0
+	// sheddingCost is the load that is equivalent to a server that sheds all requests. Such a
+	// request takes another hop and a repeat, but is not lost.
+	sheddingCost = 2.0
 	// slownessCost is the load that is equivalent to a server that takes one service time
 	// longer than usual. It is less than one, because requests stay longer on a slow server,
 	// so that the load by itself gives it fewer.
@@ -90,6 +93,8 @@
 	// fails most requests. The part of this probability that exceeds the probability of a
 	// server without evidence is scaled to 0 to 1 (health.ExcessFailureProbability).
 	FailureProbability float64
+	// Shedding is the share of its recent requests that the backend server has refused to run.
+	Shedding float64
 	// Slowness is its service times relative to the usual ones of the same requests. Zero
 	// means that they are not known, and counts as one.
 	Slowness float64
@@ -123,7 +128,7 @@
 
 // penalty returns the part of the cost that does not depend on the load.
 func (b *Backend) penalty() float64 {
-	penalty := failureCost * b.FailureProbability
+	penalty := failureCost*b.FailureProbability + sheddingCost*b.Shedding
 	if b.Slowness > 0 {
 		penalty += slownessCost * (b.Slowness - 1)
 	}
@@ -213,14 +218,15 @@
 	}
 	p.backends = make([]Backend, len(backends))
 	for i, backend := range backends {
-		if known, found := previous[backend.ID]; found {
-			backend.inFlight = known.inFlight
-			backend.Weight = known.Weight
-			backend.FailureProbability = known.FailureProbability
+		last, known := previous[backend.ID]
+		if known {
+			backend.inFlight = last.inFlight
+			backend.Weight = last.Weight
+			backend.FailureProbability = last.FailureProbability
 		}
 		backend.inFlightAtReport = backend.inFlight
-		if known, found := previous[backend.ID]; found && p.policy.KeepReports && known.Started == backend.Started {
-			backend.keepReport(&known)
+		if known && p.policy.KeepReports && last.Started == backend.Started {
+			backend.keepReport(&last)
 		}
 		p.backends[i] = backend
 	}
@@ -230,7 +236,7 @@
 // keepReport takes over what was last reported of the backend server.
 func (b *Backend) keepReport(last *Backend) {
 	b.ReportedInFlight, b.inFlightAtReport = last.ReportedInFlight, last.inFlightAtReport
-	b.Slowness = last.Slowness
+	b.Slowness, b.Shedding = last.Slowness, last.Shedding
 }
 
 // ForgetLoad removes the load and weight that a backend server reported, which then counts as
@@ -242,6 +248,9 @@
 	backend.inFlightAtReport = backend.inFlight
 }
 
+// Policy returns the parameters.
+func (p *Pool) Policy() Policy { return p.policy }
+
 // KeepsReports returns Policy.KeepReports.
 func (p *Pool) KeepsReports() bool { return p.policy.KeepReports }
 
@@ -283,6 +292,9 @@
 	p.rebuildTiers()
 }
 
+// SetShedding sets the Shedding of a backend server.
+func (p *Pool) SetShedding(index int, share float64) { p.backends[index].Shedding = share }
+
 // SetSlowness sets the Slowness of a backend server.
 func (p *Pool) SetSlowness(index int, slowness float64) { p.backends[index].Slowness = slowness }
 
--- a/configsync/transfers_test.go
+++ b/configsync/transfers_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"github.com/hemlockring/hemlockring/configtree"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/internal/codec"
 	_ "github.com/hemlockring/hemlockring/internal/fixedseed"
@@ -186,3 +187,77 @@
 		}
 	}
 }
+
+// An instance whose parent does not reply tries several others and gets the delta from one.
+func TestTrialsBringOneDelta(t *testing.T) {
+	fleet := newFakeFleet(t)
+	leader := fleet.start(0, true)
+	others := []*fakeInstance{fleet.startWithLeader(1, true, leader), fleet.startWithLeader(2, true, leader)}
+	for number := 3; number <= 12; number++ {
+		others = append(others, fleet.start(number, false))
+	}
+	fleet.propose(leader, "first", usePreset(1))
+	waitForVersion(t, 1, others...)
+	isolated := others[len(others)-1]
+	parent := configtree.Find(isolated.peer, nil, isolated.Peers()).Parents[0].ID
+	partitioned := func(a, b fleetconfig.InstanceID) bool {
+		return a == parent && b == isolated.peer.ID || a == isolated.peer.ID && b == parent
+	}
+	fleet.latency.Store(int64(10 * time.Millisecond))
+	fleet.partitioned.Store(&partitioned)
+	for version := uint64(2); version <= 4; version++ {
+		fleet.propose(leader, fmt.Sprint(version), usePreset(version))
+		// The other instances have the version when the isolated one tries them.
+		waitForVersion(t, version, others[:len(others)-1]...)
+		// Its fallback stops being usable, too.
+		isolated.service.mu.Lock()
+		isolated.service.upstream.fallback = ""
+		isolated.service.mu.Unlock()
+		waitForVersion(t, version, isolated)
+	}
+	for version := uint64(2); version <= 4; version++ {
+		must.Eq(t, 1, fleet.deltas.total(isolated.peer.ID, version), must.Sprint(version))
+	}
+}
+
+// manyRoutes returns a complete configuration with a number of routes.
+func manyRoutes(operatorVersion uint64, routes int) fleetconfig.Change {
+	next := &fleetconfig.Replacement{
+		BaseOperatorVersion: operatorVersion - 1, OperatorVersion: operatorVersion,
+		Services: []fleetconfig.Service{{Name: "stock"}}, Preset: fleetconfig.Preset{Name: "p", SlowStart: time.Second},
+	}
+	for i := range routes {
+		// Digests, as names that do not compress.
+		name := string(fleetconfig.HashKey(fmt.Sprint(i)).ID())
+		next.Routes = append(next.Routes, fleetconfig.Route{
+			ID: "r-" + name[:7], Host: name[:6] + ".example", PathPrefix: "/" + name, Service: "stock", Timeout: time.Second,
+		})
+	}
+	return fleetconfig.Change{Kind: fleetconfig.ReplaceAll, Replacement: next}
+}
+
+// A version with 1,520 routes more is in force on all instances within a second, though the
+// links of most of them carry 2 Mbit/s, and instances poll twice a second.
+func TestManyRoutesReachAllOverThinLinks(t *testing.T) {
+	const (
+		proxies = 60
+		within  = time.Second
+	)
+	fleet := newFakeFleet(t)
+	fleet.linkMbps, fleet.controlLinkMbps, fleet.pollInterval = 2, 1000, DefaultPollInterval
+	leader := fleet.start(0, true)
+	var others []*fakeInstance
+	for number := 1; number <= 4+proxies; number++ {
+		isControl := number <= 4
+		others = append(others, fleet.startWithLeader(number, isControl, leader))
+	}
+	fleet.propose(leader, "first", manyRoutes(1, 200))
+	waitForVersion(t, 1, others...)
+	fleet.propose(leader, "second", manyRoutes(2, 1720))
+	acceptedAt := time.Now()
+	waitForVersion(t, 2, others...)
+	must.Less(t, within, time.Since(acceptedAt))
+	for _, instance := range others {
+		must.LessEq(t, 1, fleet.deltas.total(instance.peer.ID, 2), must.Sprint(instance.peer.ID))
+	}
+}
