--- a/backendproxy/run.go
+++ b/backendproxy/run.go
@@ -86,11 +86,7 @@
 	if err := f.checkResponse(exchange, dispatched.verdict, response.Header, observation); err != nil {
 		return err
 	}
-	result := resultOfResponse(response)
-	if result == health.ResultServerError && f.runs.lostCall(exchange.RequestID) {
-		// The server could not complete the run without the call.
-		result = health.ResultCanceled
-	}
+	result := f.resultOfRun(exchange, response)
 	observation.End(result, clock.Now())
 	if result == health.ResultOK {
 		slot.recordResponse(exchange.DispatchAge, exchange.ServiceTime)
@@ -168,6 +164,16 @@
 	}
 }
 
+// resultOfRun returns the result that the health monitor records for the response to a run. A
+// server that could not complete the run because it lost a call has not failed.
+func (f *runFilter) resultOfRun(exchange *pipeline.Exchange, response *http.Response) health.Result {
+	result := resultOfResponse(response)
+	if result == health.ResultServerError && f.runs.lostCall(exchange.RequestID) {
+		return health.ResultCanceled
+	}
+	return result
+}
+
 // resultOfResponse returns the result that the health monitor records for a response. A
 // 503 with Retry-After is load shedding, not a failure.
 func resultOfResponse(response *http.Response) health.Result {
--- a/selection/selector.go
+++ b/selection/selector.go
@@ -104,7 +104,7 @@
 	if !ok {
 		index, lastResort, ok = service.pickFromPool(exchange, tried, now)
 	}
-	if ok && exchange.ReachedAttempts == 0 && !lastResort && admitsByRoom(exchange) {
+	if ok && exchange.NextRepeat() == pipeline.RepeatNone && !lastResort && admitsByRoom(exchange) {
 		index, lastResort = service.preferRoom(exchange, tried, index, now)
 	}
 	if !ok {
