--- a/configtree/domains.go
+++ b/configtree/domains.go
@@ -30,21 +30,16 @@
 // instances. control has the other ones.
 func findInDomains(self Instance, control, peers []Instance) Neighbours {
 	all := append(slices.Clone(peers), self)
-	roots := control
 	if self.Control {
-		roots = append(slices.Clone(control), self)
-		slices.SortFunc(roots, byID)
+		return Neighbours{Parents: addresses(control), Children: childrenOfRoot(self.ID, controlInstances(all), all)}
 	}
-	if self.Control {
-		return Neighbours{Parents: addresses(control), Children: childrenOfRoot(self.ID, roots, all)}
-	}
-	tree := newDomainTree(self.FailureDomain, roots, all)
+	tree := newDomainTree(self.FailureDomain, control, all)
 	position := slices.IndexFunc(tree.members, func(m Instance) bool { return m.ID == self.ID })
 	found := Neighbours{Level: tree.level(position), Children: addresses(tree.children(position))}
 	parent := tree.parent(position)
 	others := rotate(withoutID(control, parent.ID), position)
-	near := withoutID(rotate(withoutID(tree.members, self.ID), position), parent.ID)
-	siblings := append(near[:min(siblingsNear, len(near)):min(siblingsNear, len(near))], membersElsewhere(&self, all, position)...)
+	near := rotate(withoutID(withoutID(tree.members, self.ID), parent.ID), position)
+	siblings := slices.Concat(near[:min(siblingsNear, len(near))], membersElsewhere(&self, all, position))
 	found.Parents = append([]fleetconfig.InstanceAddress{parent.InstanceAddress}, interleave(addresses(others), addresses(siblings))...)
 	return found
 }
