backendproxy: a repeated run starts without the calls of the failed attempt

Cause: the tracker keeps one entry for a request until its deadline. If its run failed and the request was repeated beside the same instance, the calls of the failed attempt were added to those of the repeat, so that routes seemed to make more calls than they do, and a call that the failed attempt lost excused server errors of the repeat, which then were no evidence against the server.

Change: a run that begins while no other of the request is under way starts without calls.

Result: TestRepeatedRunStartsWithoutCalls failed before and passes; go test ./backendproxy ./callgraph ok.

--- a/backendproxy/callroom_test.go
+++ b/backendproxy/callroom_test.go
@@ -40,6 +40,19 @@
 	must.Eq(t, callgraph.Expectation{Call: ledgerCall, PerRun: 2}, calls[0])
 }
 
+// A run that is repeated beside the same instance does not count with the calls of the failed
+// attempt, nor is it excused by them.
+func TestRepeatedRunStartsWithoutCalls(t *testing.T) {
+	tracker := newTestTracker()
+	tracker.runWithCalls("1", 1, false)
+	tracker.RecordFailedCall(&pipeline.Exchange{CallerRequest: "1"})
+	must.True(t, tracker.lostCall("1"))
+	end := tracker.begin(&pipeline.Exchange{RequestID: "1", RouteID: "issue", Urgency: issue, Repeat: pipeline.RepeatRetry, Deadline: clock.Now().Add(time.Minute)})
+	must.False(t, tracker.lostCall("1"))
+	end(true)
+	must.SliceEmpty(t, tracker.expectedCalls("issue"))
+}
+
 // A request is a call only if it names a run, known or of a former process, and has no account.
 func TestRunTrackerTellsCallsFromOtherRequests(t *testing.T) {
 	tracker := newTestTracker()
--- a/backendproxy/runs.go
+++ b/backendproxy/runs.go
@@ -73,6 +73,10 @@
 		run = &trackedRun{}
 		t.runs[exchange.RequestID] = run
 	}
+	if run.underWay == 0 {
+		// A repeat of the request makes its calls anew.
+		run.made, run.lostCall = nil, false
+	}
 	run.route, run.urgency = exchange.RouteID, exchange.Urgency
 	run.repeated = run.repeated || repeated
 	run.underWay++
