ingress, backendproxy: a request with a key is no call of a run

Cause: only the account of a request told clients from backend servers. Routes that are open to all leave it empty, and so does a key that is not valid. A client with a key could name its own run by a request ID: its requests then went before all others (CallPrecedence), and a refusal of one (401) excused server errors of the run, which were no evidence then. One that named a repeated run also made the tracker believe that servers name their runs, so that calls of repeated runs that name none no longer counted as repeated.

Change: the exchange says whether the caller sent a key; such a request names no run for the tracker. Clients without keys can still name a run of their own.

--- a/backendproxy/callroom_test.go
+++ b/backendproxy/callroom_test.go
@@ -40,6 +40,24 @@
 	must.Eq(t, callgraph.Expectation{Call: ledgerCall, PerRun: 2}, calls[0])
 }
 
+// A client with a key names no run, also where its key does not matter, or is not valid: what its
+// requests do says nothing about the runs.
+func TestRequestWithKeyIsNoCall(t *testing.T) {
+	tracker := newTestTracker()
+	tracker.startedAt = clock.Now().Add(-formerRunPeriod)
+	end := tracker.run("second", pipeline.RepeatRetry)
+	defer end()
+	for _, forged := range []*pipeline.Exchange{{HasKey: true}, {Account: "acme", HasKey: true}} {
+		forged.CallerRequest, forged.Service, forged.Route, forged.Received = "second", "ledger", ledgerRoute, clock.Now()
+		must.Eq(t, 0, tracker.RecordCall(forged))
+		tracker.RecordFailedCall(forged)
+		must.False(t, tracker.lostCall("second"))
+		must.False(t, tracker.IsRepeatedCall(forged))
+	}
+	// The servers name no runs, so the repeated run may have sent any request without a key.
+	must.True(t, tracker.repeatedCall("", ""))
+}
+
 // A run that is repeated beside the same instance does not count with the calls of the failed
 // attempt, nor is it excused by them.
 func TestRepeatedRunStartsWithoutCalls(t *testing.T) {
--- a/backendproxy/runs.go
+++ b/backendproxy/runs.go
@@ -115,9 +115,11 @@
 
 // IsRepeatedCall reports whether a repeated run sends the request of an exchange at the ingress.
 // Where that is not known, it assumes so: for a run of a former process, and, unless the servers
-// name their runs, while any repeated run is under way. A request with the key of a client account
-// comes from no server, since servers have no keys.
+// name their runs, while any repeated run is under way.
 func (t *RunTracker) IsRepeatedCall(exchange *pipeline.Exchange) bool {
+	if !mayComeFromServer(exchange) {
+		return false
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	named := exchange.CallerRequest != ""
@@ -125,19 +127,22 @@
 		t.callersNamed = true
 		return run.repeated
 	}
-	switch {
-	case exchange.Account != "":
-		return false
-	case named && exchange.Received.Sub(t.startedAt) < formerRunPeriod:
+	if named && exchange.Received.Sub(t.startedAt) < formerRunPeriod {
 		return true
 	}
 	return t.repeatsUnderWay > 0 && !t.callersNamed
 }
 
+// mayComeFromServer reports whether a backend server may send the request. One with a key comes
+// from a client, since servers have no keys, whatever run it names.
+func mayComeFromServer(exchange *pipeline.Exchange) bool {
+	return exchange.Account == "" && !exchange.HasKey
+}
+
 // RecordCall implements ingress.Runs. A request that names a run of a former process of this
 // instance is one of its calls, with the least urgency that a call can have.
 func (t *RunTracker) RecordCall(exchange *pipeline.Exchange) fleetconfig.Urgency {
-	if exchange.CallerRequest == "" || exchange.Account != "" {
+	if exchange.CallerRequest == "" || !mayComeFromServer(exchange) {
 		return 0
 	}
 	t.mu.Lock()
@@ -170,7 +175,7 @@
 func (t *RunTracker) RecordFailedCall(exchange *pipeline.Exchange) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if run := t.runs[exchange.CallerRequest]; run != nil && exchange.Account == "" {
+	if run := t.runs[exchange.CallerRequest]; run != nil && mayComeFromServer(exchange) {
 		run.lostCall = true
 	}
 }
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -415,6 +415,30 @@
 	}
 }
 
+// keyedRuns records whether the requests that it was asked about had keys.
+type keyedRuns struct {
+	fakeRuns
+	failed []bool
+}
+
+func (r *keyedRuns) RecordFailedCall(exchange *pipeline.Exchange) {
+	r.failed = append(r.failed, exchange.HasKey)
+}
+
+// A request that names a run shows whether it has a key, also if that is not valid or the route
+// needs none.
+func TestForwardTellsCallsWithKeys(t *testing.T) {
+	for _, keys := range [][]string{nil, {"Bearer k"}, {"Bearer k", "Bearer other"}} {
+		runs := &keyedRuns{}
+		fleet := &fakeFleet{runs: runs, responders: []func(*http.Request) (*http.Response, error){respondStatus(http.StatusNotFound)}}
+		request := httptest.NewRequest(http.MethodGet, "http://a.example/x", nil)
+		request.Header.Set(pipeline.HeaderCallerRequest, "run")
+		request.Header["Authorization"] = keys
+		fleet.serveRequest(request, idempotent, 1, 0)
+		must.Eq(t, []bool{len(keys) > 0}, runs.failed)
+	}
+}
+
 // A request whose calls find no room is refused as not run after two backend proxies said so.
 func TestForwardGivesUpWhenCalledServiceIsBusy(t *testing.T) {
 	fleet := &fakeFleet{}
--- a/ingress/identify.go
+++ b/ingress/identify.go
@@ -72,6 +72,7 @@
 		keys = append(keys, header.Values(f.keyHeader)...)
 		header.Del(f.keyHeader)
 	}
+	exchange.HasKey = len(keys) > 0
 	for _, key := range keys {
 		if key != keys[0] {
 			return badRequest("the request contains several different keys", "send exactly one key")
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -50,6 +50,8 @@
 	// Key is the key that the caller sent. The authenticate filter clears it, so
 	// that it never leaves the ingress.
 	Key string
+	// HasKey says that the caller sent a key, valid or not. Only the ingress sets it.
+	HasKey bool
 	// Idempotent says that the request may run more than once.
 	Idempotent bool
 	// Urgency orders the request relative to others of its service. Only the backend
