membership: a process that supersedes another one's record takes its own incarnation

Cause: an instance that starts with a lower incarnation than its former process (its clock was set back), or whose ID another one uses, refuted the newer record under that record's incarnation. The other members knew the former process's uptime under it, and passed it on to each other without end. Ingresses took it for the clock of the new process, converted all dispatch deadlines with it, also after responses had shown the right clock, and the proxy refused the requests as KindClockUnknown, each of them twice.

Change: the refutation takes the next incarnation, of which no uptime is known; the clock is then learned from responses, as before uptimes were announced.

Result: TestUptimeOfFormerProcessIsNotUsedAfterClockWasSetBack failed before; go test ./membership ./gossip ./quota ./ingress ./node ok.

--- a/membership/state.go
+++ b/membership/state.go
@@ -215,8 +215,11 @@
 	if !newer && (!suspected || own.newerThan(&update.Record)) {
 		return
 	}
-	if update.Record.Incarnation >= own.Incarnation && newer {
-		own.Incarnation = update.Record.Incarnation
+	if newer {
+		if other := update.Record.Incarnation; other > own.Incarnation {
+			// Uptimes are known by incarnation, so the other process's one is left to it.
+			own.Incarnation = max(other, other+1)
+		}
 		own.Sequence = update.Record.Sequence
 	}
 	s.updateSelf(func(*Record) {})
--- a/membership/uptime_test.go
+++ b/membership/uptime_test.go
@@ -80,6 +80,27 @@
 	must.False(t, known)
 }
 
+// An instance whose clock was set back starts with a lower incarnation than its former process,
+// and supersedes the record of that one. The uptime of the former process must not be taken for
+// that of the new one: the dispatch deadlines of all requests would be converted to a clock that
+// has ended.
+func TestUptimeOfFormerProcessIsNotUsedAfterClockWasSetBack(t *testing.T) {
+	s := newSimulation(1, 4)
+	s.starts = 100
+	s.start(simAddress(3))
+	s.run(20 * time.Second)
+	s.starts = 50
+	s.start(simAddress(3))
+	s.run(20 * time.Second)
+	process := s.states[simAddress(3)]
+	for _, address := range s.addresses()[:3] {
+		record := s.view(address, simAddress(3)).Record
+		must.Eq(t, process.members[process.self].Record.Incarnation, record.Incarnation)
+		_, _, known := s.states[address].Uptime(record.ID, record.Incarnation, s.now)
+		must.False(t, known, must.Sprintf("%s takes the uptime of the former process for that of the next", address))
+	}
+}
+
 // An uptime is forgotten before the drift of the clocks makes it useless.
 func TestOldUptimeIsNotUsed(t *testing.T) {
 	s := newSimulation(1, 2)
