--- a/backendproxy/callroom_test.go
+++ b/backendproxy/callroom_test.go
@@ -40,6 +40,37 @@
 	must.Eq(t, callgraph.Expectation{Call: ledgerCall, PerRun: 2}, calls[0])
 }
 
+// A client with a key names no run, also where its key does not matter, or is not valid: what its
+// requests do says nothing about the runs.
+func TestRequestWithKeyIsNoCall(t *testing.T) {
+	tracker := newTestTracker()
+	tracker.startedAt = clock.Now().Add(-formerRunPeriod)
+	end := tracker.run("second", pipeline.RepeatRetry)
+	defer end()
+	for _, forged := range []*pipeline.Exchange{{HasKey: true}, {Account: "acme", HasKey: true}} {
+		forged.CallerRequest, forged.Service, forged.Route, forged.Received = "second", "ledger", ledgerRoute, clock.Now()
+		must.Eq(t, 0, tracker.RecordCall(forged))
+		tracker.RecordFailedCall(forged)
+		must.False(t, tracker.lostCall("second"))
+		must.False(t, tracker.IsRepeatedCall(forged))
+	}
+	// The servers name no runs, so the repeated run may have sent any request without a key.
+	must.True(t, tracker.repeatedCall("", ""))
+}
+
+// A run that is repeated beside the same instance does not count with the calls of the failed
+// attempt, nor is it excused by them.
+func TestRepeatedRunStartsWithoutCalls(t *testing.T) {
+	tracker := newTestTracker()
+	tracker.runWithCalls("1", 1, false)
+	tracker.RecordFailedCall(&pipeline.Exchange{CallerRequest: "1"})
+	must.True(t, tracker.lostCall("1"))
+	end := tracker.begin(&pipeline.Exchange{RequestID: "1", RouteID: "issue", Urgency: issue, Repeat: pipeline.RepeatRetry, Deadline: clock.Now().Add(time.Minute)})
+	must.False(t, tracker.lostCall("1"))
+	end(true)
+	must.SliceEmpty(t, tracker.expectedCalls("issue"))
+}
+
 // A request is a call only if it names a run, known or of a former process, and has no account.
 func TestRunTrackerTellsCallsFromOtherRequests(t *testing.T) {
 	tracker := newTestTracker()
