selection: a quota token that expires is no reason to refuse a request for want of room

Change: for room a token counts as one that can be waited with for half of MaxTokenLifetime. The confirmation of the key bounds the start as before.

Test: TestExpiredTokenDoesNotCountAgainstRoom.

--- a/ingress/clocks.go
+++ b/ingress/clocks.go
@@ -55,7 +55,7 @@
 // the instance's clock, or an empty string if that clock is not known yet.
 func (p *peerClocks) peerDispatchDeadline(instance fleetconfig.InstanceID, exchange *pipeline.Exchange, now time.Time) string {
 	clock := p.clockOf(instance, now)
-	deadline, ok := clock.DispatchDeadline(quota.Token{Expires: LocalDispatchDeadline(exchange)})
+	deadline, ok := clock.DispatchDeadline(quota.Token{Expires: localDispatchDeadline(exchange)})
 	if !ok {
 		return ""
 	}
@@ -79,12 +79,12 @@
 	return known
 }
 
-// LocalDispatchDeadline returns the dispatch deadline of the exchange by this
+// localDispatchDeadline returns the dispatch deadline of the exchange by this
 // instance's clock: the earliest of the request deadline, the expiry of the quota
 // token, and the time until which the ingress has confirmed the key as current.
 // Because the ingress has confirmed the key, the backend proxy does not need a
 // current configuration itself and continues to serve while control is unreachable.
-func LocalDispatchDeadline(exchange *pipeline.Exchange) time.Time {
+func localDispatchDeadline(exchange *pipeline.Exchange) time.Time {
 	limit := exchange.Deadline
 	if !exchange.TokenExpires.IsZero() && exchange.TokenExpires.Before(limit) {
 		limit = exchange.TokenExpires
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -339,11 +339,11 @@
 func TestLocalDispatchDeadlineIsEarliestLimit(t *testing.T) {
 	now := time.Now()
 	exchange := &pipeline.Exchange{Deadline: now.Add(time.Minute), TokenExpires: now.Add(2 * time.Second), CurrentUntil: now.Add(time.Second)}
-	must.Eq(t, exchange.CurrentUntil, LocalDispatchDeadline(exchange))
+	must.Eq(t, exchange.CurrentUntil, localDispatchDeadline(exchange))
 	exchange.CurrentUntil = now.Add(3 * time.Second)
-	must.Eq(t, exchange.TokenExpires, LocalDispatchDeadline(exchange))
+	must.Eq(t, exchange.TokenExpires, localDispatchDeadline(exchange))
 	exchange.CurrentUntil, exchange.TokenExpires = time.Time{}, time.Time{}
-	must.Eq(t, exchange.Deadline, LocalDispatchDeadline(exchange))
+	must.Eq(t, exchange.Deadline, localDispatchDeadline(exchange))
 }
 
 // An instance that cannot confirm that its configuration is current must not respond
--- a/selection/refusals_test.go
+++ b/selection/refusals_test.go
@@ -156,3 +156,19 @@
 	_, room = selector.Room(exchange, nil, 2)
 	must.True(t, room)
 }
+
+// Guards against requests that wait until their quota token expires and are then refused for
+// want of room, although the next attempt gets another token.
+func TestExpiredTokenDoesNotCountAgainstRoom(t *testing.T) {
+	selector := newLimitedSelector(t, 2)
+	queued := membership.ServerLoad{WeightPercent: 100, InFlight: 2 * testSlots, NextSlotMillis: 500}
+	reportLoads(selector, "near", 2, queued)
+	reportLoads(selector, "far", 2, queued)
+	now := clock.Now()
+	exchange := &pipeline.Exchange{Service: "catalogue", Received: now.Add(-time.Second), Deadline: now.Add(4 * time.Second), TokenExpires: now, Route: &fleetconfig.Route{ID: "r", Priority: 1}}
+	_, room := selector.Room(exchange, nil, 1)
+	must.True(t, room)
+	exchange.CurrentUntil = now.Add(100 * time.Millisecond)
+	_, room = selector.Room(exchange, nil, 1)
+	must.False(t, room)
+}
--- a/selection/room.go
+++ b/selection/room.go
@@ -15,6 +15,7 @@
 	"github.com/hemlockring/hemlockring/pipeline"
 	"github.com/hemlockring/hemlockring/placement"
 	"github.com/hemlockring/hemlockring/queue"
+	"github.com/hemlockring/hemlockring/quota"
 )
 
 const (
@@ -23,6 +24,9 @@
 	minReturnSpread = 2 * time.Second
 	// maxReturnDelay bounds what a refused caller is told to wait for room.
 	maxReturnDelay = 10 * time.Second
+	// renewedTokenLifetime is the time for which a request can wait with a new quota token.
+	// Tokens are lent ahead, so half of their lifetime has passed on average.
+	renewedTokenLifetime = quota.MaxTokenLifetime / 2
 	// hopCost is what a request to another failure domain must gain, in requests per slot:
 	// the difference of one request between servers of ten slots is not worth the way.
 	hopCost = 0.1
@@ -98,7 +102,7 @@
 	defer service.mu.Unlock()
 	now := clock.Now()
 	s.refresh(service, exchange.Service, now)
-	request := service.placementRequest(exchange)
+	request := service.placementRequest(exchange, now)
 	if !request.Urgency.IsCall() {
 		request.BusyRefusals = busyRefusals
 	}
@@ -167,9 +171,29 @@
 // RoomRefusals returns how many requests this ingress has refused because it knew of no room.
 func (s *Selector) RoomRefusals() uint64 { return s.roomRefusals.Load() }
 
+// latestStart returns the latest time at which the request may start. A quota token that
+// expires earlier than a new one is replaced before the next attempt, so it counts as new.
+func latestStart(exchange *pipeline.Exchange, now time.Time) time.Time {
+	latest := exchange.Deadline
+	if !exchange.CurrentUntil.IsZero() && exchange.CurrentUntil.Before(latest) {
+		latest = exchange.CurrentUntil
+	}
+	if exchange.TokenExpires.IsZero() {
+		return latest
+	}
+	expires := exchange.TokenExpires
+	if renewed := now.Add(renewedTokenLifetime); expires.Before(renewed) {
+		expires = renewed
+	}
+	if expires.Before(latest) {
+		latest = expires
+	}
+	return latest
+}
+
 // placementRequest describes the request of an exchange. The caller must hold the pool's lock.
-func (p *servicePool) placementRequest(exchange *pipeline.Exchange) placement.Request {
-	request := placement.Request{Urgency: fleetconfig.LeastUrgent, Deadline: exchange.Deadline, StartBy: ingress.LocalDispatchDeadline(exchange)}
+func (p *servicePool) placementRequest(exchange *pipeline.Exchange, now time.Time) placement.Request {
+	request := placement.Request{Urgency: fleetconfig.LeastUrgent, Deadline: exchange.Deadline, StartBy: latestStart(exchange, now)}
 	if exchange.Route == nil {
 		return request
 	}
@@ -225,7 +249,7 @@
 // none: a sound one, or else one that may be failing, as a last resort. Otherwise it returns
 // the picked one. The caller must hold the pool's lock.
 func (p *servicePool) preferRoom(exchange *pipeline.Exchange, tried []ingress.Candidate, picked int, now time.Time) (index int, lastResort bool) {
-	request := p.placementRequest(exchange)
+	request := p.placementRequest(exchange, now)
 	backend := p.pool.Backend(picked)
 	server := p.placementServer(&backend)
 	if _, known := server.Wait(&request, now); !known || server.HasRoom(&request, now) {
