selection: with admission by room only the ingress beside a known suspect probes it

Cause: each first attempt of an idempotent request may go to a suspect as a probe, from every ingress, while its breaker admits one at a time.

Change: where changes of state are announced, an idempotent request goes to a sound server with room, like any other. The ingress beside the suspect probes it as before.

Test: TestKnownSuspectIsProbedOnlyByItsOwnIngress, red without the change.

--- a/selection/refusals_test.go
+++ b/selection/refusals_test.go
@@ -172,3 +172,26 @@
 	_, room = selector.Room(exchange, nil, 1)
 	must.False(t, room)
 }
+
+// With admission by room all ingresses learn of a suspect, so idempotent requests go to sound
+// servers instead of probing it from everywhere.
+func TestKnownSuspectIsProbedOnlyByItsOwnIngress(t *testing.T) {
+	const servers = 3
+	selector := newTwoDomainSelector(servers)
+	document := fleetconfig.NewDocument()
+	for i := range document.Presets {
+		document.Presets[i].AdmissionByRoom = true
+	}
+	view := fleetconfig.NewView(document)
+	selector.config.View = func() *fleetconfig.View { return view }
+	must.Positive(t, shareOfDomain(t, selector, "near"))
+	// The sound servers are loaded, so that the suspects seem to be the better choice.
+	reportLoads(selector, "near", servers, membership.ServerLoad{WeightPercent: 100, InFlight: 3 * testSlots})
+	reportLoads(selector, "far", servers, membership.ServerLoad{WeightPercent: 100, FailureProbabilityPercent: 40})
+	for range 50 {
+		candidate, ok := selector.Pick(&pipeline.Exchange{Service: "catalogue", Idempotent: true}, nil)
+		must.True(t, ok)
+		must.StrHasPrefix(t, "near", string(candidate.Instance))
+		selector.Done(&ingress.Attempt{Candidate: candidate, Service: "catalogue"})
+	}
+}
--- a/selection/selector.go
+++ b/selection/selector.go
@@ -176,7 +176,9 @@
 	} else {
 		index, ok = p.pool.Pick(p.rng, &skip)
 	}
-	mayProbe := exchange.Idempotent && len(tried) == 0
+	// With announced changes of state a suspect is known on all ingresses, and the one beside
+	// it probes it; the others would only be refused.
+	mayProbe := exchange.Idempotent && len(tried) == 0 && !p.pool.KeepsReports()
 	if !ok || mayProbe || !p.suspected(index) {
 		return index, false, ok
 	}
