selection: the weight of a server that is not heard of grows as in a slow start

Cause: with admission by room, an ingress forgot the weight of a server with its other news after 3 s, and gave it its full share, though a slow start takes 15 to 30 s. Servers of another domain are heard of mostly by responses, of which one of low weight sends few, so those of a domain just taken back got their full share seconds after their first response. Without admission by room the weight stayed as it was last reported, since Pool.Set keeps it: 0 for a server that was ejected then, until a report happened to arrive.

Change: the weight is kept with the time of its report. After NewsLifetime it grows by the time since, as a share of the preset's slow start. Servers that return from an evacuation start so at returnWeight.

Result: TestWeightGrowsAsInSlowStartWithoutReports failed before.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -278,6 +278,9 @@
 	backend.Weight = weight
 }
 
+// SetWeight sets the Weight of a backend server.
+func (p *Pool) SetWeight(index int, weight float64) { p.backends[index].Weight = weight }
+
 // SetFailureProbability sets the FailureProbability of a backend server.
 func (p *Pool) SetFailureProbability(index int, probability float64) {
 	p.backends[index].FailureProbability = probability
--- a/selection/evacuation_test.go
+++ b/selection/evacuation_test.go
@@ -17,6 +17,7 @@
 	_ "github.com/hemlockring/hemlockring/internal/fixedseed"
 	"github.com/hemlockring/hemlockring/membership"
 	"github.com/hemlockring/hemlockring/pipeline"
+	"github.com/hemlockring/hemlockring/placement"
 )
 
 // evacuationWorld is a selector whose membership and configuration a test changes.
@@ -148,6 +149,37 @@
 	must.Eq(t, []fleetconfig.FailureDomain{"1"}, world.selector.evacuatedDomains(now))
 }
 
+// A server whose weight was low when it was last heard of is neither kept away for good nor sent
+// its full share at once: an ingress of another domain may hear of it again only when it sends a
+// request there.
+func TestWeightGrowsAsInSlowStartWithoutReports(t *testing.T) {
+	for _, byRoom := range []bool{false, true} {
+		for _, reported := range []uint8{0, 10} {
+			world := newEvacuationWorld(1, 1)
+			document := fleetconfig.NewDocument()
+			for i := range document.Presets {
+				document.Presets[i].AdmissionByRoom = byRoom
+			}
+			world.view = fleetconfig.NewView(document)
+			slowStart := world.view.ActivePreset().SlowStart
+			world.selector.Pick(&pipeline.Exchange{Service: "catalogue"}, nil)
+			world.selector.HandleLoadReports("d1-000", []membership.ServerLoad{{Server: "d1-000", WeightPercent: reported}})
+			heard := clock.Now()
+			service := world.selector.service("catalogue")
+			weightAfter := func(unheard time.Duration) float64 {
+				world.snapshot = gossip.NewSnapshot(world.snapshot.Self, world.snapshot.Members)
+				world.selector.refresh(service, "catalogue", heard.Add(placement.NewsLifetime+unheard))
+				index, _ := service.pool.Find(balance.BackendID{Instance: "d1-000", Server: "d1-000"})
+				return service.pool.Backend(index).Weight
+			}
+			start := float64(reported) / percent
+			must.InDelta(t, start, weightAfter(0), 0.01)
+			must.InDelta(t, start+0.5, weightAfter(slowStart/2), 0.01)
+			must.Eq(t, 1, weightAfter(slowStart))
+		}
+	}
+}
+
 // The servers of a domain that is taken back start at a low weight, until their proxies report
 // another one. News of the membership does not change it.
 func TestServersReturnFromEvacuationAtLowWeight(t *testing.T) {
--- a/selection/selector.go
+++ b/selection/selector.go
@@ -75,12 +75,28 @@
 	rng         *rand.Rand
 }
 
-// failureEstimate is the failure probability of a backend server as of its last report.
+// failureEstimate is the failure probability and the weight of a backend server as of its last
+// report.
 type failureEstimate struct {
 	probability float64
+	weight      float64
 	reportedAt  time.Time
 }
 
+// weightAt returns the weight as far as is known. Without further reports it grows as during a
+// slow start, so that a server that is back in service is tried again, and not at once with its
+// full share.
+func (e *failureEstimate) weightAt(now time.Time, slowStart time.Duration) float64 {
+	unheard := now.Sub(e.reportedAt) - placement.NewsLifetime
+	switch {
+	case unheard <= 0:
+		return e.weight
+	case slowStart <= 0:
+		return 1
+	}
+	return min(1, e.weight+float64(unheard)/float64(slowStart))
+}
+
 // New returns a selector.
 func New(config Config) *Selector {
 	return &Selector{
@@ -286,9 +302,10 @@
 	if !found {
 		return
 	}
-	p.pool.UpdateLoad(index, load.InFlight, float64(load.WeightPercent)/percent)
+	weight := float64(load.WeightPercent) / percent
+	p.pool.UpdateLoad(index, load.InFlight, weight)
 	p.recordNews(index, id, load, now)
-	reported := failureEstimate{probability: float64(load.FailureProbabilityPercent) / percent, reportedAt: now}
+	reported := failureEstimate{probability: float64(load.FailureProbabilityPercent) / percent, weight: weight, reportedAt: now}
 	p.failureEstimates[id] = reported
 	p.pool.SetFailureProbability(index, health.ExcessFailureProbability(reported.probability))
 	p.endHoldOnReport(index, id, reported.probability, load.WeightPercent, now)
@@ -323,6 +340,7 @@
 	if snapshot != service.snapshot || !slices.Equal(evacuated, service.evacuated) {
 		service.hosted = subset(snapshot, name, evacuated)
 		service.pool.Set(poolBackends(snapshot, service.hosted, service.evacuated))
+		service.beginReturn(now)
 		service.snapshot, service.evacuated = snapshot, evacuated
 	} else if now.Sub(service.refreshedAt) < refreshInterval {
 		return
@@ -334,17 +352,29 @@
 	}
 	service.dropStatements(now)
 	service.forgetOldNews(now)
-	service.decayFailureProbabilities(now)
+	service.ageEstimates(s.config.View().ActivePreset().SlowStart, now)
+}
+
+// beginReturn starts the weights of the servers whose domain was evacuated until now. The caller
+// must hold the pool's lock.
+func (p *servicePool) beginReturn(now time.Time) {
+	for _, hosted := range p.hosted {
+		id := hostedID(hosted)
+		if _, known := p.failureEstimates[id]; !known && inDomains(hosted, p.evacuated) {
+			p.failureEstimates[id] = failureEstimate{weight: returnWeight, reportedAt: now}
+		}
+	}
 }
 
-// decayFailureProbabilities updates the pool with the failure probabilities, each decayed
-// over the time since its server's last report. It also drops the state of servers that
-// have left the pool.
-func (p *servicePool) decayFailureProbabilities(now time.Time) {
+// ageEstimates updates the pool with the failure probabilities, each decayed over the time since
+// its server's last report, and with the weights. It also drops the state of servers that have
+// left the pool.
+func (p *servicePool) ageEstimates(slowStart time.Duration, now time.Time) {
 	for i := range p.pool.Len() {
 		id := p.pool.Backend(i).ID
 		if known, found := p.failureEstimates[id]; found {
 			p.pool.SetFailureProbability(i, health.ExcessFailureProbability(health.DecayedFailureProbability(known.probability, now.Sub(known.reportedAt))))
+			p.pool.SetWeight(i, known.weightAt(now, slowStart))
 		}
 	}
 	for id := range p.failureEstimates {
