Quota slack grows with the account; repeated errors after work are strong evidence

Also: the review showed that a server which fails half of its requests after work was hardly ever suspect; a second such error within five results now counts as an immediate one.

--- a/fleetconfig/document.go
+++ b/fleetconfig/document.go
@@ -254,6 +254,11 @@
 	// while earlier requests are still running. Without it, an account with slow
 	// responses cannot reach its rate.
 	QuotaSlack uint32 `cbor:"10,keyasint,omitempty" json:"quota_slack,omitempty"`
+	// QuotaSlackPercent adds to QuotaSlack a share, in percent, of what an account may run in
+	// QuotaWindow. A large account has more requests running than a small one.
+	QuotaSlackPercent float64 `cbor:"17,keyasint,omitempty" json:"quota_slack_percent,omitempty"`
+	// QuotaWindow is the time that QuotaSlackPercent refers to.
+	QuotaWindow time.Duration `cbor:"18,keyasint,omitempty" json:"quota_window,omitempty"`
 	// RateOveragePercent is by how much the rate that a backend server advertises may
 	// be exceeded, in percent of it, for requests that no other backend server can run
 	// at once. With zero such requests are refused.
--- a/fleetconfig/validate.go
+++ b/fleetconfig/validate.go
@@ -33,6 +33,9 @@
 	maxRetryWindow      = 10 * time.Minute
 	maxColdStart        = time.Hour
 	maxColdOverage      = 100
+	maxQuotaWindow      = time.Minute
+
+	maxQuotaSlackPercent = 100
 )
 
 // Validate returns the faults of a document: the first MaxFaults and, if there are
@@ -219,6 +222,11 @@
 		c.add(subject, "quota_slack", fmt.Sprintf("%d is out of range", preset.QuotaSlack),
 			fmt.Sprintf("use 0 to %d requests", maxBurst))
 	}
+	if !(preset.QuotaSlackPercent >= 0 && preset.QuotaSlackPercent <= maxQuotaSlackPercent) {
+		c.add(subject, "quota_slack_percent", fmt.Sprintf("%g is out of range", preset.QuotaSlackPercent),
+			fmt.Sprintf("use 0 to %d percent", maxQuotaSlackPercent))
+	}
+	c.duration(subject, "quota_window", preset.QuotaWindow, maxQuotaWindow)
 	if preset.QueueLength > maxQueueLength {
 		c.add(subject, "queue_length", fmt.Sprintf("%d is out of range", preset.QueueLength),
 			fmt.Sprintf("use 0 to %d requests", maxQueueLength))
--- a/health/breaker.go
+++ b/health/breaker.go
@@ -26,6 +26,9 @@
 	// minWorkTime is the average latency below which work and immediate errors cannot be told
 	// apart.
 	minWorkTime = 40 * time.Millisecond
+	// repeatedErrorWithin is the number of results within which a second error after work counts
+	// as an immediate one: single errors are a few in a hundred.
+	repeatedErrorWithin = 5
 )
 
 // BreakerRequest describes a request to a Breaker.
@@ -60,11 +63,14 @@
 	// probeInterval is the current minimum time between probes.
 	probeInterval time.Duration
 	shedding      sheddingEstimate
+	// sinceError is the number of good results since the last server error, up to
+	// repeatedErrorWithin.
+	sinceError int
 }
 
 // NewBreaker returns the breaker of a server without recorded outcomes.
 func NewBreaker(now time.Time) *Breaker {
-	return &Breaker{estimator: NewFailureEstimator(now), inFlight: make(map[*Admission]struct{}), probeInterval: minProbeInterval}
+	return &Breaker{estimator: NewFailureEstimator(now), inFlight: make(map[*Admission]struct{}), probeInterval: minProbeInterval, sinceError: repeatedErrorWithin}
 }
 
 // Admit admits a request, or returns nil if the request should go to another server.
@@ -106,10 +112,13 @@
 	switch result {
 	case ResultOK:
 		b.probeInterval = minProbeInterval
+		b.sinceError = min(b.sinceError+1, repeatedErrorWithin)
 		b.estimator.Observe(false, now)
 		b.recordLatency(now.Sub(admission.began))
 	case ResultServerError:
-		if b.averageLatency >= minWorkTime && now.Sub(admission.began) >= time.Duration(immediateErrorShare*float64(b.averageLatency)) {
+		repeated := b.sinceError < repeatedErrorWithin
+		b.sinceError = 0
+		if !repeated && b.followedWork(now.Sub(admission.began)) {
 			b.recordErrorAfterWork(admission, now)
 			return
 		}
@@ -142,6 +151,12 @@
 // each of them is as good as another.
 func (b *Breaker) SheddingShare(now time.Time) float64 { return b.shedding.at(now) }
 
+// followedWork reports whether a server error that came after the given time followed the usual
+// work.
+func (b *Breaker) followedWork(took time.Duration) bool {
+	return b.averageLatency >= minWorkTime && took >= time.Duration(immediateErrorShare*float64(b.averageLatency))
+}
+
 func (b *Breaker) recordErrorAfterWork(admission *Admission, now time.Time) {
 	if admission.failureRecorded {
 		return
--- a/health/breaker_evidence_test.go
+++ b/health/breaker_evidence_test.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -63,3 +64,29 @@
 	finish(breaker, ResultCanceled, time.Millisecond, &now)
 	must.Between(t, 0.35, breaker.SheddingShare(now), 0.65)
 }
+
+// A server that fails half of its requests after the usual work is suspect most of the time, one
+// that fails one in a hundred seldom.
+func TestBreakerSuspectsServerWithManyErrorsAfterWork(t *testing.T) {
+	suspectShare := func(errorShare float64) float64 {
+		random := rand.New(rand.NewPCG(1, 2))
+		now := time.Unix(1_000_000, 0)
+		breaker := breakerWithWork(&now)
+		const requests = 2000
+		suspect := 0
+		for range requests {
+			result := ResultOK
+			if random.Float64() < errorShare {
+				result = ResultServerError
+			}
+			finish(breaker, result, 400*time.Millisecond, &now)
+			if !breaker.Admits(BreakerRequest{}, now) {
+				suspect++
+			}
+		}
+		return float64(suspect) / requests
+	}
+	must.Greater(t, 0.6, suspectShare(0.5))
+	must.Greater(t, 0.9, suspectShare(0.8))
+	must.Less(t, 0.01, suspectShare(0.012))
+}
--- a/health/failure_estimator.go
+++ b/health/failure_estimator.go
@@ -14,9 +14,8 @@
 	// normalErrorRate is the share of requests that fail outside failing phases, from
 	// faults of single requests.
 	normalErrorRate = 0.02
-	// errorAfterWorkRatio is how much more frequent errors after the usual work are during a
-	// failing phase than outside. With it, two such errors in a row make a server without
-	// other evidence suspect.
+	// errorAfterWorkRatio is how much more frequent single errors after the usual work are during
+	// a failing phase than outside. With it, one such error makes no server suspect.
 	errorAfterWorkRatio = 1.5
 	// failureOnsetRate and recoveryRate are the rates at which failing phases begin and
 	// end, per second.
@@ -83,9 +82,8 @@
 	e.update(1-failingErrorRate, 1-normalErrorRate, now)
 }
 
-// ObserveErrorAfterWork updates the estimate with a server error that followed the usual work.
-// One says little, since such errors occur outside failing phases too; more in a row say that
-// the server is failing.
+// ObserveErrorAfterWork updates the estimate with a single server error that followed the usual
+// work. It says little, since such errors occur outside failing phases too.
 func (e *FailureEstimator) ObserveErrorAfterWork(now time.Time) {
 	e.update(errorAfterWorkRatio*normalErrorRate, normalErrorRate, now)
 }
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -13,7 +13,7 @@
 	// Burst is the capacity of the bucket.
 	Burst uint32
 	// Slack is how many lent tokens do not count against the burst. It comes from the
-	// active preset (Preset.QuotaSlack).
+	// active preset (Preset.QuotaSlack and QuotaSlackPercent).
 	Slack uint32
 }
 
@@ -35,9 +35,21 @@
 	if account == nil {
 		return Limits{}
 	}
-	return Limits{RatePerSecond: max(account.RatePerSecond, 0), Burst: account.Burst, Slack: view.ActivePreset().QuotaSlack}
+	limits := Limits{RatePerSecond: max(account.RatePerSecond, 0), Burst: account.Burst}
+	limits.Slack = slackOf(limits, view.ActivePreset())
+	return limits
 }
 
+// slackOf returns the slack that a preset gives an account with the limits.
+func slackOf(limits Limits, preset *fleetconfig.Preset) uint32 {
+	const percent = 100
+	perWindow := limits.RatePerSecond*preset.QuotaWindow.Seconds() + float64(limits.Burst)
+	return preset.QuotaSlack + uint32(min(preset.QuotaSlackPercent/percent*perWindow, maxSlack))
+}
+
+// maxSlack bounds the part of the slack that grows with an account's limits.
+const maxSlack = 1 << 20
+
 // Durations of the protocol between borrowers and owners.
 const (
 	// MaxTokenLifetime is the longest lifetime of a lent token.
--- a/quota/simulation_test.go
+++ b/quota/simulation_test.go
@@ -130,7 +130,7 @@
 		document.Accounts = append(document.Accounts, fleetconfig.Account{ID: account, RatePerSecond: rate, Burst: burst})
 	}
 	if slack := []uint32{0, 0, 1, 10}[s.draw("slack", 4)]; slack > 0 {
-		document.Presets = []fleetconfig.Preset{{Name: "slack", QuotaSlack: slack}}
+		document.Presets = []fleetconfig.Preset{{Name: "slack", QuotaSlack: slack, QuotaSlackPercent: []float64{0, 4}[s.draw("slack percent", 2)], QuotaWindow: 5 * time.Second}}
 		document.ActivePreset = "slack"
 	}
 	s.views = append(s.views, fleetconfig.NewView(document))
