ingress: a truncated response resets the connection of a caller with HTTP/1.0

Cause: a body to an HTTP/1.0 caller ends with the connection. The ingress aborted a truncated response by closing the connection in order, so the caller took the part for the whole body; with TLS a close notice went out too.

Change: the ingress has the caller's TCP connection reset before the abort. Callers with later versions see the missing end of chunks, or RST_STREAM, as before.

Before: TestTruncatedResponseResetsConnectionOfOldCaller reads "200 OK ... ok" to a clean end. After: passes, -race -count=3. Not covered by a test: TLS.

--- a/ingress/proxy.go
+++ b/ingress/proxy.go
@@ -69,6 +69,8 @@
 	// EndReads makes the connection serve no further request: its reads fail, and it is
 	// closed once the response has been sent.
 	EndReads()
+	// Abort resets the connection.
+	Abort()
 }
 
 // Proxy is the http.Handler that serves callers. It is safe for concurrent use.
@@ -128,6 +130,7 @@
 		p.refuse(exchange, err)
 	}
 	if exchange.Truncated {
+		p.abortConnection(request)
 		panic(http.ErrAbortHandler)
 	}
 	if drainUnread && !drainBody(w, request) && p.config.CallerConnection != nil {
@@ -135,6 +138,14 @@
 	}
 }
 
+// abortConnection resets the connection of a caller with HTTP/1.0, whose response is about to be
+// aborted. Its body ends with the connection and would seem complete.
+func (p *Proxy) abortConnection(request *http.Request) {
+	if p.config.CallerConnection != nil && request.ProtoMajor == 1 && request.ProtoMinor == 0 {
+		p.config.CallerConnection(request).Abort()
+	}
+}
+
 // drainBody flushes the response and reads the rest of the request body, up to
 // maxDrainBytes and maxDrainTime. It reports whether it has reached the end. If not, the
 // connection must serve no further request. With full-duplex responses, net/http reads on after
--- a/node/callerconns.go
+++ b/node/callerconns.go
@@ -65,6 +65,14 @@
 	c.readsEnded = true
 }
 
+// Abort implements ingress.CallerConnection. With TLS it sends no notice of the end either.
+func (c *callerConn) Abort() {
+	if conn, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = conn.SetLinger(0)
+	}
+	_ = c.Conn.Close() // Nothing can be done about an error.
+}
+
 // serves reports whether the connection may serve a further request.
 func (c *callerConn) serves() bool {
 	c.mu.Lock()
@@ -209,6 +217,9 @@
 // EndReads implements ingress.CallerConnection.
 func (untrackedConn) EndReads() {}
 
+// Abort implements ingress.CallerConnection.
+func (untrackedConn) Abort() {}
+
 func positiveOr(value, fallback time.Duration) time.Duration {
 	if value > 0 {
 		return value
--- a/node/earlyanswer_test.go
+++ b/node/earlyanswer_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -19,8 +20,8 @@
 )
 
 // startEarlyBackend starts a backend server that sends the answer to each request after it has
-// read the head and some KiB of the body, more for each further request, and ends the connection:
-// with a reset, or with an orderly end that the upload then meets.
+// read the head and some KiB of the body, more for each further request, and ends the
+// connection: with a reset, or with an orderly end that the upload then meets.
 func startEarlyBackend(t *testing.T, answer string, reset bool) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -93,3 +94,21 @@
 		t.Logf("reset %v: %d of %d answers passed on in part", reset, parts.Load(), uploads)
 	}
 }
+
+// Guards against a truncated body that a caller with HTTP/1.0 takes for complete, since the end of the connection ends it.
+func TestTruncatedResponseResetsConnectionOfOldCaller(t *testing.T) {
+	t.Parallel()
+	fleet := startFleet(t, 2, emulator.Config{})
+	fleet.announceRaw(t, 0, startEarlyBackend(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", false))
+	for i := range 8 {
+		conn, err := net.Dial("tcp", fleet.layout.Instances[i%2].CallerAddress)
+		must.NoError(t, err)
+		must.NoError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
+		_, err = io.WriteString(conn, "GET /open HTTP/1.0\r\nHost: a.example\r\n\r\n")
+		must.NoError(t, err)
+		received, err := io.ReadAll(conn)
+		refused := strings.HasPrefix(string(received), "HTTP/1.0 502") // The connection broke before the head was sent.
+		must.Eq(t, refused, err == nil, must.Sprintf("%q", received))
+		must.NoError(t, conn.Close())
+	}
+}
