ingress: a response through another instance does not wait for the rest of the caller's upload

Cause: replayBody held its mutex during reads of the caller's body. When the response of another instance came, the ingress asked replayBody.readError first, and so waited until the caller sent more. A caller that waits for the response before it sends the rest got nothing: neither the response nor its abort. A server at the caller's own instance wasn't affected.

Change: reads have a mutex of their own. An attempt that follows one whose read is still under way may find that the body is no longer buffered; its body then ends with an error instead of starting in the middle.

Before: TestResponseReachesCallerThatPausesItsUpload times out (5 s) at the other instance. After: passes, -count=3; go test ./node ./ingress passes.

--- a/ingress/replaybody.go
+++ b/ingress/replaybody.go
@@ -14,6 +14,10 @@
 // attempt.
 const maxReplayBytes = 64 << 10
 
+// errBodyNotBuffered ends the body of an attempt if an earlier attempt, which went on reading,
+// has read more than can be buffered.
+var errBodyNotBuffered = errors.New("an earlier attempt has read a part of the body that is not buffered")
+
 // replayBody reads the body of a caller's request and buffers up to maxReplayBytes
 // of it, so that the request can be sent to another backend server.
 type replayBody struct {
@@ -23,9 +27,14 @@
 	// HTTP/1.1, net/http adds all received fields to it.
 	trailer http.Header
 
-	// mu guards the fields below and reads of the caller's body.
+	// reading is held during reads of the caller's body, which may take as long as the
+	// caller likes. It is locked before mu.
+	reading sync.Mutex
+	// mu guards the fields below.
 	mu       sync.Mutex
 	buffered []byte
+	// consumed is how many bytes were read from the caller's body.
+	consumed int
 	// tooLarge says that the body exceeded maxReplayBytes, so it cannot be read
 	// again.
 	tooLarge bool
@@ -78,26 +87,49 @@
 	if a.closed.Load() {
 		return 0, http.ErrBodyReadAfterClose
 	}
+	a.shared.reading.Lock()
+	defer a.shared.reading.Unlock()
+	if n, err := a.readShared(buffer); n > 0 || err != nil {
+		return n, err
+	}
+	n, err := a.shared.request.Body.Read(buffer)
 	a.shared.mu.Lock()
 	defer a.shared.mu.Unlock()
-	if !a.shared.tooLarge && a.offset < len(a.shared.buffered) {
-		n := copy(buffer, a.shared.buffered[a.offset:])
-		a.offset += n
+	a.shared.bufferForReplay(buffer[:n])
+	a.shared.consumed += n
+	a.shared.err = err
+	a.offset += n
+	if n > 0 {
 		return n, nil
 	}
-	if a.shared.err == nil {
-		n, err := a.shared.request.Body.Read(buffer)
-		a.shared.bufferForReplay(buffer[:n])
-		a.shared.err = err
+	return 0, a.end()
+}
+
+// readShared reads what was read from the caller before, or the error that ended its body. It
+// returns neither if the caller's body must be read. The caller holds shared.reading.
+func (a *attemptBody) readShared(buffer []byte) (int, error) {
+	a.shared.mu.Lock()
+	defer a.shared.mu.Unlock()
+	switch {
+	case !a.shared.tooLarge && a.offset < len(a.shared.buffered):
+		n := copy(buffer, a.shared.buffered[a.offset:])
 		a.offset += n
-		if n > 0 {
-			return n, nil
-		}
+		return n, nil
+	case a.offset < a.shared.consumed:
+		return 0, errBodyNotBuffered
+	case a.shared.err != nil:
+		return 0, a.end()
 	}
+	return 0, nil
+}
+
+// end returns the error that ended the caller's body. At its normal end, the trailer is set.
+// The caller holds shared.mu.
+func (a *attemptBody) end() error {
 	if errors.Is(a.shared.err, io.EOF) {
 		a.copyTrailer()
 	}
-	return 0, a.shared.err
+	return a.shared.err
 }
 
 func (a *attemptBody) copyTrailer() {
--- a/ingress/replaybody_test.go
+++ b/ingress/replaybody_test.go
@@ -37,3 +37,18 @@
 		must.Eq(t, content, got)
 	})
 }
+
+// Guards against an attempt that gets the body without its begin, because an earlier one has read on beyond the buffer.
+func TestReplayBodyWithoutBeginIsNotRead(t *testing.T) {
+	body := newReplayBody(&http.Request{Body: io.NopCloser(bytes.NewReader(make([]byte, maxReplayBytes+2)))})
+	earlier, _ := body.open()
+	_, err := io.CopyN(io.Discard, earlier, maxReplayBytes)
+	must.NoError(t, err)
+	must.True(t, body.canReplay())
+	later, _ := body.open()
+	_, err = io.ReadFull(earlier, make([]byte, 1))
+	must.NoError(t, err)
+	n, err := later.Read(make([]byte, 8))
+	must.Zero(t, n)
+	must.ErrorIs(t, err, errBodyNotBuffered)
+}
--- a/node/earlyanswer_test.go
+++ b/node/earlyanswer_test.go
@@ -112,3 +112,42 @@
 		must.NoError(t, conn.Close())
 	}
 }
+
+// Guards against a response that waits for a caller which waits for the response before it sends the rest of its body.
+func TestResponseReachesCallerThatPausesItsUpload(t *testing.T) {
+	t.Parallel()
+	fleet := startFleet(t, 2, emulator.Config{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+					time.Sleep(100 * time.Millisecond)
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+			}()
+		}
+	}()
+	fleet.announceRaw(t, 0, listener.Addr().String())
+	for instance := range 2 {
+		conn, err := net.Dial("tcp", fleet.layout.Instances[instance].CallerAddress)
+		must.NoError(t, err)
+		must.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+		_, err = io.WriteString(conn, "POST /open HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n")
+		must.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		must.NoError(t, err, must.Sprint(instance))
+		must.Eq(t, http.StatusOK, response.StatusCode)
+		_, err = io.ReadAll(response.Body)
+		must.ErrorIs(t, err, io.ErrUnexpectedEOF)
+		must.NoError(t, conn.Close())
+	}
+}
