Load reports leave the failure domain once in place of eight times and are relayed there

Cause: every report, five a second, went to one random instance of another failure domain; in a domain of 35 each instance heard of a server once in 14 s on average for 400 bytes a second and server between domains.

Change: a report to another domain is relayed inside it, as announcements are, and replaces as many as it reaches less one (at most eight). A domain with one or two receivers gets them as before. SeqNo is not encoded when zero.

The test fails on the code before (2000 <= 253). go test ./membership ./gossip ./selection passes.

--- a/membership/load.go
+++ b/membership/load.go
@@ -63,12 +63,14 @@
 }
 
 // Fan-out of load reports. The driver reports the loads several times a second. Each
-// report goes to random instances, most of them in the same failure domain, so that
-// instances of other failure domains receive the loads less often. The limits bound
-// what an instance sends, whatever the size of the fleet.
+// report goes to random instances of the same failure domain. To others, where bytes are
+// dear, it goes in place of several that would each reach one instance there: the receiver
+// relays it inside its domain. The limits bound what an instance sends, whatever the size of
+// the fleet.
 const (
 	// sameDomainReports and otherDomainReports are the numbers of instances of the
-	// sender's and of other failure domains that receive each report.
+	// sender's and of other failure domains that receive a report. A relayed report is passed
+	// on to sameDomainReports instances.
 	sameDomainReports  = 8
 	otherDomainReports = 1
 	// maxReportedServers bounds the backend servers in a report, so that it fits
@@ -89,5 +91,38 @@
 		Loads: loads[:min(len(loads), maxReportedServers)],
 	}
 	envelopes := s.reportTo(&message, sameDomainReports, func(domain fleetconfig.FailureDomain) bool { return domain == own })
-	return append(envelopes, s.reportTo(&message, otherDomainReports, func(domain fleetconfig.FailureDomain) bool { return domain != own })...)
+	return append(envelopes, s.reportToOther(&message)...)
 }
+
+// reportToOther returns the envelopes with which a load report leaves the failure domain, if it
+// does: an instance of another failure domain is picked, and one in reportsPerRelay of the reports
+// that would go to the domain is sent.
+func (s *State) reportToOther(report *Message) []Envelope {
+	own := s.members[s.self].Record.FailureDomain
+	sizes := make(map[fleetconfig.FailureDomain]int)
+	for _, member := range s.members {
+		if s.receivesLoads(member) {
+			sizes[member.Record.FailureDomain]++
+		}
+	}
+	var envelopes []Envelope
+	for _, receiver := range s.randomMembers(otherDomainReports, func(m *Member) bool { return s.receivesLoads(m) && m.Record.FailureDomain != own }) {
+		domain := receiver.Record.FailureDomain
+		if s.withheldReports[domain] > 0 {
+			s.withheldReports[domain]--
+			continue
+		}
+		replaced := reportsPerRelay(sizes[domain])
+		s.withheldReports[domain] = replaced - 1
+		sent := *report
+		sent.Relay = replaced > 1
+		envelopes = append(envelopes, Envelope{Address: receiver.Record.Address, Message: sent})
+	}
+	return envelopes
+}
+
+// reportsPerRelay returns how many reports to single instances of a failure domain a relayed one
+// replaces, given the number of instances there that receive reports. It is one less than the
+// instances that a relayed report reaches, so that they receive no fewer reports although the
+// relay may fail.
+func reportsPerRelay(receivers int) int { return max(1, min(receivers, sameDomainReports+1)-1) }
--- a/membership/load_test.go
+++ b/membership/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -105,3 +106,55 @@
 	must.LessEq(t, 5*announcedReports+1, announced)
 	must.GreaterEq(t, 4*announcedReports, announced)
 }
+
+// Instances of other failure domains receive at least as many load reports as when each report
+// went to one of them, whatever the sizes of the domains, while far fewer leave the sender's.
+func TestReportsToOtherDomainsAreRelayed(t *testing.T) {
+	const reports = 2000
+	for _, sizes := range [][]int{{1, 1}, {1, 2}, {4, 1, 30}, {8, 8, 8}, {35, 35, 35}} {
+		now := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+		states := make(map[string]*State)
+		for domain, size := range sizes {
+			for i := range size {
+				id := fmt.Sprintf("%d-%02d", domain, i)
+				states[id] = New(Config{}, loadRecord(id, domain), nil, rand.New(rand.NewPCG(uint64(domain), uint64(i))), now)
+			}
+		}
+		total := 0
+		for _, state := range states {
+			for domain, size := range sizes {
+				for i := range size {
+					state.MergeUpdates([]Update{{Record: loadRecord(fmt.Sprintf("%d-%02d", domain, i), domain)}}, now)
+				}
+			}
+		}
+		for _, size := range sizes[1:] {
+			total += size
+		}
+		received, between := make(map[int]int), 0
+		for range reports {
+			for _, envelope := range states["0-00"].ReportLoads([]ServerLoad{{Server: "s"}}) {
+				if envelope.Address[0] == '0' {
+					continue
+				}
+				between++
+				domain := int(envelope.Address[0] - '0')
+				received[domain] += 1 + len(states[envelope.Address].RelayLoads(&envelope.Message))
+			}
+		}
+		for domain, size := range sizes {
+			if domain > 0 {
+				// Which domain is picked is random: allow three standard deviations.
+				must.GreaterEq(t, reports*size/total-3*45, received[domain])
+			}
+		}
+		t.Logf("domains of %v: %d of %d reports cross, received by domain %v", sizes, between, reports, received)
+		if slices.Min(sizes) > sameDomainReports {
+			must.LessEq(t, reports/sameDomainReports+len(sizes), between)
+		}
+	}
+}
+
+func loadRecord(id string, domain int) Record {
+	return Record{ID: fleetconfig.InstanceID(id), Incarnation: 1, Address: id, FailureDomain: fleetconfig.FailureDomain(fmt.Sprint(domain)), Proxy: true}
+}
--- a/membership/message.go
+++ b/membership/message.go
@@ -31,8 +31,8 @@
 	Kind MessageKind `cbor:"1,keyasint"`
 	// From is the sender.
 	From fleetconfig.InstanceID `cbor:"2,keyasint"`
-	// SeqNo matches an answer to its request.
-	SeqNo uint64 `cbor:"3,keyasint"`
+	// SeqNo matches an answer to its request. It is not set in a LoadReport or Payload.
+	SeqNo uint64 `cbor:"3,keyasint,omitempty"`
 	// Target is the instance to ping in a PingRequest, and the one that answered
 	// in an IndirectAck. In a Ping and an Ack it is the receiver, or empty if its
 	// ID is not known.
--- a/membership/state.go
+++ b/membership/state.go
@@ -90,6 +90,9 @@
 	lastSeqNo  uint64
 	probe      *probe
 	relays     []relay
+	// withheldReports is how many of the next load reports to each failure domain the last
+	// relayed one replaces.
+	withheldReports map[fleetconfig.FailureDomain]int
 }
 
 // New returns the state of an instance that knows only itself and the addresses of
@@ -108,6 +111,8 @@
 		incarnation: self.Incarnation,
 		startedAt:   now,
 		lastEventAt: now,
+
+		withheldReports: make(map[fleetconfig.FailureDomain]int),
 	}
 	state.members[self.ID] = &Member{Record: self, LivenessChangedAt: now}
 	return state
