Records that a fleet's start has spread are no longer sent between failure domains

Cause: each instance sends each record that is new to it up to 4 times per decimal digit of the fleet's size, and after the start of a fleet all records are new to all. Digest exchanges have spread them within seconds, but full datagrams went on for a minute.

Change: once an instance finds another one in sync, updates older than the time in which an update is usually sent that often go only to instances of its own failure domain. An update that is sent at once, as any change of a running fleet, is not affected. Inside the domain records are sent as before; the uptimes in them stay known.

--- a/gossip/service.go
+++ b/gossip/service.go
@@ -310,6 +310,9 @@
 		return errors.Wrap(err, "compare fingerprints")
 	}
 	if reply.InSync {
+		s.mu.Lock()
+		s.state.HandleInSync(clock.Now())
+		s.mu.Unlock()
 		return nil
 	}
 	s.mu.Lock()
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -111,6 +111,7 @@
 	s.MergeUpdates(request.Updates, now)
 	own := s.BucketFingerprints()
 	if request.Fingerprint == combineFingerprints(own) {
+		s.settle(now)
 		return &DigestReply{InSync: true}
 	}
 	reply := &DigestReply{}
@@ -144,6 +145,13 @@
 	return reply
 }
 
+// HandleInSync is called when the reply to a FingerprintRequest is that there is nothing to
+// exchange.
+func (s *State) HandleInSync(now time.Time) {
+	s.lastEventAt = now
+	s.settle(now)
+}
+
 // isOutdatedBy reports whether the entry is newer than what this instance knows of
 // the member.
 func (s *State) isOutdatedBy(entry DigestEntry) bool {
--- a/membership/dissemination.go
+++ b/membership/dissemination.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/hemlockring/hemlockring/fleetconfig"
 )
@@ -17,6 +18,9 @@
 	// retransmitFactor is the number of times that each update is sent, per
 	// decimal digit of the fleet's size.
 	retransmitFactor = 4
+	// messagesPerPeriod is the number of messages with updates that an instance sends on
+	// average in a probe period: a ping and an answer.
+	messagesPerPeriod = 2
 )
 
 // newEnvelope addresses a message and adds the updates that have been sent least
@@ -29,9 +33,9 @@
 		message.Incarnation, message.UptimeMillis = own.Incarnation, uint64(elapsed.Milliseconds())
 	}
 	if s.maybeUnknownTo(message.Target) && estimatedBytes(&own) <= maxUpdateBytes {
-		message.Updates = append(s.selectUpdates(message.Target, estimatedBytes(&own)), s.newUpdate(s.members[s.self]))
+		message.Updates = append(s.selectUpdates(message.Target, s.isFar(address), estimatedBytes(&own)), s.newUpdate(s.members[s.self]))
 	} else {
-		message.Updates = s.selectUpdates(message.Target, 0)
+		message.Updates = s.selectUpdates(message.Target, s.isFar(address), 0)
 	}
 	return Envelope{Address: address, Message: message}
 }
@@ -51,17 +55,42 @@
 	return recordBytes + len(record.Servers)*serverBytes
 }
 
-// selectUpdates returns the updates to send to the receiver that fit in a datagram
-// in addition to the reserved bytes. A suspicion of the receiver comes first, so
+// isFar reports whether the instance at an address is known to be in another failure domain.
+func (s *State) isFar(address string) bool {
+	for _, member := range s.members {
+		if member.Record.Address == address {
+			return member.Record.FailureDomain != s.members[s.self].Record.FailureDomain
+		}
+	}
+	return false
+}
+
+// transmissionLimit returns how often each update is sent.
+func (s *State) transmissionLimit() int { return retransmitFactor * decimalDigits(len(s.members)) }
+
+// settle is called when another instance has proved to know all that this one knows. Updates
+// that are older than the time in which an update is usually sent transmissionLimit times are
+// no longer sent to other failure domains. Only updates that do not fit in the datagrams of that
+// time are left then, as those of all instances after the start of a fleet.
+func (s *State) settle(now time.Time) {
+	spread := time.Duration(s.transmissionLimit()) * s.config.ProbePeriod / messagesPerPeriod
+	for _, member := range s.members {
+		member.settled = member.settled || now.Sub(member.updatedAt) >= spread
+	}
+}
+
+// selectUpdates returns the updates to send to the receiver, which may be far (isFar), that fit
+// in a datagram in addition to the reserved bytes. A suspicion of the receiver comes first, so
 // that the receiver can refute it. newEnvelope passes Message.Target as the
 // receiver, although in a PingRequest and in an IndirectAck Message.Target is not
 // the instance that receives the message.
-func (s *State) selectUpdates(receiver fleetconfig.InstanceID, reserved int) []Update {
-	limit := retransmitFactor * decimalDigits(len(s.members))
+func (s *State) selectUpdates(receiver fleetconfig.InstanceID, far bool, reserved int) []Update {
+	limit := s.transmissionLimit()
 	candidates := make([]*Member, 0, len(s.members))
 	for _, member := range s.members {
 		suspectedReceiver := member.Record.ID == receiver && member.Liveness != Alive
-		if member.transmissions < limit || suspectedReceiver {
+		pending := member.transmissions < limit && (!far || !member.settled)
+		if pending || suspectedReceiver {
 			candidates = append(candidates, member)
 		}
 	}
--- a/membership/simulation_test.go
+++ b/membership/simulation_test.go
@@ -40,6 +40,8 @@
 	blocked  map[link]bool
 	loss     float64
 	starts   uint64
+	// onSend observes the messages that are sent, or is nil.
+	onSend func(*Envelope)
 }
 
 func newSimulation(seed uint64, n int) *simulation {
@@ -79,6 +81,9 @@
 
 func (s *simulation) send(envelopes []Envelope) {
 	for _, envelope := range envelopes {
+		if s.onSend != nil {
+			s.onSend(&envelope)
+		}
 		copies := 1
 		if s.random.Float64() < s.loss/4 {
 			copies = 2
--- a/membership/state.go
+++ b/membership/state.go
@@ -59,9 +59,11 @@
 
 	// leftAt is when this instance learned that the member has left, or zero.
 	leftAt time.Time
-	// transmissions counts how often the record has been sent since it or Liveness
-	// last changed.
+	// transmissions counts how often the record has been sent since updatedAt, when it or
+	// Liveness last changed. settled says that other failure domains know it, see settle.
 	transmissions int
+	updatedAt     time.Time
+	settled       bool
 	uptime        uptime
 }
 
@@ -70,6 +72,11 @@
 	return m.Liveness != Dead && !m.Record.Left && !m.Record.Draining && m.Path == PathDirect
 }
 
+// beginTransmissions is called when the record or Liveness changes.
+func (m *Member) beginTransmissions(now time.Time) {
+	m.transmissions, m.updatedAt, m.settled = 0, now, false
+}
+
 // State is one instance's view of the fleet's membership. It is not safe for
 // concurrent use.
 type State struct {
@@ -114,7 +121,7 @@
 
 		withheldReports: make(map[fleetconfig.FailureDomain]int),
 	}
-	state.members[self.ID] = &Member{Record: self, LivenessChangedAt: now}
+	state.members[self.ID] = &Member{Record: self, LivenessChangedAt: now, updatedAt: now}
 	return state
 }
 
@@ -168,7 +175,7 @@
 	member := s.members[s.self]
 	change(&member.Record)
 	member.Record.Sequence++
-	member.transmissions = 0
+	member.beginTransmissions(s.lastEventAt)
 	s.changed = true
 }
 
@@ -186,7 +193,7 @@
 		if update.Record.ID == "" || update.Liveness == Dead || update.Record.Left {
 			return
 		}
-		s.members[update.Record.ID] = &Member{Record: update.Record, Liveness: update.Liveness, LivenessChangedAt: now}
+		s.members[update.Record.ID] = &Member{Record: update.Record, Liveness: update.Liveness, LivenessChangedAt: now, updatedAt: now}
 		s.changed = true
 		return
 	}
@@ -200,7 +207,7 @@
 		}
 		member.Record = update.Record
 		s.setLiveness(member, update.Liveness, now)
-		member.transmissions = 0
+		member.beginTransmissions(now)
 		s.changed = true
 	case member.Record.newerThan(&update.Record):
 		// The update is older than the known record.
@@ -233,7 +240,7 @@
 	}
 	member.Liveness = liveness
 	member.LivenessChangedAt = now
-	member.transmissions = 0
+	member.beginTransmissions(now)
 	s.changed = true
 }
 
