Pings and answers are sent without the fields that their receiver does not read

Cause: a ping names its receiver, an answer its receiver and the sender's address; no receiver reads them.

Change: membership.Message.Wire drops them when a message is sent. The simulation delivers what Wire leaves, so that all property tests run on it. Instances before this change read such messages.

--- a/gossip/service.go
+++ b/gossip/service.go
@@ -229,7 +229,7 @@
 }
 
 func (s *Service) send(envelope *membership.Envelope) {
-	payload, err := codec.Marshal(&envelope.Message)
+	payload, err := codec.Marshal(envelope.Message.Wire())
 	if err == nil {
 		err = s.datagrams.Send(envelope.Address, payload)
 	}
--- a/membership/control_bytes_test.go
+++ b/membership/control_bytes_test.go
@@ -32,7 +32,7 @@
 		if domainOf[envelope.Address] == domainOf[string(envelope.Message.From)] {
 			return
 		}
-		*far += encodedBytes(&envelope.Message)
+		*far += encodedBytes(envelope.Message.Wire())
 	}
 	return s, far
 }
@@ -123,3 +123,31 @@
 		must.Eq(t, want, s.view(at, changed).Record.Sequence)
 	}
 }
+
+// A ping and its answer without updates stay small: they are what a fleet at rest sends.
+func TestPingBytesAtRest(t *testing.T) {
+	const maxPing, maxAck = 48, 30
+	now := time.Unix(1_000_000, 0)
+	newState := func(self, other int) *State {
+		state := New(Config{}, digestRecord(self, 1), nil, rand.New(rand.NewPCG(1, 2)), now)
+		state.members[state.self].Record.Incarnation, state.incarnation = 1_800_000_000_000_000_000, 1_800_000_000_000_000_000
+		state.MergeUpdates([]Update{{Record: digestRecord(other, 1)}}, now)
+		for _, member := range state.members {
+			member.transmissions = state.transmissionLimit()
+		}
+		return state
+	}
+	pinging, pinged := newState(100, 101), newState(101, 100)
+	now = now.Add(24 * time.Hour)
+	pings := pinging.Tick(now)
+	must.Len(t, 1, pings)
+	ping := pings[0].Message.Wire()
+	acks := pinged.Step(&ping, now)
+	must.Len(t, 1, acks)
+	ack := acks[0].Message.Wire()
+	t.Logf("ping %d bytes, answer %d bytes", encodedBytes(ping), encodedBytes(ack))
+	must.LessEq(t, maxPing, encodedBytes(ping))
+	must.LessEq(t, maxAck, encodedBytes(ack))
+	must.SliceEmpty(t, pinging.Step(&ack, now))
+	must.Nil(t, pinging.probe)
+}
--- a/membership/message.go
+++ b/membership/message.go
@@ -35,13 +35,13 @@
 	SeqNo uint64 `cbor:"3,keyasint,omitempty"`
 	// Target is the instance to ping in a PingRequest, and the one that answered
 	// in an IndirectAck. In a Ping and an Ack it is the receiver, or empty if its
-	// ID is not known.
+	// ID is not known; it is not sent (Wire).
 	Target fleetconfig.InstanceID `cbor:"4,keyasint,omitempty"`
 	// TargetAddress is the address of Target, in case the receiver does not know
 	// it.
 	TargetAddress string `cbor:"5,keyasint,omitempty"`
 	// ReplyAddress is the fleet address (Record.Address) of the sender. It is not
-	// set in a LoadReport.
+	// set in a LoadReport, and not sent in answers (Wire).
 	ReplyAddress string `cbor:"6,keyasint,omitempty"`
 	// Updates are the records and suspicions to disseminate.
 	Updates []Update `cbor:"7,keyasint,omitempty"`
@@ -57,6 +57,21 @@
 	UptimeMillis uint64 `cbor:"11,keyasint,omitempty"`
 }
 
+// Wire returns the message as it is sent, without the fields that the receiver of a message of
+// its kind does not read.
+func (m *Message) Wire() Message {
+	sent := *m
+	switch m.Kind {
+	case Ping:
+		sent.Target = ""
+	case Ack:
+		sent.Target, sent.ReplyAddress = "", ""
+	case IndirectAck:
+		sent.ReplyAddress = ""
+	}
+	return sent
+}
+
 // Update carries an instance's record and the sender's view of its liveness.
 type Update struct {
 	// Record is the newest record known to the sender.
--- a/membership/simulation_test.go
+++ b/membership/simulation_test.go
@@ -93,7 +93,7 @@
 				continue
 			}
 			delay := time.Duration(s.random.Int64N(int64(simMaxDelay)))
-			s.messages = append(s.messages, inTransit{deliverAt: s.now.Add(delay), to: envelope.Address, message: envelope.Message})
+			s.messages = append(s.messages, inTransit{deliverAt: s.now.Add(delay), to: envelope.Address, message: envelope.Message.Wire()})
 		}
 	}
 }
