Calls that follow each other every 250 ms need no liveness probe before each

Cause: an ingress that uses tokens calls the owner of its quotas every 250 to 300 ms, and a peer counts as alive for 250 ms after its last data: each of these calls was preceded by a liveness probe, a second round trip.

Change: for calls, which their senders repeat, a peer counts as alive for 400 ms. Requests of callers are probed as before.

TestFrequentCallsNeedNoProbe fails with a validity under 300 ms. go test ./transport ./quotadriver ./configsync ./ingress passes, ./transport with -race.

--- a/transport/client.go
+++ b/transport/client.go
@@ -22,7 +22,7 @@
 // After any other error it may have.
 func (e *Endpoint) RoundTrip(address string, request *http.Request, class ConnectionClass) (*http.Response, error) {
 	sent := max(request.ContentLength, 0)
-	response, err := e.transport.roundTrip(address, request, class)
+	response, err := e.transport.roundTrip(address, request, class, false)
 	if err != nil {
 		return nil, err
 	}
@@ -44,7 +44,7 @@
 		Body:          io.NopCloser(bytes.NewReader(data)),
 		ContentLength: int64(len(data)),
 	}
-	response, err := e.transport.roundTrip(address, httpRequest.WithContext(ctx), ClassSmall)
+	response, err := e.transport.roundTrip(address, httpRequest.WithContext(ctx), ClassSmall, true)
 	if err != nil {
 		return errors.Wrapf(err, "call %s at %s", path, address)
 	}
--- a/transport/endpoint.go
+++ b/transport/endpoint.go
@@ -67,8 +67,9 @@
 // requestTransport sends and serves requests between instances over one protocol.
 type requestTransport interface {
 	// roundTrip sends the request to the peer at most once. The error is marked
-	// ErrNotSent if the peer has not processed the request.
-	roundTrip(address string, request *http.Request, class ConnectionClass) (*http.Response, error)
+	// ErrNotSent if the peer has not processed the request. isCall tells a call from a
+	// request of a caller.
+	roundTrip(address string, request *http.Request, class ConnectionClass, isCall bool) (*http.Response, error)
 	// serve handles the requests of peers until ctx ends.
 	serve(ctx context.Context) error
 	// shutdown stops accepting requests and waits for those in progress.
--- a/transport/quic.go
+++ b/transport/quic.go
@@ -54,7 +54,7 @@
 
 // roundTrip uses one connection for both classes, since QUIC streams do not block
 // each other.
-func (c *quicTransport) roundTrip(address string, request *http.Request, _ ConnectionClass) (*http.Response, error) {
+func (c *quicTransport) roundTrip(address string, request *http.Request, _ ConnectionClass, _ bool) (*http.Response, error) {
 	request.URL.Scheme = "https"
 	request.URL.Host = address
 	return c.pool.roundTrip(address, request)
--- a/transport/tcp.go
+++ b/transport/tcp.go
@@ -30,6 +30,10 @@
 	// livenessValidity is how long a peer counts as alive after data from it has
 	// arrived. During this time, requests are sent to it without a liveness probe.
 	livenessValidity = 250 * time.Millisecond
+	// callValidity is the same for calls. Their senders repeat them, so that an unknown outcome
+	// of one only delays them. It covers calls to the same peer every 250 ms, as of ingresses to
+	// the owner of their quotas.
+	callValidity = 400 * time.Millisecond
 	// livenessProbeTimeout bounds a liveness probe.
 	livenessProbeTimeout = 150 * time.Millisecond
 	// streamBufferBytes limits how much of a response or request body is buffered
@@ -93,8 +97,12 @@
 	return errors.CombineErrors(err, optionErr)
 }
 
-func (c *tcpTransport) roundTrip(address string, request *http.Request, class ConnectionClass) (*http.Response, error) {
-	peer, err := c.peers[class].livePeer(request.Context(), address)
+func (c *tcpTransport) roundTrip(address string, request *http.Request, class ConnectionClass, isCall bool) (*http.Response, error) {
+	validity := livenessValidity
+	if isCall {
+		validity = callValidity
+	}
+	peer, err := c.peers[class].livePeer(request.Context(), address, validity)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
--- a/transport/tcp_test.go
+++ b/transport/tcp_test.go
@@ -172,3 +172,42 @@
 		must.NoError(t, response.Body.Close())
 	}
 }
+
+// A call to a peer that responded 300 ms ago, as the calls of an ingress to the owner of its
+// quotas, needs no liveness probe, and a request of a caller does.
+func TestFrequentCallsNeedNoProbe(t *testing.T) {
+	var probes atomic.Int64
+	mux := http.NewServeMux()
+	HandleCall(mux, "/echo", func(_ context.Context, _ fleetconfig.InstanceID, request *echo) (*echo, error) { return request, nil })
+	server := newTrustedEndpoint(t, "server", mux)
+	answer := server.transport.(*tcpTransport).server.Handler
+	client := newTrustedEndpoint(t, "client", http.NotFoundHandler())
+	server.transport.(*tcpTransport).server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == pathLiveness {
+			probes.Add(1)
+		}
+		answer.ServeHTTP(w, r)
+	})
+	address := server.Address().String()
+	call := func() { must.NoError(t, client.Call(t.Context(), address, "/echo", &echo{}, new(echo))) }
+	call()
+	must.Eq(t, 1, probes.Load())
+	const tries = 20
+	peer := client.transport.(*tcpTransport).peers[ClassSmall].lookup(address)
+	for try := 1; ; try++ {
+		probes.Store(0)
+		before := time.Now()
+		peer.lastResponse.Store(before.Add(-300 * time.Millisecond).UnixNano())
+		call()
+		if time.Since(before) < callValidity-300*time.Millisecond {
+			break
+		}
+		must.Less(t, tries, try, must.Sprint("the machine is too slow"))
+	}
+	must.Eq(t, 0, probes.Load())
+	peer.lastResponse.Store(time.Now().Add(-300 * time.Millisecond).UnixNano())
+	response, err := client.RoundTrip(address, newRequest(t.Context(), ""), ClassSmall)
+	must.NoError(t, err)
+	must.NoError(t, response.Body.Close())
+	must.Eq(t, 1, probes.Load())
+}
--- a/transport/tcppeers.go
+++ b/transport/tcppeers.go
@@ -70,12 +70,12 @@
 }
 
 // livePeer returns the connection to the peer. If no data from the peer has arrived
-// within livenessValidity, it probes the peer first. A request that is sent
+// within validity, it probes the peer first. A request that is sent
 // to a machine without power or on a dead connection has an unknown outcome, whereas
 // a failed probe proves that the request was not sent.
-func (p *tcpPeers) livePeer(ctx context.Context, address string) (*tcpPeer, error) {
+func (p *tcpPeers) livePeer(ctx context.Context, address string, validity time.Duration) (*tcpPeer, error) {
 	peer := p.lookup(address)
-	if time.Since(time.Unix(0, peer.lastResponse.Load())) < livenessValidity {
+	if time.Since(time.Unix(0, peer.lastResponse.Load())) < validity {
 		return peer, nil
 	}
 	isNew := peer.lastResponse.Load() == 0
