--- a/gossip/service.go
+++ b/gossip/service.go
@@ -229,7 +229,7 @@
 }
 
 func (s *Service) send(envelope *membership.Envelope) {
-	payload, err := codec.Marshal(&envelope.Message)
+	payload, err := codec.Marshal(envelope.Message.Wire())
 	if err == nil {
 		err = s.datagrams.Send(envelope.Address, payload)
 	}
@@ -310,6 +310,9 @@
 		return errors.Wrap(err, "compare fingerprints")
 	}
 	if reply.InSync {
+		s.mu.Lock()
+		s.state.HandleInSync(clock.Now())
+		s.mu.Unlock()
 		return nil
 	}
 	s.mu.Lock()
--- a/membership/simulation_test.go
+++ b/membership/simulation_test.go
@@ -40,6 +40,8 @@
 	blocked  map[link]bool
 	loss     float64
 	starts   uint64
+	// onSend observes the messages that are sent, or is nil.
+	onSend func(*Envelope)
 }
 
 func newSimulation(seed uint64, n int) *simulation {
@@ -79,6 +81,9 @@
 
 func (s *simulation) send(envelopes []Envelope) {
 	for _, envelope := range envelopes {
+		if s.onSend != nil {
+			s.onSend(&envelope)
+		}
 		copies := 1
 		if s.random.Float64() < s.loss/4 {
 			copies = 2
@@ -88,7 +93,7 @@
 				continue
 			}
 			delay := time.Duration(s.random.Int64N(int64(simMaxDelay)))
-			s.messages = append(s.messages, inTransit{deliverAt: s.now.Add(delay), to: envelope.Address, message: envelope.Message})
+			s.messages = append(s.messages, inTransit{deliverAt: s.now.Add(delay), to: envelope.Address, message: envelope.Message.Wire()})
 		}
 	}
 }
