--- a/callgraph/load_test.go
+++ b/callgraph/load_test.go
@@ -15,14 +15,14 @@
 // The load: orders run at the service `ledger`. Statements run at another service with slots to
 // spare, and most of their runs call the ledger. Together they need more slots than it has.
 const (
-	ledgerSlots    = 20
-	orderTime      = 500 * time.Millisecond
-	statementTime  = 800 * time.Millisecond
-	callTime       = 250 * time.Millisecond
-	callShare      = 0.7
-	callLimit      = 2500 * time.Millisecond
-	callTarget     = 800 * time.Millisecond
-	statementAim   = 3 * time.Second
+	ledgerSlots   = 20
+	orderTime     = 500 * time.Millisecond
+	statementTime = 800 * time.Millisecond
+	callTime      = 250 * time.Millisecond
+	callShare     = 0.7
+	callLimit     = 2500 * time.Millisecond
+	callTarget    = 800 * time.Millisecond
+	statementAim  = 3 * time.Second
 	// callWait is a quarter of what the aim of a statement leaves its call for waiting.
 	callWait       = (statementAim - statementTime - callTime) / 4
 	orderLimit     = 4 * time.Second
