--- a/backendproxy/run.go
+++ b/backendproxy/run.go
@@ -145,6 +145,7 @@
 // written to the ingress or the context of the incoming request has ended, for example because
 // the caller disconnected: that says nothing about the server.
 func (f *runFilter) recordTruncation(exchange *pipeline.Exchange, cause error, run *serverRun) {
+	stateOf(exchange).cause = cause
 	if errors.Is(cause, httpheader.ErrWrite) || exchange.Request.Context().Err() != nil {
 		return
 	}
--- a/internal/strictresponse/head.go
+++ b/internal/strictresponse/head.go
@@ -83,7 +83,7 @@
 		return invalid("field name", []byte(name))
 	}
 	if !httpguts.ValidHeaderFieldValue(value) {
-		return invalid("value of the field "+name, []byte(value))
+		return invalid("value of a field", []byte(name)) // Values may be confidential.
 	}
 	return nil
 }
