node: a failing test for a refusal that waits while the caller pauses its upload; KNOWN-RED

The server resets before its head. RoundTrip of net/http waits for its writing goroutine, which is in a read of the caller's body, so neither the failure nor the route's timeout reaches the caller until it sends on, and the slot stays taken. Not mended here: the end of the server's connection has to end the read, which touches the hasher and readRest.

--- a/node/earlyanswer_test.go
+++ b/node/earlyanswer_test.go
@@ -151,3 +151,21 @@
 		must.NoError(t, conn.Close())
 	}
 }
+
+// Guards against a refusal that waits for a caller which pauses its upload: the server resets the connection before its head, and the route's timeout is 300 ms.
+func TestResetBeforeHeadIsReportedWhileUploadPauses(t *testing.T) {
+	t.Parallel()
+	fleet := startFleet(t, 2, emulator.Config{})
+	fleet.announceRaw(t, 0, startEarlyBackend(t, "", true))
+	for instance := range 2 {
+		conn, err := net.Dial("tcp", fleet.layout.Instances[instance].CallerAddress)
+		must.NoError(t, err)
+		must.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+		_, err = io.WriteString(conn, "POST /short HTTP/1.1\r\nHost: a.example\r\nX-Api-Key: "+testKey+"\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n")
+		must.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		must.NoError(t, err, must.Sprintf("instance %d", instance))
+		must.Eq(t, pipeline.OutcomeUnknown.String(), response.Header.Get(pipeline.HeaderOutcome))
+		must.NoError(t, conn.Close())
+	}
+}
