Tests: an invalid trailer may end as a refusal; room is looked for under lasting pressure

The check named any response without a read error whole; it now names a 200 so, and asserts the other case.

--- a/node/malformed_test.go
+++ b/node/malformed_test.go
@@ -160,7 +160,13 @@
 				_, err = io.ReadAll(response.Body)
 				must.NoError(t, response.Body.Close())
 			}
-			must.Eq(t, valid, err == nil, must.Sprintf("%q: %v", trailer, err))
+			// The trailer may arrive before the head has been passed on; the answer is then a refusal.
+			whole := err == nil && response.StatusCode == http.StatusOK
+			must.Eq(t, valid, whole, must.Sprintf("%q: %v %v", trailer, err, response))
+			if err == nil && !whole {
+				must.Eq(t, http.StatusBadGateway, response.StatusCode)
+				must.Eq(t, pipeline.OutcomeUnknown.String(), response.Header.Get(pipeline.HeaderOutcome))
+			}
 			if valid {
 				must.Eq(t, "1", response.Trailer.Get("X-Sum"))
 			}
--- a/node/room_test.go
+++ b/node/room_test.go
@@ -20,6 +20,8 @@
 func TestIngressRefusesRequestWithoutRoomAtOnce(t *testing.T) {
 	t.Parallel()
 	const instances, serviceTime, timeout = 3, 400 * time.Millisecond, 1200 * time.Millisecond
+	// On a busy machine the callers of a round may come one after the other.
+	const maxPressure = 20 * time.Second
 	fleet := startFleet(t, instances, emulator.Config{Slots: 1, ServiceTime: serviceTime})
 	fleet.config.set(func(document *fleetconfig.Document) {
 		document.Routes[1].Timeout = timeout
@@ -48,10 +50,12 @@
 		callers.Go(func() { get(i % instances) })
 	}
 	refused := 0
-	for range 3 {
+	for pressed := time.Now(); refused == 0 && time.Since(pressed) < maxPressure; {
 		time.Sleep(serviceTime / 2)
 		for instance := range instances {
-			callers.Go(func() { get(instance) })
+			for range 4 {
+				callers.Go(func() { get(instance) })
+			}
 			status, body, took := get(instance)
 			if status == http.StatusServiceUnavailable && strings.Contains(body, "can run the request in time") && took < timeout/8 {
 				refused++
