--- a/selection/selector.go
+++ b/selection/selector.go
@@ -1,7 +1,6 @@
 package selection
 
 import (
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -13,12 +12,10 @@
 	"github.com/hemlockring/hemlockring/clock"
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/gossip"
-	"github.com/hemlockring/hemlockring/health"
 	"github.com/hemlockring/hemlockring/ingress"
 	"github.com/hemlockring/hemlockring/membership"
 	"github.com/hemlockring/hemlockring/pipeline"
 	"github.com/hemlockring/hemlockring/placement"
-	"github.com/hemlockring/hemlockring/throttle"
 )
 
 const (
@@ -75,28 +72,6 @@
 	rng         *rand.Rand
 }
 
-// failureEstimate is the failure probability and the weight of a backend server as of its last
-// report.
-type failureEstimate struct {
-	probability float64
-	weight      float64
-	reportedAt  time.Time
-}
-
-// weightAt returns the weight as far as is known. Without further reports it grows as during a
-// slow start, so that a server that is back in service is tried again, and not at once with its
-// full share.
-func (e *failureEstimate) weightAt(now time.Time, slowStart time.Duration) float64 {
-	unheard := now.Sub(e.reportedAt) - placement.NewsLifetime
-	switch {
-	case unheard <= 0:
-		return e.weight
-	case slowStart <= 0:
-		return 1
-	}
-	return min(1, e.weight+float64(unheard)/float64(slowStart))
-}
-
 // New returns a selector.
 func New(config Config) *Selector {
 	return &Selector{
@@ -115,34 +90,19 @@
 	s.refresh(service, exchange.Service, now)
 	service.releaseAdmitted(now)
 	service.releaseHeld(now)
-	index, ok := service.probeTarget(exchange, tried, service.snapshot.Self, now)
-	var lastResort bool
-	if !ok {
-		index, lastResort, ok = service.pickFromPool(exchange, tried, now)
-	}
-	if ok && exchange.NextRepeat() == pipeline.RepeatNone && !lastResort && admitsByRoom(exchange) {
-		index, lastResort = service.preferRoom(exchange, tried, index, now)
-	}
-	if !ok {
-		index, lastResort, ok = service.pickHeld(tried)
-	}
-	var rateWait time.Duration
-	if maxWait := maxRateWait(exchange, now); maxWait > 0 && (!ok || service.pool.Saturated(index)) {
-		if overRate, found := service.pickOverRate(tried, now); found {
-			index, ok, rateWait, lastResort = overRate, true, maxWait, false
-		}
-	}
+	chosen, ok := service.choose(exchange, tried, now)
 	if !ok {
 		return ingress.Candidate{}, false
 	}
+	index := chosen.index
 	service.pool.RequestStarted(index)
 	service.probeHeld(index, now)
 	if exchange.Route != nil && admitsByRoom(exchange) {
 		exchange.ServiceTime = service.times.Of(exchange.Route.ID)
 	}
 	candidate := newCandidate(service.snapshot, service.hosted[index])
-	candidate.MaxRateWait = rateWait
-	candidate.LastResort = lastResort
+	candidate.MaxRateWait = chosen.rateWait
+	candidate.LastResort = chosen.lastResort
 	if known := service.statements[backendID(candidate)]; known != nil {
 		candidate.KnownRate = known.knownRate(now)
 		known.requestSent(now)
@@ -152,20 +112,6 @@
 	return candidate, true
 }
 
-// admitsByRoom reports whether the active preset admits requests by the room for them.
-func admitsByRoom(exchange *pipeline.Exchange) bool {
-	return exchange.View != nil && exchange.View.ActivePreset().AdmissionByRoom
-}
-
-// maxRateWait returns how long the request may still wait until the rate of a backend
-// server admits it.
-func maxRateWait(exchange *pipeline.Exchange, now time.Time) time.Duration {
-	if exchange.Route == nil {
-		return 0
-	}
-	return throttle.MaxWait(exchange.Route.LatencyTarget) - now.Sub(exchange.Received)
-}
-
 // RateWait implements ingress.Selector.
 func (s *Selector) RateWait(name fleetconfig.ServiceName) (time.Duration, bool) {
 	service := s.service(name)
@@ -175,67 +121,6 @@
 	return wait, found
 }
 
-// pickFromPool returns the index of the backend server for the next attempt, and whether it
-// is a last resort: a server that is suspected of failure, while no other one has room. The
-// proxy of a suspect refuses other requests, except for probes by the first attempts of
-// idempotent requests. The caller must hold the pool's lock.
-func (p *servicePool) pickFromPool(exchange *pipeline.Exchange, tried []ingress.Candidate, now time.Time) (index int, lastResort, ok bool) {
-	var skip balance.TriedBackends
-	for _, candidate := range tried {
-		skip.Add(backendID(candidate))
-	}
-	if exchange.NextRepeat() != pipeline.RepeatNone && p.pool.KeepsReports() {
-		return p.pickForRepeat(&skip, now)
-	}
-	if exchange.ReachedAttempts > 0 {
-		index, ok = p.pool.PickBest(p.rng, &skip)
-	} else {
-		index, ok = p.pool.Pick(p.rng, &skip)
-	}
-	// With announced changes of state a suspect is known on all ingresses, and the one beside
-	// it probes it; the others would only be refused.
-	mayProbe := exchange.Idempotent && len(tried) == 0 && !p.pool.KeepsReports()
-	if !ok || mayProbe || !p.suspected(index) {
-		return index, false, ok
-	}
-	if sound, found := p.pool.PickSound(p.rng, &skip, health.SuspectFailureProbability); found {
-		return sound, false, true
-	}
-	index, ok = p.pool.PickBest(p.rng, &skip)
-	return index, ok && p.suspected(index), ok
-}
-
-// repeatNewsLifetime is how long the news that a server may receive no repeats holds. A server
-// with a request or two a second earns the credit for the next in a few seconds.
-const repeatNewsLifetime = time.Second
-
-// pickForRepeat returns the index of the backend server for a repeat, and whether it is a last
-// resort, among those that may have credit for one. The caller must hold the pool's lock.
-func (p *servicePool) pickForRepeat(skip *balance.TriedBackends, now time.Time) (index int, lastResort, ok bool) {
-	mayTake := func(backend *balance.Backend) bool { return p.mayTakeRepeat(backend.ID, now) }
-	index, ok = p.pool.PickBestOf(p.rng, skip, func(backend *balance.Backend) bool {
-		return backend.FailureProbability < health.SuspectFailureProbability && mayTake(backend)
-	})
-	if ok {
-		return index, false, true
-	}
-	index, ok = p.pool.PickBestOf(p.rng, skip, mayTake)
-	return index, ok, ok
-}
-
-// mayTakeRepeat reports whether a server may have credit for a repeat, as far as is known. The
-// caller must hold the pool's lock.
-func (p *servicePool) mayTakeRepeat(id balance.BackendID, now time.Time) bool {
-	news, known := p.news[id]
-	return !known || !news.noRepeats || now.Sub(news.heardAt) >= repeatNewsLifetime
-}
-
-// suspected reports whether a backend server is suspected of failure, so that its proxy
-// refuses requests. The caller must hold the pool's lock.
-func (p *servicePool) suspected(index int) bool {
-	return p.pool.Backend(index).FailureProbability >= health.SuspectFailureProbability
-}
-
 // Repeat implements ingress.Selector.
 func (s *Selector) Repeat(candidate ingress.Candidate, exchange *pipeline.Exchange) {
 	service := s.service(exchange.Service)
@@ -280,40 +165,6 @@
 	s.paths.recordResponse(attempt.Candidate.Instance, now)
 }
 
-// HandleLoadReports records the loads that another instance reported for its backend
-// servers.
-func (s *Selector) HandleLoadReports(from fleetconfig.InstanceID, loads []membership.ServerLoad) {
-	now := clock.Now()
-	s.mu.Lock()
-	services := slices.Collect(maps.Values(s.services))
-	s.mu.Unlock()
-	for _, service := range services {
-		service.mu.Lock()
-		for i := range loads {
-			service.recordLoad(balance.BackendID{Instance: from, Server: loads[i].Server}, &loads[i], false, now)
-		}
-		service.mu.Unlock()
-	}
-}
-
-// recordLoad records the load, weight and failure probability that a proxy reported for
-// its backend server, and what the server has stated (see statement.record for appointed).
-// The caller must hold the pool's lock.
-func (p *servicePool) recordLoad(id balance.BackendID, load *membership.ServerLoad, appointed bool, now time.Time) {
-	index, found := p.pool.Find(id)
-	if !found {
-		return
-	}
-	weight := float64(load.WeightPercent) / percent
-	p.pool.UpdateLoad(index, load.InFlight, weight)
-	p.recordNews(index, id, load, now)
-	reported := failureEstimate{probability: float64(load.FailureProbabilityPercent) / percent, weight: weight, reportedAt: now}
-	p.failureEstimates[id] = reported
-	p.pool.SetFailureProbability(index, health.ExcessFailureProbability(reported.probability))
-	p.endHoldOnReport(index, id, reported.probability, load.WeightPercent, now)
-	p.recordStatement(index, id, load, appointed, now)
-}
-
 func (s *Selector) service(name fleetconfig.ServiceName) *servicePool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -368,26 +219,6 @@
 	}
 }
 
-// ageEstimates updates the pool with the failure probabilities, each decayed over the time since
-// its server's last report, and with the weights. It also drops the state of servers that have
-// left the pool.
-func (p *servicePool) ageEstimates(slowStart time.Duration, now time.Time) {
-	for i := range p.pool.Len() {
-		id := p.pool.Backend(i).ID
-		if known, found := p.failureEstimates[id]; found {
-			p.pool.SetFailureProbability(i, health.ExcessFailureProbability(health.DecayedFailureProbability(known.probability, now.Sub(known.reportedAt))))
-			p.pool.SetWeight(i, known.weightAt(now, slowStart))
-		}
-	}
-	for id := range p.failureEstimates {
-		if _, found := p.pool.Find(id); !found {
-			delete(p.failureEstimates, id)
-			delete(p.news, id)
-			delete(p.probes.lastProbeAt, id)
-		}
-	}
-}
-
 func (s *Selector) exclusions(hosted gossip.HostedServer, self fleetconfig.InstanceID, now time.Time) balance.Exclusion {
 	var reasons balance.Exclusion
 	if hosted.Server.State != membership.ServerReady || hosted.Member.Record.Draining {
