--- a/ejection/watch.go
+++ b/ejection/watch.go
@@ -102,44 +102,32 @@
 
 // FailureProbabilityPercent implements backendproxy.HealthMonitor.
 func (s *Service) FailureProbabilityPercent(server fleetconfig.BackendServerID, now time.Time) int {
-	const full = 100
-	s.mu.Lock()
-	monitored := s.servers[server]
-	s.mu.Unlock()
-	if monitored == nil {
-		return 0
-	}
-	monitored.mu.Lock()
-	defer monitored.mu.Unlock()
-	return int(full * monitored.breaker.FailureProbability(now))
+	return s.percentOf(server, 0, func(m *monitoredServer) float64 { return m.breaker.FailureProbability(now) })
 }
 
 // SheddingPercent implements backendproxy.HealthMonitor.
 func (s *Service) SheddingPercent(server fleetconfig.BackendServerID, now time.Time) int {
-	const full = 100
-	s.mu.Lock()
-	monitored := s.servers[server]
-	s.mu.Unlock()
-	if monitored == nil {
-		return 0
-	}
-	monitored.mu.Lock()
-	defer monitored.mu.Unlock()
-	return int(full * monitored.breaker.SheddingShare(now))
+	return s.percentOf(server, 0, func(m *monitoredServer) float64 { return m.breaker.SheddingShare(now) })
 }
 
 // WeightPercent implements backendproxy.HealthMonitor.
 func (s *Service) WeightPercent(server fleetconfig.BackendServerID, now time.Time) int {
+	return s.percentOf(server, 1, func(m *monitoredServer) float64 { return m.monitor.Weight(now) })
+}
+
+// percentOf returns a share that is measured at a server, in percent, or the given share if the
+// server is not monitored.
+func (s *Service) percentOf(server fleetconfig.BackendServerID, unknown float64, share func(*monitoredServer) float64) int {
 	const full = 100
 	s.mu.Lock()
 	monitored := s.servers[server]
 	s.mu.Unlock()
 	if monitored == nil {
-		return full
+		return int(full * unknown)
 	}
 	monitored.mu.Lock()
 	defer monitored.mu.Unlock()
-	return int(full * monitored.monitor.Weight(now))
+	return int(full * share(monitored))
 }
 
 // observation is one request to a monitored backend server.
