review: invalid configurations are acknowledged

Cause: the service beside a split is dropped before the check, and data after the JSON value is only looked for with json.Decoder.More. No product code is changed.

--- a/review/kit2/fleet.go
+++ b/review/kit2/fleet.go
@@ -313,3 +313,16 @@
 	}
 	return nil
 }
+
+// Send sends a configuration call to a core machine, in turn, and to the next one after a 5xx or
+// no response.
+func (f *Fleet) Send(first int, method string, body []byte) (status int, answer []byte, err error) {
+	for i := first; i < first+20; i++ {
+		status, answer, err = call(method, "http://"+f.Cores[i%len(f.Cores)].ControlAddr()+"/v1/config", body)
+		if err == nil && status < http.StatusInternalServerError {
+			return status, answer, nil
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return status, answer, fmt.Errorf("no clear response to %s: %d %w", method, status, err)
+}
