--- a/review/7/main.go
+++ b/review/7/main.go
@@ -17,22 +17,22 @@
 
 const (
 	slots = 7
-	work  = 200 * time.Millisecond
+	work  = 610 * time.Millisecond
 	// delay is how late the worker's last check-in as ready arrives.
-	delay = 3 * time.Second
+	delay = 5 * time.Second
 	// drainPeriod is DrainPeriodMs, contact is ContactMs.
 	drainPeriod = 2 * time.Second
 	contact     = 3 * time.Second
 	// serving is how long the worker serves after its leave was acknowledged.
-	serving  = 14 * time.Second
-	interval = 50 * time.Millisecond
+	serving  = 5 * time.Second
+	interval = 35 * time.Millisecond
 )
 
 func main() { os.Exit(kit2.Run(os.Args[1], run)) }
 
 func run(record *kit2.Record) (bool, error) {
 	// The worker that leaves runs on the second machine, others of its service on two more.
-	fleet, err := kit2.NewFleet(record, 3, kit2.ServiceB, kit2.ServiceB, kit2.ServiceB)
+	fleet, err := kit2.NewFleet(record, 3, kit2.ServiceA, kit2.ServiceA, kit2.ServiceA)
 	if err != nil {
 		return false, err
 	}
@@ -90,11 +90,11 @@
 	clients.Wait()
 	// The machine was in touch when it acknowledged the leave. Only requests that it sends on
 	// once it is in touch again count.
-	inTouch := ackedAt.Add(drainPeriod)
-	if again := restartedAt.Add(contact); kit2.Trouble() && again.After(inTouch) {
-		inTouch = again
+	from := ackedAt.Add(drainPeriod)
+	if again := restartedAt.Add(contact); kit2.Trouble() && again.After(from) {
+		from = again
 	}
-	count := seen.after(inTouch)
+	count := seen.after(from)
 	record.Log("requests that reached worker i-2 over %s after its leave was acknowledged, sent on by machines in touch: %d", drainPeriod, count)
 	return count > 0, nil
 }
@@ -105,7 +105,7 @@
 	wait.Go(func() {
 		for i := 0; ctx.Err() == nil; i++ {
 			machine := machines[i%len(machines)]
-			request := &kit2.Request{Method: "GET", Path: kit2.PathB + "x", ID: fmt.Sprintf("lookup-%04d", i+1), Deadline: 5 * time.Second}
+			request := &kit2.Request{Method: "POST", Path: kit2.PathA + "order", ID: fmt.Sprintf("order-%04d", i+1), Body: "one pallet", Deadline: 5 * time.Second}
 			wait.Go(func() {
 				answer := kit2.Send(context.Background(), machine.Outbound(), request)
 				record.Log("client on %s: %s answered with %d, %s, error %v", machine.Name, request.ID, answer.Status, answer.Signature, answer.Err)
--- a/review/kit2/worker.go
+++ b/review/kit2/worker.go
@@ -31,6 +31,7 @@
 	born     int64
 	sequence atomic.Uint64
 	state    atomic.Value
+	leaving  atomic.Bool
 	server   *http.Server
 	slots    chan struct{}
 	waiting  atomic.Int64
@@ -63,9 +64,6 @@
 // StopCheckIns ends the regular check-ins.
 func (w *Worker) StopCheckIns() { w.stopOnce.Do(func() { close(w.stop) }) }
 
-// SetState sets the state of the later check-ins.
-func (w *Worker) SetState(state string) { w.state.Store(state) }
-
 func (w *Worker) checkInLoop() {
 	for {
 		w.CheckIn(w.NextCheckIn())
@@ -98,8 +96,10 @@
 	return err == nil && status/100 == 2
 }
 
-// Leave sends the message that the worker leaves and reports whether it was acknowledged.
+// Leave sends the message that the worker leaves and reports whether it was acknowledged. From
+// then on all answers of the worker say that it leaves.
 func (w *Worker) Leave() bool {
+	w.leaving.Store(true)
 	status, _, err := call("DELETE", "http://"+w.machine.ControlAddr()+"/v1/instances/"+w.ID, nil)
 	return err == nil && status/100 == 2
 }
@@ -114,6 +114,9 @@
 	}
 	header.Set("Request-Id", id)
 	header.Set("Keep-Alive", "timeout=10")
+	if w.leaving.Load() {
+		header.Set("Server-Leaving", "1")
+	}
 	if expected := request.Header.Get("Expected-Instance"); expected != "" && expected != w.ID {
 		header.Set("Instance-Id", w.ID)
 		writer.WriteHeader(http.StatusMisdirectedRequest)
@@ -139,6 +142,9 @@
 	case <-request.Context().Done():
 		return
 	}
+	if w.leaving.Load() {
+		header.Set("Server-Leaving", "1")
+	}
 	header.Set("Response-Signature", "sig-"+w.ID+"-"+id)
 	fmt.Fprintf(writer, "answer of %s to %s\n", w.ID, id)
 }
