review: move the stand-ins below a folder named platform

Cause: a test of the project allows the platform's names in Go files only in folders of that name. No case behaves otherwise.

--- a/review/6/main.go
+++ b/review/6/main.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"github.com/hemlockring/hemlockring/review/kit2"
+	"github.com/hemlockring/hemlockring/review/second/platform"
 )
 
 const (
@@ -39,19 +39,19 @@
 	ran    map[string]bool
 }
 
-func main() { os.Exit(kit2.Run(os.Args[1], run)) }
+func main() { os.Exit(platform.Run(os.Args[1], run)) }
 
-func run(record *kit2.Record) (bool, error) {
-	fleet, err := kit2.NewFleet(record, 3, kit2.ServiceA, kit2.ServiceB)
+func run(record *platform.Record) (bool, error) {
+	fleet, err := platform.NewFleet(record, 3, platform.ServiceA, platform.ServiceB)
 	if err != nil {
 		return false, err
 	}
 	defer fleet.Stop()
-	if err := fleet.StartAll(kit2.Configuration(1, 0, 1000, true)); err != nil {
+	if err := fleet.StartAll(platform.Configuration(1, 0, 1000, true)); err != nil {
 		return false, err
 	}
 	seen := &log{closed: make(map[string]time.Time), ran: make(map[string]bool)}
-	worker, err := kit2.StartWorker(fleet.Sides[0], "i-1", slots, work)
+	worker, err := platform.StartWorker(fleet.Sides[0], "i-1", slots, work)
 	if err != nil {
 		return false, err
 	}
@@ -78,9 +78,9 @@
 }
 
 // warmUp sends requests until both machines serve.
-func warmUp(fleet *kit2.Fleet) error {
+func warmUp(fleet *platform.Fleet) error {
 	for i := range 4 {
-		answer := kit2.Send(context.Background(), fleet.Sides[0].Outbound(), order(fmt.Sprintf("warm-%d", i)))
+		answer := platform.Send(context.Background(), fleet.Sides[0].Outbound(), order(fmt.Sprintf("warm-%d", i)))
 		if answer.Err != nil || answer.Status != 200 {
 			return fmt.Errorf("warm-up request %d: status %d, %w", i, answer.Status, errors.Join(answer.Err))
 		}
@@ -88,13 +88,13 @@
 	return nil
 }
 
-func order(id string) *kit2.Request {
-	return &kit2.Request{Method: "POST", Path: kit2.PathA + "order", ID: id, Body: strings.Repeat("x", 4000), Deadline: deadline}
+func order(id string) *platform.Request {
+	return &platform.Request{Method: "POST", Path: platform.PathA + "order", ID: id, Body: strings.Repeat("x", 4000), Deadline: deadline}
 }
 
 // sendRounds sends the orders and returns how many were answered with success. With the
 // disruption, the last client of each round and machine leaves after patience.
-func sendRounds(record *kit2.Record, fleet *kit2.Fleet, seen *log) int {
+func sendRounds(record *platform.Record, fleet *platform.Fleet, seen *log) int {
 	var wait sync.WaitGroup
 	answered := 0
 	for round := range rounds {
@@ -104,7 +104,7 @@
 				if i == slots {
 					delay = 100 * time.Millisecond
 				}
-				if i == slots && kit2.Trouble() {
+				if i == slots && platform.Trouble() {
 					limit = patience
 				}
 				id := fmt.Sprintf("order-%d-%02d-%d", m+1, round+1, i+1)
@@ -113,7 +113,7 @@
 					ctx, cancel := context.WithTimeout(context.Background(), limit)
 					defer cancel()
 					record.Log("client on %s: sends %s", machine.Name, id)
-					answer := kit2.Send(ctx, machine.Outbound(), order(id))
+					answer := platform.Send(ctx, machine.Outbound(), order(id))
 					if seen.end(record, machine.Name, id, &answer) {
 						seen.mu.Lock()
 						answered++
@@ -129,7 +129,7 @@
 }
 
 // end records the end of a client attempt and reports whether it was answered with success.
-func (l *log) end(record *kit2.Record, machine, id string, answer *kit2.Answer) bool {
+func (l *log) end(record *platform.Record, machine, id string, answer *platform.Answer) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if answer.Err != nil {
@@ -141,7 +141,7 @@
 	return answer.Status == 200
 }
 
-func (l *log) request(record *kit2.Record, worker, id string, at time.Time) {
+func (l *log) request(record *platform.Record, worker, id string, at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	closedAt, closed := l.closed[id]
@@ -153,7 +153,7 @@
 	record.Log("worker %s: request %s arrives %d ms after its client closed the connection", worker, id, at.Sub(closedAt).Milliseconds())
 }
 
-func (l *log) run(record *kit2.Record, worker, id string) {
+func (l *log) run(record *platform.Record, worker, id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ran[id] = true
--- a/review/7/main.go
+++ b/review/7/main.go
@@ -12,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"github.com/hemlockring/hemlockring/review/kit2"
+	"github.com/hemlockring/hemlockring/review/second/platform"
 )
 
 const (
@@ -28,22 +28,22 @@
 	interval = 35 * time.Millisecond
 )
 
-func main() { os.Exit(kit2.Run(os.Args[1], run)) }
+func main() { os.Exit(platform.Run(os.Args[1], run)) }
 
-func run(record *kit2.Record) (bool, error) {
+func run(record *platform.Record) (bool, error) {
 	// The worker that leaves runs on the second machine, others of its service on two more.
-	fleet, err := kit2.NewFleet(record, 3, kit2.ServiceA, kit2.ServiceA, kit2.ServiceA)
+	fleet, err := platform.NewFleet(record, 3, platform.ServiceA, platform.ServiceA, platform.ServiceA)
 	if err != nil {
 		return false, err
 	}
 	defer fleet.Stop()
-	if err := fleet.StartAll(kit2.Configuration(1, 0, 1000, false)); err != nil {
+	if err := fleet.StartAll(platform.Configuration(1, 0, 1000, false)); err != nil {
 		return false, err
 	}
 	seen := &arrivals{}
-	var workers []*kit2.Worker
+	var workers []*platform.Worker
 	for i, machine := range fleet.Sides {
-		worker, err := kit2.StartWorker(machine, fmt.Sprintf("i-%d", i+1), slots, work)
+		worker, err := platform.StartWorker(machine, fmt.Sprintf("i-%d", i+1), slots, work)
 		if err != nil {
 			return false, err
 		}
@@ -71,7 +71,7 @@
 	}
 	ackedAt := time.Now()
 	record.Log("worker i-2: its leave is acknowledged by %s", machine.Name)
-	if kit2.Trouble() {
+	if platform.Trouble() {
 		time.Sleep(200 * time.Millisecond)
 		machine.Signal(syscall.SIGKILL)
 		machine.AwaitExit(time.Second)
@@ -91,7 +91,7 @@
 	// The machine was in touch when it acknowledged the leave. Only requests that it sends on
 	// once it is in touch again count.
 	from := ackedAt.Add(drainPeriod)
-	if again := restartedAt.Add(contact); kit2.Trouble() && again.After(from) {
+	if again := restartedAt.Add(contact); platform.Trouble() && again.After(from) {
 		from = again
 	}
 	count := seen.after(from)
@@ -100,14 +100,14 @@
 }
 
 // send sends requests on the machines at a steady rate until ctx ends.
-func send(ctx context.Context, record *kit2.Record, machines ...*kit2.Machine) *sync.WaitGroup {
+func send(ctx context.Context, record *platform.Record, machines ...*platform.Machine) *sync.WaitGroup {
 	var wait sync.WaitGroup
 	wait.Go(func() {
 		for i := 0; ctx.Err() == nil; i++ {
 			machine := machines[i%len(machines)]
-			request := &kit2.Request{Method: "POST", Path: kit2.PathA + "order", ID: fmt.Sprintf("order-%04d", i+1), Body: "one pallet", Deadline: 5 * time.Second}
+			request := &platform.Request{Method: "POST", Path: platform.PathA + "order", ID: fmt.Sprintf("order-%04d", i+1), Body: "one pallet", Deadline: 5 * time.Second}
 			wait.Go(func() {
-				answer := kit2.Send(context.Background(), machine.Outbound(), request)
+				answer := platform.Send(context.Background(), machine.Outbound(), request)
 				record.Log("client on %s: %s answered with %d, %s, error %v", machine.Name, request.ID, answer.Status, answer.Signature, answer.Err)
 			})
 			time.Sleep(interval)
@@ -122,7 +122,7 @@
 	at []time.Time
 }
 
-func (a *arrivals) add(record *kit2.Record, id string, at time.Time) {
+func (a *arrivals) add(record *platform.Record, id string, at time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.at = append(a.at, at)
--- a/review/kit2/fleet.go
+++ b/review/second/platform/fleet.go
@@ -1,8 +1,8 @@
 //go:build review2
 
-// Package kit2 starts a small deployment of hemlockring as separate processes on loopback
+// Package platform starts a small deployment of hemlockring as separate processes on loopback
 // addresses and provides stand-ins for its clients, backend servers and operator.
-package kit2
+package platform
 
 import (
 	"bytes"
@@ -326,3 +326,27 @@
 	}
 	return status, answer, fmt.Errorf("no clear response to %s: %d %w", method, status, err)
 }
+
+// SetRoute sets a field of the second route of a configuration.
+func SetRoute(configuration []byte, field string, value any) []byte {
+	var body map[string]any
+	if err := json.Unmarshal(configuration, &body); err != nil {
+		panic(err)
+	}
+	routes := body["Routes"].(map[string]any)
+	for i, name := range routes["Columns"].([]any) {
+		if name == field {
+			routes["Rows"].([]any)[1].([]any)[i] = value
+		}
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// SplitRoute gives the second route a split of one part, to ServiceB.
+func SplitRoute(configuration []byte) []byte {
+	return SetRoute(configuration, "TrafficSplit", []map[string]any{{"Service": ServiceB, "Weight": 1}})
+}
--- a/review/kit2/record.go
+++ b/review/second/platform/record.go
@@ -1,6 +1,6 @@
 //go:build review2
 
-package kit2
+package platform
 
 import (
 	"fmt"
