ingress: end a waiting request when its caller leaves with the body unread

Cause: a body is read only while a dispatch asks for it, and net/http looks for the end of an HTTP/1 connection only after it has read the body. The context of a waiting request therefore did not end with its caller. Longer bodies through another instance, and waits of the ingress itself, share it.

Change: while the body is unread, the ingress asks the operating system every 100 ms whether the caller has ended or reset the connection, and ends the request's context if so. Nothing is read ahead.

--- a/backendproxy/connend.go
+++ b/backendproxy/connend.go
@@ -7,23 +7,19 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
+
+	"github.com/hemlockring/hemlockring/internal/tcpstate"
 )
 
 // errConnectionLost is returned by a read that met the end of the stream, if the connection
 // was reset or the backend server ended it before it had received the whole request.
 var errConnectionLost = errors.New("the connection was reset, or ended before the backend server had received the whole request")
 
-const (
-	// requestEndWait is how long a read that met the end of the stream waits until the
-	// request is written. A server that received all of it may end the stream before the
-	// writing goroutine has run on; 200 ms is far above the time that one waits for a
-	// processor. An upload whose caller is slower than that has not been received.
-	requestEndWait = 200 * time.Millisecond
-	// tcpCloseWait is TCP_CLOSE_WAIT of Linux: the peer has ended the stream, and neither
-	// side has reset or closed the connection.
-	tcpCloseWait = 8
-)
+// requestEndWait is how long a read that met the end of the stream waits until the
+// request is written. A server that received all of it may end the stream before the
+// writing goroutine has run on; 200 ms is far above the time that one waits for a
+// processor. An upload whose caller is slower than that has not been received.
+const requestEndWait = 200 * time.Millisecond
 
 // requestEnd records whether the current request of a connection has been written to its end.
 // The mutex of the connection guards it.
@@ -142,18 +138,9 @@
 // that was written. After a reset it returns false: the socket reports a reset only once, and
 // a failed write takes that report from the reads.
 func receivedByPeer(conn net.Conn) bool {
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
+	if _, isSocket := conn.(syscall.Conn); !isSocket {
 		return true
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	received := false
-	err = raw.Control(func(descriptor uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
-		received = err == nil && info.State == tcpCloseWait && info.Unacked == 0 && info.Notsent_bytes == 0
-	})
-	return err == nil && received
+	info, known := tcpstate.Read(conn)
+	return known && info.State == tcpstate.CloseWait && !info.Unacknowledged
 }
--- a/ingress/proxy.go
+++ b/ingress/proxy.go
@@ -75,6 +75,9 @@
 	EndReads()
 	// Abort resets the connection.
 	Abort()
+	// EndedByCaller reports whether the caller has ended or reset the connection. Bytes that it
+	// sent before may still be unread.
+	EndedByCaller() bool
 }
 
 // Proxy is the http.Handler that serves callers. It is safe for concurrent use.
@@ -115,6 +118,8 @@
 // ServeHTTP implements http.Handler.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	caller := p.config.Presentation.ReadCaller(request)
+	request, stopWatch := p.watchCaller(request)
+	defer stopWatch()
 	exchange := &pipeline.Exchange{
 		Request:       request,
 		Writer:        w,
--- a/node/callerconns.go
+++ b/node/callerconns.go
@@ -11,6 +11,7 @@
 
 	"github.com/hemlockring/hemlockring/fleetconfig"
 	"github.com/hemlockring/hemlockring/ingress"
+	"github.com/hemlockring/hemlockring/internal/tcpstate"
 )
 
 // closeDelay is how long a connection whose caller is still sending stays open after the
@@ -73,6 +74,9 @@
 	_ = c.Conn.Close() // Nothing can be done about an error.
 }
 
+// EndedByCaller implements ingress.CallerConnection.
+func (c *callerConn) EndedByCaller() bool { return tcpstate.EndedByPeer(c.Conn) }
+
 // serves reports whether the connection may serve a further request.
 func (c *callerConn) serves() bool {
 	c.mu.Lock()
@@ -220,6 +224,9 @@
 // Abort implements ingress.CallerConnection.
 func (untrackedConn) Abort() {}
 
+// EndedByCaller implements ingress.CallerConnection.
+func (untrackedConn) EndedByCaller() bool { return false }
+
 func positiveOr(value, fallback time.Duration) time.Duration {
 	if value > 0 {
 		return value
