backendproxy: answer a caller that pauses its upload

Callers saw: no answer at the route's timeout, nor when the server reset the connection, until a paused upload went on; the server's slot stayed in use.

Cause: as for waiting uploads, only the dispatch reads the body, and such a read can't be given up. net/http's RoundTrip waits for it after a failure and after the end of its context.

Change: each read of an upload takes place in a goroutine of its own, and the wait for it ends with the request's context or with the server's connection. The rest of a body that a fingerprint needs after a crash is read until the deadline or a pause of 1 s. A caller that got "100 Continue" counts as one that is still sending.

--- a/backendproxy/conn.go
+++ b/backendproxy/conn.go
@@ -34,6 +34,10 @@
 	// head checks the heads of the responses to the current request. It is nil before the
 	// first one.
 	head *strictresponse.Reader
+	// upload is the body of the current request, or nil. readErr is the error that ended the
+	// reads of the connection.
+	upload  *nonRewindableBody
+	readErr error
 	// idle says that the connection has no request. idleTimer closes it shortly before
 	// idleTimeout, the time after which the backend server drops it.
 	idle        bool
@@ -56,6 +60,27 @@
 	c.dispatchBy = dispatchBy
 }
 
+// setUpload sets the body of the current request, whose reads end with the connection.
+func (c *trackedConn) setUpload(body *nonRewindableBody) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.upload = body
+}
+
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	c.mu.Lock()
+	upload, cause := c.upload, c.readErr
+	c.mu.Unlock()
+	if upload != nil {
+		if cause == nil {
+			cause = net.ErrClosed
+		}
+		upload.interrupt(errors.Wrap(cause, "the connection ended during the upload"))
+	}
+	return c.Conn.Close()
+}
+
 // Write implements net.Conn. It sets wrote before it passes the bytes on, so that wrote
 // is never false once a byte may have been sent. It returns errDispatchDeadline when the
 // first byte of a request comes too late.
--- a/backendproxy/connend.go
+++ b/backendproxy/connend.go
@@ -79,11 +79,16 @@
 func (c *trackedConn) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
 	if invalid := c.checkHead(buffer[:n]); invalid != nil {
-		return 0, invalid
+		n, err = 0, invalid
 	}
 	if err == io.EOF && !c.endedInOrder() { //nolint:errorlint // The end of the stream itself, and no error that wraps it.
 		err = errConnectionLost
 	}
+	if err != nil {
+		c.mu.Lock()
+		c.readErr = err
+		c.mu.Unlock()
+	}
 	return n, err
 }
 
--- a/backendproxy/crash.go
+++ b/backendproxy/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/base64"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -154,7 +155,9 @@
 // fingerprint, and records it as under way in the crash.
 func (r *serverRun) implicateLate(probe *crashProbe) *quarantine.Entry {
 	if body := stateOf(r.exchange).body; body != nil {
-		body.readRest()
+		if err := body.readRest(r.exchange.Deadline); err != nil && !errors.Is(err, io.EOF) {
+			r.detector.logLine("body of a request under way in a crash not read to its end", "request", r.exchange.RequestID, "error", err)
+		}
 	}
 	request, known := requestOf(r.exchange)
 	if !known {
--- a/backendproxy/crash_test.go
+++ b/backendproxy/crash_test.go
@@ -73,11 +73,11 @@
 	must.NotNil(t, slot)
 	exchange := &pipeline.Exchange{
 		Request:       httptest.NewRequest(http.MethodPost, "/", bytes.NewBufferString(body)),
-		BackendServer: "b1", Service: "catalogue", State: &exchangeState{},
+		BackendServer: "b1", Service: "catalogue", State: &exchangeState{}, Deadline: clock.Now().Add(time.Minute),
 	}
 	key := quarantine.DeriveKey(nil)
 	exchange.Hasher = key.NewHasher(pipeline.FingerprintedContent(exchange))
-	sent := &nonRewindableBody{source: exchange.Request, target: exchange.Request, hasher: exchange.Hasher}
+	sent := newNonRewindableBody(t.Context(), exchange.Request, exchange.Request, exchange.Hasher)
 	stateOf(exchange).body = sent
 	if complete {
 		_, err := io.Copy(io.Discard, sent)
--- a/backendproxy/dispatch.go
+++ b/backendproxy/dispatch.go
@@ -31,8 +31,9 @@
 	maxIdleBeforeNonIdempotent = 200 * time.Millisecond
 	// maxIdleConns bounds the idle connections of each pool.
 	maxIdleConns = 64
-	// restBufferBytes is the size of the buffer for the rest of a body whose dispatch failed.
-	restBufferBytes = 4 << 10
+	// maxRestPause is how long the caller may pause while the rest of a body whose dispatch
+	// failed is read. The caller waits for its response meanwhile.
+	maxRestPause = time.Second
 	// maxResponseHeaderBytes bounds the header of a backend server's response.
 	maxResponseHeaderBytes = 256 << 10
 )
@@ -91,11 +92,13 @@
 func (d *dispatcher) dispatch(ctx context.Context, exchange *pipeline.Exchange, address string, dispatchBy time.Time) (*http.Response, dispatchResult, error) {
 	var conn atomic.Pointer[trackedConn]
 	var reused atomic.Bool
+	request, body := d.outgoingRequest(ctx, exchange, address)
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			reused.Store(info.Reused)
 			if tracked, ok := info.Conn.(*trackedConn); ok {
 				tracked.beginRequest(dispatchBy)
+				tracked.setUpload(body)
 				conn.Store(tracked)
 			}
 		},
@@ -110,7 +113,7 @@
 			}
 		},
 	}
-	request := d.outgoingRequest(httptrace.WithClientTrace(ctx, trace), exchange, address)
+	request = request.WithContext(httptrace.WithClientTrace(ctx, trace))
 	transport := d.nonIdempotent
 	if exchange.Idempotent {
 		transport = d.idempotent
@@ -159,7 +162,7 @@
 // http.Transport resends a request that meets two conditions. Its body is empty or can be
 // rewound, and the request has either the method GET, HEAD, OPTIONS or TRACE, or an
 // Idempotency-Key header.
-func (d *dispatcher) outgoingRequest(ctx context.Context, exchange *pipeline.Exchange, address string) *http.Request {
+func (d *dispatcher) outgoingRequest(ctx context.Context, exchange *pipeline.Exchange, address string) (*http.Request, *nonRewindableBody) {
 	incoming := exchange.Request
 	header := incoming.Header.Clone()
 	httpheader.RemoveHopByHop(header)
@@ -180,7 +183,7 @@
 	}
 	body := &nonRewindableBody{}
 	if incoming.ContentLength != 0 {
-		body = &nonRewindableBody{source: incoming, target: outgoing, hasher: exchange.Hasher}
+		body = newNonRewindableBody(ctx, incoming, outgoing, exchange.Hasher)
 	}
 	outgoing.Body = body
 	if state := stateOf(exchange); state != nil {
@@ -189,7 +192,7 @@
 	if len(incoming.Trailer) > 0 {
 		outgoing.Trailer = allowedTrailer(incoming.Trailer)
 	}
-	return outgoing.WithContext(ctx)
+	return outgoing, body
 }
 
 // allowedTrailer returns the declared trailer fields without the internal ones.
@@ -205,31 +208,47 @@
 
 // nonRewindableBody is a request body that can be read only once. net/http cannot rewind
 // it, because it is not http.NoBody and its request has no GetBody. The zero value is an
-// empty body.
+// empty body. net/http waits for its reads before it reports a failure or the end of the
+// request's context, so they end with the context and with the connection.
 type nonRewindableBody struct {
 	source *http.Request
 	target *http.Request
 	// hasher receives the bytes that are read, unless it is nil.
 	hasher *quarantine.Hasher
+	// reader reads the source. It is nil if there is none.
+	reader *uploadReader
 
-	// closed says that net/http reads no more.
-	closed atomic.Bool
-	// mu guards reads of the source.
+	// mu guards the use of reader, except for its interruption.
 	mu sync.Mutex
 }
 
+// newNonRewindableBody returns a body that is read from source until ctx ends. hasher may be nil.
+func newNonRewindableBody(ctx context.Context, source, target *http.Request, hasher *quarantine.Hasher) *nonRewindableBody {
+	body := &nonRewindableBody{source: source, target: target, hasher: hasher}
+	body.reader = newUploadReader(ctx.Done(), source.Body, source.ContentLength, body.hash)
+	return body
+}
+
+// hash adds to the fingerprint what was read from the source.
+func (b *nonRewindableBody) hash(data []byte, err error) {
+	if b.hasher == nil {
+		return
+	}
+	_, _ = b.hasher.Write(data)
+	if errors.Is(err, io.EOF) {
+		b.hasher.End()
+	}
+}
+
 // Read implements io.Reader. At the end of the body it copies the values of the trailer
 // fields.
 func (b *nonRewindableBody) Read(buffer []byte) (int, error) {
-	if b.source == nil {
+	if b.reader == nil {
 		return 0, io.EOF
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.closed.Load() {
-		return 0, http.ErrBodyReadAfterClose
-	}
-	n, err := b.readSource(buffer)
+	n, err := b.reader.Read(buffer)
 	if errors.Is(err, io.EOF) {
 		for name := range b.target.Trailer {
 			b.target.Trailer[name] = b.source.Trailer[name]
@@ -238,44 +257,35 @@
 	return n, err
 }
 
-// readSource reads from the source. The caller must hold mu.
-func (b *nonRewindableBody) readSource(buffer []byte) (int, error) {
-	n, err := b.source.Body.Read(buffer)
-	if b.hasher != nil {
-		_, _ = b.hasher.Write(buffer[:n])
-		if errors.Is(err, io.EOF) {
-			b.hasher.End()
-		}
-	}
-	return n, err
-}
-
-// readRest reads what the fingerprint still needs after the dispatch has failed.
-func (b *nonRewindableBody) readRest() {
-	if b.source == nil || b.hasher == nil {
-		return
+// readRest reads what the fingerprint still needs after the dispatch has failed, until the
+// deadline or a pause of maxRestPause.
+func (b *nonRewindableBody) readRest(deadline time.Time) error {
+	if b.reader == nil || b.hasher == nil {
+		return nil
 	}
-	b.closed.Store(true)
+	b.reader.interrupt(http.ErrBodyReadAfterClose)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	buffer := make([]byte, restBufferBytes)
-	for {
-		if _, known := b.hasher.Sum(); known {
-			return
-		}
-		if _, err := b.readSource(buffer); err != nil {
-			return
-		}
+	return b.reader.discard(func() bool {
+		_, known := b.hasher.Sum()
+		return known || !clock.Now().Before(deadline)
+	}, maxRestPause)
+}
+
+// interrupt ends all reads with cause.
+func (b *nonRewindableBody) interrupt(cause error) {
+	if b.reader != nil {
+		b.reader.interrupt(cause)
 	}
 }
 
 // Close implements io.Closer. It leaves the source open while the fingerprint is not known, so
 // that readRest can read on.
 func (b *nonRewindableBody) Close() error {
-	b.closed.Store(true)
-	if b.source == nil {
+	if b.reader == nil {
 		return nil
 	}
+	b.interrupt(http.ErrBodyReadAfterClose)
 	if b.hasher != nil {
 		if _, known := b.hasher.Sum(); !known {
 			return nil
--- a/backendproxy/keepalive.go
+++ b/backendproxy/keepalive.go
@@ -48,6 +48,7 @@
 func (c *trackedConn) setIdle() {
 	c.mu.Lock()
 	c.idle = true
+	c.upload = nil
 	retired := c.retired
 	if !retired {
 		c.startIdleTimer()
--- a/ingress/callerwatch.go
+++ b/ingress/callerwatch.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,8 @@
 type callerWatch struct {
 	connection CallerConnection
 	cancel     context.CancelCauseFunc
+	// readBegan says that a read of the body has begun.
+	readBegan atomic.Bool
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -31,25 +34,34 @@
 	timer   *time.Timer
 }
 
-// watchCaller returns the request with a context that ends with its caller, and a function that
-// ends the watch.
-func (p *Proxy) watchCaller(request *http.Request) (watched *http.Request, stop func()) {
+// watchCaller returns the request with a context that ends with its caller, and the watch, which
+// must be ended. The watch is nil if the request needs none.
+func (p *Proxy) watchCaller(request *http.Request) (watched *http.Request, watch *callerWatch) {
 	if request.ProtoMajor != 1 || request.ContentLength == 0 || p.config.CallerConnection == nil {
-		return request, func() {}
+		return request, nil
 	}
 	ctx, cancel := context.WithCancelCause(request.Context())
-	watch := &callerWatch{connection: p.config.CallerConnection(request), cancel: cancel}
+	watch = &callerWatch{connection: p.config.CallerConnection(request), cancel: cancel}
 	watch.mu.Lock()
 	watch.timer = time.AfterFunc(callerCheckInterval, watch.check)
 	watch.mu.Unlock()
 	watched = request.WithContext(ctx)
 	watched.Body = &watchedBody{ReadCloser: request.Body, watch: watch}
-	return watched, func() {
-		watch.stop()
-		cancel(nil)
+	return watched, watch
+}
+
+// end ends the watch and the context of the request.
+func (w *callerWatch) end() {
+	if w != nil {
+		w.stop()
+		w.cancel(nil)
 	}
 }
 
+// bodyRequested reports whether the caller may have been asked for the body. net/http asks a
+// caller that waits for "100 Continue" with the first read.
+func (w *callerWatch) bodyRequested() bool { return w != nil && w.readBegan.Load() }
+
 func (w *callerWatch) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -80,6 +92,7 @@
 
 // Read implements io.Reader.
 func (b *watchedBody) Read(buffer []byte) (int, error) {
+	b.watch.readBegan.Store(true)
 	n, err := b.ReadCloser.Read(buffer)
 	if err != nil {
 		b.watch.stop()
--- a/ingress/proxy.go
+++ b/ingress/proxy.go
@@ -118,8 +118,8 @@
 // ServeHTTP implements http.Handler.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	caller := p.config.Presentation.ReadCaller(request)
-	request, stopWatch := p.watchCaller(request)
-	defer stopWatch()
+	request, watch := p.watchCaller(request)
+	defer watch.end()
 	exchange := &pipeline.Exchange{
 		Request:       request,
 		Writer:        w,
@@ -134,9 +134,6 @@
 		exchange.Writer = &callWriter{ResponseWriter: w, runs: p.config.Runs, exchange: exchange}
 	}
 	_ = http.NewResponseController(w).EnableFullDuplex()
-	// A caller that waits for "100 Continue" does not send its body after it has
-	// received the response.
-	drainUnread := request.ProtoMajor == 1 && request.ContentLength != 0 && request.Header.Get("Expect") == ""
 	defer func() { p.config.Recorder.Record(exchange, clock.Since(exchange.Received)) }()
 	if err := p.chain.Serve(exchange); err != nil && !errors.Is(err, pipeline.ErrAnswered) {
 		p.refuse(exchange, err)
@@ -148,6 +145,9 @@
 		p.abortConnection(request)
 		panic(http.ErrAbortHandler)
 	}
+	// A caller that waits for "100 Continue" does not send its body after it has
+	// received the response.
+	drainUnread := request.ProtoMajor == 1 && request.ContentLength != 0 && (request.Header.Get("Expect") == "" || watch.bodyRequested())
 	if drainUnread && !drainBody(w, request) && p.config.CallerConnection != nil {
 		p.config.CallerConnection(request).EndReads()
 	}
--- a/ingress/replaybody.go
+++ b/ingress/replaybody.go
@@ -89,6 +89,9 @@
 	}
 	a.shared.reading.Lock()
 	defer a.shared.reading.Unlock()
+	if a.closed.Load() {
+		return 0, http.ErrBodyReadAfterClose
+	}
 	if n, err := a.readShared(buffer); n > 0 || err != nil {
 		return n, err
 	}
--- a/node/earlyanswer_test.go
+++ b/node/earlyanswer_test.go
@@ -169,3 +169,32 @@
 		must.NoError(t, conn.Close())
 	}
 }
+
+// Guards against an answer that waits past the route's timeout, and a slot that stays in use, because the caller pauses its upload.
+func TestPausedUploadIsAnsweredAtTheTimeoutOfItsRoute(t *testing.T) {
+	t.Parallel()
+	fleet := startFleet(t, 2, emulator.Config{})
+	_, address := startRawBackend(t, func(int32, io.Writer) bool { return true })
+	fleet.announceRaw(t, 0, address)
+	for instance := range 2 {
+		for _, expect := range []string{"", "Expect: 100-continue\r\n"} {
+			conn, err := net.Dial("tcp", fleet.layout.Instances[instance].CallerAddress)
+			must.NoError(t, err)
+			must.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+			_, err = io.WriteString(conn, "POST /short HTTP/1.1\r\nHost: a.example\r\nX-Api-Key: "+testKey+"\r\n"+expect+"Content-Length: 8\r\n\r\nfour")
+			must.NoError(t, err)
+			reader := bufio.NewReader(conn)
+			response, err := http.ReadResponse(reader, nil)
+			if err == nil && response.StatusCode == http.StatusContinue {
+				response, err = http.ReadResponse(reader, nil)
+			}
+			must.NoError(t, err, must.Sprintf("instance %d %s", instance, expect))
+			must.Eq(t, http.StatusGatewayTimeout, response.StatusCode)
+			must.NoError(t, conn.Close())
+		}
+	}
+	waitFor(t, func() bool {
+		loads := fleet.nodes[0].backendProxy.Loads()
+		return len(loads) == 1 && loads[0].InFlight == 0
+	})
+}
