orders: refuse an order whose upload pauses past its deadline

Callers saw: no answer to an order with an Idempotency-Key while its upload paused, however short the route's timeout.

Cause: the filter reads the whole body before the claim, without a deadline. The quarantine of the ingress had one; that of the backend proxy had none.

Change: one function reads bodies by the deadline of the exchange. Such an order is refused with 408 and has not run.

Measured: TestPausedUploadOfOrderWithKeyIsRefusedAtTheTimeout gets no answer in 5 s without the change.

--- a/backendproxy/quarantine.go
+++ b/backendproxy/quarantine.go
@@ -25,7 +25,8 @@
 	if !f.quarantine.MayBeQuarantined(hasher.Head()) {
 		return nil
 	}
-	if err := pipeline.FingerprintBody(exchange.Request, hasher); err != nil {
+	err := pipeline.ReadBodyByDeadline(exchange, func() error { return pipeline.FingerprintBody(exchange.Request, hasher) })
+	if err != nil {
 		return pipeline.NewNotRunRefusal(pipeline.KindBadRequest, http.StatusBadRequest,
 			"the request body could not be read to its end", "send the complete body", retryElsewhere)
 	}
--- a/ingress/local.go
+++ b/ingress/local.go
@@ -99,6 +99,11 @@
 	}
 }
 
+// SetReadDeadline sets the deadline of reads of the caller's body, for http.ResponseController.
+func (w *localWriter) SetReadDeadline(deadline time.Time) error {
+	return http.NewResponseController(w.exchange.Writer).SetReadDeadline(deadline)
+}
+
 // copyTrailer copies the trailer to the caller's response. It is called after the
 // backend proxy has added the trailer fields to w.header, with http.TrailerPrefix
 // before their names.
--- a/ingress/quarantine.go
+++ b/ingress/quarantine.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hemlockring/hemlockring/backendproxy"
 	"github.com/hemlockring/hemlockring/pipeline"
 	"github.com/hemlockring/hemlockring/quarantine"
@@ -60,10 +62,11 @@
 	if !f.quarantine.MayBeQuarantined(hasher.Head()) {
 		return nil
 	}
-	controller := http.NewResponseController(exchange.Writer)
-	_ = controller.SetReadDeadline(exchange.Deadline)
-	err := pipeline.FingerprintBody(exchange.Request, hasher)
-	_ = controller.SetReadDeadline(time.Time{})
+	err := pipeline.ReadBodyByDeadline(exchange, func() error { return pipeline.FingerprintBody(exchange.Request, hasher) })
+	var late *pipeline.Refusal
+	if errors.As(err, &late) {
+		return late
+	}
 	if err != nil {
 		refusal := bodyReadRefusal(err)
 		refusal.Outcome, refusal.ReachedServer = pipeline.OutcomeNotRun, false
--- a/node/earlyanswer_test.go
+++ b/node/earlyanswer_test.go
@@ -170,6 +170,22 @@
 	}
 }
 
+// Guards against an order with a key that waits for its paused upload past the route's timeout.
+func TestPausedUploadOfOrderWithKeyIsRefusedAtTheTimeout(t *testing.T) {
+	t.Parallel()
+	fleet := startFleet(t, 1, emulator.Config{Slots: 1})
+	conn, err := net.Dial("tcp", fleet.layout.Instances[0].CallerAddress)
+	must.NoError(t, err)
+	defer conn.Close()
+	must.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.WriteString(conn, "POST /short HTTP/1.1\r\nHost: a.example\r\nX-Api-Key: "+testKey+"\r\n"+pipeline.HeaderIdempotencyKey+": paused\r\nContent-Length: 8\r\n\r\nfour")
+	must.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusRequestTimeout, response.StatusCode)
+	must.Eq(t, pipeline.OutcomeNotRun.String(), response.Header.Get(pipeline.HeaderOutcome))
+}
+
 // Guards against an answer that waits past the route's timeout, and a slot that stays in use, because the caller pauses its upload.
 func TestPausedUploadIsAnsweredAtTheTimeoutOfItsRoute(t *testing.T) {
 	t.Parallel()
--- a/orders/filter.go
+++ b/orders/filter.go
@@ -6,8 +6,11 @@
 	"crypto/sha256"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hemlockring/hemlockring/clock"
 	"github.com/hemlockring/hemlockring/idempotency"
 	"github.com/hemlockring/hemlockring/pipeline"
@@ -56,7 +59,11 @@
 	if err := checkKey(exchange, key); err != nil {
 		return err
 	}
-	fingerprint, err := f.readFingerprint(exchange.Request)
+	var fingerprint idempotency.Fingerprint
+	err := pipeline.ReadBodyByDeadline(exchange, func() (err error) {
+		fingerprint, err = f.readFingerprint(exchange.Request)
+		return err
+	})
 	if err != nil {
 		return err
 	}
@@ -95,6 +102,9 @@
 // returns the fingerprint of the request.
 func (f *Filter) readFingerprint(request *http.Request) (idempotency.Fingerprint, error) {
 	body, err := io.ReadAll(io.LimitReader(request.Body, f.MaxBodyBytes+1))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return idempotency.Fingerprint{}, errors.Wrap(err, "read the body of an order")
+	}
 	if err != nil {
 		return idempotency.Fingerprint{}, pipeline.NewNotRunRefusal(pipeline.KindBadRequest, http.StatusBadRequest,
 			"the request body ended early", "send the request again with the same Idempotency-Key", retrySoon)
