backendproxy, serverexit: keep acknowledged exits through a restart

Callers saw: after a daemon had been killed and started again, a check-in that arrived late registered a server whose DELETE had been acknowledged.

Cause: what the registry has acknowledged, of draining and of leaving, lived in the memory of one process. An orderly stop forgets it as a kill does.

--- a/backendproxy/announce.go
+++ b/backendproxy/announce.go
@@ -38,12 +38,23 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	r.acknowledge(w, request, id)
+}
+
+// acknowledge replies to an announcement or departure once the exit that follows from it, if
+// any, outlives this process.
+func (r *Registry) acknowledge(w http.ResponseWriter, request *http.Request, id fleetconfig.BackendServerID) {
+	if err := r.ConfirmExit(request.Context(), id); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
 func (r *Registry) handleLeave(w http.ResponseWriter, request *http.Request) {
-	r.Leave(fleetconfig.BackendServerID(request.PathValue("id")), clock.Now())
-	w.WriteHeader(http.StatusNoContent)
+	id := fleetconfig.BackendServerID(request.PathValue("id"))
+	r.Leave(id, clock.Now())
+	r.acknowledge(w, request, id)
 }
 
 // Serve calls Tick periodically until ctx is done. It implements suture.Service.
--- a/backendproxy/departure.go
+++ b/backendproxy/departure.go
@@ -46,6 +46,9 @@
 	// leavingStatedAt is when a response of the server's process last stated its exit, or the
 	// zero time if none did.
 	leavingStatedAt time.Time
+	// left says that the server itself said that it leaves, whatever the reason became; kept
+	// that this has been kept beyond this process (Registry.ConfirmExit).
+	left, kept bool
 }
 
 // outdates reports whether an announcement of the same backend server must be ignored,
@@ -97,10 +100,21 @@
 	if found && departed.reason == departureLeft {
 		return
 	}
-	departed.reason, departed.at = departureLeft, now
+	if held, waits := r.held[id]; waits {
+		departed.last = held
+		delete(r.held, id)
+	}
+	departed.reason, departed.at, departed.left, departed.kept = departureLeft, now, true, false
 	r.addDeparture(id, departed)
 }
 
+// markLeft records that a server said itself that it leaves. The caller must hold mu.
+func (r *Registry) markLeft(id fleetconfig.BackendServerID) {
+	departed := r.departed[id]
+	departed.left = true
+	r.departed[id] = departed
+}
+
 // addDeparture replaces the oldest departure when there is no room for another one. The caller
 // must hold mu.
 func (r *Registry) addDeparture(id fleetconfig.BackendServerID, departed departure) {
--- a/backendproxy/registry.go
+++ b/backendproxy/registry.go
@@ -46,6 +46,8 @@
 	admission    *admissionQueue
 	// replacesProcess says that the process succeeded another one under the same ID.
 	replacesProcess bool
+	// exitKept says that the exit of a draining server has been kept (ConfirmExit).
+	exitKept bool
 	// leaving says that a response of the server's process has stated that it is leaving.
 	leaving bool
 	// leavingStatedAt is when a response last stated it.
@@ -107,6 +109,10 @@
 	// departed holds the backend servers that were removed. A stale announcement is compared
 	// with them, so that it does not register the server again.
 	departed map[fleetconfig.BackendServerID]departure
+	// exits keeps exits beyond this process, unless it is nil. held are the announcements that
+	// wait for the exits of a former process; it is nil once they are known.
+	exits ExitKeeper
+	held  map[fleetconfig.BackendServerID]Announcement
 }
 
 // Limits are the limits on backend servers in the current configuration.
@@ -163,8 +169,16 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.held != nil {
+		return r.hold(id, &announcement)
+	}
+	return r.announce(id, &announcement, now)
+}
+
+// announce is Announce for a valid announcement. The caller must hold mu.
+func (r *Registry) announce(id fleetconfig.BackendServerID, announcement *Announcement, now time.Time) error {
 	server := r.servers[id]
-	if r.isStale(id, server, &announcement, now) {
+	if r.isStale(id, server, announcement, now) {
 		return nil
 	}
 	if !r.hasRoomFor(id, announcement.Address) {
@@ -178,21 +192,22 @@
 		server = nil
 	}
 	if server == nil {
-		server = r.register(id, &announcement, now)
+		server = r.register(id, announcement, now)
 		changed = true
 	}
-	r.removeOthersAt(&announcement, id, now)
-	draining := server.drainsWith(&announcement, now)
+	r.removeOthersAt(announcement, id, now)
+	draining := server.drainsWith(announcement, now)
 	switch {
 	case draining && !server.draining:
 		server.admission.leave()
 	case !draining && server.draining:
-		server.setAdmission(newAdmissionQueue(int(r.effectiveSlots(&announcement)), r.limits.QueueLength()), now)
+		server.setAdmission(newAdmissionQueue(int(r.effectiveSlots(announcement)), r.limits.QueueLength()), now)
 	}
-	changed = changed || server.Announcement.differs(&announcement) || server.draining != draining
-	server.Announcement = announcement
-	server.effectiveSlots = r.effectiveSlots(&announcement)
+	changed = changed || server.Announcement.differs(announcement) || server.draining != draining
+	server.Announcement = *announcement
+	server.effectiveSlots = r.effectiveSlots(announcement)
 	server.draining = draining
+	server.exitKept = server.exitKept && draining
 	server.expiresAt = now.Add(time.Duration(announcement.LifetimeMillis) * time.Millisecond)
 	changed = r.recordColdness(server, now) || changed
 	if changed {
@@ -265,6 +280,7 @@
 		reason = departureSilent
 	}
 	r.recordDeparture(server, reason, now)
+	r.markLeft(id)
 	server.admission.leave()
 	delete(r.servers, id)
 	r.publish()
--- a/gossip/service.go
+++ b/gossip/service.go
@@ -58,6 +58,8 @@
 	onChange []func(*Snapshot)
 
 	snapshot atomic.Pointer[Snapshot]
+	// joined says that a digest exchange with another instance has succeeded.
+	joined atomic.Bool
 
 	// loads returns the load of the backend servers beside this instance, and
 	// onLoadReport handles the load reports of other instances. Both are nil unless
@@ -104,6 +106,9 @@
 	s.onPayload = handle
 }
 
+// Joined reports whether this instance has learned the members that another one knows.
+func (s *Service) Joined() bool { return s.joined.Load() }
+
 // SendPayload sends a datagram with a message of another package to a fleet address. It may be
 // lost.
 func (s *Service) SendPayload(address string, payload []byte) {
@@ -313,6 +318,7 @@
 		s.mu.Lock()
 		s.state.HandleInSync(clock.Now())
 		s.mu.Unlock()
+		s.joined.Store(true)
 		return nil
 	}
 	s.mu.Lock()
@@ -326,6 +332,7 @@
 		state.MergeUpdates(reply.Updates, clock.Now())
 		return nil
 	})
+	s.joined.Store(true)
 	return s.sendMissingRecords(ctx, address, reply.MissingRecords)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,7 @@
 	"github.com/hemlockring/hemlockring/report"
 	"github.com/hemlockring/hemlockring/retry"
 	"github.com/hemlockring/hemlockring/selection"
+	"github.com/hemlockring/hemlockring/serverexit"
 	"github.com/hemlockring/hemlockring/settings"
 	"github.com/hemlockring/hemlockring/shard"
 	"github.com/hemlockring/hemlockring/shardkeeper"
@@ -54,6 +55,7 @@
 	fingerprintKey    quarantine.Key
 	members           *gossip.Service
 	registry          *backendproxy.Registry
+	exits             *serverexit.Keeper
 	ejection          *ejection.Service
 	quarantine        *quarantinedriver.Service
 	control           *control.Node
@@ -233,6 +235,7 @@
 		n.ejection.SetServers(servers)
 		n.members.SetServers(backendproxy.MembershipServers(servers))
 	}, serverLimits{n.configuration, n.members})
+	n.keepExits()
 	n.quarantine = quarantinedriver.New(quarantinedriver.Config{
 		Members:      n.members.Snapshot,
 		Send:         n.members.SendPayload,
@@ -410,6 +413,7 @@
 	n.supervisor.Add(n.endpoint)
 	n.supervisor.Add(n.members)
 	n.supervisor.Add(n.registry)
+	n.supervisor.Add(n.exits)
 	n.supervisor.Add(n.ejection)
 	n.supervisor.Add(n.quarantine)
 	if n.control != nil {
