strictjson: read configurations, check-ins, changes and bounds in full

Cause: what follows the JSON value was looked for with json.Decoder.More, which reports false at a closing brace whatever follows it. Check-ins, announcements and changes did not look at all. encoding/json also replaces input before it is checked: of two members of one name the last one wins, also if they differ in case, and bytes that are no UTF-8 become U+FFFD.

Change: internal/strictjson reads a text in full or returns an error.

--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -286,3 +287,22 @@
 	must.NoError(t, err)
 	must.Eq(t, 1, reply.Version)
 }
+
+// Guards against a change of which only the beginning is read, or a later member of which replaces an earlier one.
+func TestChangeIsReadInFull(t *testing.T) {
+	fake := newFakeConfiguration()
+	server := serve(t, fake)
+	const valid = `{"change_id":"c","base_version":0,"changes":[{"kind":"use-preset","name":"peak"}]}`
+	for _, body := range []string{valid + "}", valid + valid, strings.Replace(valid, `"base_version":0`, `"base_version":7,"base_version":0`, 1)} {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+"/v1/changes", strings.NewReader(body))
+		must.NoError(t, err)
+		request.Header.Set("Authorization", "Bearer o")
+		response, err := server.Client().Do(request)
+		must.NoError(t, err)
+		must.NoError(t, response.Body.Close())
+		must.Eq(t, http.StatusBadRequest, response.StatusCode, must.Sprint(body))
+	}
+	must.Eq(t, 0, fake.View().Version())
+	_, err := newClient(server, "o").Change(t.Context(), usePreset("c", 0, fleetconfig.PresetPeak))
+	must.NoError(t, err)
+}
--- a/admin/server.go
+++ b/admin/server.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"time"
 
 	"github.com/hemlockring/hemlockring/admin/api"
 	"github.com/hemlockring/hemlockring/configsync"
 	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/internal/strictjson"
 )
 
 // Limits of the API.
@@ -192,9 +192,7 @@
 		return
 	}
 	request := new(api.ChangeRequest)
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(request); err != nil {
+	if err := strictjson.ReadKnown(r.Body, maxBodyBytes, request); err != nil {
 		writeProblem(w, badRequest(err))
 		return
 	}
--- a/backendproxy/announce.go
+++ b/backendproxy/announce.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"time"
 
 	"github.com/hemlockring/hemlockring/clock"
 	"github.com/hemlockring/hemlockring/fleetconfig"
+	"github.com/hemlockring/hemlockring/internal/strictjson"
 )
 
 const (
@@ -27,9 +27,7 @@
 
 func (r *Registry) handleAnnounce(w http.ResponseWriter, request *http.Request) {
 	var announcement Announcement
-	decoder := json.NewDecoder(http.MaxBytesReader(w, request.Body, maxAnnouncementBytes))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&announcement); err != nil {
+	if err := strictjson.ReadKnown(request.Body, maxAnnouncementBytes, &announcement); err != nil {
 		http.Error(w, "the announcement is not a valid JSON object: "+err.Error(), http.StatusBadRequest)
 		return
 	}
--- a/backendproxy/order_model_test.go
+++ b/backendproxy/order_model_test.go
@@ -100,7 +100,7 @@
 // newsWorld is a registry that receives news, and the other instances, which hold exits.
 type newsWorld struct {
 	registry                *testRegistry
-	witnesses                 *serverexit.Store
+	witnesses               *serverexit.Store
 	now                     time.Time
 	firstStart, secondStart int64
 	otherStart              int64
--- a/backendproxy/registry_test.go
+++ b/backendproxy/registry_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -138,3 +141,26 @@
 		must.Eq(t, expected, slots())
 	}
 }
+
+// Guards against an announcement of which only the beginning is read, or a later member of which replaces an earlier one.
+func TestAnnouncementIsReadInFull(t *testing.T) {
+	t.Parallel()
+	registry := newTestRegistry()
+	mux := http.NewServeMux()
+	registry.RegisterHandlers(mux)
+	const valid = `{"service":"catalogue","address":"127.0.0.1:80","slots":1,"state":"ready","lifetime_ms":5000}`
+	put := func(body string) int {
+		recorder := httptest.NewRecorder()
+		mux.ServeHTTP(recorder, httptest.NewRequestWithContext(t.Context(), http.MethodPut, "/v1/servers/b1", strings.NewReader(body)))
+		return recorder.Code
+	}
+	for _, body := range []string{
+		valid + "}", valid + valid, strings.Replace(valid, `"slots":1`, `"slots":1,"slots":900`, 1), strings.Replace(valid, `"slots":1`, `"slots":1,"Slots":900`, 1),
+		strings.Replace(valid, `"slots"`, `"slot"`, 1), valid + strings.Repeat(" ", maxAnnouncementBytes),
+	} {
+		must.Eq(t, http.StatusBadRequest, put(body), must.Sprint(body))
+		must.SliceEmpty(t, registry.servers)
+	}
+	must.Eq(t, http.StatusNoContent, put(valid+"\n"))
+	must.SliceLen(t, 1, registry.servers)
+}
--- a/backendproxy/uploadreader.go
+++ b/backendproxy/uploadreader.go
@@ -104,10 +104,10 @@
 // await waits until rest is not empty or err is set. It returns an error if the given channels
 // end the wait.
 func (r *uploadReader) await(canceled, interrupted <-chan struct{}, timeout <-chan time.Time) error {
+	if r.pending == nil && r.hasResult() {
+		return nil
+	}
 	if r.pending == nil {
-		if len(r.rest) > 0 || r.err != nil {
-			return nil
-		}
 		if r.chunk == nil {
 			r.chunk = make([]byte, r.chunkBytes)
 		}
@@ -127,6 +127,9 @@
 	}
 }
 
+// hasResult reports whether the last read of the source has left anything to return.
+func (r *uploadReader) hasResult() bool { return len(r.rest) > 0 || r.err != nil }
+
 // fill reads from the source until it yields a byte or an error.
 func (r *uploadReader) fill(pending chan<- struct{}) {
 	defer close(pending)
--- a/settings/load.go
+++ b/settings/load.go
@@ -108,6 +108,11 @@
 	if err != nil {
 		return
 	}
+	for _, key := range section.Keys() {
+		if len(key.ValueWithShadows()) > 1 {
+			p.addFault(sectionAdapter, key.Name(), "the key is set more than once", "keep one of the lines")
+		}
+	}
 	p.settings.Adapter = section.KeysHash()
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -44,6 +44,9 @@
 stop_timeout = 2h
 [extras]
 x = 1
+[platform]
+bounds = {}
+bounds = {"QuotaSlack":1}
 `)
 	text := faults.Error()
 	for _, want := range []string{
@@ -51,6 +54,7 @@
 		"test.ini [instance] roles:",
 		"test.ini [instance] colour: the key is unknown",
 		"test.ini [fleet] address: the key is set more than once",
+		"test.ini [platform] bounds: the key is set more than once",
 		"test.ini [local] address: the key is missing",
 		"test.ini [control] members: the value is invalid; write 1, 3, 5 or 7 members, not 2",
 		"test.ini [limits] stop_timeout:",
@@ -58,7 +62,7 @@
 	} {
 		must.StrContains(t, text, want)
 	}
-	must.Len(t, 8, faults)
+	must.Len(t, 9, faults)
 }
 
 // An instance with the role control must have a data folder and be listed in members.
