--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -68,58 +68,82 @@
 	if !utf8.Valid(data) {
 		return errors.New("the JSON text is not UTF-8")
 	}
-	var raw json.RawMessage
-	if err := json.Unmarshal(data, &raw); err != nil {
-		return errors.Wrap(err, "decode the JSON text")
+	if !json.Valid(data) {
+		var raw json.RawMessage
+		return errors.Wrap(json.Unmarshal(data, &raw), "decode the JSON text")
 	}
-	return checkNames(json.NewDecoder(bytes.NewReader(data)))
+	return checkNames(data)
 }
 
-// object holds the names of the members of an object that have been read.
+// object is an object whose members are being read.
 type object struct {
-	names map[string]bool
-	// isName says that the next string is the name of a member.
-	isName bool
+	// names holds the names of the members so far, folded.
+	names map[string]struct{}
+	// nameNext says that the next string is a name.
+	nameNext bool
 }
 
-// checkNames reads a valid JSON text.
-func checkNames(decoder *json.Decoder) error {
-	decoder.UseNumber()
-	// The objects and lists that the next token is in; nil stands for a list.
+// checkNames returns an error if an object in a valid JSON text has two members of one name.
+func checkNames(data []byte) error {
+	// The objects and lists around the next byte; nil stands for a list.
 	var open []*object
-	for {
-		token, err := decoder.Token()
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return errors.Wrap(err, "decode the JSON text")
-		}
-		var current *object
-		if len(open) > 0 {
-			current = open[len(open)-1]
-		}
-		if name, isText := token.(string); isText && current != nil && current.isName {
-			folded := strings.ToLower(strings.ToUpper(name))
-			if current.names[folded] {
-				return errors.Newf("an object has two members named %q", name)
+	var current *object
+	for i := 0; i < len(data); i++ {
+		switch data[i] {
+		case '{', '[':
+			current = nil
+			if data[i] == '{' {
+				current = &object{names: make(map[string]struct{}), nameNext: true}
 			}
-			current.names[folded], current.isName = true, false
-			continue
-		}
-		switch token {
-		case json.Delim('{'):
-			open = append(open, &object{names: make(map[string]bool), isName: true})
-			continue
-		case json.Delim('['):
-			open = append(open, nil)
-			continue
-		case json.Delim('}'), json.Delim(']'):
+			open = append(open, current)
+		case '}', ']':
 			open = open[:len(open)-1]
+			current = nil
+			if len(open) > 0 {
+				current = open[len(open)-1]
+			}
+		case ',':
+			if current != nil {
+				current.nameNext = true
+			}
+		case '"':
+			end := endOfString(data, i)
+			if current != nil && current.nameNext {
+				if err := current.add(data[i : end+1]); err != nil {
+					return err
+				}
+			}
+			i = end
 		}
-		// A value has ended.
-		if len(open) > 0 && open[len(open)-1] != nil {
-			open[len(open)-1].isName = true
+	}
+	return nil
+}
+
+// add records the name of a member, a JSON string.
+func (o *object) add(quoted []byte) error {
+	o.nameNext = false
+	name := string(quoted[1 : len(quoted)-1])
+	if strings.Contains(name, `\`) {
+		if err := json.Unmarshal(quoted, &name); err != nil {
+			return errors.Wrap(err, "decode the name of a member")
+		}
+	}
+	folded := strings.ToLower(strings.ToUpper(name))
+	if _, taken := o.names[folded]; taken {
+		return errors.Newf("an object has two members named %q", name)
+	}
+	o.names[folded] = struct{}{}
+	return nil
+}
+
+// endOfString returns the index of the closing quote of the string that begins at start.
+func endOfString(data []byte, start int) int {
+	for i := start + 1; ; i++ {
+		switch data[i] {
+		case '\\':
+			i++
+		case '"':
+			return i
 		}
 	}
 }
