review: case 13, a request that crashes workers is forgotten when all processes are killed

Cause: the table of quarantined requests is in memory only. After a kill of all processes three more workers have to crash before the request is refused again.

Change: a scripted case for the rule BUDGET; the restart of all processes is shared with case 12.

--- a/review/third/cmd/review3/base.go
+++ b/review/third/cmd/review3/base.go
@@ -99,6 +99,25 @@
 	return b, nil
 }
 
+// restartAll kills all processes at the same moment and starts them again.
+func (b *bench) restartAll(c *caseRun) error {
+	for _, m := range b.All() {
+		m.Signal(killSignal)
+	}
+	for _, m := range b.All() {
+		m.Wait(5 * time.Second)
+	}
+	c.note("all processes killed")
+	time.Sleep(300 * time.Millisecond)
+	for _, m := range b.All() {
+		if err := m.Start(); err != nil {
+			return err
+		}
+	}
+	c.note("all processes started again")
+	return nil
+}
+
 func order(path string) *kit.Call {
 	return &kit.Call{ID: kit.NewID(), Method: "POST", Host: host, Path: "/order/" + path, Key: key, DeadlineMs: 4000, Body: "wax=1"}
 }
@@ -128,10 +147,6 @@
 			c.note("%s %s", call.ID, answer)
 		}
 	}
-	for _, m := range b.All()[:7] {
-		now, peak := m.RSS()
-		c.note("%s: %d MiB, peak %d", m.Name, now, peak)
-	}
 	c.note("%d of 40 failed", bad)
 	if bad > 0 {
 		return broken
--- a/review/third/cmd/review3/drain.go
+++ b/review/third/cmd/review3/drain.go
@@ -99,20 +99,10 @@
 	}
 	time.Sleep(200 * time.Millisecond)
 	if c.trouble {
-		for _, m := range b.All() {
-			m.Signal(killSignal)
+		if err := b.restartAll(c); err != nil {
+			c.note("%v", err)
+			return notRun
 		}
-		for _, m := range b.All() {
-			m.Wait(5 * time.Second)
-		}
-		c.note("all processes killed")
-		time.Sleep(300 * time.Millisecond)
-		for _, m := range b.All() {
-			if err := m.Start(); err != nil {
-				return notRun
-			}
-		}
-		c.note("all processes started again")
 	}
 	time.Sleep(time.Until(acked.Add(2500 * time.Millisecond)))
 	status, err := leaving.SendCheckIn(late)
--- a/review/third/cmd/review3/main.go
+++ b/review/third/cmd/review3/main.go
@@ -22,9 +22,10 @@
 )
 
 var cases = map[string]func(c *caseRun) int{
-	"base":  playBase,
-	"drain": playDrain,
-	"young": playYoung,
+	"base":   playBase,
+	"drain":  playDrain,
+	"young":  playYoung,
+	"deadly": playDeadly,
 }
 
 // caseRun is one play of a case.
--- a/review/third/kit/fleet.go
+++ b/review/third/kit/fleet.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -206,31 +205,6 @@
 	m.Wait(5 * time.Second)
 }
 
-// PID returns the process ID.
-func (m *Machine) PID() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.cmd.Process.Pid
-}
-
-// RSS returns the resident memory of the process in MiB, and its peak.
-func (m *Machine) RSS() (now, peak int) {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", m.PID()))
-	if err != nil {
-		return 0, 0
-	}
-	for _, line := range strings.Split(string(data), "\n") {
-		var kb int
-		if _, err := fmt.Sscanf(line, "VmRSS: %d kB", &kb); err == nil {
-			now = kb / 1024
-		}
-		if _, err := fmt.Sscanf(line, "VmHWM: %d kB", &kb); err == nil {
-			peak = kb / 1024
-		}
-	}
-	return now, peak
-}
-
 // Close kills all processes and, unless REVIEW3_KEEP is set, removes their files.
 func (f *Fleet) Close() {
 	for _, m := range f.All() {
@@ -246,17 +220,3 @@
 		fmt.Println("files kept in", f.Folder)
 	}
 }
-
-// Running reports whether the process has not ended.
-func (m *Machine) Running() bool {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", m.PID()))
-	if err != nil {
-		return false
-	}
-	text := string(data)
-	state := strings.TrimSpace(text[strings.LastIndex(text, ")")+1:])
-	return !strings.HasPrefix(state, "Z")
-}
-
-// Outbound is the address to which clients on the machine send their requests.
-func (m *Machine) Outbound() string { return net.JoinHostPort(m.IP, strconv.Itoa(OutboundPort)) }
