--- a/review/third/cmd/review3/base.go
+++ b/review/third/cmd/review3/base.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/hemlockring/hemlockring/review/third/kit"
+	"github.com/hemlockring/hemlockring/review/third/platform"
 )
 
 const (
@@ -19,9 +19,9 @@
 
 // bench is a running fleet with workers.
 type bench struct {
-	*kit.Fleet
-	config  kit.Config
-	workers []*kit.Worker
+	*platform.Fleet
+	config  platform.Config
+	workers []*platform.Worker
 
 	mu   sync.Mutex
 	runs map[string][]ranAt
@@ -29,11 +29,11 @@
 
 // ranAt says where and when a request ran.
 type ranAt struct {
-	worker *kit.Worker
+	worker *platform.Worker
 	at     time.Time
 }
 
-func (b *bench) recordRun(run *kit.Run) {
+func (b *bench) recordRun(run *platform.Run) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.runs[run.ID()] = append(b.runs[run.ID()], ranAt{run.Worker, run.At})
@@ -49,7 +49,7 @@
 const workTime = 50 * time.Millisecond
 
 // plain is a sound worker.
-func (b *bench) plain(run *kit.Run) bool {
+func (b *bench) plain(run *platform.Run) bool {
 	if _, err := run.Body(); err != nil {
 		return false
 	}
@@ -60,8 +60,8 @@
 
 // startBench starts a fleet of five core machines and sidecars with one worker each, and sets the
 // first configuration. handle may be nil.
-func startBench(c *caseRun, count int, handle func(b *bench) func(run *kit.Run) bool) (*bench, error) {
-	fleet, err := kit.NewFleet(".", map[string]int{service: count, other: 2}, []string{service, other})
+func startBench(c *caseRun, count int, handle func(b *bench) func(run *platform.Run) bool) (*bench, error) {
+	fleet, err := platform.NewFleet(".", map[string]int{service: count, other: 2}, []string{service, other})
 	if err != nil {
 		return nil, err
 	}
@@ -74,24 +74,24 @@
 		return b, err
 	}
 	for i, m := range fleet.Sidecar {
-		w := kit.NewWorker(fmt.Sprintf("i-%08x", i+1), m, 3, answer)
+		w := platform.NewWorker(fmt.Sprintf("i-%08x", i+1), m, 3, answer)
 		if err := w.Start(); err != nil {
 			return b, err
 		}
 		b.workers = append(b.workers, w)
 	}
-	b.config = kit.Config{Version: 1, Services: []string{service, other},
-		Routes: []kit.Route{
+	b.config = platform.Config{Version: 1, Services: []string{service, other},
+		Routes: []platform.Route{
 			{Name: "r-order", Host: host, Prefix: "/order/", Type: "unsafe", Service: service, TimeoutMs: 4000, TargetMs: 600, MaxAttempts: 2},
 			{Name: "r-look", Host: host, Prefix: "/look/", Type: "safe", Service: service, TimeoutMs: 3000, TargetMs: 600, MaxAttempts: 2},
 			{Name: "r-hist", Host: host, Prefix: "/hist/", Type: "safe", Service: other, TimeoutMs: 8000, TargetMs: 1200, MaxAttempts: 2},
 		},
-		Tenants: []kit.Tenant{{Name: "huka270", Keys: []string{key}, Rate: 200, Burst: 200}, {Name: "other1", Keys: []string{"s989anu6wsjnbanfqasn"}, Rate: 200, Burst: 200}},
+		Tenants: []platform.Tenant{{Name: "huka270", Keys: []string{key}, Rate: 200, Burst: 200}, {Name: "other1", Keys: []string{"s989anu6wsjnbanfqasn"}, Rate: 200, Burst: 200}},
 	}
 	if status, text := fleet.PutUntil(b.config.JSON(), 15*time.Second); status != 200 {
 		return b, fmt.Errorf("the first configuration was answered %d %s", status, text)
 	}
-	if !kit.WaitReady(fleet.Sidecar, 15*time.Second) {
+	if !platform.WaitReady(fleet.Sidecar, 15*time.Second) {
 		return b, fmt.Errorf("not all machines became ready")
 	}
 	time.Sleep(2 * time.Second)
@@ -118,12 +118,12 @@
 	return nil
 }
 
-func order(path string) *kit.Call {
-	return &kit.Call{ID: kit.NewID(), Method: "POST", Host: host, Path: "/order/" + path, Key: key, DeadlineMs: 4000, Body: "wax=1"}
+func order(path string) *platform.Call {
+	return &platform.Call{ID: platform.NewID(), Method: "POST", Host: host, Path: "/order/" + path, Key: key, DeadlineMs: 4000, Body: "wax=1"}
 }
 
-func look(path string) *kit.Call {
-	return &kit.Call{ID: kit.NewID(), Method: "GET", Host: host, Path: "/look/" + path, Key: key, DeadlineMs: 3000}
+func look(path string) *platform.Call {
+	return &platform.Call{ID: platform.NewID(), Method: "GET", Host: host, Path: "/look/" + path, Key: key, DeadlineMs: 3000}
 }
 
 func playBase(c *caseRun) int {
--- a/review/third/cmd/review3/deadly.go
+++ b/review/third/cmd/review3/deadly.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/hemlockring/hemlockring/review/third/kit"
+	"github.com/hemlockring/hemlockring/review/third/platform"
 )
 
 // restartTime is how long a worker is down after a crash.
@@ -15,12 +15,12 @@
 
 // deadlyWorkers are workers that crash when they begin to run a deadly request, and are back after
 // some seconds.
-func deadlyWorkers(c *caseRun) func(b *bench) func(run *kit.Run) bool {
-	return func(b *bench) func(run *kit.Run) bool {
+func deadlyWorkers(c *caseRun) func(b *bench) func(run *platform.Run) bool {
+	return func(b *bench) func(run *platform.Run) bool {
 		usual := slow(b)
 		var mu sync.Mutex
-		crashed := map[*kit.Worker]bool{}
-		return func(run *kit.Run) bool {
+		crashed := map[*platform.Worker]bool{}
+		return func(run *platform.Run) bool {
 			if !strings.HasPrefix(run.Request.URL.Path, "/look/deadly") {
 				return usual(run)
 			}
@@ -101,7 +101,7 @@
 		}
 		// All machines are in touch: 3 s have passed since their start.
 		time.Sleep(4 * time.Second)
-		if !kit.WaitReady(b.Sidecar, 20*time.Second) {
+		if !platform.WaitReady(b.Sidecar, 20*time.Second) {
 			c.note("not ready again")
 		}
 		if calm.IsZero() {
--- a/review/third/cmd/review3/drain.go
+++ b/review/third/cmd/review3/drain.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/hemlockring/hemlockring/review/third/kit"
+	"github.com/hemlockring/hemlockring/review/third/platform"
 )
 
 // drainPeriod is DrainPeriodMs of the deployment.
@@ -16,7 +16,7 @@
 const leaveTries = 10
 
 // leave sends the DELETE until it is acknowledged, and returns the time of the ack.
-func leave(c *caseRun, w *kit.Worker) (time.Time, bool) {
+func leave(c *caseRun, w *platform.Worker) (time.Time, bool) {
 	for range leaveTries {
 		if status, _ := w.Leave(); status == 200 {
 			c.note("worker %s: DELETE acknowledged; it goes on serving", w.ID)
@@ -49,7 +49,7 @@
 }
 
 // lateRuns counts the requests that reached the worker later than DrainPeriodMs after the ack.
-func (b *bench) lateRuns(c *caseRun, w *kit.Worker, acked time.Time) int {
+func (b *bench) lateRuns(c *caseRun, w *platform.Worker, acked time.Time) int {
 	reached := 0
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -65,8 +65,8 @@
 }
 
 // slow is a sound worker whose runs take 400 ms.
-func slow(b *bench) func(run *kit.Run) bool {
-	return func(run *kit.Run) bool {
+func slow(b *bench) func(run *platform.Run) bool {
+	return func(run *platform.Run) bool {
 		if _, err := run.Body(); err != nil {
 			return false
 		}
@@ -107,7 +107,7 @@
 	time.Sleep(time.Until(acked.Add(2500 * time.Millisecond)))
 	status, err := leaving.SendCheckIn(late)
 	c.note("the delayed check-in arrives %d ms after the ack: %d %v", time.Since(acked).Milliseconds(), status, err)
-	if !kit.WaitReady(b.Sidecar, 20*time.Second) {
+	if !platform.WaitReady(b.Sidecar, 20*time.Second) {
 		c.note("not ready again")
 	}
 	// All machines are in touch again: 3 s have passed since their start.
@@ -145,7 +145,7 @@
 	former.Crash()
 	c.note("worker %s has exited", former.ID)
 	time.Sleep(3 * time.Second)
-	young := kit.NewWorker("i-0000beef", b.Sidecar[0], 3, slow(b))
+	young := platform.NewWorker("i-0000beef", b.Sidecar[0], 3, slow(b))
 	if err := young.Start(); err != nil {
 		c.note("%v", err)
 		return notRun
--- a/review/third/kit/worker.go
+++ b/review/third/platform/worker.go
@@ -1,6 +1,6 @@
 //go:build review3
 
-package kit
+package platform
 
 import (
 	"bufio"
