review: case 13, an exit that two of five witnesses confirm is acknowledged

Cause: while the core is down, Keep accepts two confirmations of five, and the recall of the next process ends with any three replies. The two sets need not meet.

--- a/review/third/cmd/review3/main.go
+++ b/review/third/cmd/review3/main.go
@@ -22,10 +22,11 @@
 )
 
 var cases = map[string]func(c *caseRun) int{
-	"base":   playBase,
-	"drain":  playDrain,
-	"young":  playYoung,
-	"deadly": playDeadly,
+	"base":     playBase,
+	"drain":    playDrain,
+	"young":    playYoung,
+	"deadly":   playDeadly,
+	"minority": playMinority,
 }
 
 // caseRun is one play of a case.
